--- /dev/null
+++ b/build.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# The one entry point for people and CI: see README.md for the commands.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")"
+. scripts/lib.sh
+
+case "${1:-help}" in
+  deps) install_packages ;;
+  build) ensure_packages; build "${2:-all}" ;;
+  format) clang-format -i $(own_sources) ;;
+  lint) ensure_packages; configure; check_format; check_lint ;;
+  unit) ensure_packages; build all; run_ctest -LE integration ;;
+  test) ensure_packages; configure; check_format; build all; run_ctest; check_lint ;;
+  demo) ensure_packages; build all; exec scripts/demo.sh ;;
+  fleet) ensure_packages; build all; exec scripts/fleet.sh ;;
+  *)
+    cat <<'USAGE'
+usage: ./build.sh COMMAND
+  deps    install the declared Debian packages
+  build   build everything (or one target) into build/
+  format  rewrite the sources in the project's format
+  lint    check format and run the linter
+  unit    build and run the tests that need no processes
+  test    everything CI checks: format, build, all tests, lint
+  demo    start a local fleet, compare two serving policies, print the result
+  fleet   start a local fleet and keep it in the foreground until a signal
+USAGE
+    [ "${1:-help}" = help ] || exit 2
+    ;;
+esac
--- /dev/null
+++ b/cmake/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/libs/base/include/base/hash.h
@@ -0,0 +1,22 @@
+#ifndef KNAPWEEDSTILE_BASE_HASH_H_
+#define KNAPWEEDSTILE_BASE_HASH_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace knapweedstile {
+
+// Stable 64-bit hash (XXH3): the same in every process and release, so that two
+// nodes agree on rendezvous placement, fingerprints and job ids.
+uint64_t Hash64(std::string_view text, uint64_t seed = 0) noexcept;
+
+// Combines two hashes; not commutative.
+uint64_t HashCombine(uint64_t a, uint64_t b) noexcept;
+
+// Sixteen lower-case hexadecimal digits.
+std::string HexOf(uint64_t value);
+
+}  // namespace knapweedstile
+
+#endif  // KNAPWEEDSTILE_BASE_HASH_H_
--- /dev/null
+++ b/libs/base/include/base/id.h
@@ -0,0 +1,49 @@
+#ifndef KNAPWEEDSTILE_BASE_ID_H_
+#define KNAPWEEDSTILE_BASE_ID_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+
+namespace knapweedstile {
+
+// A typed handle to an object that lives in one manager's container. Ids of
+// different kinds do not mix, and an id never dangles: a manager that no longer
+// holds the object says so. Zero is "no object".
+template <typename Tag>
+class Id {
+ public:
+  constexpr Id() noexcept = default;
+  constexpr explicit Id(uint64_t value) noexcept : value_(value) {}
+
+  constexpr uint64_t value() const noexcept { return value_; }
+  constexpr explicit operator bool() const noexcept { return value_ != 0; }
+  constexpr auto operator<=>(const Id&) const noexcept = default;
+
+ private:
+  uint64_t value_ = 0;
+};
+
+// A request of a caller, or one batch item while it is dispatched.
+using RequestId = Id<struct RequestTag>;
+// One sending of a request to one backend server.
+using AttemptId = Id<struct AttemptTag>;
+// A backend server as one node knows it.
+using BackendServerId = Id<struct BackendServerTag>;
+// A connection to another process of the system.
+using PeerId = Id<struct PeerTag>;
+// A stream on such a connection.
+using StreamId = Id<struct StreamTag>;
+// One HTTP request and its response, on either side.
+using ExchangeId = Id<struct ExchangeTag>;
+
+}  // namespace knapweedstile
+
+template <typename Tag>
+struct std::hash<knapweedstile::Id<Tag>> {
+  size_t operator()(knapweedstile::Id<Tag> id) const noexcept {
+    return std::hash<uint64_t>()(id.value());
+  }
+};
+
+#endif  // KNAPWEEDSTILE_BASE_ID_H_
--- /dev/null
+++ b/libs/base/include/base/log.h
@@ -0,0 +1,60 @@
+#ifndef KNAPWEEDSTILE_BASE_LOG_H_
+#define KNAPWEEDSTILE_BASE_LOG_H_
+
+#include <fmt/format.h>
+
+#include <array>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "base/enum_names.h"
+
+namespace knapweedstile {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+template <>
+inline constexpr std::array<std::string_view, 4> kEnumNames<LogLevel> = {
+    "debug", "info", "warning", "error"};
+
+// One field of a log line. Values with spaces, quotes or '=' are quoted.
+struct LogField {
+  template <typename T>
+  LogField(std::string_view name, const T& content)
+      : key(name), value(fmt::format("{}", content)) {}
+
+  std::string_view key;
+  std::string value;
+};
+
+// Sets the least level that is written and the name of this process, which
+// stands in every line. Call once, before threads start.
+void ConfigureLog(LogLevel least, std::string node);
+
+// Writes one line `time=... level=... node=... event=NAME key=value...` to
+// standard error with a single write, so lines of threads never mix.
+void Log(LogLevel level, std::string_view event,
+         std::initializer_list<LogField> fields = {});
+
+inline void LogInfo(std::string_view event,
+                    std::initializer_list<LogField> fields = {}) {
+  Log(LogLevel::kInfo, event, fields);
+}
+inline void LogWarning(std::string_view event,
+                       std::initializer_list<LogField> fields = {}) {
+  Log(LogLevel::kWarning, event, fields);
+}
+inline void LogError(std::string_view event,
+                     std::initializer_list<LogField> fields = {}) {
+  Log(LogLevel::kError, event, fields);
+}
+inline void LogDebug(std::string_view event,
+                     std::initializer_list<LogField> fields = {}) {
+  Log(LogLevel::kDebug, event, fields);
+}
+
+}  // namespace knapweedstile
+
+#endif  // KNAPWEEDSTILE_BASE_LOG_H_
