Contracts: decision interfaces, fleet messages, HTTP, platform and outer protocols

Cause: five parts are written at once; each must be able to build against the others before they exist.

Ruled out: one event loop for a process.

--- /dev/null
+++ b/libs/decide/include/decide/entry_settings.h
@@ -0,0 +1,20 @@
+#ifndef KNAPWEEDSTILE_DECIDE_ENTRY_SETTINGS_H_
+#define KNAPWEEDSTILE_DECIDE_ENTRY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/time.h"
+
+namespace knapweedstile::decide {
+
+// Fixed by the entry's settings file.
+struct EntrySettings {
+  std::string availability_zone;
+  uint32_t queue_limit = 1024;           // requests waiting in this entry
+  uint32_t workspace_queue_limit = 256;  // of one workspace
+};
+
+}  // namespace knapweedstile::decide
+
+#endif  // KNAPWEEDSTILE_DECIDE_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/libs/http/include/http/client.h
@@ -0,0 +1,45 @@
+#ifndef KNAPWEEDSTILE_HTTP_CLIENT_H_
+#define KNAPWEEDSTILE_HTTP_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "base/id.h"
+#include "http/client_event.h"
+#include "http/client_request.h"
+#include "http/client_settings.h"
+
+namespace knapweedstile::http {
+
+// HTTP/1.1 client over Boost.Beast with a small pool of idle connections for
+// each address. Lives on the thread of `io`.
+//
+// Failure guarded against: a pooled connection that the other end has just
+// closed. A request that fails on a reused connection before any response byte
+// is reported kLost unless no byte of it was written; the client never sends a
+// request twice by itself.
+class Client {
+ public:
+  using EventSink = std::function<void(ClientEvent&&)>;
+
+  Client(boost::asio::io_context& io, const ClientSettings& settings,
+         EventSink sink);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  void Send(ClientRequest&& request);
+  // Cuts the exchange's connection; no event follows.
+  void Cancel(ExchangeId exchange);
+  // Drops idle connections to an address that has been replaced.
+  void Close();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace knapweedstile::http
+
+#endif  // KNAPWEEDSTILE_HTTP_CLIENT_H_
--- /dev/null
+++ b/libs/platform/include/platform/store_answer.h
@@ -0,0 +1,71 @@
+#ifndef KNAPWEEDSTILE_PLATFORM_STORE_ANSWER_H_
+#define KNAPWEEDSTILE_PLATFORM_STORE_ANSWER_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/enum_names.h"
+#include "base/time.h"
+
+namespace knapweedstile::platform {
+
+enum class StoreOutcome {
+  kOk,
+  kConflict,   // the version was not `if_version`; `version` is the present one
+  kNotFound,   // no such object
+  kNotSent,    // no connection: it did not take effect
+  kThrottled,  // over the quota: it did not take effect; come back later
+  kRejected,   // the platform refuses it for good (too large, malformed)
+  kUnknown,    // the answer is missing: it may have taken effect
+};
+
+enum class VmState { kLive, kLeaving };
+
+struct StoredObject {
+  std::string kind;
+  std::string name;
+  uint64_t version = 0;
+  bool deleted = false;
+  std::string value;
+};
+
+struct Vm {
+  std::string name;
+  std::string address;  // "IP:PORT" of its process's fleet listener
+  std::string availability_zone;
+  std::string role;    // "entry" or "sidecar"
+  std::string target;  // sidecars: the model or service beside it
+  VmState state = VmState::kLive;
+};
+
+struct StoreAnswer {
+  uint64_t token = 0;
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+  uint64_t version = 0;               // write: the new one; conflict: present
+  std::vector<StoredObject> objects;  // read: one; list and watch
+  uint64_t revision = 0;              // list and watch: complete up to here
+  bool more = false;                  // list: ask again after `revision`
+  std::vector<Vm> vms;
+  Duration retry_after{};  // kThrottled: from the arrival of the answer
+  std::string message;     // for people
+};
+
+}  // namespace knapweedstile::platform
+
+namespace knapweedstile {
+
+template <>
+inline constexpr std::array<std::string_view, 7>
+    kEnumNames<platform::StoreOutcome> = {"ok",       "conflict",  "not_found",
+                                          "not_sent", "throttled", "rejected",
+                                          "unknown"};
+template <>
+inline constexpr std::array<std::string_view, 2> kEnumNames<platform::VmState> =
+    {"live", "leaving"};
+
+}  // namespace knapweedstile
+
+#endif  // KNAPWEEDSTILE_PLATFORM_STORE_ANSWER_H_
--- /dev/null
+++ b/libs/platform/include/platform/store_request.h
@@ -0,0 +1,72 @@
+#ifndef KNAPWEEDSTILE_PLATFORM_STORE_REQUEST_H_
+#define KNAPWEEDSTILE_PLATFORM_STORE_REQUEST_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+
+namespace knapweedstile::platform {
+
+// A call to the platform's object API. `token` is chosen by the asker and comes
+// back in the answer. Versions are positions in the store's history: a later
+// change of any object has a higher one.
+
+struct ReadRequest {
+  std::string kind;
+  std::string name;
+};
+
+// Takes effect only when the object's version is still `if_version`; zero: only
+// when no such object exists. Values hold up to kMaxValueBytes.
+struct WriteRequest {
+  std::string kind;
+  std::string name;
+  uint64_t if_version = 0;
+  std::string value;
+};
+
+struct DeleteRequest {
+  std::string kind;
+  std::string name;
+  uint64_t if_version = 0;
+};
+
+// Objects of `kind` whose name begins with `prefix` and that changed after
+// `after`, oldest change first; deleted ones too when `after` is not zero.
+struct ListRequest {
+  std::string kind;
+  std::string prefix;
+  uint64_t after = 0;
+  uint32_t limit = 500;
+  bool values = true;
+};
+
+// As a list over several kinds, answered when something changed after `after`
+// or when `wait_until` has come (then empty).
+struct WatchRequest {
+  std::vector<std::string> kinds;
+  uint64_t after = 0;
+  TimePoint wait_until;
+};
+
+// The VM list.
+struct VmListRequest {};
+
+using StoreCall = std::variant<ReadRequest, WriteRequest, DeleteRequest,
+                               ListRequest, WatchRequest, VmListRequest>;
+
+struct StoreRequest {
+  uint64_t token = 0;
+  StoreCall call;
+  TimePoint deadline = kNever;
+};
+
+// Largest value that the platform takes.
+inline constexpr size_t kMaxValueBytes = 1 << 20;
+
+}  // namespace knapweedstile::platform
+
+#endif  // KNAPWEEDSTILE_PLATFORM_STORE_REQUEST_H_
