--- /dev/null
+++ b/libs/observe/tests/observe_test.cc
@@ -0,0 +1,53 @@
+#include <catch2/catch.hpp>
+
+#include "observe/metrics.h"
+#include "observe/timeline.h"
+
+namespace knapweedstile::observe {
+
+TEST_CASE("metrics render counters, gauges and histograms") {
+  Metrics metrics;
+  metrics.DeclareCounter("requests_total", "Requests.", {"class"});
+  metrics.DeclareGauge("queue", "Waiting.");
+  metrics.DeclareHistogram("ttft_seconds", "Time to first token.", {"policy"});
+  metrics.Add("requests_total", {"online"}, 2);
+  metrics.Set("queue", 1.5);
+  metrics.Observe("ttft_seconds", 0.02, {"a\"b"});
+  metrics.Observe("ttft_seconds", 5000, {"a\"b"});
+  const std::string text = metrics.Render();
+  REQUIRE(text.find("requests_total{class=\"online\"} 2\n") !=
+          std::string::npos);
+  REQUIRE(text.find("queue 1.5\n") != std::string::npos);
+  REQUIRE(text.find("ttft_seconds_bucket{policy=\"a\\\"b\",le=\"+Inf\"} 2\n") !=
+          std::string::npos);
+  REQUIRE(text.find("ttft_seconds_bucket{policy=\"a\\\"b\",le=\"600\"} 1\n") !=
+          std::string::npos);
+}
+
+// A caller sends a new workspace name with every request. Without the bound on
+// series each name would stay in memory and in the monitors for good.
+TEST_CASE("label values from outside cannot grow a family without bound") {
+  Metrics metrics;
+  metrics.DeclareCounter("requests_total", "Requests.", {"workspace"});
+  for (int i = 0; i < 1000; ++i) {
+    metrics.Add("requests_total", {"w" + std::to_string(i)});
+  }
+  const std::string text = metrics.Render();
+  const auto lines = std::count(text.begin(), text.end(), '\n');
+  REQUIRE(lines == static_cast<int64_t>(Metrics::kMaxSeries + 1 + 2));
+  REQUIRE(text.find("{workspace=\"other\"} 872\n") != std::string::npos);
+}
+
+TEST_CASE("the time line keeps the last events and pages by sequence") {
+  Timeline timeline(3);
+  for (int i = 0; i < 5; ++i) {
+    timeline.Record({0, i, 0, "e" + std::to_string(i), "r", {{"k", "v"}}});
+  }
+  REQUIRE(timeline.last_sequence() == 5);
+  REQUIRE(timeline.EventsJson(3, 1) ==
+          R"([{"seq":4,"t":3,"name":"e3","request":"r","args":{"k":"v"}}])");
+  REQUIRE(timeline.EventsJson(0, 10).find("\"seq\":3") != std::string::npos);
+  REQUIRE(timeline.EventsJson(0, 10).find("\"seq\":2") == std::string::npos);
+}
+
+}  // namespace knapweedstile::observe
