--- /dev/null
+++ b/libs/node/src/entry_node_settings.cc
@@ -0,0 +1,65 @@
+#include "node/entry_node_settings.h"
+
+#include "settings/schema.h"
+
+namespace knapweedstile::node {
+namespace {
+
+void BindHttp(settings::Schema& schema, http::ServerSettings* http) {
+  schema.Integer("callers.max_connections", "connections",
+                 "Callers' connections held at once.", &http->max_connections,
+                 1, 1'000'000);
+  schema.Integer("callers.max_header_bytes", "bytes",
+                 "Request line and headers of one request.",
+                 &http->max_header_bytes, 1024, 1 << 20);
+  schema.Integer("callers.max_body_bytes", "bytes", "Body of one request.",
+                 &http->max_body_bytes, 1024, 1LL << 30);
+  schema.Millis("callers.header_timeout",
+                "Within which a request's headers must have arrived.",
+                &http->header_timeout, 10, 600'000);
+  schema.Millis("callers.body_timeout",
+                "Within which a request's body must have arrived.",
+                &http->body_timeout, 10, 3'600'000);
+  schema.Millis("callers.idle_timeout",
+                "After which a connection without a request is closed.",
+                &http->idle_timeout, 10, 3'600'000);
+}
+
+}  // namespace
+
+void BindEntryNodeSettings(settings::Schema& schema,
+                           EntryNodeSettings* settings) {
+  using settings::Presence;
+  BindNodeSettings(schema, &settings->node);
+  schema.Address("callers.listen", "Listener for callers.",
+                 &settings->callers_listen);
+  BindHttp(schema, &settings->http);
+  schema.Millis("callers.online_deadline",
+                "Deadline of an online answer's first token, unless the caller "
+                "says otherwise with X-Deadline-Ms.",
+                &settings->online_deadline, 10, 3'600'000);
+  schema.Flag("callers.require_workspace",
+              "Refuse requests whose workspace is not an object in force.",
+              &settings->require_workspace);
+  schema.Integer("callers.default_max_tokens", "tokens",
+                 "Used when a request names no max_tokens.",
+                 &settings->default_max_tokens, 1, 1'000'000);
+  schema.Integer("callers.most_max_tokens", "tokens",
+                 "The largest max_tokens that is accepted.",
+                 &settings->most_max_tokens, 1, 1'000'000);
+  schema.AddressList("platform.addresses", "Servers of the platform's API.",
+                     &settings->platform_addresses, Presence::kRequired);
+  schema.Millis("platform.vm_list_period", "Between reads of the VM list.",
+                &settings->vm_list_period, 50, 600'000);
+  schema.Millis("platform.watch_wait", "How long one watch call waits.",
+                &settings->watch_wait, 100, 600'000);
+  schema.Millis("platform.deadline", "Deadline of one other call.",
+                &settings->platform_deadline, 50, 60'000);
+  schema.Integer("queue.limit", "requests", "Requests waiting in this entry.",
+                 &settings->scheduler.queue_limit, 1, 1'000'000);
+  schema.Integer("queue.workspace_limit", "requests",
+                 "Requests of one workspace waiting in this entry.",
+                 &settings->scheduler.workspace_queue_limit, 1, 1'000'000);
+}
+
+}  // namespace knapweedstile::node
