HTTP: server and client over Boost.Beast

Cause: every outer form is HTTP/1.1, and the rest is coded against these headers. Ruled out: Beast's composed operations, which hold references to a connection's parser and buffers while they wait; a connection erased by a command would leave them dangling. Change: non-blocking sockets waited for with async_wait, Beast's parsers and serializers fed by hand, connections addressed by ids that are never used twice. Limits are answered by the server with not_run:true.

--- /dev/null
+++ b/libs/http/src/client.cc
@@ -0,0 +1,19 @@
+#include "http/client.h"
+
+#include "client_impl.h"
+
+namespace knapweedstile::http {
+
+Client::Client(boost::asio::io_context& io, const ClientSettings& settings,
+               EventSink sink)
+    : impl_(std::make_unique<Impl>(io, settings, std::move(sink))) {}
+
+Client::~Client() = default;
+
+void Client::Send(ClientRequest&& request) { impl_->Send(std::move(request)); }
+
+void Client::Cancel(ExchangeId exchange) { impl_->Cancel(exchange); }
+
+void Client::Close() { impl_->CloseIdle(); }
+
+}  // namespace knapweedstile::http
--- /dev/null
+++ b/libs/http/src/client_impl.cc
@@ -0,0 +1,363 @@
+#include "client_impl.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+#include <utility>
+
+#include "base/clock.h"
+#include "endpoint.h"
+#include "message_text.h"
+
+namespace knapweedstile::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr size_t kReadBytes = 64 << 10;
+constexpr uint32_t kMaxHeaderBytes = 64 << 10;
+
+bool IsInterim(unsigned status) noexcept { return status / 100 == 1; }
+
+}  // namespace
+
+Client::Impl::Impl(asio::io_context& io, const ClientSettings& settings,
+                   EventSink sink)
+    : io_(io),
+      settings_(settings),
+      sink_(std::move(sink)),
+      scratch_(kReadBytes, '\0') {}
+
+Client::Impl::Connection* Client::Impl::Find(ClientConnectionId id) noexcept {
+  const auto found = connections_.find(id);
+  return found == connections_.end() ? nullptr : found->second.get();
+}
+
+auto Client::Impl::Later(ClientConnectionId id, Member member) {
+  return [weak = std::weak_ptr<Impl*>(self_), id,
+          member](const error_code& ec = {}) {
+    const auto self = weak.lock();
+    if (!self || ec == asio::error::operation_aborted) return;
+    Impl& impl = **self;
+    if (Connection* connection = impl.Find(id)) (impl.*member)(*connection);
+  };
+}
+
+void Client::Impl::Send(ClientRequest&& request) {
+  Connection* connection = TakeIdle(request.address);
+  const bool reused = connection != nullptr;
+  if (!reused) connection = &NewConnection(request.address);
+  const bool sendable = IsSendable(request);
+  Load(*connection, std::move(request));
+  if (!sendable) {
+    connection->phase = ClientPhase::kFailed;
+    connection->failure = "method, target or header holds a line break";
+    asio::post(io_, Later(connection->id, &Impl::ReportFailure));
+  } else if (reused) {
+    BeginExchange(*connection);
+  } else {
+    Connect(*connection);
+  }
+}
+
+void Client::Impl::Load(Connection& connection, ClientRequest&& request) {
+  connection.exchange = request.exchange;
+  connection.request_deadline = request.deadline;
+  connection.stream_body = request.stream_body;
+  connection.head_request = request.method == "HEAD";
+  connection.head_given = false;
+  connection.any_written = false;
+  connection.out = RequestHead(request);
+  connection.out += request.body;
+  connection.out_offset = 0;
+  connection.unparsed.clear();
+  NewParser(connection);
+  exchanges_[request.exchange] = connection.id;
+}
+
+void Client::Impl::NewParser(Connection& connection) {
+  connection.parser.emplace();
+  connection.parser->eager(true);
+  connection.parser->header_limit(kMaxHeaderBytes);
+  connection.parser->body_limit(settings_.max_response_bytes);
+  connection.parser->skip(connection.head_request);
+}
+
+Client::Impl::Connection* Client::Impl::TakeIdle(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return nullptr;
+  while (!found->second.empty()) {
+    Connection* connection = Find(found->second.back());
+    found->second.pop_back();
+    if (!connection) continue;
+    // A connection that the server has closed meanwhile is readable.
+    error_code ec;
+    connection->socket.receive(asio::buffer(scratch_, 1),
+                               asio::socket_base::message_peek, ec);
+    if (ec == asio::error::would_block) return connection;
+    connections_.erase(connection->id);
+  }
+  idle_.erase(found);
+  return nullptr;
+}
+
+Client::Impl::Connection& Client::Impl::NewConnection(
+    const std::string& address) {
+  const ClientConnectionId id(++last_connection_);
+  Connection& connection =
+      *connections_.emplace(id, std::make_unique<Connection>(id, io_))
+           .first->second;
+  connection.address = address;
+  return connection;
+}
+
+void Client::Impl::Connect(Connection& connection) {
+  const auto endpoint = ParseEndpoint(connection.address);
+  error_code ec;
+  if (endpoint) connection.socket.open(endpoint->protocol(), ec);
+  if (!endpoint || ec) {
+    connection.phase = ClientPhase::kFailed;
+    connection.failure = endpoint ? ec.message() : "not IP:PORT";
+    asio::post(io_, Later(connection.id, &Impl::ReportFailure));
+    return;
+  }
+  connection.phase = ClientPhase::kConnecting;
+  SetDeadline(connection,
+              std::min(MonotonicNow() + Duration(settings_.connect_timeout),
+                       connection.request_deadline));
+  connection.socket.async_connect(
+      *endpoint, [weak = std::weak_ptr<Impl*>(self_),
+                  id = connection.id](const error_code& result) {
+        const auto self = weak.lock();
+        Connection* found = self ? (*self)->Find(id) : nullptr;
+        if (!found) return;
+        if (result) return (*self)->Fail(*found, result.message(), false);
+        (*self)->OnConnected(*found);
+      });
+}
+
+void Client::Impl::OnConnected(Connection& connection) {
+  error_code ec;
+  connection.socket.non_blocking(true, ec);
+  connection.socket.set_option(asio::ip::tcp::no_delay(true), ec);
+  connection.socket.set_option(asio::socket_base::keep_alive(true), ec);
+  BeginExchange(connection);
+}
+
+void Client::Impl::BeginExchange(Connection& connection) {
+  connection.phase = ClientPhase::kExchange;
+  SetDeadline(connection, connection.request_deadline);
+  WaitReadable(connection);
+  WaitWritable(connection);
+}
+
+void Client::Impl::WaitReadable(Connection& connection) {
+  if (std::exchange(connection.read_waiting, true)) return;
+  connection.socket.async_wait(asio::socket_base::wait_read,
+                               Later(connection.id, &Impl::OnReadable));
+}
+
+void Client::Impl::WaitWritable(Connection& connection) {
+  if (std::exchange(connection.write_waiting, true)) return;
+  connection.socket.async_wait(asio::socket_base::wait_write,
+                               Later(connection.id, &Impl::OnWritable));
+}
+
+void Client::Impl::OnWritable(Connection& connection) {
+  connection.write_waiting = false;
+  if (connection.phase == ClientPhase::kExchange) Write(connection);
+}
+
+void Client::Impl::Write(Connection& connection) {
+  while (connection.out_offset < connection.out.size()) {
+    error_code ec;
+    const size_t count = connection.socket.write_some(
+        asio::buffer(connection.out) + connection.out_offset, ec);
+    connection.out_offset += count;
+    if (count > 0) connection.any_written = true;
+    if (ec == asio::error::would_block) return WaitWritable(connection);
+    // An answer may have come before the whole request was taken (413): what
+    // has been read decides, so only a connection without one fails here.
+    if (ec) {
+      if (connection.any_written) return;
+      return Fail(connection, ec.message(), false);
+    }
+  }
+  connection.out.clear();
+  connection.out_offset = 0;
+}
+
+void Client::Impl::OnReadable(Connection& connection) {
+  connection.read_waiting = false;
+  const ClientConnectionId id = connection.id;
+  error_code ec;
+  const size_t count = connection.socket.read_some(asio::buffer(scratch_), ec);
+  if (ec && ec != asio::error::would_block) {
+    if (ec == asio::error::eof) return OnEnd(connection);
+    return Fail(connection, ec.message(), false);
+  }
+  if (connection.phase == ClientPhase::kIdle && count > 0) {
+    // Nothing was asked, so this connection is out of step.
+    return Erase(connection);
+  }
+  connection.unparsed.append(scratch_, 0, count);
+  Parse(connection);
+  if (Connection* still = Find(id)) WaitReadable(*still);
+}
+
+void Client::Impl::OnEnd(Connection& connection) {
+  if (connection.phase != ClientPhase::kExchange) return Erase(connection);
+  error_code ec;
+  const bool by_end =
+      connection.parser->is_header_done() && connection.parser->need_eof();
+  if (by_end) connection.parser->put_eof(ec);
+  if (by_end && !ec) return Complete(connection);
+  Fail(connection, "the server closed the connection", false);
+}
+
+void Client::Impl::Parse(Connection& connection) {
+  while (connection.phase == ClientPhase::kExchange &&
+         !connection.unparsed.empty()) {
+    auto& parser = *connection.parser;
+    error_code ec;
+    const size_t used = parser.put(asio::buffer(connection.unparsed), ec);
+    connection.unparsed.erase(0, used);
+    if (ec && ec != beast_http::error::need_more) {
+      return Fail(connection, "response: " + ec.message(), false);
+    }
+    if (parser.is_header_done() && IsInterim(parser.get().result_int())) {
+      NewParser(connection);
+      continue;
+    }
+    if (parser.is_header_done() && !GiveHead(connection)) return;
+    if (!GiveBody(connection)) return;
+    if (parser.is_done()) return Complete(connection);
+    if (used == 0) return;
+  }
+}
+
+bool Client::Impl::GiveHead(Connection& connection) {
+  if (!connection.stream_body || connection.head_given) return true;
+  connection.head_given = true;
+  const ClientConnectionId id = connection.id;
+  const ExchangeId exchange = connection.exchange;
+  const auto& message = connection.parser->get();
+  sink_(HeadEvent{.exchange = exchange,
+                  .status = message.result_int(),
+                  .headers = ToHeaderList(message)});
+  Connection* still = Find(id);
+  return still && still->exchange == exchange;
+}
+
+bool Client::Impl::GiveBody(Connection& connection) {
+  if (!connection.stream_body) return true;
+  std::string data = std::exchange(connection.parser->get().body(), {});
+  if (data.empty()) return true;
+  const ClientConnectionId id = connection.id;
+  const ExchangeId exchange = connection.exchange;
+  sink_(BodyEvent{.exchange = exchange, .data = std::move(data)});
+  Connection* still = Find(id);
+  return still && still->exchange == exchange;
+}
+
+void Client::Impl::Complete(Connection& connection) {
+  auto message = connection.parser->release();
+  EndEvent event{.exchange = connection.exchange,
+                 .outcome = ClientOutcome::kComplete,
+                 .status = message.result_int(),
+                 .headers = ToHeaderList(message),
+                 .body = std::move(message.body())};
+  const bool reusable = message.keep_alive() && connection.out.empty() &&
+                        connection.unparsed.empty();
+  exchanges_.erase(connection.exchange);
+  if (reusable) {
+    Release(connection);
+  } else {
+    connections_.erase(connection.id);
+  }
+  sink_(std::move(event));
+}
+
+void Client::Impl::Release(Connection& connection) {
+  auto& pool = idle_[connection.address];
+  if (pool.size() >= settings_.max_idle_per_address) {
+    connections_.erase(connection.id);
+    return;
+  }
+  connection.exchange = ExchangeId();
+  connection.parser.reset();
+  connection.phase = ClientPhase::kIdle;
+  pool.push_back(connection.id);
+  SetDeadline(connection, MonotonicNow() + settings_.idle_timeout);
+}
+
+void Client::Impl::Fail(Connection& connection, std::string message,
+                        bool by_deadline) {
+  if (!connection.exchange) return Erase(connection);
+  EndEvent event{.exchange = connection.exchange,
+                 .outcome = ClientOutcome::kNotSent,
+                 .message = std::move(message)};
+  if (connection.any_written) {
+    event.outcome =
+        by_deadline ? ClientOutcome::kDeadline : ClientOutcome::kLost;
+    if (connection.parser->is_header_done()) {
+      event.status = connection.parser->get().result_int();
+      event.headers = ToHeaderList(connection.parser->get());
+    }
+  }
+  Erase(connection);
+  sink_(std::move(event));
+}
+
+void Client::Impl::ReportFailure(Connection& connection) {
+  Fail(connection, std::move(connection.failure), false);
+}
+
+void Client::Impl::Erase(Connection& connection) {
+  exchanges_.erase(connection.exchange);
+  if (connection.phase == ClientPhase::kIdle) {
+    const auto pool = idle_.find(connection.address);
+    if (pool != idle_.end()) {
+      std::erase(pool->second, connection.id);
+      if (pool->second.empty()) idle_.erase(pool);
+    }
+  }
+  connections_.erase(connection.id);
+}
+
+void Client::Impl::Cancel(ExchangeId exchange) {
+  const auto found = exchanges_.find(exchange);
+  if (found == exchanges_.end()) return;
+  if (Connection* connection = Find(found->second)) Erase(*connection);
+}
+
+void Client::Impl::CloseIdle() {
+  for (const auto& [address, pool] : idle_) {
+    for (const ClientConnectionId id : pool) connections_.erase(id);
+  }
+  idle_.clear();
+}
+
+void Client::Impl::SetDeadline(Connection& connection, TimePoint deadline) {
+  connection.deadline = deadline;
+  // An earlier timer stays: OnTimer sets it again for the rest.
+  if (deadline < connection.timer_at) ArmTimer(connection);
+}
+
+void Client::Impl::ArmTimer(Connection& connection) {
+  connection.timer_at = connection.deadline;
+  connection.timer.expires_at(connection.deadline);
+  connection.timer.async_wait(Later(connection.id, &Impl::OnTimer));
+}
+
+void Client::Impl::OnTimer(Connection& connection) {
+  connection.timer_at = kNever;
+  if (connection.deadline == kNever) return;
+  if (MonotonicNow() < connection.deadline) return ArmTimer(connection);
+  const bool connecting = connection.phase == ClientPhase::kConnecting;
+  Fail(connection, connecting ? "connect timeout" : "deadline", true);
+}
+
+}  // namespace knapweedstile::http
--- /dev/null
+++ b/libs/http/src/message_text.cc
@@ -0,0 +1,144 @@
+#include "message_text.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+namespace knapweedstile::http {
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+// Beast holds the length of a field's name and value in 16 bits.
+constexpr size_t kMaxFieldBytes = 32 << 10;
+
+bool HasBreak(std::string_view text) noexcept {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) !=
+         std::string_view::npos;
+}
+
+bool IsName(std::string_view text) noexcept {
+  return !text.empty() && text.size() < kMaxFieldBytes &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return c > ' ' && c < 0x7f && c != ':';
+         });
+}
+
+bool IsField(std::string_view name, std::string_view value) noexcept {
+  return IsName(name) && value.size() < kMaxFieldBytes && !HasBreak(value);
+}
+
+boost::beast::string_view View(std::string_view text) noexcept {
+  return {text.data(), text.size()};
+}
+
+template <typename Buffers>
+void AppendBuffers(std::string& out, const Buffers& buffers) {
+  for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+    out.append(static_cast<const char*>(buffer.data()), buffer.size());
+  }
+}
+
+void AddFields(beast_http::fields& fields, const HeaderList& headers) {
+  for (const auto& [name, value] : headers.fields()) {
+    if (IsField(name, value)) fields.insert(View(name), View(value));
+  }
+}
+
+template <bool IsRequest>
+std::string HeadText(
+    beast_http::message<IsRequest, beast_http::empty_body>& message) {
+  std::string out;
+  beast_http::serializer<IsRequest, beast_http::empty_body> serializer(message);
+  serializer.split(true);
+  boost::beast::error_code ec;
+  while (!ec && !serializer.is_header_done()) {
+    serializer.next(ec, [&](boost::beast::error_code&, const auto& buffers) {
+      AppendBuffers(out, buffers);
+      serializer.consume(boost::beast::buffer_bytes(buffers));
+    });
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string ResponseHead(unsigned status, const HeaderList& headers,
+                         const ResponseFraming& framing) {
+  beast_http::response<beast_http::empty_body> message;
+  message.version(framing.version);
+  message.result(status);
+  AddFields(message, headers);
+  message.erase(beast_http::field::content_length);
+  message.erase(beast_http::field::transfer_encoding);
+  message.erase(beast_http::field::connection);
+  if (framing.chunked) {
+    message.chunked(true);
+  } else if (framing.has_length) {
+    message.content_length(framing.length);
+  }
+  message.keep_alive(framing.keep_alive);
+  return HeadText(message);
+}
+
+bool IsSendable(const ClientRequest& request) noexcept {
+  const bool plain_target =
+      !request.target.empty() &&
+      std::all_of(request.target.begin(), request.target.end(),
+                  [](unsigned char c) { return c > ' ' && c != 0x7f; });
+  const auto& fields = request.headers.fields();
+  return IsName(request.method) && plain_target &&
+         std::all_of(fields.begin(), fields.end(), [](const auto& field) {
+           return IsField(field.first, field.second);
+         });
+}
+
+std::string RequestHead(const ClientRequest& request) {
+  beast_http::request<beast_http::empty_body> message;
+  message.version(11);
+  message.method_string(View(request.method));
+  message.target(View(request.target));
+  if (request.headers.Find("Host").empty()) {
+    message.set(beast_http::field::host, View(request.address));
+  }
+  AddFields(message, request.headers);
+  message.erase(beast_http::field::transfer_encoding);
+  message.erase(beast_http::field::content_length);
+  message.erase(beast_http::field::connection);
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT" || request.method == "PATCH";
+  if (has_body) message.content_length(request.body.size());
+  return HeadText(message);
+}
+
+void AppendChunk(std::string& out, std::string_view data) {
+  AppendBuffers(out, beast_http::make_chunk(
+                         boost::asio::const_buffer(data.data(), data.size())));
+}
+
+void AppendLastChunk(std::string& out) {
+  AppendBuffers(out, beast_http::make_chunk_last());
+}
+
+HeaderList ToHeaderList(const beast_http::fields& fields) {
+  HeaderList headers;
+  for (const auto& field : fields) {
+    headers.Add(std::string(field.name_string()), std::string(field.value()));
+  }
+  return headers;
+}
+
+std::string RefusalBody(std::string_view type, std::string_view code,
+                        std::string_view message) {
+  return fmt::format(
+      R"({{"error":{{"type":"{}","code":"{}","message":"{}","param":null,)"
+      R"("request_id":null,"not_run":true}}}})",
+      type, code, message);
+}
+
+}  // namespace knapweedstile::http
--- /dev/null
+++ b/libs/http/src/server_impl.cc
@@ -0,0 +1,529 @@
+#include "server_impl.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "endpoint.h"
+#include "message_text.h"
+
+namespace knapweedstile::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr size_t kReadBytes = 64 << 10;
+// Deadlines are looked at this often; limits are in seconds, so this is exact
+// enough, and one timer serves all connections.
+constexpr std::chrono::milliseconds kSweepInterval{50};
+// How long a connection that was answered before its request was read may go on
+// sending. Closing at once would make the kernel reset the connection, and the
+// caller would lose the answer that says why.
+constexpr std::chrono::seconds kLingerTime{2};
+// After StopAccepting, how long an idle connection may still bring a request
+// that the caller had begun to send.
+constexpr std::chrono::milliseconds kStopGrace{300};
+// Connections over the limit that are being told so at one time.
+constexpr size_t kMaxRefusedConnections = 256;
+constexpr char kRetryAfterSeconds[] = "1";
+
+bool HasNoBody(unsigned status) noexcept {
+  return status == 204 || status == 304;
+}
+
+struct Refusal {
+  unsigned status;
+  std::string_view code;
+  std::string_view message;
+};
+
+Refusal RefusalOf(const error_code& ec) noexcept {
+  if (ec == beast_http::error::header_limit) {
+    return {431, "headers_too_large", "the request's header is too large"};
+  }
+  if (ec == beast_http::error::body_limit) {
+    return {413, "body_too_large", "the request's body is too large"};
+  }
+  return {400, "bad_request", "the request is not valid HTTP"};
+}
+
+}  // namespace
+
+Server::Impl::Impl(asio::io_context& io, const ServerSettings& settings,
+                   EventSink sink)
+    : io_(io),
+      settings_(settings),
+      sink_(std::move(sink)),
+      acceptor_(io),
+      sweep_timer_(io),
+      scratch_(kReadBytes, '\0') {}
+
+Server::Impl::Connection* Server::Impl::Find(ServerConnectionId id) noexcept {
+  const auto found = connections_.find(id);
+  return found == connections_.end() ? nullptr : found->second.get();
+}
+
+Server::Impl::Connection* Server::Impl::FindExchange(
+    ExchangeId exchange) noexcept {
+  const auto found = exchanges_.find(exchange);
+  return found == exchanges_.end() ? nullptr : Find(found->second);
+}
+
+auto Server::Impl::Later(ServerConnectionId id, Member member) {
+  return [weak = std::weak_ptr<Impl*>(self_), id,
+          member](const error_code& ec = {}) {
+    const auto self = weak.lock();
+    if (!self || ec == asio::error::operation_aborted) return;
+    Impl& impl = **self;
+    if (Connection* connection = impl.Find(id)) (impl.*member)(*connection);
+  };
+}
+
+Result<uint16_t> Server::Impl::Listen(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) return Fail(ErrorCode::kInvalid, "not IP:PORT: " + address);
+  error_code ec;
+  acceptor_.open(endpoint->protocol(), ec);
+  if (!ec) acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec) acceptor_.bind(*endpoint, ec);
+  if (!ec) acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  if (!ec) acceptor_.non_blocking(true, ec);
+  if (ec) {
+    return Fail(ErrorCode::kUnavailable, address + ": " + ec.message());
+  }
+  Accept();
+  return acceptor_.local_endpoint(ec).port();
+}
+
+void Server::Impl::Accept() {
+  acceptor_.async_wait(
+      asio::socket_base::wait_read,
+      [weak = std::weak_ptr<Impl*>(self_)](const error_code& ec) {
+        const auto self = weak.lock();
+        if (!self || ec) return;
+        (*self)->AcceptWaiting();
+        if (!(*self)->accept_failed_) (*self)->Accept();
+      });
+}
+
+// Failure guarded against: with no file descriptor left, the listening socket
+// stays readable and accepting in a loop would use a whole core. The next sweep
+// tries again.
+void Server::Impl::AcceptWaiting() {
+  while (acceptor_.is_open()) {
+    error_code ec;
+    asio::ip::tcp::socket socket(io_);
+    acceptor_.accept(socket, ec);
+    if (ec == asio::error::would_block) return;
+    if (ec == asio::error::connection_aborted) continue;
+    if (ec) {
+      LogWarning("accept_failed", {{"reason", ec.message()}});
+      accept_failed_ = true;
+      ArmSweep();
+      return;
+    }
+    Admit(std::move(socket));
+  }
+}
+
+void Server::Impl::Admit(asio::ip::tcp::socket&& socket) {
+  const size_t held = connections_.size();
+  if (held >= settings_.max_connections + kMaxRefusedConnections) return;
+  error_code ec;
+  socket.non_blocking(true, ec);
+  socket.set_option(asio::ip::tcp::no_delay(true), ec);
+  socket.set_option(asio::socket_base::keep_alive(true), ec);
+  const ServerConnectionId id(++last_connection_);
+  auto& connection =
+      *connections_
+           .emplace(id, std::make_unique<Connection>(id, std::move(socket)))
+           .first->second;
+  connection.deadline = MonotonicNow() + settings_.idle_timeout;
+  ArmSweep();
+  if (held >= settings_.max_connections) {
+    Refuse(connection, 503, "too_many_connections",
+           "the server holds as many connections as it may");
+  }
+  WaitReadable(connection);
+}
+
+void Server::Impl::WaitReadable(Connection& connection) {
+  const bool ahead = connection.phase >= ServerPhase::kPending &&
+                     connection.unparsed.size() > settings_.max_header_bytes;
+  if (connection.read_waiting || connection.read_closed || ahead) return;
+  connection.read_waiting = true;
+  connection.socket.async_wait(asio::socket_base::wait_read,
+                               Later(connection.id, &Impl::OnReadable));
+}
+
+void Server::Impl::WaitWritable(Connection& connection) {
+  if (connection.write_waiting) return;
+  connection.write_waiting = true;
+  connection.socket.async_wait(asio::socket_base::wait_write,
+                               Later(connection.id, &Impl::OnWritable));
+}
+
+void Server::Impl::OnReadable(Connection& connection) {
+  connection.read_waiting = false;
+  const ServerConnectionId id = connection.id;
+  error_code ec;
+  const size_t count = connection.socket.read_some(asio::buffer(scratch_), ec);
+  if (ec && ec != asio::error::would_block) {
+    if (ec != asio::error::eof) return PeerGone(connection);
+    return OnEnd(connection);
+  }
+  if (!connection.discard_input) {
+    connection.unparsed.append(scratch_, 0, count);
+    Parse(connection);
+  }
+  if (Connection* still = Find(id)) WaitReadable(*still);
+}
+
+void Server::Impl::OnWritable(Connection& connection) {
+  connection.write_waiting = false;
+  Flush(connection);
+}
+
+// The caller has shut down its sending side. One that waits for its answer is
+// taken to have gone, since nothing tells the two apart; an answer already
+// given is written as far as it is taken.
+void Server::Impl::OnEnd(Connection& connection) {
+  if (connection.phase != ServerPhase::kFinishing) return PeerGone(connection);
+  connection.read_closed = true;
+  connection.keep_alive = false;
+}
+
+void Server::Impl::Parse(Connection& connection) {
+  while (connection.phase <= ServerPhase::kBody &&
+         !connection.unparsed.empty()) {
+    if (connection.phase == ServerPhase::kIdle) BeginRequest(connection);
+    if (!ParseSome(connection)) return;
+  }
+}
+
+void Server::Impl::BeginRequest(Connection& connection) {
+  connection.parser.emplace();
+  connection.parser->eager(true);
+  connection.parser->header_limit(settings_.max_header_bytes);
+  connection.parser->body_limit(settings_.max_body_bytes);
+  connection.phase = ServerPhase::kHeader;
+  connection.received_at = MonotonicNow();
+  connection.deadline = connection.received_at + settings_.header_timeout;
+}
+
+bool Server::Impl::ParseSome(Connection& connection) {
+  auto& parser = *connection.parser;
+  error_code ec;
+  const size_t used = parser.put(asio::buffer(connection.unparsed), ec);
+  connection.unparsed.erase(0, used);
+  if (ec && ec != beast_http::error::need_more) {
+    const Refusal refusal = RefusalOf(ec);
+    Refuse(connection, refusal.status, refusal.code, refusal.message);
+    return false;
+  }
+  if (connection.phase == ServerPhase::kHeader && parser.is_header_done()) {
+    OnHeaderRead(connection);
+  }
+  const uint64_t held = parser.get().body().size();
+  total_body_ += held - connection.held_body;
+  connection.held_body = held;
+  if (total_body_ > settings_.max_total_body_bytes) {
+    Refuse(connection, 503, "overloaded",
+           "the server holds as many request bytes as it may");
+    return false;
+  }
+  if (parser.is_done()) {
+    Dispatch(connection);
+    return false;
+  }
+  return used > 0;
+}
+
+void Server::Impl::OnHeaderRead(Connection& connection) {
+  connection.phase = ServerPhase::kBody;
+  connection.deadline = MonotonicNow() + settings_.body_timeout;
+  const auto& request = connection.parser->get();
+  connection.version = request.version();
+  connection.head_request = request.method() == beast_http::verb::head;
+  const auto expect = request[beast_http::field::expect];
+  if (!connection.parser->is_done() &&
+      boost::beast::iequals(expect, "100-continue")) {
+    connection.out += "HTTP/1.1 100 Continue\r\n\r\n";
+    Flush(connection);
+  }
+}
+
+void Server::Impl::Dispatch(Connection& connection) {
+  const ServerConnectionId id = connection.id;
+  const ExchangeId exchange(++last_exchange_);
+  exchanges_.emplace(exchange, id);
+  connection.exchange = exchange;
+  connection.phase = ServerPhase::kPending;
+  connection.deadline = kNever;
+  auto request = connection.parser->release();
+  connection.parser.reset();
+  connection.keep_alive = request.keep_alive();
+  RequestEvent event{.exchange = exchange,
+                     .method = std::string(request.method_string()),
+                     .target = std::string(request.target()),
+                     .headers = ToHeaderList(request),
+                     .body = std::move(request.body()),
+                     .received_at = connection.received_at};
+  if (sink_(std::move(event))) return;
+  HeaderList headers;
+  headers.Add("Content-Type", "application/json");
+  headers.Add("Retry-After", kRetryAfterSeconds);
+  Run(RespondCommand{
+      .exchange = exchange,
+      .status = 503,
+      .headers = std::move(headers),
+      .body = RefusalBody("overloaded_error", "overloaded",
+                          "the server has too much work; try again later")});
+}
+
+void Server::Impl::Execute(ServerCommand&& command) {
+  std::visit([this](auto&& c) { Run(std::forward<decltype(c)>(c)); },
+             std::move(command));
+}
+
+void Server::Impl::Run(RespondCommand&& command) {
+  Connection* connection = FindExchange(command.exchange);
+  if (!connection || connection->phase != ServerPhase::kPending) return;
+  if (stopping_) connection->keep_alive = false;
+  const bool no_body = HasNoBody(command.status);
+  connection->out += ResponseHead(command.status, command.headers,
+                                  {.version = connection->version,
+                                   .keep_alive = connection->keep_alive,
+                                   .has_length = !no_body,
+                                   .length = command.body.size()});
+  if (!no_body && !connection->head_request) connection->out += command.body;
+  connection->phase = ServerPhase::kFinishing;
+  Flush(*connection);
+}
+
+void Server::Impl::Run(BeginStreamCommand&& command) {
+  Connection* connection = FindExchange(command.exchange);
+  if (!connection || connection->phase != ServerPhase::kPending) return;
+  connection->chunked = connection->version >= 11;
+  // An HTTP/1.0 caller sees the end of a stream only by the connection's end.
+  if (stopping_ || !connection->chunked) connection->keep_alive = false;
+  connection->out += ResponseHead(command.status, command.headers,
+                                  {.version = connection->version,
+                                   .keep_alive = connection->keep_alive,
+                                   .chunked = connection->chunked});
+  connection->phase = ServerPhase::kStreaming;
+  Flush(*connection);
+}
+
+// Failure guarded against: a caller that reads slower than its stream is made
+// would let memory grow. It shows as unsent bytes; beyond the limit the
+// connection is cut and the asker told, since a stream cannot be thinned.
+void Server::Impl::Run(StreamChunkCommand&& command) {
+  Connection* connection = FindExchange(command.exchange);
+  if (!connection || connection->phase != ServerPhase::kStreaming) return;
+  const bool body = !connection->head_request;
+  if (body && !command.data.empty()) {
+    if (connection->chunked) {
+      AppendChunk(connection->out, command.data);
+    } else {
+      connection->out += command.data;
+    }
+  }
+  if (command.last) {
+    if (body && connection->chunked) AppendLastChunk(connection->out);
+    connection->phase = ServerPhase::kFinishing;
+  }
+  const ServerConnectionId id = connection->id;
+  Flush(*connection);
+  connection = Find(id);
+  if (connection && connection->phase == ServerPhase::kStreaming &&
+      connection->unsent() > settings_.max_unsent_bytes) {
+    LogWarning("stream_reader_too_slow", {{"unsent", connection->unsent()}});
+    asio::post(io_, Later(id, &Impl::PeerGone));
+  }
+}
+
+void Server::Impl::Run(AbortCommand&& command) {
+  if (Connection* connection = FindExchange(command.exchange)) {
+    Erase(*connection);
+  }
+}
+
+void Server::Impl::Refuse(Connection& connection, unsigned status,
+                          std::string_view code, std::string_view message) {
+  const bool overload = status == 503;
+  HeaderList headers;
+  headers.Add("Content-Type", "application/json");
+  if (overload) headers.Add("Retry-After", kRetryAfterSeconds);
+  const std::string body = RefusalBody(
+      overload ? "overloaded_error" : "invalid_request_error", code, message);
+  connection.out +=
+      ResponseHead(
+          status, headers,
+          {.keep_alive = false, .has_length = true, .length = body.size()}) +
+      body;
+  connection.keep_alive = false;
+  connection.discard_input = true;
+  connection.unparsed.clear();
+  connection.parser.reset();
+  ReleaseBody(connection);
+  connection.phase = ServerPhase::kFinishing;
+  Flush(connection);
+}
+
+void Server::Impl::Flush(Connection& connection) {
+  while (connection.unsent() > 0) {
+    error_code ec;
+    connection.out_offset += connection.socket.write_some(
+        asio::buffer(connection.out) + connection.out_offset, ec);
+    if (!ec) continue;
+    if (ec != asio::error::would_block) {
+      // Not at once: the asker may be in the middle of Execute().
+      asio::post(io_, Later(connection.id, &Impl::PeerGone));
+      return;
+    }
+    connection.out.erase(0, std::exchange(connection.out_offset, 0));
+    if (connection.phase >= ServerPhase::kStreaming &&
+        !connection.write_waiting) {
+      connection.deadline = MonotonicNow() + settings_.write_timeout;
+    }
+    WaitWritable(connection);
+    return;
+  }
+  connection.out.clear();
+  connection.out_offset = 0;
+  if (connection.phase == ServerPhase::kStreaming) connection.deadline = kNever;
+  if (connection.phase == ServerPhase::kFinishing) Finish(connection);
+}
+
+void Server::Impl::Finish(Connection& connection) {
+  exchanges_.erase(connection.exchange);
+  connection.exchange = ExchangeId();
+  ReleaseBody(connection);
+  if (!connection.keep_alive) return Linger(connection);
+  connection.phase = ServerPhase::kIdle;
+  connection.deadline = MonotonicNow() + (stopping_ ? Duration(kStopGrace)
+                                                    : settings_.idle_timeout);
+  if (!connection.unparsed.empty()) {
+    asio::post(io_, Later(connection.id, &Impl::Parse));
+  }
+  WaitReadable(connection);
+}
+
+void Server::Impl::Linger(Connection& connection) {
+  if (connection.read_closed) {
+    asio::post(io_, Later(connection.id, &Impl::Erase));
+    return;
+  }
+  error_code ec;
+  connection.socket.shutdown(asio::socket_base::shutdown_send, ec);
+  connection.phase = ServerPhase::kLingering;
+  connection.discard_input = true;
+  connection.deadline = MonotonicNow() + kLingerTime;
+  WaitReadable(connection);
+}
+
+void Server::Impl::Expire(Connection& connection) {
+  switch (connection.phase) {
+    case ServerPhase::kHeader:
+    case ServerPhase::kBody:
+      return Refuse(connection, 408, "request_timeout",
+                    "the request took too long to arrive");
+    case ServerPhase::kIdle:
+    case ServerPhase::kLingering:
+    case ServerPhase::kPending:
+    case ServerPhase::kStreaming:
+    case ServerPhase::kFinishing:
+      return PeerGone(connection);
+  }
+}
+
+void Server::Impl::PeerGone(Connection& connection) {
+  const bool unanswered = connection.phase == ServerPhase::kPending ||
+                          connection.phase == ServerPhase::kStreaming;
+  if (unanswered) disconnects_.push_back(connection.exchange);
+  Erase(connection);
+  DeliverDisconnects();
+}
+
+void Server::Impl::Erase(Connection& connection) {
+  exchanges_.erase(connection.exchange);
+  ReleaseBody(connection);
+  connections_.erase(connection.id);
+}
+
+void Server::Impl::ReleaseBody(Connection& connection) {
+  total_body_ -= std::exchange(connection.held_body, 0);
+}
+
+// Failure guarded against: a full ring behind the sink would lose the news, and
+// the work for a caller who has gone would go on. The sweep offers it again.
+void Server::Impl::DeliverDisconnects() {
+  std::vector<ExchangeId> left = std::exchange(disconnects_, {});
+  std::erase_if(left, [this](ExchangeId exchange) {
+    return sink_(DisconnectEvent{exchange});
+  });
+  disconnects_.insert(disconnects_.end(), left.begin(), left.end());
+  if (!disconnects_.empty()) ArmSweep();
+}
+
+void Server::Impl::ArmSweep() {
+  if (std::exchange(sweep_armed_, true)) return;
+  sweep_timer_.expires_after(kSweepInterval);
+  sweep_timer_.async_wait(
+      [weak = std::weak_ptr<Impl*>(self_)](const error_code& ec) {
+        const auto self = weak.lock();
+        if (!self || ec) return;
+        (*self)->sweep_armed_ = false;
+        (*self)->Sweep();
+      });
+}
+
+void Server::Impl::Sweep() {
+  const TimePoint now = MonotonicNow();
+  std::vector<ServerConnectionId> expired;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->deadline <= now) expired.push_back(id);
+  }
+  for (const ServerConnectionId id : expired) {
+    if (Connection* connection = Find(id)) Expire(*connection);
+  }
+  DeliverDisconnects();
+  if (std::exchange(accept_failed_, false) && acceptor_.is_open()) Accept();
+  if (!connections_.empty()) ArmSweep();
+}
+
+void Server::Impl::StopAccepting() {
+  if (stopping_) return;
+  // Connections that the kernel has already accepted would be reset.
+  AcceptWaiting();
+  stopping_ = true;
+  error_code ec;
+  acceptor_.close(ec);
+  const TimePoint grace_end = MonotonicNow() + kStopGrace;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->phase == ServerPhase::kIdle) {
+      connection->deadline = grace_end;
+    }
+  }
+}
+
+void Server::Impl::Close() {
+  stopping_ = true;
+  error_code ec;
+  acceptor_.close(ec);
+  sweep_timer_.cancel();
+  sweep_armed_ = false;
+  connections_.clear();
+  exchanges_.clear();
+  disconnects_.clear();
+  total_body_ = 0;
+}
+
+}  // namespace knapweedstile::http
--- /dev/null
+++ b/libs/http/src/server_impl.h
@@ -0,0 +1,102 @@
+#ifndef KNAPWEEDSTILE_HTTP_SERVER_IMPL_H_
+#define KNAPWEEDSTILE_HTTP_SERVER_IMPL_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "http/server.h"
+#include "server_connection.h"
+
+namespace knapweedstile::http {
+
+// Holds the connections. Sockets are non-blocking and are waited for with
+// async_wait, so no pending operation refers to a connection's memory: a
+// connection may be erased at any time, and an idle one holds no buffer.
+//
+// The sink may call Execute() or Close() from inside an event, so every method
+// looks its connection up again by id after calling the sink.
+class Server::Impl {
+ public:
+  Impl(boost::asio::io_context& io, const ServerSettings& settings,
+       EventSink sink);
+
+  Result<uint16_t> Listen(const std::string& address);
+  void Execute(ServerCommand&& command);
+  void StopAccepting();
+  void Close();
+
+  size_t open_exchanges() const noexcept { return exchanges_.size(); }
+  size_t open_connections() const noexcept { return connections_.size(); }
+
+ private:
+  using Connection = ServerConnection;
+  using Member = void (Impl::*)(Connection&);
+
+  Connection* Find(ServerConnectionId id) noexcept;
+  Connection* FindExchange(ExchangeId exchange) noexcept;
+  // A handler that runs `member` on the connection if it still exists.
+  auto Later(ServerConnectionId id, Member member);
+
+  void Accept();
+  void AcceptWaiting();
+  void Admit(boost::asio::ip::tcp::socket&& socket);
+
+  void WaitReadable(Connection& connection);
+  void WaitWritable(Connection& connection);
+  void OnReadable(Connection& connection);
+  void OnWritable(Connection& connection);
+  void OnEnd(Connection& connection);
+
+  void Parse(Connection& connection);
+  void BeginRequest(Connection& connection);
+  // False when the request was refused or handed over.
+  bool ParseSome(Connection& connection);
+  void OnHeaderRead(Connection& connection);
+  void Dispatch(Connection& connection);
+
+  void Run(RespondCommand&& command);
+  void Run(BeginStreamCommand&& command);
+  void Run(StreamChunkCommand&& command);
+  void Run(AbortCommand&& command);
+
+  void Refuse(Connection& connection, unsigned status, std::string_view code,
+              std::string_view message);
+  void Flush(Connection& connection);
+  void Finish(Connection& connection);
+  void Linger(Connection& connection);
+  void Expire(Connection& connection);
+  void PeerGone(Connection& connection);
+  void Erase(Connection& connection);
+  void ReleaseBody(Connection& connection);
+
+  void ArmSweep();
+  void Sweep();
+  void DeliverDisconnects();
+
+  boost::asio::io_context& io_;
+  ServerSettings settings_;
+  EventSink sink_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer sweep_timer_;
+  bool sweep_armed_ = false;
+  bool accept_failed_ = false;
+  bool stopping_ = false;
+  uint64_t last_connection_ = 0;
+  uint64_t last_exchange_ = 0;
+  uint64_t total_body_ = 0;
+  std::unordered_map<ServerConnectionId, std::unique_ptr<Connection>>
+      connections_;
+  std::unordered_map<ExchangeId, ServerConnectionId> exchanges_;
+  std::vector<ExchangeId> disconnects_;  // not yet taken by the sink
+  std::string scratch_;                  // what one read call returns
+  // Handlers hold it weakly and do nothing once the server is gone.
+  std::shared_ptr<Impl*> self_ = std::make_shared<Impl*>(this);
+};
+
+}  // namespace knapweedstile::http
+
+#endif  // KNAPWEEDSTILE_HTTP_SERVER_IMPL_H_
--- /dev/null
+++ b/libs/http/tests/client_test.cc
@@ -0,0 +1,185 @@
+#include <catch2/catch.hpp>
+
+#include "loopback.h"
+
+namespace knapweedstile::http {
+namespace {
+
+using boost::asio::io_context;
+using std::chrono::milliseconds;
+
+ClientRequest RequestTo(const std::string& address, uint64_t exchange) {
+  return ClientRequest{.exchange = ExchangeId(exchange), .address = address};
+}
+
+}  // namespace
+
+TEST_CASE("a whole response arrives and its connection is used again") {
+  io_context io;
+  TestServer server(io);
+  server.on_request = [&](const RequestEvent& r) {
+    server.Respond(r.exchange, r.method + r.body);
+  };
+  TestClient client(io);
+  for (uint64_t i = 1; i <= 3; ++i) {
+    ClientRequest request = RequestTo(server.address, i);
+    request.method = "POST";
+    request.body = std::string(200000, 'x');
+    client.client.Send(std::move(request));
+    REQUIRE(RunUntil(io, [&] { return client.ends.size() == i; }));
+    CHECK(client.ends.back().outcome == ClientOutcome::kComplete);
+    CHECK(client.ends.back().status == 200);
+    CHECK(client.ends.back().body.size() == 200004);
+  }
+  CHECK(server.server.open_connections() == 1);
+  client.client.Close();
+  REQUIRE(RunUntil(io, [&] { return server.server.open_connections() == 0; }));
+}
+
+TEST_CASE("a streamed response comes in pieces") {
+  io_context io;
+  TestServer server(io);
+  TestClient client(io);
+  ClientRequest request = RequestTo(server.address, 1);
+  request.stream_body = true;
+  client.client.Send(std::move(request));
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 1; }));
+  const ExchangeId exchange = server.requests[0].exchange;
+  server.server.Execute(BeginStreamCommand{.exchange = exchange});
+  server.server.Execute(
+      StreamChunkCommand{.exchange = exchange, .data = "one "});
+  REQUIRE(RunUntil(io, [&] { return client.streamed == "one "; }));
+  CHECK(client.heads.size() == 1);
+  CHECK(client.ends.empty());
+  server.server.Execute(
+      StreamChunkCommand{.exchange = exchange, .data = "two", .last = true});
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+  CHECK(client.streamed == "one two");
+  CHECK(client.ends[0].outcome == ClientOutcome::kComplete);
+}
+
+TEST_CASE("a refused connection, a bad address and a bad target are not sent") {
+  io_context io;
+  std::string closed_address;
+  {
+    TestServer closed(io);
+    closed_address = closed.address;
+  }
+  TestClient client(io);
+  client.client.Send(RequestTo(closed_address, 1));
+  client.client.Send(RequestTo("nowhere", 2));
+  ClientRequest split = RequestTo(closed_address, 3);
+  split.target = "/a\r\nX: y";
+  client.client.Send(std::move(split));
+  CHECK(client.ends.empty());
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == 3; }));
+  for (const EndEvent& end : client.ends) {
+    CHECK(end.outcome == ClientOutcome::kNotSent);
+    CHECK_FALSE(end.message.empty());
+  }
+}
+
+TEST_CASE("a server cut before and within its answer leaves the request lost") {
+  // The backend server dies with the request in its hands: the request may have
+  // run, so it must not be called "not sent".
+  io_context io;
+  TestServer server(io);
+  TestClient client(io);
+  client.client.Send(RequestTo(server.address, 1));
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 1; }));
+  server.server.Execute(AbortCommand{server.requests[0].exchange});
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+  CHECK(client.ends[0].outcome == ClientOutcome::kLost);
+  CHECK(client.ends[0].status == 0);
+
+  client.client.Send(RequestTo(server.address, 2));
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 2; }));
+  const ExchangeId exchange = server.requests[1].exchange;
+  server.server.Execute(BeginStreamCommand{.exchange = exchange});
+  server.server.Execute(
+      StreamChunkCommand{.exchange = exchange, .data = "part"});
+  server.server.Execute(AbortCommand{exchange});
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == 2; }));
+  CHECK(client.ends[1].outcome == ClientOutcome::kLost);
+  CHECK(client.ends[1].body.empty());
+}
+
+TEST_CASE("a deadline after sending is told as such") {
+  io_context io;
+  TestServer server(io);
+  TestClient client(io);
+  ClientRequest request = RequestTo(server.address, 1);
+  request.deadline = MonotonicNow() + milliseconds(100);
+  client.client.Send(std::move(request));
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+  CHECK(client.ends[0].outcome == ClientOutcome::kDeadline);
+  REQUIRE(RunUntil(io, [&] { return server.disconnects.size() == 1; }));
+}
+
+TEST_CASE("a cancelled exchange is cut and gives no event") {
+  io_context io;
+  TestServer server(io);
+  TestClient client(io);
+  client.client.Send(RequestTo(server.address, 1));
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 1; }));
+  client.client.Cancel(ExchangeId(1));
+  REQUIRE(RunUntil(io, [&] { return server.disconnects.size() == 1; }));
+  CHECK(client.ends.empty());
+}
+
+TEST_CASE("a pooled connection that the server closed is not used again") {
+  io_context io;
+  auto first = std::make_unique<TestServer>(io);
+  first->on_request = [&](const RequestEvent& r) {
+    first->Respond(r.exchange, "ok");
+  };
+  TestClient client(io);
+  client.client.Send(RequestTo(first->address, 1));
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+  const std::string address = first->address;
+  first.reset();
+  // Without running the client, so that only the check at Send can see it.
+  client.client.Send(RequestTo(address, 2));
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == 2; }));
+  CHECK(client.ends[1].outcome == ClientOutcome::kNotSent);
+}
+
+TEST_CASE("an early answer to a request that is still being sent arrives") {
+  // The server refuses a large body from its header alone (413) and reads no
+  // further; the caller must see why instead of a broken connection.
+  io_context io;
+  ServerSettings settings;
+  settings.max_body_bytes = 1000;
+  TestServer server(io, settings);
+  TestClient client(io);
+  ClientRequest request = RequestTo(server.address, 1);
+  request.method = "PUT";
+  request.body = std::string(20 << 20, 'x');
+  client.client.Send(std::move(request));
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+  CHECK(client.ends[0].outcome == ClientOutcome::kComplete);
+  CHECK(client.ends[0].status == 413);
+}
+
+TEST_CASE("HEAD and bodiless responses keep the connection in step") {
+  io_context io;
+  TestServer server(io);
+  server.on_request = [&](const RequestEvent& r) {
+    server.server.Execute(
+        RespondCommand{.exchange = r.exchange,
+                       .status = r.method == "HEAD" ? 200u : 204u,
+                       .body = "text"});
+  };
+  TestClient client(io);
+  for (uint64_t i = 1; i <= 4; ++i) {
+    ClientRequest request = RequestTo(server.address, i);
+    request.method = i % 2 == 0 ? "HEAD" : "GET";
+    client.client.Send(std::move(request));
+    REQUIRE(RunUntil(io, [&] { return client.ends.size() == i; }));
+    CHECK(client.ends.back().outcome == ClientOutcome::kComplete);
+    CHECK(client.ends.back().body.empty());
+  }
+  CHECK(server.server.open_connections() == 1);
+}
+
+}  // namespace knapweedstile::http
--- /dev/null
+++ b/libs/http/tests/loopback.h
@@ -0,0 +1,129 @@
+#ifndef KNAPWEEDSTILE_HTTP_LOOPBACK_H_
+#define KNAPWEEDSTILE_HTTP_LOOPBACK_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "http/client.h"
+#include "http/server.h"
+
+namespace knapweedstile::http {
+
+// Far beyond what any step needs; a test ends here only when it has failed.
+constexpr std::chrono::seconds kTestLimit{30};
+
+// Runs `io` until `done` or the limit; false at the limit.
+inline bool RunUntil(boost::asio::io_context& io,
+                     const std::function<bool()>& done) {
+  const TimePoint limit = MonotonicNow() + kTestLimit;
+  while (!done()) {
+    if (MonotonicNow() > limit) return false;
+    io.restart();
+    io.run_one_for(std::chrono::milliseconds(10));
+  }
+  return true;
+}
+
+// A server whose events are kept, with an optional handler.
+struct TestServer {
+  explicit TestServer(boost::asio::io_context& io, ServerSettings settings = {})
+      : server(io, settings, [this](ServerEvent&& event) {
+          if (refuse) return false;
+          if (auto* request = std::get_if<RequestEvent>(&event)) {
+            requests.push_back(*request);
+            if (on_request) on_request(*request);
+          } else {
+            disconnects.push_back(std::get<DisconnectEvent>(event).exchange);
+          }
+          return true;
+        }) {
+    const Result<uint16_t> bound = server.Listen("127.0.0.1:0");
+    port = bound ? bound.value() : 0;
+    address = "127.0.0.1:" + std::to_string(port);
+  }
+
+  void Respond(ExchangeId exchange, std::string body) {
+    server.Execute(
+        RespondCommand{.exchange = exchange, .body = std::move(body)});
+  }
+
+  Server server;
+  bool refuse = false;
+  std::function<void(const RequestEvent&)> on_request;
+  std::vector<RequestEvent> requests;
+  std::vector<ExchangeId> disconnects;
+  uint16_t port = 0;
+  std::string address;
+};
+
+// A client whose events are kept.
+struct TestClient {
+  explicit TestClient(boost::asio::io_context& io, ClientSettings settings = {})
+      : client(io, settings, [this](ClientEvent&& event) {
+          if (auto* head = std::get_if<HeadEvent>(&event)) {
+            heads.push_back(*head);
+          } else if (auto* body = std::get_if<BodyEvent>(&event)) {
+            streamed += body->data;
+          } else {
+            ends.push_back(std::get<EndEvent>(event));
+          }
+        }) {}
+
+  Client client;
+  std::vector<HeadEvent> heads;
+  std::string streamed;
+  std::vector<EndEvent> ends;
+};
+
+// A caller that sends what it likes, byte by byte.
+class RawCaller {
+ public:
+  RawCaller(boost::asio::io_context& io, uint16_t port) : socket_(io) {
+    socket_.connect({boost::asio::ip::address_v4::loopback(), port});
+    socket_.non_blocking(true);
+  }
+
+  // Sends as much as the kernel takes; false once the connection is broken.
+  bool Send(std::string_view text) {
+    boost::system::error_code ec;
+    socket_.write_some(boost::asio::buffer(text.data(), text.size()), ec);
+    return !ec || ec == boost::asio::error::would_block;
+  }
+
+  // Reads what is there.
+  void Poll() {
+    boost::system::error_code ec;
+    std::string buffer(64 << 10, '\0');
+    while (!ec) {
+      const size_t n = socket_.read_some(boost::asio::buffer(buffer), ec);
+      received.append(buffer, 0, n);
+    }
+    if (ec != boost::asio::error::would_block) ended = true;
+  }
+
+  bool Ended() {
+    Poll();
+    return ended;
+  }
+  bool Got(std::string_view text) {
+    Poll();
+    return received.find(text) != std::string::npos;
+  }
+  void Close() { socket_.close(); }
+  boost::asio::ip::tcp::socket& socket() { return socket_; }
+
+  std::string received;
+  bool ended = false;
+
+ private:
+  boost::asio::ip::tcp::socket socket_;
+};
+
+}  // namespace knapweedstile::http
+
+#endif  // KNAPWEEDSTILE_HTTP_LOOPBACK_H_
