--- a/libs/decide/include/decide/gate_settings.h
+++ b/libs/decide/include/decide/gate_settings.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "base/time.h"
+#include "decide/gate_rules.h"
 
 namespace knapweedstile::decide {
 
@@ -13,6 +14,7 @@
   uint32_t slots = 8;            // requests the backend server runs at once
   uint32_t online_waiting = 32;  // bound of the online queue
   uint32_t batch_waiting = 32;   // bound of the batch queue, parked included
+  GateRules rules;               // for tests and benchmarks only
 };
 
 }  // namespace knapweedstile::decide
