--- /dev/null
+++ b/libs/node/src/entry_node.cc
@@ -0,0 +1,407 @@
+#include "entry_node.h"
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <charconv>
+#include <set>
+#include <utility>
+
+#include "admin_api.h"
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "outcome_errors.h"
+
+namespace knapweedstile::node {
+namespace {
+
+namespace json = boost::json;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+constexpr size_t kTimelinePage = 5000;
+constexpr size_t kMaxHeaderText = 256;
+// What a restarting duty thread left behind is flushed at least this often.
+constexpr std::chrono::milliseconds kIdleWake{100};
+
+ApiError NoSuchModel(const std::string& model) {
+  return {kNotFound,         "invalid_request_error",
+          "model_not_found", "no backend server offers the model " + model,
+          "model",           RunTruth::kNotRun,
+          std::nullopt};
+}
+
+ApiError NoSuchPath() {
+  return {kNotFound, "invalid_request_error", "unknown_path", "no such path",
+          "",        RunTruth::kNotRun,       std::nullopt};
+}
+
+}  // namespace
+
+EntryNode::EntryNode(const EntryNodeSettings& settings, uint64_t seed,
+                     EntryPorts ports)
+    : settings_(settings),
+      ports_(std::move(ports)),
+      incarnation_(seed),
+      timeline_(settings.node.timeline_events),
+      runner_(settings.scheduler, seed, timeline_, ports_.wire),
+      online_(ports_, metrics_) {
+  metrics_.DeclareGauge("knap_entry_open_requests",
+                        "Requests that have no final answer yet.");
+  metrics_.DeclareGauge("knap_entry_backend_servers",
+                        "Backend servers by state.", {"state"});
+}
+
+void EntryNode::OnCallers(TimePoint now, http::ServerEvent&& event) {
+  if (auto* request = std::get_if<http::RequestEvent>(&event)) {
+    OnCallerRequest(now, std::move(*request));
+  } else if (const auto* gone = std::get_if<http::DisconnectEvent>(&event)) {
+    OnCallerDisconnect(now, gone->exchange);
+  }
+  PassOnEvents(now);
+}
+
+void EntryNode::OnCallerRequest(TimePoint now, http::RequestEvent&& request) {
+  const std::string_view path = PathOf(request.target);
+  const auto api = ParseEnum<CompletionApi>(path);
+  if (api && request.method == "POST") {
+    BeginCompletion(now, request, *api);
+  } else if (path == "/v1/models" && request.method == "GET") {
+    ListModels(request);
+  } else {
+    RespondError(request.exchange, IdentityOf(request), NoSuchPath());
+  }
+}
+
+void EntryNode::BeginCompletion(TimePoint now,
+                                const http::RequestEvent& request,
+                                CompletionApi api) {
+  const CallerIdentity identity = IdentityOf(request);
+  const TokenLimits limits{settings_.default_max_tokens,
+                           settings_.most_max_tokens};
+  auto parsed = ParseCompletion(api, request.body, limits);
+  if (const auto* error = std::get_if<ApiError>(&parsed)) {
+    RespondError(request.exchange, identity, *error);
+    return;
+  }
+  const auto& completion = std::get<CompletionRequest>(parsed);
+  if (!Serves(completion.model)) {
+    RespondError(request.exchange, identity, NoSuchModel(completion.model));
+    return;
+  }
+  const RequestId id(++last_id_);
+  exchanges_[request.exchange] = id;
+  exchange_of_[id] = request.exchange;
+  auto prepared =
+      online_.Begin(id, request, completion, identity,
+                    RouteOf(identity, completion.model), DeadlineOf(request));
+  runner_.Submit(now, std::move(prepared.info), std::move(prepared.message));
+}
+
+void EntryNode::ListModels(const http::RequestEvent& request) {
+  std::set<std::string> models;
+  for (const auto& [name, server] : servers_) {
+    if (server.state == BackendServerState::kIn) models.insert(server.target);
+  }
+  ports_.callers(JsonResponse(
+      request.exchange, kOk,
+      RenderModels(std::vector<std::string>(models.begin(), models.end()))));
+}
+
+void EntryNode::OnCallerDisconnect(TimePoint now, ExchangeId exchange) {
+  const auto found = exchanges_.find(exchange);
+  if (found == exchanges_.end()) return;
+  const RequestId id = found->second;
+  exchanges_.erase(found);
+  exchange_of_.erase(id);
+  online_.Forget(id);
+  runner_.Cancel(now, id);
+}
+
+void EntryNode::RespondError(ExchangeId exchange,
+                             const CallerIdentity& identity,
+                             const ApiError& error) {
+  http::RespondCommand command = JsonResponse(
+      exchange, error.status, RenderError(error, identity.request_id));
+  command.headers.Add("X-Request-Id", identity.request_id);
+  AddRetryAfter(error, command.headers);
+  ports_.callers(std::move(command));
+}
+
+CallerIdentity EntryNode::IdentityOf(const http::RequestEvent& request) {
+  const auto text = [&](std::string_view name) {
+    return std::string(request.headers.Find(name).substr(0, kMaxHeaderText));
+  };
+  CallerIdentity identity;
+  identity.workspace = text("X-Workspace");
+  if (identity.workspace.empty()) identity.workspace = "default";
+  identity.caller = text("X-Caller");
+  identity.request_id = text("X-Request-Id");
+  if (identity.request_id.empty()) {
+    identity.request_id = settings_.node.name + "-" +
+                          HexOf(incarnation_).substr(0, 8) + "-" +
+                          std::to_string(++last_id_);
+  }
+  return identity;
+}
+
+TimePoint EntryNode::DeadlineOf(const http::RequestEvent& request) const {
+  const std::string_view text = request.headers.Find("X-Deadline-Ms");
+  int64_t millis = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), millis);
+  constexpr int64_t kMostMillis = 86'400'000;
+  const bool valid = !text.empty() && parsed.ec == std::errc() && millis > 0 &&
+                     millis <= kMostMillis;
+  return request.received_at + (valid ? std::chrono::milliseconds(millis)
+                                      : settings_.online_deadline);
+}
+
+TrafficRoute EntryNode::RouteOf(const CallerIdentity& /*identity*/,
+                                const std::string& target) const {
+  return {target, "default", target};
+}
+
+bool EntryNode::Serves(const std::string& target) const {
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
+    return entry.second.target == target;
+  });
+}
+
+void EntryNode::PassOnEvents(TimePoint now) {
+  for (const RequestEvent& event : runner_.TakeEvents()) {
+    online_.OnEvent(now, event);
+    if (std::holds_alternative<RequestOutputEvent>(event)) continue;
+    const RequestId id =
+        std::visit([](const auto& typed) { return typed.request; }, event);
+    if (const auto ended = exchange_of_.extract(id)) {
+      exchanges_.erase(ended.mapped());
+    }
+  }
+}
+
+void EntryNode::OnWire(TimePoint now, wire::TransportEvent&& event) {
+  if (auto* output = std::get_if<wire::StreamEvent>(&event)) {
+    runner_.OnStreamEvent(now, std::move(*output));
+  } else if (const auto* closed =
+                 std::get_if<wire::StreamClosedEvent>(&event)) {
+    runner_.OnStreamClosed(now, *closed);
+  } else if (const auto* up = std::get_if<wire::PeerUpEvent>(&event)) {
+    if (BackendServer* server = FindServer(up->peer)) {
+      LogInfo("sidecar_connected", {{"vm", server->name}});
+      server->connected = true;
+      server->healthy = false;  // until its first heartbeat
+      server->leaving = false;  // a new connection tells anew
+      Reconsider(now, *server);
+    }
+  } else if (const auto* down = std::get_if<wire::PeerDownEvent>(&event)) {
+    if (BackendServer* server = FindServer(down->peer)) {
+      if (server->connected) {
+        LogInfo("sidecar_disconnected",
+                {{"vm", server->name}, {"reason", NameOf(down->reason)}});
+      }
+      server->connected = false;
+      Reconsider(now, *server);
+    }
+  } else if (const auto* control = std::get_if<wire::ControlEvent>(&event)) {
+    BackendServer* server = FindServer(control->peer);
+    if (server != nullptr && control->control.has_heartbeat()) {
+      OnHeartbeat(now, *server, control->control.heartbeat());
+    }
+  }
+  PassOnEvents(now);
+}
+
+void EntryNode::OnHeartbeat(TimePoint now, BackendServer& server,
+                            const pb::Heartbeat& heartbeat) {
+  server.healthy = heartbeat.backend_server_healthy();
+  server.leaving = server.leaving || heartbeat.leaving();
+  Reconsider(now, server);
+  if (heartbeat.has_load()) {
+    server.load = heartbeat.load();
+    runner_.OnLoad(now, server.id, heartbeat.load());
+  }
+}
+
+void EntryNode::Reconsider(TimePoint now, BackendServer& server) {
+  BackendServerState state = BackendServerState::kDown;
+  if (server.connected && server.healthy) state = BackendServerState::kIn;
+  if (server.connected && server.leaving) state = BackendServerState::kLeaving;
+  if (state == server.state) return;
+  LogInfo("backend_server_state", {{"vm", server.name},
+                                   {"from", NameOf(server.state)},
+                                   {"to", NameOf(state)}});
+  server.state = state;
+  switch (state) {
+    case BackendServerState::kIn:
+      runner_.OnBackendServerUp(now, server.id, {server.target},
+                                server.availability_zone);
+      break;
+    case BackendServerState::kLeaving:
+      runner_.OnBackendServerLeaving(now, server.id);
+      break;
+    case BackendServerState::kDown:
+    case BackendServerState::kSilent:
+      runner_.OnBackendServerDown(now, server.id);
+      break;
+  }
+}
+
+BackendServer* EntryNode::FindServer(PeerId peer) {
+  const auto name = peers_.find(peer);
+  return name == peers_.end() ? nullptr : &servers_.at(name->second);
+}
+
+void EntryNode::OnPlatform(TimePoint now, platform::StoreAnswer&& answer) {
+  if (answer.token == vm_list_token_) {
+    vm_list_token_ = 0;
+    if (answer.outcome == platform::StoreOutcome::kOk) {
+      OnVmList(now, answer.vms);
+    }
+  }
+  PassOnEvents(now);
+}
+
+void EntryNode::OnVmList(TimePoint now, const std::vector<platform::Vm>& vms) {
+  vm_list_known_ = true;
+  for (const platform::Vm& vm : vms) {
+    if (vm.role != "sidecar") continue;
+    BackendServer& server = servers_[vm.name];
+    if (!server.id) {
+      server.id = BackendServerId(++last_id_);
+      server.name = vm.name;
+      server.availability_zone = vm.availability_zone;
+      server.target = vm.target;
+      peers_[PeerId(server.id.value())] = vm.name;
+    }
+    if (server.address != vm.address) {
+      const PeerId peer(server.id.value());
+      if (!server.address.empty()) ports_.wire(wire::DisconnectCommand{peer});
+      server.address = vm.address;
+      ports_.wire(wire::ConnectCommand{peer, vm.address});
+    }
+    if (vm.state == platform::VmState::kLeaving) {
+      server.leaving = true;
+      Reconsider(now, server);
+    }
+  }
+}
+
+void EntryNode::OnTick(TimePoint now) {
+  runner_.OnTick(now);
+  if (now >= next_vm_list_ && vm_list_token_ == 0) {
+    next_vm_list_ = now + settings_.vm_list_period;
+    vm_list_token_ = ++last_id_;
+    ports_.platform(platform::StoreRequest{vm_list_token_,
+                                           platform::VmListRequest{},
+                                           now + settings_.platform_deadline});
+  }
+  if (now >= next_heartbeat_) {
+    next_heartbeat_ = now + settings_.node.heartbeat_period / 2;
+    wire::SetHeartbeatCommand command;
+    command.heartbeat.set_leaving(draining_);
+    ports_.wire(std::move(command));
+  }
+  if (draining_ && accepting_ &&
+      now >= drain_began_ + settings_.node.drain_notice) {
+    accepting_ = false;
+    ports_.stop_accepting();
+  }
+  PassOnEvents(now);
+}
+
+void EntryNode::BeginDrain(TimePoint now) {
+  if (draining_) return;
+  draining_ = true;
+  drain_began_ = now;
+  LogInfo("drain_began", {{"open", runner_.open_requests()}});
+}
+
+TimePoint EntryNode::NextWake() const {
+  return std::min({runner_.NextWake(), next_vm_list_, next_heartbeat_,
+                   MonotonicNow() + kIdleWake});
+}
+
+bool EntryNode::Drained(TimePoint now) const {
+  if (!draining_) return false;
+  if (now >= drain_began_ + settings_.node.drain_limit) return true;
+  return !accepting_ && runner_.open_requests() == 0;
+}
+
+void EntryNode::OnAdmin(TimePoint now, http::ServerEvent&& event) {
+  if (const auto* request = std::get_if<http::RequestEvent>(&event)) {
+    AnswerAdmin(now, *request);
+  }
+}
+
+void EntryNode::AnswerAdmin(TimePoint now, const http::RequestEvent& request) {
+  const std::string_view path = PathOf(request.target);
+  const ExchangeId exchange = request.exchange;
+  if (path == "/healthz") {
+    ports_.admin(TextResponse(exchange, kOk, "ok\n"));
+  } else if (path == "/readyz") {
+    const bool ready = vm_list_known_ && !draining_;
+    const char* reason = draining_ ? "draining\n" : "fleet not known yet\n";
+    ports_.admin(TextResponse(exchange, ready ? kOk : kUnavailable,
+                              ready ? "ready\n" : reason));
+  } else if (path == "/metrics") {
+    metrics_.Set("knap_entry_open_requests",
+                 static_cast<double>(runner_.open_requests()));
+    std::map<BackendServerState, double> counts;
+    for (const auto& [name, server] : servers_) ++counts[server.state];
+    for (const auto& [state, count] : counts) {
+      metrics_.Set("knap_entry_backend_servers", count,
+                   {std::string(NameOf(state))});
+    }
+    ports_.admin(TextResponse(exchange, kOk, metrics_.Render()));
+  } else if (path == "/status") {
+    ports_.admin(JsonResponse(exchange, kOk, StatusJson()));
+  } else if (path == "/timeline") {
+    ports_.admin(JsonResponse(
+        exchange, kOk, TimelineJson(QueryNumber(request.target, "after", 0))));
+  } else if (path == "/drain" && request.method == "POST") {
+    BeginDrain(now);
+    ports_.admin(TextResponse(exchange, kOk, "draining\n"));
+  } else {
+    ports_.admin(TextResponse(exchange, kNotFound, "no such page\n"));
+  }
+}
+
+std::string EntryNode::StatusJson() const {
+  json::array servers;
+  for (const auto& [name, server] : servers_) {
+    servers.push_back({{"name", name},
+                       {"target", server.target},
+                       {"availability_zone", server.availability_zone},
+                       {"state", NameOf(server.state)},
+                       {"load",
+                        {{"slots", server.load.slots()},
+                         {"online_running", server.load.online_running()},
+                         {"online_waiting", server.load.online_waiting()},
+                         {"batch_running", server.load.batch_running()},
+                         {"batch_waiting", server.load.batch_waiting()}}}});
+  }
+  return json::serialize(
+      json::value{{"node", settings_.node.name},
+                  {"role", "entry"},
+                  {"availability_zone", settings_.node.availability_zone},
+                  {"incarnation", HexOf(incarnation_)},
+                  {"draining", draining_},
+                  {"open_requests", runner_.open_requests()},
+                  {"backend_servers", std::move(servers)}});
+}
+
+std::string EntryNode::TimelineJson(uint64_t after) const {
+  const json::value head{{"node", settings_.node.name},
+                         {"wall_clock_nanos", WallClockNanos()},
+                         {"last", timeline_.last_sequence()},
+                         {"peers", json::array()}};
+  std::string text = json::serialize(head);
+  text.pop_back();
+  return text + ",\"events\":" + timeline_.EventsJson(after, kTimelinePage) +
+         "}";
+}
+
+}  // namespace knapweedstile::node
--- /dev/null
+++ b/libs/node/src/entry_node.h
@@ -0,0 +1,98 @@
+#ifndef KNAPWEEDSTILE_NODE_ENTRY_NODE_H_
+#define KNAPWEEDSTILE_NODE_ENTRY_NODE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "api_error.h"
+#include "backend_server.h"
+#include "base/id.h"
+#include "base/time.h"
+#include "caller_identity.h"
+#include "completion_request.h"
+#include "entry_ports.h"
+#include "http/server_event.h"
+#include "node/entry_node_settings.h"
+#include "observe/metrics.h"
+#include "observe/timeline.h"
+#include "online_calls.h"
+#include "platform/store_answer.h"
+#include "request_runner.h"
+#include "traffic_route.h"
+#include "wire/transport_event.h"
+
+namespace knapweedstile::node {
+
+// Everything an entry does on its decision thread: reads callers' requests,
+// gives them to the RequestRunner, follows the fleet and the platform, and
+// answers callers and operators.
+class EntryNode {
+ public:
+  EntryNode(const EntryNodeSettings& settings, uint64_t seed, EntryPorts ports);
+
+  // Commands.
+  void OnCallers(TimePoint now, http::ServerEvent&& event);
+  void OnAdmin(TimePoint now, http::ServerEvent&& event);
+  void OnWire(TimePoint now, wire::TransportEvent&& event);
+  void OnPlatform(TimePoint now, platform::StoreAnswer&& answer);
+  void OnTick(TimePoint now);
+  void BeginDrain(TimePoint now);
+
+  // Queries.
+  TimePoint NextWake() const;
+  bool Drained(TimePoint now) const;
+
+ private:
+  void OnCallerRequest(TimePoint now, http::RequestEvent&& request);
+  void OnCallerDisconnect(TimePoint now, ExchangeId exchange);
+  void BeginCompletion(TimePoint now, const http::RequestEvent& request,
+                       CompletionApi api);
+  void ListModels(const http::RequestEvent& request);
+  void RespondError(ExchangeId exchange, const CallerIdentity& identity,
+                    const ApiError& error);
+  CallerIdentity IdentityOf(const http::RequestEvent& request);
+  TimePoint DeadlineOf(const http::RequestEvent& request) const;
+  TrafficRoute RouteOf(const CallerIdentity& identity,
+                       const std::string& target) const;
+  bool Serves(const std::string& target) const;
+  void PassOnEvents(TimePoint now);
+
+  void OnVmList(TimePoint now, const std::vector<platform::Vm>& vms);
+  void OnHeartbeat(TimePoint now, BackendServer& server,
+                   const pb::Heartbeat& heartbeat);
+  void Reconsider(TimePoint now, BackendServer& server);
+  BackendServer* FindServer(PeerId peer);
+
+  void AnswerAdmin(TimePoint now, const http::RequestEvent& request);
+  std::string StatusJson() const;
+  std::string TimelineJson(uint64_t after) const;
+
+  EntryNodeSettings settings_;
+  EntryPorts ports_;
+  uint64_t incarnation_;
+  observe::Metrics metrics_;
+  observe::Timeline timeline_;
+  RequestRunner runner_;
+  OnlineCalls online_;
+  // Calls in progress, both ways.
+  std::unordered_map<ExchangeId, RequestId> exchanges_;
+  std::unordered_map<RequestId, ExchangeId> exchange_of_;
+  std::map<std::string, BackendServer> servers_;  // by VM name
+  std::unordered_map<PeerId, std::string> peers_;
+  uint64_t last_id_ = 0;
+  uint64_t vm_list_token_ = 0;
+  TimePoint next_vm_list_;
+  TimePoint next_heartbeat_;
+  bool vm_list_known_ = false;
+  bool draining_ = false;
+  bool accepting_ = true;
+  TimePoint drain_began_;
+};
+
+}  // namespace knapweedstile::node
+
+#endif  // KNAPWEEDSTILE_NODE_ENTRY_NODE_H_
--- /dev/null
+++ b/libs/node/src/online_calls.h
@@ -0,0 +1,64 @@
+#ifndef KNAPWEEDSTILE_NODE_ONLINE_CALLS_H_
+#define KNAPWEEDSTILE_NODE_ONLINE_CALLS_H_
+
+#include <string>
+#include <unordered_map>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "caller_identity.h"
+#include "completion_request.h"
+#include "decide/request_info.h"
+#include "http/server_event.h"
+#include "knapweedstile.pb.h"
+#include "online_call.h"
+#include "request_event.h"
+
+namespace knapweedstile::observe {
+class Metrics;
+}
+
+namespace knapweedstile::node {
+
+struct EntryPorts;
+struct TrafficRoute;
+
+// The completions that callers wait for: from the parsed request to the answer,
+// whole or streamed. Every call gets exactly one final answer.
+class OnlineCalls {
+ public:
+  OnlineCalls(EntryPorts& ports, observe::Metrics& metrics);
+
+  // What Submit of the runner needs, for a call that is well-formed.
+  struct Prepared {
+    decide::RequestInfo info;
+    pb::RunRequest message;
+  };
+
+  // Commands.
+  Prepared Begin(RequestId id, const http::RequestEvent& request,
+                 const CompletionRequest& completion,
+                 const CallerIdentity& identity, const TrafficRoute& route,
+                 TimePoint deadline);
+  // True when the event belongs to a call here.
+  bool OnEvent(TimePoint now, const RequestEvent& event);
+  void Forget(RequestId id) { calls_.erase(id); }
+
+  // Queries.
+  size_t size() const noexcept { return calls_.size(); }
+
+ private:
+  void OnOutput(TimePoint now, OnlineCall& call,
+                const RequestOutputEvent& event);
+  void OnFinished(OnlineCall& call, const RequestFinishedEvent& event);
+  void OnError(OnlineCall& call, const ApiError& error);
+  void BeginStream(OnlineCall& call);
+
+  EntryPorts& ports_;
+  observe::Metrics& metrics_;
+  std::unordered_map<RequestId, OnlineCall> calls_;
+};
+
+}  // namespace knapweedstile::node
+
+#endif  // KNAPWEEDSTILE_NODE_ONLINE_CALLS_H_
--- /dev/null
+++ b/libs/node/src/traffic_route.h
@@ -0,0 +1,18 @@
+#ifndef KNAPWEEDSTILE_NODE_TRAFFIC_ROUTE_H_
+#define KNAPWEEDSTILE_NODE_TRAFFIC_ROUTE_H_
+
+#include <string>
+
+namespace knapweedstile::node {
+
+// Where a request goes: the policy that took it, and the pool of backend
+// servers that this policy picks for the request's model or service.
+struct TrafficRoute {
+  std::string target;  // model or service
+  std::string policy;
+  std::string pool;  // the scheduler's name for (target, policy)
+};
+
+}  // namespace knapweedstile::node
+
+#endif  // KNAPWEEDSTILE_NODE_TRAFFIC_ROUTE_H_
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -25,8 +25,8 @@
     grep -v '/generated/' | while read -r f; do [ -e "$f" ] && echo "$f"; done
 }
 
-configure() { cmake -S . -B "$BUILD_DIR" -G Ninja >"$BUILD_DIR.configure.log" 2>&1 || {
-  cat "$BUILD_DIR.configure.log"; return 1; }; }
+configure() { mkdir -p "$BUILD_DIR"; cmake -S . -B "$BUILD_DIR" -G Ninja >"$BUILD_DIR/configure.log" 2>&1 || {
+  cat "$BUILD_DIR/configure.log"; return 1; }; }
 
 build() {
   configure
