Wire: transport of nghttp2 streams between the system's processes

Cause: entries and sidecars need many request streams and one control stream a connection, with liveness in both directions and a truthful account of what was never sent.

Change: Http2Session drives nghttp2 without a socket (bytes in, messages out); Connection adds the socket, heartbeats and silence; Transport adds listening, jittered reconnect and the ordered hand-over of events. A lost stream is kNotSent only if its HEADERS were never given out for writing, or the other end refused the stream. New query Transport::counters().

Ruled out: announcing max_streams by SETTINGS, since nghttp2 then queues requests unseen in the opener; the accepting end answers REFUSED_STREAM instead. nghttp2's own limit of 33 resets a second stays off the path: all batch streams of a connection may be cancelled at once.

--- a/libs/wire/include/wire/transport.h
+++ b/libs/wire/include/wire/transport.h
@@ -9,6 +9,7 @@
 
 #include "base/error.h"
 #include "wire/transport_command.h"
+#include "wire/transport_counters.h"
 #include "wire/transport_event.h"
 #include "wire/transport_settings.h"
 
@@ -32,12 +33,15 @@
   // Listens on `address` ("IP:PORT", port 0 picks one); the port bound.
   Result<uint16_t> Listen(const std::string& address);
   void Execute(TransportCommand&& command);
-  // Stops accepting and closes every connection.
+  // Stops accepting and closes every connection; no event follows.
   void Close();
 
+  const TransportCounters& counters() const;
+
  private:
   class Impl;
-  std::unique_ptr<Impl> impl_;
+  // Shared with handlers under way, which find it closed.
+  std::shared_ptr<Impl> impl_;
 };
 
 }  // namespace knapweedstile::wire
--- /dev/null
+++ b/libs/wire/src/message_reader.h
@@ -0,0 +1,48 @@
+#ifndef KNAPWEEDSTILE_WIRE_MESSAGE_READER_H_
+#define KNAPWEEDSTILE_WIRE_MESSAGE_READER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace knapweedstile::wire {
+
+enum class ReadStatus {
+  kMessage,   // `payload` holds one whole message
+  kNeedMore,  // the next message is not complete yet
+  kTooLarge,  // its length is over the bound; the reader stays in this state
+};
+
+// Splits the bytes of one direction of a stream into messages: four bytes of
+// length, most significant first, then the payload.
+//
+// Failure guarded against: a length from a broken or hostile peer must not
+// reserve memory. The bound is checked as soon as the four bytes are there,
+// before anything of the payload is kept.
+class MessageReader {
+ public:
+  explicit MessageReader(size_t max_message_bytes) noexcept
+      : max_message_bytes_(max_message_bytes) {}
+
+  void Append(std::string_view bytes) { buffer_.append(bytes); }
+
+  // Takes the next message; `payload` is valid until the next call.
+  ReadStatus Next(std::string_view& payload);
+
+  // The next message is over the bound.
+  bool too_large() const noexcept;
+  // No part of a message is waiting for its rest.
+  bool empty() const noexcept { return consumed_ == buffer_.size(); }
+
+ private:
+  void DropConsumed();
+
+  size_t max_message_bytes_;
+  std::string buffer_;
+  size_t consumed_ = 0;
+};
+
+}  // namespace knapweedstile::wire
+
+#endif  // KNAPWEEDSTILE_WIRE_MESSAGE_READER_H_
