Objects: typed objects, validation, catalog and the order of policies

Cause: operators compare policies by relabelling; every node must settle two policies the same way and must not lose a working object to a typing error. Change: five kinds parsed from the stored JSON with a path, the value seen and what is allowed for each wrong field; Catalog keeps the last good version and refuses older ones, also after a deletion; one total order (priority, then name) for traffic and engines, and who shadows whom. Ruled out: silently ignoring unknown fields (a misspelt name would leave a default in force); taking the newest object that arrived (two nodes differ).

--- /dev/null
+++ b/libs/objects/include/objects/catalog.h
@@ -0,0 +1,100 @@
+#ifndef KNAPWEEDSTILE_OBJECTS_CATALOG_H_
+#define KNAPWEEDSTILE_OBJECTS_CATALOG_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decide/sharing_policy.h"
+#include "objects/apply_result.h"
+#include "objects/engine.h"
+#include "objects/labels.h"
+#include "objects/object_kind.h"
+#include "objects/placement.h"
+#include "objects/policy.h"
+#include "objects/refused_object.h"
+#include "objects/service.h"
+#include "objects/workspace.h"
+
+namespace knapweedstile::objects {
+
+// The operators' objects that are in force on this node.
+//
+// Failures guarded against: an edit that does not parse must not take away what
+// works, so a refused version leaves the last good one in force and is listed
+// with its reason. An old version that arrives late (another relay, a peer that
+// lags) must not revert an accepted one, so versions of a name only rise, also
+// over its deletion.
+class Catalog {
+ public:
+  template <typename T>
+  using Table = std::map<std::string, T, std::less<>>;
+
+  // Kinds that operators do not edit are ignored.
+  ApplyResult Apply(std::string_view kind, std::string_view name,
+                    uint64_t version, std::string_view value, bool deleted);
+
+  const Table<Policy>& policies() const noexcept { return policies_; }
+  const Table<Placement>& placements() const noexcept { return placements_; }
+  const Table<Engine>& engines() const noexcept { return engines_; }
+  const Table<Service>& services() const noexcept { return services_; }
+  const Table<Workspace>& workspaces() const noexcept { return workspaces_; }
+
+  // The highest version applied or refused.
+  uint64_t revision() const noexcept { return revision_; }
+  // Over kinds, names and versions that are in force: equal on two nodes only
+  // when they serve by the same objects (but for hash collisions).
+  uint64_t digest() const noexcept { return digest_; }
+  // Present versions that were refused, by kind/name.
+  std::vector<RefusedObject> Refused() const;
+
+  // The policy that a request of the workspace falls under, or null. A
+  // workspace without an object has no labels.
+  const Policy* WinningPolicy(std::string_view workspace,
+                              std::string_view target) const;
+  // Names of the engines that serve `model` and that the policy selects; a null
+  // policy selects all.
+  std::vector<std::string> EnginesOf(const Policy* policy,
+                                     std::string_view model) const;
+  // What is in force on an engine; the built-in default when no policy selects
+  // it or no such engine is known.
+  decide::SharingPolicy SharingOfEngine(std::string_view engine) const;
+  // The engine object of a VM, or null; the lowest name when there are several.
+  const Engine* EngineOnVm(std::string_view vm) const;
+  // The service with the longest path prefix of `path`, or null.
+  const Service* ServiceForPath(std::string_view path) const;
+  // The workspace that a key with this SHA-256 belongs to, or null.
+  const Workspace* WorkspaceByKey(std::string_view key_sha256) const;
+  // For each policy, which others shadow it (policy_order.h).
+  std::map<std::string, std::vector<std::string>> ShadowedPolicies() const;
+
+ private:
+  struct Seen {
+    uint64_t version = 0;     // the newest, in force or refused
+    uint64_t in_force = 0;    // zero: none
+    std::string refused_for;  // empty: the newest is in force
+  };
+
+  template <typename T>
+  ApplyResult ApplyTo(Table<T>& table, ObjectKind kind, std::string_view name,
+                      uint64_t version, std::string_view value, bool deleted);
+  ApplyResult Dispatch(ObjectKind kind, std::string_view name, uint64_t version,
+                       std::string_view value, bool deleted);
+  void SetInForce(Seen& seen, std::string_view id, uint64_t version);
+  std::vector<const Policy*> AllPolicies() const;
+
+  Table<Policy> policies_;
+  Table<Placement> placements_;
+  Table<Engine> engines_;
+  Table<Service> services_;
+  Table<Workspace> workspaces_;
+  std::map<std::string, Seen, std::less<>> seen_;  // by kind/name
+  uint64_t revision_ = 0;
+  uint64_t digest_ = 0;
+};
+
+}  // namespace knapweedstile::objects
+
+#endif  // KNAPWEEDSTILE_OBJECTS_CATALOG_H_
--- /dev/null
+++ b/libs/objects/include/objects/object_kind.h
@@ -0,0 +1,25 @@
+#ifndef KNAPWEEDSTILE_OBJECTS_OBJECT_KIND_H_
+#define KNAPWEEDSTILE_OBJECTS_OBJECT_KIND_H_
+
+#include <array>
+#include <string_view>
+
+#include "base/enum_names.h"
+
+namespace knapweedstile::objects {
+
+// The kinds that operators edit.
+enum class ObjectKind { kPolicy, kPlacement, kEngine, kService, kWorkspace };
+
+}  // namespace knapweedstile::objects
+
+namespace knapweedstile {
+
+template <>
+inline constexpr std::array<std::string_view, 5>
+    kEnumNames<objects::ObjectKind> = {"policy", "placement", "engine",
+                                       "service", "workspace"};
+
+}  // namespace knapweedstile
+
+#endif  // KNAPWEEDSTILE_OBJECTS_OBJECT_KIND_H_
--- /dev/null
+++ b/libs/objects/include/objects/policy_order.h
@@ -0,0 +1,48 @@
+#ifndef KNAPWEEDSTILE_OBJECTS_POLICY_ORDER_H_
+#define KNAPWEEDSTILE_OBJECTS_POLICY_ORDER_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "objects/labels.h"
+
+namespace knapweedstile::objects {
+
+struct Engine;
+struct Policy;
+struct Workspace;
+
+// The one total order that settles policies selecting the same traffic or
+// engine: the higher `priority` wins, and among equals the lower name (names
+// are unique, so the order is total and the same on every node).
+//
+// Without it two nodes that learnt of two policies in another order would serve
+// the same request differently.
+bool Wins(const Policy& a, const Policy& b);
+
+// True when the policy takes this traffic.
+bool TakesTraffic(const Policy& policy, const Labels& workspace_labels,
+                  std::string_view target);
+
+// The winner for a request of a workspace with these labels, or null.
+const Policy* WinningPolicy(const std::vector<const Policy*>& policies,
+                            const Labels& workspace_labels,
+                            std::string_view target);
+
+// The policy whose sharing is in force on an engine, or null: an engine has one
+// gate, so the winner among all policies that select it and its model sets it.
+const Policy* PolicyOfEngine(const std::vector<const Policy*>& policies,
+                             const Engine& engine);
+
+// For each policy, by name: the others that take away some of the traffic or of
+// the engines that it selects among those given, in the total order.
+std::map<std::string, std::vector<std::string>> ShadowedBy(
+    const std::vector<const Policy*>& policies,
+    const std::vector<const Engine*>& engines,
+    const std::vector<const Workspace*>& workspaces);
+
+}  // namespace knapweedstile::objects
+
+#endif  // KNAPWEEDSTILE_OBJECTS_POLICY_ORDER_H_
--- /dev/null
+++ b/libs/objects/src/catalog.cc
@@ -0,0 +1,177 @@
+#include "objects/catalog.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+#include "objects/parse.h"
+#include "objects/policy_order.h"
+
+namespace knapweedstile::objects {
+
+namespace {
+
+template <typename T>
+std::vector<const T*> Pointers(const Catalog::Table<T>& table) {
+  std::vector<const T*> pointers;
+  pointers.reserve(table.size());
+  for (const auto& [name, object] : table) pointers.push_back(&object);
+  return pointers;
+}
+
+template <typename T>
+const T* FindIn(const Catalog::Table<T>& table, std::string_view name) {
+  const auto it = table.find(name);
+  return it == table.end() ? nullptr : &it->second;
+}
+
+std::string IdOf(ObjectKind kind, std::string_view name) {
+  return std::string(NameOf(kind)) + "/" + std::string(name);
+}
+
+// The sharing policy carries its policy's name and version, for reports.
+void Stamp(Policy& policy) {
+  policy.sharing.name = policy.name;
+  policy.sharing.revision = policy.version;
+}
+
+template <typename T>
+void Stamp(T& /*object*/) {}
+
+}  // namespace
+
+ApplyResult Catalog::Apply(std::string_view kind, std::string_view name,
+                           uint64_t version, std::string_view value,
+                           bool deleted) {
+  revision_ = std::max(revision_, version);
+  const auto known = ParseEnum<ObjectKind>(kind);
+  if (!known) return {ApplyOutcome::kIgnored, {}};
+  return Dispatch(*known, name, version, value, deleted);
+}
+
+ApplyResult Catalog::Dispatch(ObjectKind kind, std::string_view name,
+                              uint64_t version, std::string_view value,
+                              bool deleted) {
+  switch (kind) {
+    case ObjectKind::kPolicy:
+      return ApplyTo(policies_, kind, name, version, value, deleted);
+    case ObjectKind::kPlacement:
+      return ApplyTo(placements_, kind, name, version, value, deleted);
+    case ObjectKind::kEngine:
+      return ApplyTo(engines_, kind, name, version, value, deleted);
+    case ObjectKind::kService:
+      return ApplyTo(services_, kind, name, version, value, deleted);
+    case ObjectKind::kWorkspace:
+      return ApplyTo(workspaces_, kind, name, version, value, deleted);
+  }
+  return {ApplyOutcome::kIgnored, {}};
+}
+
+template <typename T>
+ApplyResult Catalog::ApplyTo(Table<T>& table, ObjectKind kind,
+                             std::string_view name, uint64_t version,
+                             std::string_view value, bool deleted) {
+  const std::string id = IdOf(kind, name);
+  Seen& seen = seen_[id];
+  if (version <= seen.version) return {ApplyOutcome::kStale, {}};
+  seen.version = version;
+  if (deleted) {
+    table.erase(std::string(name));
+    SetInForce(seen, id, 0);
+    return {ApplyOutcome::kAccepted, {}};
+  }
+  Parsed<T> parsed = Parse<T>(value);
+  if (auto* errors = std::get_if<FieldErrors>(&parsed)) {
+    seen.refused_for = Describe(*errors);
+    return {ApplyOutcome::kInvalid, std::move(*errors)};
+  }
+  T& object = std::get<T>(parsed);
+  object.name = std::string(name);
+  object.version = version;
+  Stamp(object);
+  table[object.name] = std::move(object);
+  SetInForce(seen, id, version);
+  return {ApplyOutcome::kAccepted, {}};
+}
+
+// The digest is a sum, so that the order of arrival does not matter.
+void Catalog::SetInForce(Seen& seen, std::string_view id, uint64_t version) {
+  if (seen.in_force != 0) digest_ -= HashCombine(Hash64(id), seen.in_force);
+  if (version != 0) digest_ += HashCombine(Hash64(id), version);
+  seen.in_force = version;
+  seen.refused_for.clear();
+}
+
+std::vector<RefusedObject> Catalog::Refused() const {
+  std::vector<RefusedObject> refused;
+  for (const auto& [id, seen] : seen_) {
+    if (seen.refused_for.empty()) continue;
+    refused.push_back({id, seen.version, seen.in_force, seen.refused_for});
+  }
+  return refused;
+}
+
+std::vector<const Policy*> Catalog::AllPolicies() const {
+  return Pointers(policies_);
+}
+
+const Policy* Catalog::WinningPolicy(std::string_view workspace,
+                                     std::string_view target) const {
+  static const Labels no_labels;
+  const Workspace* found = FindIn(workspaces_, workspace);
+  return objects::WinningPolicy(
+      AllPolicies(), found == nullptr ? no_labels : found->labels, target);
+}
+
+std::vector<std::string> Catalog::EnginesOf(const Policy* policy,
+                                            std::string_view model) const {
+  std::vector<std::string> names;
+  for (const auto& [name, engine] : engines_) {
+    if (engine.model != model) continue;
+    if (policy != nullptr && !Matches(policy->engines, engine.labels)) continue;
+    names.push_back(name);
+  }
+  return names;
+}
+
+decide::SharingPolicy Catalog::SharingOfEngine(std::string_view engine) const {
+  const Engine* found = FindIn(engines_, engine);
+  if (found == nullptr) return {};
+  const Policy* policy = PolicyOfEngine(AllPolicies(), *found);
+  return policy == nullptr ? decide::SharingPolicy{} : policy->sharing;
+}
+
+const Engine* Catalog::EngineOnVm(std::string_view vm) const {
+  for (const auto& [name, engine] : engines_) {
+    if (engine.vm == vm) return &engine;
+  }
+  return nullptr;
+}
+
+const Service* Catalog::ServiceForPath(std::string_view path) const {
+  const Service* longest = nullptr;
+  for (const auto& [name, service] : services_) {
+    if (!PathHasPrefix(path, service.path_prefix)) continue;
+    if (longest == nullptr ||
+        service.path_prefix.size() > longest->path_prefix.size()) {
+      longest = &service;
+    }
+  }
+  return longest;
+}
+
+const Workspace* Catalog::WorkspaceByKey(std::string_view key_sha256) const {
+  for (const auto& [name, workspace] : workspaces_) {
+    const auto& keys = workspace.key_sha256;
+    if (std::find(keys.begin(), keys.end(), key_sha256) != keys.end()) {
+      return &workspace;
+    }
+  }
+  return nullptr;
+}
+
+std::map<std::string, std::vector<std::string>> Catalog::ShadowedPolicies()
+    const {
+  return ShadowedBy(AllPolicies(), Pointers(engines_), Pointers(workspaces_));
+}
+
+}  // namespace knapweedstile::objects
--- /dev/null
+++ b/libs/objects/src/field_reader.cc
@@ -0,0 +1,171 @@
+#include "field_reader.h"
+
+#include <fmt/format.h>
+
+namespace knapweedstile::objects {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr size_t kLongestSeen = 80;
+
+std::string Shown(const json::value* value) {
+  if (value == nullptr) return {};
+  std::string text = json::serialize(*value);
+  if (text.size() > kLongestSeen) {
+    text.resize(kLongestSeen);
+    text += "...";
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string Describe(const FieldErrors& errors) {
+  std::string text;
+  for (const FieldError& error : errors) {
+    if (!text.empty()) text += "; ";
+    text +=
+        fmt::format("{}: {}, allowed: {}", error.field,
+                    error.seen.empty() ? "missing" : error.seen, error.allowed);
+  }
+  return text;
+}
+
+void FieldReader::Text(std::string_view name, std::string& out) {
+  const json::value* value = Find(name);
+  if (value == nullptr) return;
+  if (!value->is_string()) return Refuse(name, "a string");
+  out = std::string(value->get_string());
+}
+
+void FieldReader::Int(std::string_view name, int64_t least, int64_t most,
+                      int64_t& out) {
+  const json::value* value = Find(name);
+  if (value == nullptr) return;
+  json::error_code ec;
+  const auto number = value->to_number<int64_t>(ec);
+  if (ec || value->is_double() || number < least || number > most) {
+    return Refuse(name,
+                  fmt::format("a whole number from {} to {}", least, most));
+  }
+  out = number;
+}
+
+void FieldReader::Real(std::string_view name, double least, double most,
+                       double& out) {
+  const json::value* value = Find(name);
+  if (value == nullptr) return;
+  json::error_code ec;
+  const auto number = value->to_number<double>(ec);
+  if (ec || !(number >= least && number <= most)) {
+    return Refuse(name, fmt::format("a number from {} to {}", least, most));
+  }
+  out = number;
+}
+
+void FieldReader::TextList(std::string_view name,
+                           std::vector<std::string>& out) {
+  const json::value* value = Find(name);
+  if (value != nullptr) TextListAt(*value, PathOf(name), out);
+}
+
+void FieldReader::LabelMap(std::string_view name, Labels& out) {
+  const json::object* member = Member(name);
+  if (member == nullptr) return;
+  for (const auto& entry : *member) {
+    if (entry.value().is_string()) {
+      out[std::string(entry.key())] = std::string(entry.value().get_string());
+    } else {
+      Add(PathOf(name) + "." + std::string(entry.key()), &entry.value(),
+          "a string");
+    }
+  }
+}
+
+void FieldReader::ReadSelector(std::string_view name, Selector& out) {
+  if (auto child = Child(name)) {
+    child->SelectorFields(out);
+    child->RefuseUnknown();
+  }
+}
+
+void FieldReader::SelectorFields(Selector& out) {
+  LabelMap("match", out.match);
+  ValueLists("in", out.in);
+  ValueLists("not_in", out.not_in);
+  TextList("exists", out.exists);
+}
+
+std::optional<FieldReader> FieldReader::Child(std::string_view name) {
+  const json::object* member = Member(name);
+  if (member == nullptr) return std::nullopt;
+  return FieldReader(*member, PathOf(name), errors_);
+}
+
+const json::object* FieldReader::Member(std::string_view name) {
+  const json::value* value = Find(name);
+  if (value == nullptr) return nullptr;
+  if (value->is_object()) return &value->get_object();
+  Refuse(name, "an object");
+  return nullptr;
+}
+
+void FieldReader::Require(std::string_view name) {
+  if (!object_.contains(name)) Add(PathOf(name), nullptr, "it must be there");
+}
+
+void FieldReader::Refuse(std::string_view name, std::string allowed) {
+  Add(PathOf(name), object_.if_contains(name), std::move(allowed));
+}
+
+void FieldReader::RefuseUnknown() {
+  std::string allowed;
+  for (const std::string& name : known_) {
+    allowed += allowed.empty() ? name : ", " + name;
+  }
+  for (const auto& entry : object_) {
+    if (known_.contains(std::string_view(entry.key()))) continue;
+    Add(PathOf(entry.key()), &entry.value(),
+        "no such field; the fields are " + allowed);
+  }
+}
+
+std::string FieldReader::PathOf(std::string_view name) const {
+  return path_.empty() ? std::string(name) : path_ + "." + std::string(name);
+}
+
+const json::value* FieldReader::Find(std::string_view name) {
+  known_.emplace(name);
+  return object_.if_contains(name);
+}
+
+void FieldReader::TextListAt(const json::value& value, const std::string& path,
+                             std::vector<std::string>& out) {
+  if (!value.is_array()) return Add(path, &value, "a list of strings");
+  const json::array& list = value.get_array();
+  for (size_t i = 0; i < list.size(); ++i) {
+    if (list[i].is_string()) {
+      out.emplace_back(list[i].get_string());
+    } else {
+      Add(fmt::format("{}[{}]", path, i), &list[i], "a string");
+    }
+  }
+}
+
+void FieldReader::ValueLists(std::string_view name, Selector::ValueLists& out) {
+  const json::object* member = Member(name);
+  if (member == nullptr) return;
+  for (const auto& entry : *member) {
+    const std::string key(entry.key());
+    TextListAt(entry.value(), PathOf(name) + "." + key, out[key]);
+  }
+}
+
+void FieldReader::Add(const std::string& path, const json::value* seen,
+                      std::string allowed) {
+  errors_.push_back({path, Shown(seen), std::move(allowed)});
+}
+
+}  // namespace knapweedstile::objects
--- /dev/null
+++ b/libs/objects/src/field_reader.h
@@ -0,0 +1,63 @@
+#ifndef KNAPWEEDSTILE_OBJECTS_FIELD_READER_H_
+#define KNAPWEEDSTILE_OBJECTS_FIELD_READER_H_
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "objects/field_error.h"
+#include "objects/labels.h"
+#include "objects/selector.h"
+
+namespace knapweedstile::objects {
+
+// Reads the fields of one JSON object, collects what is wrong with them, and
+// reports the fields that nobody read as unknown.
+class FieldReader {
+ public:
+  FieldReader(const boost::json::object& object, std::string path,
+              FieldErrors& errors)
+      : object_(object), path_(std::move(path)), errors_(errors) {}
+
+  // Each leaves `out` alone when the field is absent.
+  void Text(std::string_view name, std::string& out);
+  void Int(std::string_view name, int64_t least, int64_t most, int64_t& out);
+  void Real(std::string_view name, double least, double most, double& out);
+  void TextList(std::string_view name, std::vector<std::string>& out);
+  void LabelMap(std::string_view name, Labels& out);
+  void ReadSelector(std::string_view name, Selector& out);
+  // The selector's conditions, when this object is one.
+  void SelectorFields(Selector& out);
+  // A reader of the member object; none when it is absent or no object.
+  std::optional<FieldReader> Child(std::string_view name);
+
+  // Errors for a field that must be there, or for its value.
+  void Require(std::string_view name);
+  void Refuse(std::string_view name, std::string allowed);
+  // Call last.
+  void RefuseUnknown();
+
+  std::string PathOf(std::string_view name) const;
+
+ private:
+  const boost::json::object* Member(std::string_view name);
+  const boost::json::value* Find(std::string_view name);
+  void TextListAt(const boost::json::value& value, const std::string& path,
+                  std::vector<std::string>& out);
+  void ValueLists(std::string_view name, Selector::ValueLists& out);
+  void Add(const std::string& path, const boost::json::value* seen,
+           std::string allowed);
+
+  const boost::json::object& object_;
+  std::string path_;
+  FieldErrors& errors_;
+  std::set<std::string, std::less<>> known_;
+};
+
+}  // namespace knapweedstile::objects
+
+#endif  // KNAPWEEDSTILE_OBJECTS_FIELD_READER_H_
--- /dev/null
+++ b/libs/objects/tests/objects_test.cc
@@ -0,0 +1,167 @@
+#include <catch2/catch.hpp>
+
+#include "objects/catalog.h"
+#include "objects/parse.h"
+
+namespace knapweedstile::objects {
+
+namespace {
+
+std::string PolicyJson(int priority, const std::string& more = "") {
+  return R"({"labels":{},"spec":{"priority":)" + std::to_string(priority) +
+         more + "}}";
+}
+
+FieldErrors ErrorsOfPolicy(const std::string& value) {
+  Parsed<Policy> parsed = Parse<Policy>(value);
+  REQUIRE(std::holds_alternative<FieldErrors>(parsed));
+  return std::get<FieldErrors>(parsed);
+}
+
+}  // namespace
+
+TEST_CASE("a selector's conditions must all hold") {
+  Selector selector;
+  selector.match["tier"] = "gold";
+  selector.in["zone"] = {"bern-a", "bern-b"};
+  selector.not_in["state"] = {"old"};
+  selector.exists = {"owner"};
+  const Labels good = {{"tier", "gold"}, {"zone", "bern-b"}, {"owner", "x"}};
+  REQUIRE(Matches(selector, good));
+  REQUIRE(Matches(Selector{}, good));
+  for (const char* key : {"tier", "zone", "owner"}) {
+    Labels lacking = good;
+    lacking.erase(key);
+    REQUIRE_FALSE(Matches(selector, lacking));
+  }
+  Labels old = good;
+  old["state"] = "old";
+  REQUIRE_FALSE(Matches(selector, old));
+}
+
+TEST_CASE("each wrong field is named with what was seen and is allowed") {
+  const FieldErrors errors = ErrorsOfPolicy(
+      R"({"spec":{"priority":1.5,"sharing":"half","batch_share":2,"traffic":)"
+      R"({"in":{"tier":["a",7]},"target":[]},"prio":3},"label":{}})");
+  REQUIRE(errors.size() == 7);
+  const std::string text = Describe(errors);
+  for (const char* part :
+       {"spec.priority: 1.5", "spec.traffic.in.tier[1]: 7",
+        "spec.traffic.target: []", "spec.sharing: \"half\"",
+        "static_share, priority_cancel", "spec.batch_share: 2", "spec.prio: 3",
+        "label: {}"}) {
+    CAPTURE(part, text);
+    REQUIRE(text.find(part) != std::string::npos);
+  }
+  REQUIRE(ErrorsOfPolicy("{")[0].field == "value");
+  REQUIRE(ErrorsOfPolicy("{}")[0].field == "spec");
+}
+
+TEST_CASE("a complete policy is read") {
+  const Parsed<Policy> parsed = Parse<Policy>(
+      R"({"labels":{"a":"b"},"spec":{"priority":7,"traffic":{"match":{"t":"g"},)"
+      R"("targets":["m"]},"engines":{"exists":["gpu"]},"sharing":)"
+      R"("arrival_reserve","batch_share":0.5,"reserve_sigma":1.5}})");
+  const auto& policy = std::get<Policy>(parsed);
+  REQUIRE(policy.priority == 7);
+  REQUIRE(policy.traffic.match.at("t") == "g");
+  REQUIRE(policy.targets == std::vector<std::string>{"m"});
+  REQUIRE(policy.sharing.kind == decide::SharingKind::kArrivalReserve);
+  REQUIRE(policy.sharing.batch_share_permille == 500);
+  REQUIRE(policy.sharing.reserve_sigma_percent == 150);
+}
+
+// Story: an operator saves a policy with a typing error. Nodes that dropped the
+// broken object would serve that traffic by the default policy, in the middle
+// of a comparison. The last good version has to stay in force everywhere.
+TEST_CASE("an invalid object leaves the last good version in force") {
+  Catalog catalog;
+  REQUIRE(catalog.Apply("policy", "p", 4, PolicyJson(5), false).outcome ==
+          ApplyOutcome::kAccepted);
+  const uint64_t digest = catalog.digest();
+  const ApplyResult refused =
+      catalog.Apply("policy", "p", 9, PolicyJson(5, R"(,"x":1)"), false);
+  REQUIRE(refused.outcome == ApplyOutcome::kInvalid);
+  REQUIRE(refused.errors[0].field == "spec.x");
+  REQUIRE(catalog.policies().at("p").version == 4);
+  REQUIRE(catalog.digest() == digest);
+  REQUIRE(catalog.Refused()[0].version_in_force == 4);
+  REQUIRE(catalog.revision() == 9);
+}
+
+// Story: a node hears of version 9 from one relay and afterwards of version 4
+// from a peer that lags. Adopting the later message would revert an accepted
+// configuration, or bring back a deleted object.
+TEST_CASE("an older version never replaces a newer one") {
+  Catalog catalog;
+  catalog.Apply("policy", "p", 9, PolicyJson(9), false);
+  REQUIRE(catalog.Apply("policy", "p", 4, PolicyJson(4), false).outcome ==
+          ApplyOutcome::kStale);
+  REQUIRE(catalog.policies().at("p").priority == 9);
+  catalog.Apply("policy", "p", 12, "", true);
+  REQUIRE(catalog.Apply("policy", "p", 9, PolicyJson(9), false).outcome ==
+          ApplyOutcome::kStale);
+  REQUIRE(catalog.policies().empty());
+  REQUIRE(catalog.digest() == Catalog().digest());
+}
+
+TEST_CASE("one total order settles policies, whatever order they came in") {
+  const std::vector<std::pair<std::string, int>> given = {
+      {"b", 5}, {"a", 5}, {"z", 9}, {"c", 1}};
+  for (size_t turn = 0; turn < given.size(); ++turn) {
+    Catalog catalog;
+    for (size_t i = 0; i < given.size(); ++i) {
+      const auto& [name, priority] = given[(i + turn) % given.size()];
+      catalog.Apply("policy", name, 10 + i, PolicyJson(priority), false);
+    }
+    catalog.Apply("workspace", "w", 50, R"({"spec":{}})", false);
+    catalog.Apply("engine", "e", 51, R"({"spec":{"vm":"v","model":"m"}})",
+                  false);
+    REQUIRE(catalog.WinningPolicy("w", "m")->name == "z");
+    REQUIRE(catalog.SharingOfEngine("e").name == "z");
+    const auto shadowed = catalog.ShadowedPolicies();
+    REQUIRE(shadowed.at("z").empty());
+    REQUIRE(shadowed.at("a") == std::vector<std::string>{"z"});
+    REQUIRE(shadowed.at("c") == std::vector<std::string>{"z", "a", "b"});
+  }
+}
+
+TEST_CASE("relabelling moves traffic and engines between policies") {
+  Catalog catalog;
+  catalog.Apply("policy", "new", 1,
+                PolicyJson(5, R"(,"traffic":{"match":{"arm":"new"}},)"
+                              R"("engines":{"match":{"arm":"new"}})"),
+                false);
+  catalog.Apply("policy", "old", 2, PolicyJson(1), false);
+  catalog.Apply("workspace", "w", 3, R"({"spec":{}})", false);
+  catalog.Apply("engine", "e", 4, R"({"spec":{"vm":"v","model":"m"}})", false);
+  REQUIRE(catalog.WinningPolicy("w", "m")->name == "old");
+  REQUIRE(catalog.EnginesOf(&catalog.policies().at("new"), "m").empty());
+  catalog.Apply("workspace", "w", 5, R"({"labels":{"arm":"new"},"spec":{}})",
+                false);
+  catalog.Apply("engine", "e", 6,
+                R"({"labels":{"arm":"new"},"spec":{"vm":"v","model":"m"}})",
+                false);
+  REQUIRE(catalog.WinningPolicy("w", "m")->name == "new");
+  REQUIRE(catalog.SharingOfEngine("e").name == "new");
+  REQUIRE(catalog.EnginesOf(&catalog.policies().at("new"), "m").size() == 1);
+  REQUIRE(catalog.EngineOnVm("v")->name == "e");
+}
+
+TEST_CASE("a call that is not known to be safe counts as not idempotent") {
+  Catalog catalog;
+  catalog.Apply("service", "s", 1,
+                R"({"spec":{"path_prefix":"/app","non_idempotent":)"
+                R"(["GET /app/next"],"idempotent":["POST /app/search"]}})",
+                false);
+  const Service* service = catalog.ServiceForPath("/app/x?y");
+  REQUIRE(service != nullptr);
+  REQUIRE(catalog.ServiceForPath("/apple") == nullptr);
+  REQUIRE(IsIdempotent(*service, "GET", "/app/list"));
+  REQUIRE_FALSE(IsIdempotent(*service, "GET", "/app/next"));
+  REQUIRE(IsIdempotent(*service, "POST", "/app/search?q"));
+  REQUIRE_FALSE(IsIdempotent(*service, "POST", "/app/searches"));
+  REQUIRE_FALSE(IsIdempotent(*service, "PUT", "/app/list"));
+}
+
+}  // namespace knapweedstile::objects
