--- /dev/null
+++ b/apps/knapweedstile/main.cc
@@ -0,0 +1,123 @@
+#include <fmt/core.h>
+
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "node/entry_node_settings.h"
+#include "node/entry_process.h"
+#include "node/sidecar_node_settings.h"
+#include "node/sidecar_process.h"
+#include "settings/schema.h"
+
+// The node of the system: `knapweedstile entry|sidecar --config FILE`.
+namespace knapweedstile {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 4;
+
+struct Arguments {
+  std::string role;
+  std::string config;
+  bool check = false;
+  bool reference = false;
+};
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options(
+      "knapweedstile",
+      "One node of the serving system.\n\n"
+      "  entry    takes callers' requests, routes them, runs batch jobs\n"
+      "  sidecar  stands beside one backend server, the only way to it\n\n"
+      "Exit codes: 0 stopped gracefully, 2 wrong usage, 3 cannot listen, "
+      "4 wrong settings.\n");
+  options.positional_help("entry|sidecar");
+  options.add_options()("role", "entry or sidecar",
+                        cxxopts::value<std::string>())(
+      "config", "settings file (TOML; every key: docs/settings.md)",
+      cxxopts::value<std::string>(),
+      "FILE")("check", "check the settings file as a whole and exit")(
+      "reference", "print the table of settings keys and exit")(
+      "help", "print this text and exit");
+  options.parse_positional({"role"});
+  return options;
+}
+
+int ReportErrors(const std::vector<settings::SettingError>& errors) {
+  for (const settings::SettingError& error : errors) {
+    fmt::print(stderr, "{}\n", error.Text());
+  }
+  return kExitSettings;
+}
+
+// Binds, loads and checks one role's settings, then runs it.
+template <typename Settings>
+int RunRole(const Arguments& arguments,
+            void (*bind)(settings::Schema&, Settings*),
+            int (*run)(const Settings&)) {
+  Settings values;
+  settings::Schema schema;
+  bind(schema, &values);
+  if (arguments.reference) {
+    fmt::print("{}", schema.Reference());
+    return kExitOk;
+  }
+  if (arguments.config.empty()) {
+    fmt::print(stderr, "--config FILE is missing\n");
+    return kExitUsage;
+  }
+  const auto errors = schema.Load(arguments.config);
+  if (!errors.empty()) return ReportErrors(errors);
+  if (arguments.check) {
+    fmt::print("{}: right\n", arguments.config);
+    return kExitOk;
+  }
+  return run(values);
+}
+
+int Run(const Arguments& arguments) {
+  if (arguments.role == "entry") {
+    return RunRole<node::EntryNodeSettings>(
+        arguments, node::BindEntryNodeSettings, node::RunEntry);
+  }
+  if (arguments.role == "sidecar") {
+    return RunRole<node::SidecarNodeSettings>(
+        arguments, node::BindSidecarNodeSettings, node::RunSidecar);
+  }
+  fmt::print(stderr, "the role must be entry or sidecar; see --help\n");
+  return kExitUsage;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options = MakeOptions();
+  Arguments arguments;
+  // The library reports wrong usage by exceptions; they end here.
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") != 0) {
+      fmt::print("{}", options.help());
+      return kExitOk;
+    }
+    if (parsed.count("role") != 0) {
+      arguments.role = parsed["role"].as<std::string>();
+    }
+    if (parsed.count("config") != 0) {
+      arguments.config = parsed["config"].as<std::string>();
+    }
+    arguments.check = parsed.count("check") != 0;
+    arguments.reference = parsed.count("reference") != 0;
+  } catch (const cxxopts::exceptions::exception& error) {
+    fmt::print(stderr, "{}; see --help\n", error.what());
+    return kExitUsage;
+  }
+  return Run(arguments);
+}
+
+}  // namespace
+}  // namespace knapweedstile
+
+int main(int argc, char** argv) { return knapweedstile::Main(argc, argv); }
--- a/libs/node/src/entry_node.h
+++ b/libs/node/src/entry_node.h
@@ -45,6 +45,7 @@
   // Queries.
   TimePoint NextWake() const;
   bool Drained(TimePoint now) const;
+  size_t open_requests() const noexcept { return runner_.open_requests(); }
 
  private:
   void OnCallerRequest(TimePoint now, http::RequestEvent&& request);
--- a/libs/node/src/sidecar_process.cc
+++ b/libs/node/src/sidecar_process.cc
@@ -16,6 +16,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "outbox.h"
+#include "process_address.h"
 #include "process_seed.h"
 #include "sidecar_node.h"
 #include "wire/transport.h"
@@ -42,14 +43,16 @@
 
  private:
   SidecarNode::Ports MakePorts() {
-    return {[this](wire::TransportCommand&& c) { to_fleet_.Push(std::move(c)); },
-            [this](http::ClientRequest&& r) {
-              to_backend_.Push(BackendServerCommand(std::move(r)));
-            },
-            [this](ExchangeId e) { to_backend_.Push(BackendServerCommand(e)); },
-            [this](http::ServerCommand&& c) { to_admin_.Push(std::move(c)); }};
+    return {
+        [this](wire::TransportCommand&& c) { to_fleet_.Push(std::move(c)); },
+        [this](http::ClientRequest&& r) {
+          to_backend_.Push(BackendServerCommand(std::move(r)));
+        },
+        [this](ExchangeId e) { to_backend_.Push(BackendServerCommand(e)); },
+        [this](http::ServerCommand&& c) { to_admin_.Push(std::move(c)); }};
   }
   wire::TransportSettings WireSettings() const;
+  int ListenAndServe();
   void AfterStep();
   void WaitForSignal();
   void OnBackendServerCommand(BackendServerCommand&& command);
@@ -65,7 +68,9 @@
         node_.OnWire(MonotonicNow(), std::move(e));
         AfterStep();
       }};
-  Channel<http::ClientEvent> from_backend_{
+  // The probes bring an event at least every health period, so that what waits
+  // in this outbox never waits for long.
+  Outbox<http::ClientEvent> from_backend_{
       kRing, decisions_.io(), [this](http::ClientEvent&& e) {
         node_.OnBackendServer(MonotonicNow(), std::move(e));
         AfterStep();
@@ -75,9 +80,10 @@
         node_.OnAdmin(MonotonicNow(), std::move(e));
         AfterStep();
       }};
-  Outbox<wire::TransportCommand> to_fleet_{
-      kRing, fleet_.io(),
-      [this](wire::TransportCommand&& c) { transport_->Execute(std::move(c)); }};
+  Outbox<wire::TransportCommand> to_fleet_{kRing, fleet_.io(),
+                                           [this](wire::TransportCommand&& c) {
+                                             transport_->Execute(std::move(c));
+                                           }};
   Outbox<BackendServerCommand> to_backend_{
       kRing, backend_.io(), [this](BackendServerCommand&& c) {
         OnBackendServerCommand(std::move(c));
@@ -89,13 +95,99 @@
   std::unique_ptr<wire::Transport> transport_;
   std::unique_ptr<http::Client> client_;
   std::unique_ptr<http::Server> admin_;
-  // Output of the backend server that did not fit the ring for a moment.
-  std::deque<http::ClientEvent> backend_waiting_;
-
   SidecarNode node_;
   DecisionLoop<SidecarNode> loop_;
   boost::asio::signal_set signals_;
 };
 
+wire::TransportSettings SidecarProcess::WireSettings() const {
+  wire::TransportSettings wire;
+  wire.hello.set_node(settings_.node.name);
+  wire.hello.set_role(pb::ROLE_SIDECAR);
+  wire.hello.set_availability_zone(settings_.node.availability_zone);
+  wire.hello.set_target(settings_.target);
+  wire.hello.set_incarnation(seed_);
+  wire.heartbeat_period = settings_.node.heartbeat_period;
+  wire.silence_limit = settings_.node.silence_limit;
+  return wire;
+}
+
+void SidecarProcess::OnBackendServerCommand(BackendServerCommand&& command) {
+  if (auto* call = std::get_if<http::ClientRequest>(&command)) {
+    client_->Send(std::move(*call));
+  } else {
+    client_->Cancel(std::get<ExchangeId>(command));
+  }
+}
+
+void SidecarProcess::AfterStep() {
+  to_fleet_.Flush();
+  to_backend_.Flush();
+  to_admin_.Flush();
+  if (node_.Drained()) {
+    decisions_.io().stop();
+    return;
+  }
+  loop_.Rearm();
+}
+
+void SidecarProcess::WaitForSignal() {
+  signals_.async_wait([this](boost::system::error_code error, int) {
+    if (error) return;
+    node_.BeginDrain(MonotonicNow());
+    AfterStep();
+    WaitForSignal();
+  });
+}
+
+int SidecarProcess::Run() {
+  transport_ = std::make_unique<wire::Transport>(
+      fleet_.io(), WireSettings(), [this](wire::TransportEvent&& e) {
+        return from_fleet_.TryPush(std::move(e));
+      });
+  client_ = std::make_unique<http::Client>(
+      backend_.io(), http::ClientSettings(),
+      [this](http::ClientEvent&& e) { from_backend_.Push(std::move(e)); });
+  admin_ = std::make_unique<http::Server>(
+      backend_.io(), http::ServerSettings(), [this](http::ServerEvent&& e) {
+        return from_admin_.TryPush(std::move(e));
+      });
+  const int exit_code = ListenAndServe();
+  fleet_.Stop();
+  backend_.Stop();
+  transport_->Close();
+  client_->Close();
+  admin_->Close();
+  return exit_code;
+}
+
+int SidecarProcess::ListenAndServe() {
+  const auto fleet_port = transport_->Listen(settings_.node.fleet_listen);
+  const auto admin_port = admin_->Listen(settings_.node.admin_listen);
+  if (!fleet_port || !admin_port) {
+    LogError("listen_failed", {{"fleet", settings_.node.fleet_listen},
+                               {"admin", settings_.node.admin_listen}});
+    return kExitListenFailed;
+  }
+  fmt::print("role=sidecar node={} fleet={} admin={}\n", settings_.node.name,
+             WithPort(settings_.node.fleet_listen, *fleet_port),
+             WithPort(settings_.node.admin_listen, *admin_port));
+  std::fflush(stdout);
+  fleet_.Start();
+  backend_.Start();
+  WaitForSignal();
+  loop_.Rearm();
+  decisions_.io().run();
+  LogInfo("stopped", {{"cut", node_.Drained() ? 0 : 1}});
+  return 0;
+}
+
 }  // namespace
+
+int RunSidecar(const SidecarNodeSettings& settings) {
+  ConfigureLog(settings.node.log_level, settings.node.name);
+  SidecarProcess process(settings);
+  return process.Run();
+}
+
 }  // namespace knapweedstile::node
