--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -25,6 +25,8 @@
 constexpr size_t kMaxHeaderText = 256;
 // What a restarting duty thread left behind is flushed at least this often.
 constexpr std::chrono::milliseconds kIdleWake{100};
+// After a watch that failed; the platform's outage must not be hammered.
+constexpr std::chrono::milliseconds kWatchRetry{1000};
 
 ApiError NoSuchModel(const std::string& model) {
   return {kNotFound,         "invalid_request_error",
@@ -46,8 +48,11 @@
       ports_(std::move(ports)),
       incarnation_(seed),
       timeline_(settings.node.timeline_events),
+      policies_(catalog_),
+      platform_(ports_.platform),
       runner_(settings.scheduler, seed, timeline_, ports_.wire),
-      online_(ports_, metrics_) {
+      online_(ports_, metrics_),
+      services_(ports_, metrics_) {
   metrics_.DeclareGauge("knap_entry_open_requests",
                         "Requests that have no final answer yet.");
   metrics_.DeclareGauge("knap_entry_backend_servers",
@@ -71,7 +76,7 @@
   } else if (path == "/v1/models" && request.method == "GET") {
     ListModels(request);
   } else {
-    RespondError(request.exchange, IdentityOf(request), NoSuchPath());
+    BeginServiceCall(now, request);
   }
 }
 
@@ -96,7 +101,29 @@
   exchange_of_[id] = request.exchange;
   auto prepared =
       online_.Begin(id, request, completion, identity,
-                    RouteOf(identity, completion.model), DeadlineOf(request));
+                    policies_.RouteOf(identity.workspace, completion.model),
+                    DeadlineOf(request));
+  runner_.Submit(now, std::move(prepared.info), std::move(prepared.message));
+}
+
+void EntryNode::BeginServiceCall(TimePoint now,
+                                 const http::RequestEvent& request) {
+  const CallerIdentity identity = IdentityOf(request);
+  const objects::Service* service =
+      catalog_.ServiceForPath(PathOf(request.target));
+  if (service == nullptr) {
+    RespondError(request.exchange, identity, NoSuchPath());
+    return;
+  }
+  const bool idempotent =
+      objects::IsIdempotent(*service, request.method, PathOf(request.target));
+  const RequestId id(++last_id_);
+  exchanges_[request.exchange] = id;
+  exchange_of_[id] = request.exchange;
+  auto prepared =
+      services_.Begin(id, request, *service, idempotent, identity,
+                      policies_.RouteOf(identity.workspace, service->name),
+                      request.received_at + service->timeout);
   runner_.Submit(now, std::move(prepared.info), std::move(prepared.message));
 }
 
@@ -117,6 +144,7 @@
   exchanges_.erase(found);
   exchange_of_.erase(id);
   online_.Forget(id);
+  services_.Forget(id);
   runner_.Cancel(now, id);
 }
 
@@ -159,11 +187,6 @@
                                       : settings_.online_deadline);
 }
 
-TrafficRoute EntryNode::RouteOf(const CallerIdentity& /*identity*/,
-                                const std::string& target) const {
-  return {target, "default", target};
-}
-
 bool EntryNode::Serves(const std::string& target) const {
   return std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
     return entry.second.target == target;
@@ -172,7 +195,7 @@
 
 void EntryNode::PassOnEvents(TimePoint now) {
   for (const RequestEvent& event : runner_.TakeEvents()) {
-    online_.OnEvent(now, event);
+    if (!online_.OnEvent(now, event)) services_.OnEvent(now, event);
     if (std::holds_alternative<RequestOutputEvent>(event)) continue;
     const RequestId id =
         std::visit([](const auto& typed) { return typed.request; }, event);
@@ -236,8 +259,8 @@
   server.state = state;
   switch (state) {
     case BackendServerState::kIn:
-      runner_.OnBackendServerUp(now, server.id, {server.target},
-                                server.availability_zone);
+      server.pools.clear();
+      Enlist(now, server);
       break;
     case BackendServerState::kLeaving:
       runner_.OnBackendServerLeaving(now, server.id);
@@ -255,15 +278,72 @@
 }
 
 void EntryNode::OnPlatform(TimePoint now, platform::StoreAnswer&& answer) {
-  if (answer.token == vm_list_token_) {
-    vm_list_token_ = 0;
-    if (answer.outcome == platform::StoreOutcome::kOk) {
-      OnVmList(now, answer.vms);
-    }
-  }
+  platform_.OnAnswer(now, std::move(answer));
   PassOnEvents(now);
 }
 
+void EntryNode::ReadVmList(TimePoint now) {
+  if (reading_vm_list_ || now < next_vm_list_) return;
+  reading_vm_list_ = true;
+  platform_.Call(
+      {0, platform::VmListRequest{}, now + settings_.platform_deadline},
+      [this](TimePoint at, platform::StoreAnswer&& answer) {
+        reading_vm_list_ = false;
+        next_vm_list_ = at + settings_.vm_list_period;
+        if (answer.outcome == platform::StoreOutcome::kOk) {
+          OnVmList(at, answer.vms);
+        }
+      });
+}
+
+void EntryNode::WatchConfig(TimePoint now) {
+  if (watching_ || now < next_watch_) return;
+  watching_ = true;
+  platform::WatchRequest watch;
+  for (const std::string_view kind : kEnumNames<objects::ObjectKind>) {
+    watch.kinds.emplace_back(kind);
+  }
+  watch.after = config_revision_;
+  watch.wait_until = now + settings_.watch_wait;
+  platform_.Call({0, std::move(watch),
+                  now + settings_.watch_wait + settings_.platform_deadline},
+                 [this](TimePoint at, platform::StoreAnswer&& answer) {
+                   watching_ = false;
+                   const bool answered =
+                       answer.outcome == platform::StoreOutcome::kOk;
+                   next_watch_ = answered ? at : at + kWatchRetry;
+                   if (answered) OnConfig(at, answer);
+                 });
+}
+
+void EntryNode::OnConfig(TimePoint now, const platform::StoreAnswer& answer) {
+  bool changed = false;
+  for (const platform::StoredObject& object : answer.objects) {
+    const objects::ApplyResult result = catalog_.Apply(
+        object.kind, object.name, object.version, object.value, object.deleted);
+    LogInfo("config", {{"kind", object.kind},
+                       {"name", object.name},
+                       {"version", object.version},
+                       {"outcome", NameOf(result.outcome)}});
+    changed |= result.outcome == objects::ApplyOutcome::kAccepted;
+  }
+  config_revision_ = std::max(config_revision_, answer.revision);
+  if (!changed) return;
+  for (auto& [name, server] : servers_) {
+    if (server.state == BackendServerState::kIn) Enlist(now, server);
+  }
+}
+
+// Also for a server that is in: its pools may have changed.
+void EntryNode::Enlist(TimePoint now, BackendServer& server) {
+  auto pools =
+      policies_.PoolsOf(server.name, server.availability_zone, server.target);
+  if (pools == server.pools) return;
+  server.pools = pools;
+  runner_.OnBackendServerUp(now, server.id, std::move(pools),
+                            server.availability_zone);
+}
+
 void EntryNode::OnVmList(TimePoint now, const std::vector<platform::Vm>& vms) {
   vm_list_known_ = true;
   for (const platform::Vm& vm : vms) {
@@ -291,13 +371,8 @@
 
 void EntryNode::OnTick(TimePoint now) {
   runner_.OnTick(now);
-  if (now >= next_vm_list_ && vm_list_token_ == 0) {
-    next_vm_list_ = now + settings_.vm_list_period;
-    vm_list_token_ = ++last_id_;
-    ports_.platform(platform::StoreRequest{vm_list_token_,
-                                           platform::VmListRequest{},
-                                           now + settings_.platform_deadline});
-  }
+  ReadVmList(now);
+  WatchConfig(now);
   if (now >= next_heartbeat_) {
     next_heartbeat_ = now + settings_.node.heartbeat_period / 2;
     wire::SetHeartbeatCommand command;
@@ -320,8 +395,8 @@
 }
 
 TimePoint EntryNode::NextWake() const {
-  return std::min({runner_.NextWake(), next_vm_list_, next_heartbeat_,
-                   MonotonicNow() + kIdleWake});
+  return std::min(
+      {runner_.NextWake(), next_heartbeat_, MonotonicNow() + kIdleWake});
 }
 
 bool EntryNode::Drained(TimePoint now) const {
--- a/libs/node/src/entry_node.h
+++ b/libs/node/src/entry_node.h
@@ -17,12 +17,15 @@
 #include "entry_ports.h"
 #include "http/server_event.h"
 #include "node/entry_node_settings.h"
+#include "objects/catalog.h"
 #include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "online_calls.h"
 #include "platform/store_answer.h"
+#include "platform_calls.h"
+#include "policy_view.h"
 #include "request_runner.h"
-#include "traffic_route.h"
+#include "service_calls.h"
 #include "wire/transport_event.h"
 
 namespace knapweedstile::node {
@@ -52,20 +55,23 @@
   void OnCallerDisconnect(TimePoint now, ExchangeId exchange);
   void BeginCompletion(TimePoint now, const http::RequestEvent& request,
                        CompletionApi api);
+  void BeginServiceCall(TimePoint now, const http::RequestEvent& request);
   void ListModels(const http::RequestEvent& request);
   void RespondError(ExchangeId exchange, const CallerIdentity& identity,
                     const ApiError& error);
   CallerIdentity IdentityOf(const http::RequestEvent& request);
   TimePoint DeadlineOf(const http::RequestEvent& request) const;
-  TrafficRoute RouteOf(const CallerIdentity& identity,
-                       const std::string& target) const;
   bool Serves(const std::string& target) const;
   void PassOnEvents(TimePoint now);
 
+  void ReadVmList(TimePoint now);
+  void WatchConfig(TimePoint now);
+  void OnConfig(TimePoint now, const platform::StoreAnswer& answer);
   void OnVmList(TimePoint now, const std::vector<platform::Vm>& vms);
   void OnHeartbeat(TimePoint now, BackendServer& server,
                    const pb::Heartbeat& heartbeat);
   void Reconsider(TimePoint now, BackendServer& server);
+  void Enlist(TimePoint now, BackendServer& server);
   BackendServer* FindServer(PeerId peer);
 
   void AnswerAdmin(TimePoint now, const http::RequestEvent& request);
@@ -77,16 +83,23 @@
   uint64_t incarnation_;
   observe::Metrics metrics_;
   observe::Timeline timeline_;
+  objects::Catalog catalog_;
+  PolicyView policies_;
+  PlatformCalls platform_;
   RequestRunner runner_;
   OnlineCalls online_;
+  ServiceCalls services_;
   // Calls in progress, both ways.
   std::unordered_map<ExchangeId, RequestId> exchanges_;
   std::unordered_map<RequestId, ExchangeId> exchange_of_;
   std::map<std::string, BackendServer> servers_;  // by VM name
   std::unordered_map<PeerId, std::string> peers_;
   uint64_t last_id_ = 0;
-  uint64_t vm_list_token_ = 0;
+  bool reading_vm_list_ = false;
   TimePoint next_vm_list_;
+  bool watching_ = false;
+  TimePoint next_watch_;
+  uint64_t config_revision_ = 0;
   TimePoint next_heartbeat_;
   bool vm_list_known_ = false;
   bool draining_ = false;
--- /dev/null
+++ b/libs/node/src/service_call.h
@@ -0,0 +1,22 @@
+#ifndef KNAPWEEDSTILE_NODE_SERVICE_CALL_H_
+#define KNAPWEEDSTILE_NODE_SERVICE_CALL_H_
+
+#include <string>
+
+#include "base/id.h"
+#include "caller_identity.h"
+
+namespace knapweedstile::node {
+
+// One call of a plain service that a caller waits for.
+struct ServiceCall {
+  ExchangeId exchange;
+  CallerIdentity identity;
+  std::string service;
+  std::string claim;  // of a keyed call that may not be repeated, else empty
+  std::string body;   // of the answer so far
+};
+
+}  // namespace knapweedstile::node
+
+#endif  // KNAPWEEDSTILE_NODE_SERVICE_CALL_H_
--- a/tests/standins/standin_weights.cc
+++ b/tests/standins/standin_weights.cc
@@ -51,17 +51,16 @@
   void SendSome(ExchangeId exchange) {
     const auto found = left_.find(exchange);
     if (found == left_.end()) return;
-    const uint64_t share = std::max<uint64_t>(
-        settings_.bytes_per_s * kInterval.count() / 1000, 1);
+    const uint64_t share =
+        std::max<uint64_t>(settings_.bytes_per_s * kInterval.count() / 1000, 1);
     const uint64_t count = std::min(share, found->second);
     found->second -= count;
     const bool last = found->second == 0;
     if (last) left_.erase(found);
-    process_.server().Execute(
-        http::StreamChunkCommand{.exchange = exchange,
-                                 .data = std::string(count, 'w'),
-                                 .last = last});
-    if (!last) process_.After(kInterval, [this, exchange] { SendSome(exchange); });
+    process_.server().Execute(http::StreamChunkCommand{
+        .exchange = exchange, .data = std::string(count, 'w'), .last = last});
+    if (!last)
+      process_.After(kInterval, [this, exchange] { SendSome(exchange); });
   }
 
   StandIn& process_;
