Policy comparison: paired blocks, bootstrap intervals, plain verdicts

Cause: the load changes while two serving policies are compared, so the policy of the morning cannot be held against that of the afternoon.

Change: split and alternate designs with sides drawn by hash, p50/p95/p99 TTFT, harm against a baseline, batch items/s, intervals from resampling whole blocks, a verdict for each measure.

Result: equal policies are within noise in at least 35 of 40 verdicts, a difference of a quarter is found, a load that doubles at half time is not taken for a difference.

--- /dev/null
+++ b/libs/decide/tests/policy_comparison_test.cc
@@ -0,0 +1,123 @@
+#include "decide/policy_comparison.h"
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <vector>
+
+#include "base/rng.h"
+
+namespace knapweedstile::decide {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr uint64_t kPerSecond = 10;
+
+// One day's traffic in short: the load doubles TTFTs from the middle on. The
+// second policy's TTFTs and items are those of the first times a factor.
+struct Traffic {
+  double second_first_token = 1;
+  double second_items = 1;
+  bool interleaved = true;  // false: the first policy first, then the second
+};
+
+constexpr uint64_t kSpan = 3600;
+
+std::vector<ComparisonSample> Samples(const Traffic& traffic, uint64_t seed) {
+  Rng rng(seed);
+  std::vector<ComparisonSample> samples;
+  for (uint64_t i = 0; i < kSpan * kPerSecond; ++i) {
+    const uint64_t second = i / kPerSecond;
+    ComparisonSample sample;
+    sample.at = TimePoint(seconds(second));
+    sample.side =
+        traffic.interleaved
+            ? SideOfRequest(rng(), second / 60, seed)
+            : (second < kSpan / 2 ? PolicySide::kFirst : PolicySide::kSecond);
+    const bool is_second = sample.side == PolicySide::kSecond;
+    const double load = second < kSpan / 2 ? 1 : 2;
+    const double wait = -std::log(1 - UniformUnit(rng));
+    const double factor = is_second ? traffic.second_first_token : 1;
+    sample.first_token_after = FromSeconds(0.1 * load * factor * (1 + wait));
+    samples.push_back(sample);
+    if (UniformUnit(rng) >
+        0.5 * (is_second ? traffic.second_items : 1) / load) {
+      continue;
+    }
+    sample.traffic_class = TrafficClass::kBatch;
+    samples.push_back(sample);
+  }
+  return samples;
+}
+
+PolicyComparison Compare(const Traffic& traffic, uint64_t seed) {
+  const ComparisonSettings settings{
+      .end = TimePoint(seconds(kSpan)), .resamples = 300, .seed = seed};
+  return ComparePolicies(settings, Samples(traffic, seed), {});
+}
+
+// An operator compares a policy with itself. The answer must be "within noise"
+// nearly always (the interval is one of 95%), on both measures.
+TEST_CASE("two equal policies are within noise") {
+  int said_noise = 0;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    const PolicyComparison result = Compare({}, seed);
+    said_noise += result.online_tail == ComparisonVerdict::kWithinNoise;
+    said_noise += result.batch_throughput == ComparisonVerdict::kWithinNoise;
+  }
+  REQUIRE(said_noise >= 35);
+}
+
+// A policy harms the tail by a quarter and gives a quarter more batch items.
+TEST_CASE("a difference is found and its direction told for each measure") {
+  const PolicyComparison result =
+      Compare({.second_first_token = 1.25, .second_items = 1.25}, 3);
+  REQUIRE(result.blocks == 60);
+  REQUIRE(result.online_tail == ComparisonVerdict::kFirstBetter);
+  REQUIRE(result.batch_throughput == ComparisonVerdict::kSecondBetter);
+  REQUIRE(result.online_p99.low > 1);
+  REQUIRE(result.online_p99.ratio == Approx(1.25).epsilon(0.1));
+  REQUIRE(result.batch_rate.ratio == Approx(1.25).epsilon(0.1));
+}
+
+// The load doubles at noon. With the first policy in the morning and the second
+// in the afternoon, two equal policies seem to differ by a factor of two; such
+// blocks hold one policy each, so nothing may be said. Interleaved, the
+// difference stays what it is.
+TEST_CASE("a change of the load does not pass for a difference of policies") {
+  const PolicyComparison in_turn = Compare({.interleaved = false}, 5);
+  REQUIRE(in_turn.second.p99_seconds > 1.5 * in_turn.first.p99_seconds);
+  REQUIRE(in_turn.online_tail == ComparisonVerdict::kWithinNoise);
+  const PolicyComparison mixed = Compare({}, 5);
+  REQUIRE(mixed.online_p99.ratio == Approx(1).epsilon(0.1));
+}
+
+TEST_CASE("harm is the ratio to the baseline without batch") {
+  const std::vector<ComparisonSample> samples = Samples({}, 7);
+  std::vector<Duration> baseline;
+  baseline.reserve(samples.size());
+  for (const auto& sample : samples) {
+    if (sample.traffic_class == TrafficClass::kBatch) continue;
+    baseline.push_back(sample.first_token_after / 2);
+  }
+  const PolicyComparison result = ComparePolicies(
+      {.end = TimePoint(seconds(kSpan)), .resamples = 10}, samples, baseline);
+  REQUIRE(result.first.harm == Approx(2).epsilon(0.1));
+}
+
+// Every design gives both policies about half, and an engine changes sides.
+TEST_CASE("sides are balanced") {
+  int first = 0;
+  for (uint64_t i = 0; i < 10000; ++i) {
+    first += SideOfRequest(i, i / 100, 9) == PolicySide::kFirst;
+    REQUIRE(SideOfHalf(0, i, 9) != SideOfHalf(1, i, 9));
+    REQUIRE(SideOfHalf(0, i, 9) != SideOfHalf(0, i + 1, 9));
+    REQUIRE(SideInTime(false, i, 9) != SideInTime(true, i, 9));
+  }
+  REQUIRE(first > 4800);
+  REQUIRE(first < 5200);
+}
+
+}  // namespace
+}  // namespace knapweedstile::decide
