Node: callers' side of batch jobs

Cause: jobs must be submitted, read and cancelled through any entry. Change: BatchCalls drives the jobs package's modules until each has an outcome; the entry node ticks its shards and refills batch items.

--- a/libs/node/include/node/entry_node_settings.h
+++ b/libs/node/include/node/entry_node_settings.h
@@ -8,6 +8,7 @@
 
 #include "decide/entry_settings.h"
 #include "http/server_settings.h"
+#include "jobs/shard_owner_settings.h"
 #include "node/node_settings.h"
 
 namespace knapweedstile::node {
@@ -27,8 +28,19 @@
   uint32_t default_max_tokens = 256;
   uint32_t most_max_tokens = 32768;
   decide::EntrySettings scheduler;
+  uint32_t shard_count = 16;  // the same on every entry of a fleet
+  uint32_t max_items = 130'000;
+  std::chrono::milliseconds submit_deadline{30000};
+  std::chrono::milliseconds lease_term{15000};
+  std::chrono::milliseconds flush_every{1000};
+  std::chrono::milliseconds poll_jobs_every{2000};
+  uint32_t max_attempts = 3;
 };
 
+// The jobs package's settings that follow from these.
+jobs::ShardOwnerSettings ShardOwnerSettingsOf(
+    const EntryNodeSettings& settings);
+
 void BindEntryNodeSettings(settings::Schema& schema,
                            EntryNodeSettings* settings);
 
--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -40,6 +40,14 @@
           "",        RunTruth::kNotRun,       std::nullopt};
 }
 
+jobs::SubmissionSettings SubmissionSettingsOf(
+    const EntryNodeSettings& settings) {
+  jobs::SubmissionSettings submission;
+  submission.shard_count = settings.shard_count;
+  submission.max_items = settings.max_items;
+  return submission;
+}
+
 }  // namespace
 
 EntryNode::EntryNode(const EntryNodeSettings& settings, uint64_t seed,
@@ -52,7 +60,16 @@
       platform_(ports_.platform),
       runner_(settings.scheduler, seed, timeline_, ports_.wire),
       online_(ports_, metrics_),
-      services_(ports_, metrics_) {
+      services_(ports_, metrics_),
+      shards_(ShardOwnerSettingsOf(settings), settings.shard_count,
+              settings.node.name, seed, platform_),
+      batch_items_(shards_, runner_, policies_, metrics_),
+      batch_calls_(ports_, platform_, SubmissionSettingsOf(settings), seed,
+                   [this](TimePoint now, const jobs::JobId& id) {
+                     if (id.shard < shards_.count()) {
+                       shards_.PollSoon(id.shard, now);
+                     }
+                   }) {
   metrics_.DeclareGauge("knap_entry_open_requests",
                         "Requests that have no final answer yet.");
   metrics_.DeclareGauge("knap_entry_backend_servers",
@@ -75,6 +92,10 @@
     BeginCompletion(now, request, *api);
   } else if (path == "/v1/models" && request.method == "GET") {
     ListModels(request);
+  } else if (path.starts_with("/v1/batches")) {
+    const CallerIdentity identity = IdentityOf(request);
+    batch_calls_.Begin(now, std::move(request), identity,
+                       now + settings_.submit_deadline);
   } else {
     BeginServiceCall(now, request);
   }
@@ -138,6 +159,7 @@
 }
 
 void EntryNode::OnCallerDisconnect(TimePoint now, ExchangeId exchange) {
+  batch_calls_.Forget(exchange);
   const auto found = exchanges_.find(exchange);
   if (found == exchanges_.end()) return;
   const RequestId id = found->second;
@@ -195,7 +217,10 @@
 
 void EntryNode::PassOnEvents(TimePoint now) {
   for (const RequestEvent& event : runner_.TakeEvents()) {
-    if (!online_.OnEvent(now, event)) services_.OnEvent(now, event);
+    const bool taken = online_.OnEvent(now, event) ||
+                       services_.OnEvent(now, event) ||
+                       batch_items_.OnEvent(now, event);
+    if (!taken) LogWarning("event_without_request", {});
     if (std::holds_alternative<RequestOutputEvent>(event)) continue;
     const RequestId id =
         std::visit([](const auto& typed) { return typed.request; }, event);
@@ -346,6 +371,13 @@
 
 void EntryNode::OnVmList(TimePoint now, const std::vector<platform::Vm>& vms) {
   vm_list_known_ = true;
+  std::vector<std::string> entries;
+  for (const platform::Vm& vm : vms) {
+    if (vm.role == "entry" && vm.state == platform::VmState::kLive) {
+      entries.push_back(vm.name);
+    }
+  }
+  shards_.SetEntries(now, entries);
   for (const platform::Vm& vm : vms) {
     if (vm.role != "sidecar") continue;
     BackendServer& server = servers_[vm.name];
@@ -373,6 +405,11 @@
   runner_.OnTick(now);
   ReadVmList(now);
   WatchConfig(now);
+  shards_.Tick(now);
+  batch_calls_.Tick(now);
+  if (!draining_) {
+    batch_items_.Fill(now, [this] { return RequestId(++last_id_); });
+  }
   if (now >= next_heartbeat_) {
     next_heartbeat_ = now + settings_.node.heartbeat_period / 2;
     wire::SetHeartbeatCommand command;
@@ -392,17 +429,19 @@
   draining_ = true;
   drain_began_ = now;
   LogInfo("drain_began", {{"open", runner_.open_requests()}});
+  shards_.Release(now);
 }
 
 TimePoint EntryNode::NextWake() const {
-  return std::min(
-      {runner_.NextWake(), next_heartbeat_, MonotonicNow() + kIdleWake});
+  return std::min({runner_.NextWake(), batch_calls_.NextWake(), next_heartbeat_,
+                   MonotonicNow() + kIdleWake});
 }
 
 bool EntryNode::Drained(TimePoint now) const {
   if (!draining_) return false;
   if (now >= drain_began_ + settings_.node.drain_limit) return true;
-  return !accepting_ && runner_.open_requests() == 0;
+  return !accepting_ && runner_.open_requests() == 0 &&
+         batch_calls_.size() == 0 && shards_.Released();
 }
 
 void EntryNode::OnAdmin(TimePoint now, http::ServerEvent&& event) {
@@ -465,7 +504,26 @@
                   {"incarnation", HexOf(incarnation_)},
                   {"draining", draining_},
                   {"open_requests", runner_.open_requests()},
-                  {"backend_servers", std::move(servers)}});
+                  {"config_revision", catalog_.revision()},
+                  {"config_digest", HexOf(catalog_.digest())},
+                  {"backend_servers", std::move(servers)},
+                  {"shards", ShardsJson()}});
+}
+
+json::array EntryNode::ShardsJson() const {
+  json::array shards;
+  for (const auto& owner : shards_.owners()) {
+    const std::string& seen = owner->lease().seen_holder();
+    shards.push_back({{"shard", owner->shard()},
+                      {"held", owner->held()},
+                      {"holder", owner->held() ? settings_.node.name : seen},
+                      {"fence", owner->held() ? owner->fence()
+                                              : owner->lease().seen_fence()},
+                      {"jobs", owner->open_jobs()},
+                      {"in_flight", owner->in_flight()},
+                      {"waiting", owner->waiting()}});
+  }
+  return shards;
 }
 
 std::string EntryNode::TimelineJson(uint64_t after) const {
--- a/libs/node/src/entry_node.h
+++ b/libs/node/src/entry_node.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDSTILE_NODE_ENTRY_NODE_H_
 #define KNAPWEEDSTILE_NODE_ENTRY_NODE_H_
 
+#include <boost/json/array.hpp>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -12,6 +13,8 @@
 #include "backend_server.h"
 #include "base/id.h"
 #include "base/time.h"
+#include "batch_calls.h"
+#include "batch_items.h"
 #include "caller_identity.h"
 #include "completion_request.h"
 #include "entry_ports.h"
@@ -26,6 +29,7 @@
 #include "policy_view.h"
 #include "request_runner.h"
 #include "service_calls.h"
+#include "shard_set.h"
 #include "wire/transport_event.h"
 
 namespace knapweedstile::node {
@@ -76,6 +80,7 @@
 
   void AnswerAdmin(TimePoint now, const http::RequestEvent& request);
   std::string StatusJson() const;
+  boost::json::array ShardsJson() const;
   std::string TimelineJson(uint64_t after) const;
 
   EntryNodeSettings settings_;
@@ -89,6 +94,9 @@
   RequestRunner runner_;
   OnlineCalls online_;
   ServiceCalls services_;
+  ShardSet shards_;
+  BatchItems batch_items_;
+  BatchCalls batch_calls_;
   // Calls in progress, both ways.
   std::unordered_map<ExchangeId, RequestId> exchanges_;
   std::unordered_map<RequestId, ExchangeId> exchange_of_;
--- a/libs/node/src/entry_node_settings.cc
+++ b/libs/node/src/entry_node_settings.cc
@@ -25,8 +25,49 @@
                 &http->idle_timeout, 10, 3'600'000);
 }
 
+void BindBatch(settings::Schema& schema, EntryNodeSettings* settings) {
+  schema.Integer("batch.shards", "shards",
+                 "Job shards of the fleet; the same on every entry.",
+                 &settings->shard_count, 1, 4096);
+  schema.Integer("batch.max_items", "items", "Items of one job.",
+                 &settings->max_items, 1, 130'000);
+  schema.Millis("batch.submit_deadline",
+                "Within which a job must be durable, or the caller is told "
+                "that it is not.",
+                &settings->submit_deadline, 100, 600'000);
+  schema.Millis("batch.lease_term",
+                "How long a shard's lease stands without a write; a lost "
+                "owner's items wait this long.",
+                &settings->lease_term, 500, 600'000);
+  schema.Millis("batch.flush_every", "Results are committed at least so often.",
+                &settings->flush_every, 20, 60'000);
+  schema.Millis("batch.poll_jobs_every",
+                "How soon a job that was submitted elsewhere is seen.",
+                &settings->poll_jobs_every, 50, 60'000);
+  schema.Integer("batch.max_attempts", "attempts",
+                 "Runs of one item that may end in a crash, a lost connection "
+                 "or a timeout, before it ends with its own error.",
+                 &settings->max_attempts, 1, 100);
+}
+
 }  // namespace
 
+jobs::ShardOwnerSettings ShardOwnerSettingsOf(
+    const EntryNodeSettings& settings) {
+  // Ratios of the jobs package's own defaults: renewals at a third of the
+  // term, so that two may fail; polls and margin in proportion.
+  jobs::ShardOwnerSettings owner;
+  owner.lease.term = settings.lease_term;
+  owner.lease.renew_after = settings.lease_term / 3;
+  owner.lease.poll_every = settings.lease_term / 4;
+  owner.lease.margin = settings.lease_term / 10;
+  owner.lease.call_timeout = settings.lease_term / 5;
+  owner.poll_jobs_every = settings.poll_jobs_every;
+  owner.flush_every = settings.flush_every;
+  owner.max_attempts = settings.max_attempts;
+  return owner;
+}
+
 void BindEntryNodeSettings(settings::Schema& schema,
                            EntryNodeSettings* settings) {
   using settings::Presence;
@@ -55,6 +96,7 @@
                 &settings->watch_wait, 100, 600'000);
   schema.Millis("platform.deadline", "Deadline of one other call.",
                 &settings->platform_deadline, 50, 60'000);
+  BindBatch(schema, settings);
   schema.Integer("queue.limit", "requests", "Requests waiting in this entry.",
                  &settings->scheduler.queue_limit, 1, 1'000'000);
   schema.Integer("queue.workspace_limit", "requests",
