--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -4,9 +4,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <deque>
-#include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "lagged.h"
@@ -85,7 +85,7 @@
   TimePoint frozen_until_ = TimePoint::min();
   int64_t highest_fence_ = 0;
   std::string role_;
-  std::map<ExchangeId, Stream> running_;
+  std::unordered_map<ExchangeId, Stream> running_;
   std::deque<std::pair<ExchangeId, Stream>> waiting_;
 };
 
--- a/tests/standins/platform_service.cc
+++ b/tests/standins/platform_service.cc
@@ -108,10 +108,11 @@
     settings_.delay = std::chrono::milliseconds(
         IntOr(order, "delay_ms", settings_.delay.count()));
     if (order.contains("quota_writes_per_s")) {
-      writes_.SetRate(IntOr(order, "quota_writes_per_s", 0));
+      writes_.SetRate(
+          static_cast<double>(IntOr(order, "quota_writes_per_s", 0)));
     }
     if (order.contains("quota_reads_per_s")) {
-      reads_.SetRate(IntOr(order, "quota_reads_per_s", 0));
+      reads_.SetRate(static_cast<double>(IntOr(order, "quota_reads_per_s", 0)));
     }
   }
   json::object counts;
--- a/tests/standins/platform_service.h
+++ b/tests/standins/platform_service.h
@@ -4,6 +4,7 @@
 #include <boost/json/object.hpp>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 #include "lagged.h"
 #include "platform_store.h"
@@ -56,7 +57,7 @@
   TokenBucket reads_;
   TimePoint outage_until_ = TimePoint::min();
   int64_t lose_answers_ = 0;
-  std::map<ExchangeId, PlatformStore::Query> watches_;
+  std::unordered_map<ExchangeId, PlatformStore::Query> watches_;
   std::map<std::string, uint64_t> counts_;
 };
 
--- a/tests/standins/stand_in.cc
+++ b/tests/standins/stand_in.cc
@@ -24,6 +24,12 @@
 
 }  // namespace
 
+void PrintAddress(const std::string& key, const std::string& host,
+                  uint16_t port) {
+  fmt::print("{}={}:{}\n", key, host, port);
+  std::fflush(stdout);
+}
+
 StandIn::StandIn(std::string name) : name_(std::move(name)) {
   server_ = std::make_unique<http::Server>(
       io_, http::ServerSettings{}, [this](http::ServerEvent&& event) {
@@ -36,22 +42,24 @@
       });
 }
 
-int StandIn::Run(const std::string& listen, OnRequest on_request,
-                 OnDisconnect on_disconnect) {
+bool StandIn::Announce(const std::string& key, const std::string& listen) {
   ConfigureLog(LogLevel::kInfo, name_);
+  const Result<uint16_t> port = server_->Listen(listen);
+  if (!port) {
+    LogError("listen_failed", {{"address", listen}});
+    return false;
+  }
+  PrintAddress(key, HostOf(listen), port.value());
+  return true;
+}
+
+int StandIn::Run(OnRequest on_request, OnDisconnect on_disconnect) {
   on_request_ = std::move(on_request);
   on_disconnect_ = std::move(on_disconnect);
   asio::signal_set signals(io_, SIGTERM, SIGINT);
   signals.async_wait([this](const auto& ec, int) {
     if (!ec) io_.stop();
   });
-  const Result<uint16_t> port = server_->Listen(listen);
-  if (!port) {
-    LogError("listen_failed", {{"address", listen}});
-    return 1;
-  }
-  fmt::print("address={}:{}\n", HostOf(listen), port.value());
-  std::fflush(stdout);
   io_.run();
   server_->Close();
   return 0;
--- a/tests/standins/stand_in.h
+++ b/tests/standins/stand_in.h
@@ -23,10 +23,10 @@
   boost::asio::io_context& io() noexcept { return io_; }
   http::Server& server() noexcept { return *server_; }
 
-  // Listens, prints `address=IP:PORT` and works until the signal; the process's
-  // exit code.
-  int Run(const std::string& listen, OnRequest on_request,
-          OnDisconnect on_disconnect = {});
+  // Listens and prints `KEY=IP:PORT`; false when it cannot.
+  bool Announce(const std::string& key, const std::string& listen);
+  // Works until the signal; the process's exit code.
+  int Run(OnRequest on_request, OnDisconnect on_disconnect = {});
 
   void Respond(ExchangeId exchange, unsigned status, std::string body,
                http::HeaderList headers = {});
@@ -46,6 +46,10 @@
   std::unique_ptr<http::Server> server_;
 };
 
+// Prints `KEY=HOST:PORT`, for who started the process.
+void PrintAddress(const std::string& key, const std::string& host,
+                  uint16_t port);
+
 // The object in `text`, or an empty one when it is not a JSON object.
 boost::json::object ParseObject(const std::string& text);
 // The whole number under `key`, or `absent`.
--- a/tests/standins/standin_service.cc
+++ b/tests/standins/standin_service.cc
@@ -1,9 +1,8 @@
 // Stands in for a plain service: answers what it was asked, after a delay.
 
 #include <boost/json/object.hpp>
-#include <cxxopts.hpp>
-#include <iostream>
 
+#include "program.h"
 #include "run_log.h"
 #include "stand_in.h"
 
@@ -17,11 +16,17 @@
   std::chrono::milliseconds delay{0};
 };
 
-int Serve(const ServiceSettings& settings) {
+int Serve(const cxxopts::ParseResult& flags) {
+  const ServiceSettings settings{
+      .listen = flags["listen"].as<std::string>(),
+      .name = flags["name"].as<std::string>(),
+      .run_log = flags["run-log"].as<std::string>(),
+      .delay = std::chrono::milliseconds(flags["delay-ms"].as<int>())};
   StandIn process(settings.name);
   RunLog log(settings.run_log);
   uint64_t calls = 0;
-  return process.Run(settings.listen, [&](const http::RequestEvent& request) {
+  if (!process.Announce("address", settings.listen)) return 1;
+  return process.Run([&](const http::RequestEvent& request) {
     ++calls;
     log.Append({{"event", "call"},
                 {"request", request.headers.Find("X-Request-Id")},
@@ -46,28 +51,12 @@
 int main(int argc, char** argv) {
   cxxopts::Options options("standin_service");
   options.add_options()  //
-      ("listen", "IP:PORT",
-       cxxopts::value<std::string>()->default_value("127.0.0.1:0"))  //
       ("name", "said in every answer",
        cxxopts::value<std::string>()->default_value("service"))  //
       ("delay-ms", "before each answer",
        cxxopts::value<int>()->default_value("0"))  //
       ("run-log", "file for the calls that ran",
-       cxxopts::value<std::string>()->default_value(""))  //
-      ("help", "this text");
-  try {
-    const auto flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    return knapweedstile::standins::Serve(
-        {.listen = flags["listen"].as<std::string>(),
-         .name = flags["name"].as<std::string>(),
-         .run_log = flags["run-log"].as<std::string>(),
-         .delay = std::chrono::milliseconds(flags["delay-ms"].as<int>())});
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << "\n";
-    return 2;
-  }
+       cxxopts::value<std::string>()->default_value(""));
+  return knapweedstile::standins::RunProgram(options, argc, argv,
+                                             knapweedstile::standins::Serve);
 }
--- a/tests/standins/standin_weights.cc
+++ b/tests/standins/standin_weights.cc
@@ -1,11 +1,10 @@
 // Stands in for the weight store: a few rate-limited downloads at a time.
 
 #include <algorithm>
-#include <cxxopts.hpp>
-#include <iostream>
-#include <map>
+#include <unordered_map>
 
 #include "base/clock.h"
+#include "program.h"
 #include "stand_in.h"
 #include "target.h"
 
@@ -51,29 +50,33 @@
   void SendSome(ExchangeId exchange) {
     const auto found = left_.find(exchange);
     if (found == left_.end()) return;
-    const uint64_t share = std::max<uint64_t>(
-        settings_.bytes_per_s * kInterval.count() / 1000, 1);
+    const uint64_t share =
+        std::max<uint64_t>(settings_.bytes_per_s * kInterval.count() / 1000, 1);
     const uint64_t count = std::min(share, found->second);
     found->second -= count;
     const bool last = found->second == 0;
     if (last) left_.erase(found);
-    process_.server().Execute(
-        http::StreamChunkCommand{.exchange = exchange,
-                                 .data = std::string(count, 'w'),
-                                 .last = last});
-    if (!last) process_.After(kInterval, [this, exchange] { SendSome(exchange); });
+    process_.server().Execute(http::StreamChunkCommand{
+        .exchange = exchange, .data = std::string(count, 'w'), .last = last});
+    if (!last)
+      process_.After(kInterval, [this, exchange] { SendSome(exchange); });
   }
 
   StandIn& process_;
   WeightsSettings settings_;
-  std::map<ExchangeId, uint64_t> left_;  // bytes not yet sent
+  std::unordered_map<ExchangeId, uint64_t> left_;  // bytes not yet sent
 };
 
-int Serve(const WeightsSettings& settings) {
+int Serve(const cxxopts::ParseResult& flags) {
+  const WeightsSettings settings{
+      .listen = flags["listen"].as<std::string>(),
+      .bytes_per_s = flags["bytes-per-s"].as<uint64_t>(),
+      .model_bytes = flags["model-bytes"].as<uint64_t>(),
+      .concurrent = flags["concurrent"].as<size_t>()};
   StandIn process("weights");
   WeightStore store(process, settings);
+  if (!process.Announce("address", settings.listen)) return 1;
   return process.Run(
-      settings.listen,
       [&](const http::RequestEvent& request) { store.OnRequest(request); },
       [&](ExchangeId exchange) { store.OnDisconnect(exchange); });
 }
@@ -84,28 +87,12 @@
 int main(int argc, char** argv) {
   cxxopts::Options options("standin_weights");
   options.add_options()  //
-      ("listen", "IP:PORT",
-       cxxopts::value<std::string>()->default_value("127.0.0.1:0"))  //
       ("bytes-per-s", "rate of one download",
        cxxopts::value<uint64_t>()->default_value("10000000"))  //
       ("model-bytes", "size of every model",
        cxxopts::value<uint64_t>()->default_value("1000000"))  //
       ("concurrent", "downloads at one time, 429 beyond",
-       cxxopts::value<size_t>()->default_value("2"))  //
-      ("help", "this text");
-  try {
-    const auto flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    return knapweedstile::standins::Serve(
-        {.listen = flags["listen"].as<std::string>(),
-         .bytes_per_s = flags["bytes-per-s"].as<uint64_t>(),
-         .model_bytes = flags["model-bytes"].as<uint64_t>(),
-         .concurrent = flags["concurrent"].as<size_t>()});
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << "\n";
-    return 2;
-  }
+       cxxopts::value<size_t>()->default_value("2"));
+  return knapweedstile::standins::RunProgram(options, argc, argv,
+                                             knapweedstile::standins::Serve);
 }
--- a/tests/standins/target.cc
+++ b/tests/standins/target.cc
@@ -1,7 +1,7 @@
 #include "target.h"
 
+#include <algorithm>
 #include <charconv>
-#include <utility>
 
 namespace knapweedstile::standins {
 namespace {
@@ -44,9 +44,10 @@
   return error == std::errc() ? value : absent;
 }
 
-std::string Target::TextOr(const std::string& key, std::string absent) const {
+std::string Target::TextOr(const std::string& key,
+                           const std::string& absent) const {
   const auto found = query.find(key);
-  return found == query.end() ? std::move(absent) : found->second;
+  return found == query.end() ? absent : found->second;
 }
 
 Target ParseTarget(std::string_view text) {
--- a/tests/standins/target.h
+++ b/tests/standins/target.h
@@ -18,7 +18,8 @@
   bool Is(std::string_view wanted) const noexcept { return path == wanted; }
   // The number under `key` in the query, or `absent`.
   uint64_t NumberOr(const std::string& key, uint64_t absent) const;
-  std::string TextOr(const std::string& key, std::string absent = {}) const;
+  std::string TextOr(const std::string& key,
+                     const std::string& absent = {}) const;
 };
 
 Target ParseTarget(std::string_view text);
