Entry: refill batch when an item ends

Cause: idle room lasts moments; a refill only at each tick leaves it unused. Change: FillBatch after every ended item.

--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -216,18 +216,29 @@
 }
 
 void EntryNode::PassOnEvents(TimePoint now) {
+  bool batch_ended = false;
   for (const RequestEvent& event : runner_.TakeEvents()) {
-    const bool taken = online_.OnEvent(now, event) ||
-                       services_.OnEvent(now, event) ||
-                       batch_items_.OnEvent(now, event);
-    if (!taken) LogWarning("event_without_request", {});
-    if (std::holds_alternative<RequestOutputEvent>(event)) continue;
+    const bool ended = !std::holds_alternative<RequestOutputEvent>(event);
+    if (batch_items_.OnEvent(now, event)) {
+      batch_ended |= ended;
+      continue;
+    }
+    if (!online_.OnEvent(now, event)) services_.OnEvent(now, event);
+    if (!ended) continue;
     const RequestId id =
         std::visit([](const auto& typed) { return typed.request; }, event);
-    if (const auto ended = exchange_of_.extract(id)) {
-      exchanges_.erase(ended.mapped());
+    if (const auto call = exchange_of_.extract(id)) {
+      exchanges_.erase(call.mapped());
     }
   }
+  if (batch_ended) FillBatch(now);
+}
+
+// Idle room lasts only moments, so it is refilled when an item ends as well as
+// at each tick.
+void EntryNode::FillBatch(TimePoint now) {
+  if (draining_) return;
+  batch_items_.Fill(now, [this] { return RequestId(++last_id_); });
 }
 
 void EntryNode::OnWire(TimePoint now, wire::TransportEvent&& event) {
@@ -407,9 +418,7 @@
   WatchConfig(now);
   shards_.Tick(now);
   batch_calls_.Tick(now);
-  if (!draining_) {
-    batch_items_.Fill(now, [this] { return RequestId(++last_id_); });
-  }
+  FillBatch(now);
   if (now >= next_heartbeat_) {
     next_heartbeat_ = now + settings_.node.heartbeat_period / 2;
     wire::SetHeartbeatCommand command;
--- a/libs/node/src/entry_node.h
+++ b/libs/node/src/entry_node.h
@@ -67,6 +67,7 @@
   TimePoint DeadlineOf(const http::RequestEvent& request) const;
   bool Serves(const std::string& target) const;
   void PassOnEvents(TimePoint now);
+  void FillBatch(TimePoint now);
 
   void ReadVmList(TimePoint now);
   void WatchConfig(TimePoint now);
