--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -151,7 +151,10 @@
 void EntryNode::ListModels(const http::RequestEvent& request) {
   std::set<std::string> models;
   for (const auto& [name, server] : servers_) {
-    if (server.state == BackendServerState::kIn) models.insert(server.target);
+    const bool model = !catalog_.services().contains(server.target);
+    if (model && server.state == BackendServerState::kIn) {
+      models.insert(server.target);
+    }
   }
   ports_.callers(JsonResponse(
       request.exchange, kOk,
@@ -449,8 +452,13 @@
 bool EntryNode::Drained(TimePoint now) const {
   if (!draining_) return false;
   if (now >= drain_began_ + settings_.node.drain_limit) return true;
+  // A platform that is out cannot take the leases back: they lapse by
+  // themselves after a term, so there is no use in waiting longer for it.
+  const bool leases_gone =
+      shards_.Released() ||
+      now >= drain_began_ + settings_.node.drain_notice + settings_.lease_term;
   return !accepting_ && runner_.open_requests() == 0 &&
-         batch_calls_.size() == 0 && shards_.Released();
+         batch_calls_.size() == 0 && leases_gone;
 }
 
 void EntryNode::OnAdmin(TimePoint now, http::ServerEvent&& event) {
