--- /dev/null
+++ b/apps/knapctl/src/load_command.cc
@@ -0,0 +1,88 @@
+#include "load_command.h"
+
+#include <fmt/core.h>
+
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "batch_api.h"
+#include "command_line.h"
+#include "load/arrival_plan.h"
+#include "load/load_run.h"
+#include "load/load_summary.h"
+#include "load_words.h"
+#include "output.h"
+
+namespace knapweedstile::ctl {
+namespace {
+
+std::vector<load::CallOutcome> RunOnline(const CommandLine& line,
+                                         const load::LoadMix& mix) {
+  load::LoadTargets targets;
+  targets.entries = line.entries;
+  targets.model = mix.model;
+  targets.service_path = mix.service_path;
+  std::vector<load::Arrival> plan = load::PlanArrivals(mix);
+  const size_t calls = plan.size();
+  load::LoadRun run(targets, std::move(plan));
+  ProgressBar bar("load");
+  return run.Run([&](size_t ended, Duration since_start) {
+    bar.Show(ToSeconds(since_start) / ToSeconds(mix.length),
+             fmt::format("{}/{} answered", ended, calls));
+  });
+}
+
+}  // namespace
+
+ExitCode RunLoad(const CommandLine& line) {
+  const ParsedWords parsed = ParseWords(
+      "knapctl load",
+      "Sends online traffic by seed, open loop; latency counts from the "
+      "planned arrival.",
+      line.words, [](cxxopts::Options& options) {
+        AddMixOptions(options);
+        options.add_options()("seconds", "length of the run",
+                              cxxopts::value<double>()->default_value("10"))(
+            "batch-items", "items of a batch job submitted at the start",
+            cxxopts::value<uint32_t>()->default_value("0"))(
+            "batch-tokens", "max_tokens of an item",
+            cxxopts::value<uint32_t>()->default_value("32"))(
+            "out", "write the summary as JSON to this file",
+            cxxopts::value<std::string>());
+      });
+  if (!parsed.result) return parsed.code;
+  const cxxopts::ParseResult& words = *parsed.result;
+  if (line.entries.empty()) {
+    Complain("--entry is missing");
+    return ExitCode::kUsage;
+  }
+  load::LoadMix mix = MixOf(words);
+  mix.length = FromSeconds(words["seconds"].as<double>());
+  const BatchApi batch(line);
+  JobView job;
+  if (const uint32_t items = words["batch-items"].as<uint32_t>(); items > 0) {
+    const std::string key = "load-" + std::to_string(WallClockNanos());
+    const ExitCode code = batch.Submit(
+        load::PlanBatchBody(mix, items, words["batch-tokens"].as<uint32_t>(),
+                            mix.seed),
+        key, 0, &job);
+    if (code != ExitCode::kOk) return code;
+  }
+  const load::LoadSummary summary = load::Summarize(RunOnline(line, mix));
+  fmt::print("{}",
+             line.json ? SummaryJson(summary) + "\n" : ShowSummary(summary));
+  if (!job.id.empty() && batch.Status(job.id, &job) == ExitCode::kOk) {
+    fmt::print("job={} state={} completed={} failed={} of {}\n", job.id,
+               job.state, job.completed, job.failed, job.total);
+  }
+  if (words.count("out") != 0) {
+    std::ofstream(words["out"].as<std::string>()) << SummaryJson(summary);
+  }
+  const bool wrong =
+      summary.ends[static_cast<size_t>(load::CallEnd::kWrong)] > 0;
+  return wrong ? ExitCode::kFailed : ExitCode::kOk;
+}
+
+}  // namespace knapweedstile::ctl
