--- a/apps/knapctl/src/comparison_run.cc
+++ b/apps/knapctl/src/comparison_run.cc
@@ -22,7 +22,10 @@
 // How often the driver looks at the clock and at the job's counts.
 constexpr std::chrono::milliseconds kDrivePeriod{100};
 
-bool CountsAsServed(load::CallEnd end) { return end == load::CallEnd::kWhole; }
+// Only a streamed answer shows when its first token came.
+bool ShowsFirstToken(const load::CallOutcome& outcome) {
+  return outcome.streamed && outcome.end == load::CallEnd::kWhole;
+}
 
 }  // namespace
 
@@ -58,7 +61,7 @@
   TimePoint baseline_start;
   for (const load::CallOutcome& outcome :
        RunTraffic("without batch", plan_.baseline, &baseline_start)) {
-    if (CountsAsServed(outcome.end)) {
+    if (ShowsFirstToken(outcome)) {
       baseline_.push_back(outcome.first_token_after);
     }
   }
@@ -144,7 +147,7 @@
                                 TimePoint started_at) {
   samples_ = std::move(batch_samples_);
   for (const load::CallOutcome& outcome : outcomes) {
-    if (!CountsAsServed(outcome.end)) continue;
+    if (!ShowsFirstToken(outcome)) continue;
     const TimePoint at = started_at + outcome.planned_at;
     samples_.push_back({plan_.SideAt(at - start_), TrafficClass::kOnline, at,
                         outcome.first_token_after});
--- a/apps/knapctl/src/main.cc
+++ b/apps/knapctl/src/main.cc
@@ -87,7 +87,7 @@
   if (const char* platform = std::getenv("KNAP_PLATFORM")) {
     line.platform = platform;
   }
-  for (int i = 2; i < argc; ++i) {
+  for (int i = 1; i < argc; ++i) {
     if (const char* platform = TakeFlag("--platform", argv, argc, &i)) {
       line.platform = platform;
     } else if (const char* entry = TakeFlag("--entry", argv, argc, &i)) {
@@ -112,15 +112,15 @@
 }
 
 int Main(int argc, char** argv) {
-  const std::string_view name = argc > 1 ? argv[1] : "--help";
+  CommandLine line = ParseLine(argc, argv);
+  const std::string name = line.words.empty() ? "--help" : line.words.front();
   if (name == "--help" || name == "help") {
     PrintUsage();
     return static_cast<int>(ExitCode::kOk);
   }
+  line.words.erase(line.words.begin());
   for (const Command& command : kCommands) {
-    if (command.name == name) {
-      return static_cast<int>(command.run(ParseLine(argc, argv)));
-    }
+    if (command.name == name) return static_cast<int>(command.run(line));
   }
   Complain(fmt::format("no such command: {}; see knapctl --help", name));
   return static_cast<int>(ExitCode::kUsage);
--- a/libs/load/include/load/call_outcome.h
+++ b/libs/load/include/load/call_outcome.h
@@ -29,6 +29,7 @@
   unsigned status = 0;
   std::string code;  // of an error answer
   Duration planned_at{};
+  bool streamed = false;
   Duration first_token_after{};  // the whole answer when not streamed
   Duration ended_after{};
   uint32_t tokens = 0;
--- a/libs/load/include/load/load_summary.h
+++ b/libs/load/include/load/load_summary.h
@@ -24,7 +24,7 @@
   uint64_t calls = 0;
   uint64_t tokens = 0;
   double seconds = 0;       // from the first arrival to the last answer
-  Quantiles first_token;    // of whole answers
+  Quantiles first_token;    // of whole answers that were streamed
   Quantiles whole_answer;   // of whole answers
   Quantiles refused_after;  // how fast refusals came
 };
--- a/libs/load/src/load_run.cc
+++ b/libs/load/src/load_run.cc
@@ -61,6 +61,8 @@
     for (size_t i = 0; i < plan_.size(); ++i) {
       outcomes_[i].arrival = static_cast<uint32_t>(i);
       outcomes_[i].planned_at = plan_[i].at;
+      outcomes_[i].streamed =
+          plan_[i].stream && plan_[i].kind != ArrivalKind::kService;
     }
     const Duration last = plan_.empty() ? Duration() : plan_.back().at;
     give_up_at_ = started_at_ + last + targets_.patience;
--- a/libs/load/src/load_summary.cc
+++ b/libs/load/src/load_summary.cc
@@ -33,7 +33,9 @@
     summary.tokens += outcome.tokens;
     last = std::max(last, outcome.planned_at + outcome.ended_after);
     if (outcome.end == CallEnd::kWhole) {
-      first_token.push_back(ToSeconds(outcome.first_token_after));
+      if (outcome.streamed) {
+        first_token.push_back(ToSeconds(outcome.first_token_after));
+      }
       whole.push_back(ToSeconds(outcome.ended_after));
     } else if (outcome.end == CallEnd::kRefused) {
       refused.push_back(ToSeconds(outcome.ended_after));
