Entry: bounded fair queue, least outstanding of two, retries, hedges, quarantine (first whole version)

Cause: the entry's shell needs the scheduler behind decide/entry_scheduler.h. RequestInfo gets workspace_weight (default 1), since fairness between workspaces is by weight.

--- a/libs/decide/include/decide/entry_settings.h
+++ b/libs/decide/include/decide/entry_settings.h
@@ -5,14 +5,16 @@
 #include <string>
 
 #include "base/time.h"
+#include "decide/entry_rules.h"
 
 namespace knapweedstile::decide {
 
-// Fixed by the entry's settings file.
+// Fixed by the entry's settings file, but for `rules`.
 struct EntrySettings {
   std::string availability_zone;
   uint32_t queue_limit = 1024;           // requests waiting in this entry
   uint32_t workspace_queue_limit = 256;  // of one workspace
+  EntryRules rules;                      // for comparison on the bench
 };
 
 }  // namespace knapweedstile::decide
--- a/libs/decide/include/decide/request_info.h
+++ b/libs/decide/include/decide/request_info.h
@@ -16,6 +16,7 @@
   RequestId id;
   TrafficClass traffic_class = TrafficClass::kOnline;
   std::string workspace;
+  uint32_t workspace_weight = 1;  // its share where workspaces compete
   std::string caller;  // empty when the workspace does not tell callers apart
   // Model name, or the service's name for plain services: requests go only to
   // backend servers that serve this target.
--- /dev/null
+++ b/libs/decide/src/router_server.cc
@@ -0,0 +1,92 @@
+#include "router_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "decide/load_report.h"
+
+namespace knapweedstile::decide {
+namespace {
+
+// Slots of a server that has not reported yet; plain services report none.
+constexpr uint32_t kAssumedSlots = 8;
+// A report older than this is treated as missing: three heartbeats of a second.
+constexpr Duration kLoadLife = std::chrono::seconds(3);
+// How long a server that came up takes to get its full share. Its reports need
+// a heartbeat or two to show what all entries together have sent.
+constexpr Duration kSlowStart = std::chrono::seconds(10);
+// Share of the slots used at once after coming up.
+constexpr double kFirstShare = 0.125;
+
+}  // namespace
+
+RouterServer::RouterServer(BackendServerId id, TimePoint now)
+    : id_(id),
+      slots_(kAssumedSlots),
+      load_measured_at_(TimePoint::min()),
+      up_since_(now),
+      closed_until_(TimePoint::min()) {}
+
+void RouterServer::Describe(std::vector<std::string> targets, bool same_zone) {
+  targets_ = std::move(targets);
+  same_zone_ = same_zone;
+}
+
+void RouterServer::ComeUp(TimePoint now) {
+  in_ = true;
+  up_since_ = now;
+  closed_until_ = TimePoint::min();
+  load_measured_at_ = TimePoint::min();
+  online_.others = 0;
+  batch_.others = 0;
+}
+
+void RouterServer::OnLoad(const LoadReport& load) {
+  if (load.measured_at < load_measured_at_) return;  // overtaken on the way
+  load_measured_at_ = load.measured_at;
+  slots_ = std::max<uint32_t>(load.slots, 1);
+  const auto minus_own = [&](ClassLoad& of, uint32_t reported) {
+    const uint32_t own = of.own.RunningAt(load.measured_at);
+    of.others = reported > own ? reported - own : 0;
+  };
+  minus_own(online_, load.online_running + load.online_waiting);
+  minus_own(batch_, load.batch_running + load.batch_waiting);
+}
+
+void RouterServer::Start(TrafficClass traffic_class, TimePoint now) {
+  of(traffic_class).own.Start(now);
+}
+
+void RouterServer::End(TrafficClass traffic_class, TimePoint started,
+                       TimePoint now) {
+  of(traffic_class).own.End(started, now);
+}
+
+bool RouterServer::LoadIsOld(TimePoint now) const noexcept {
+  return load_measured_at_ == TimePoint::min() ||
+         now - load_measured_at_ > kLoadLife;
+}
+
+uint32_t RouterServer::own(TrafficClass traffic_class) const noexcept {
+  return of(traffic_class).own.running();
+}
+
+uint32_t RouterServer::own() const noexcept {
+  return online_.own.running() + batch_.own.running();
+}
+
+uint32_t RouterServer::others(TrafficClass traffic_class) const noexcept {
+  return of(traffic_class).others;
+}
+
+double RouterServer::UsableSlots(TimePoint now,
+                                 bool slow_start) const noexcept {
+  const double slots = slots_;
+  const Duration age = now - up_since_;
+  if (!slow_start || age >= kSlowStart) return slots;
+  const double share =
+      std::max(kFirstShare, ToSeconds(age) / ToSeconds(Duration(kSlowStart)));
+  return std::max(1.0, slots * share);
+}
+
+}  // namespace knapweedstile::decide
--- /dev/null
+++ b/libs/decide/src/router_server.h
@@ -0,0 +1,85 @@
+#ifndef KNAPWEEDSTILE_DECIDE_ROUTER_SERVER_H_
+#define KNAPWEEDSTILE_DECIDE_ROUTER_SERVER_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "base/traffic_class.h"
+#include "router_own_attempts.h"
+
+namespace knapweedstile::decide {
+
+struct LoadReport;
+
+// What this entry knows of one backend server, from its own attempts and from
+// load reports.
+class RouterServer {
+ public:
+  RouterServer(BackendServerId id, TimePoint now);
+
+  // Commands.
+  void Describe(std::vector<std::string> targets, bool same_zone);
+  void ComeUp(TimePoint now);
+  void Leave() noexcept { in_ = false; }
+  void OnLoad(const LoadReport& load);
+  void Start(TrafficClass traffic_class, TimePoint now);
+  void End(TrafficClass traffic_class, TimePoint started, TimePoint now);
+  // Nothing new until then: it refused, or its connection failed.
+  void CloseUntil(TimePoint until) noexcept { closed_until_ = until; }
+  // Kept for one suspect request alone (see Quarantine); nothing else new.
+  void set_isolating(bool isolating) noexcept { isolating_ = isolating; }
+
+  // Reported down: in no pool, kept while attempts to it are unreported.
+  void set_gone(bool gone) noexcept { gone_ = gone; }
+
+  // Queries.
+  BackendServerId id() const noexcept { return id_; }
+  const std::vector<std::string>& targets() const noexcept { return targets_; }
+  bool in() const noexcept { return in_; }
+  bool gone() const noexcept { return gone_; }
+  bool same_zone() const noexcept { return same_zone_; }
+  bool isolating() const noexcept { return isolating_; }
+  bool Open(TimePoint now) const noexcept {
+    return in_ && !isolating_ && now >= closed_until_;
+  }
+  // True when reports have stopped: what others have there is then unknown.
+  bool LoadIsOld(TimePoint now) const noexcept;
+  uint32_t own(TrafficClass traffic_class) const noexcept;
+  uint32_t own() const noexcept;
+  uint32_t others(TrafficClass traffic_class) const noexcept;
+  uint32_t slots() const noexcept { return slots_; }
+  // Slots that may be used now: fewer while it has just come up.
+  double UsableSlots(TimePoint now, bool slow_start) const noexcept;
+
+ private:
+  struct ClassLoad {
+    RouterOwnAttempts own;
+    uint32_t others = 0;
+  };
+  ClassLoad& of(TrafficClass traffic_class) noexcept {
+    return traffic_class == TrafficClass::kOnline ? online_ : batch_;
+  }
+  const ClassLoad& of(TrafficClass traffic_class) const noexcept {
+    return traffic_class == TrafficClass::kOnline ? online_ : batch_;
+  }
+
+  BackendServerId id_;
+  std::vector<std::string> targets_;
+  bool same_zone_ = false;
+  bool in_ = true;
+  bool isolating_ = false;
+  bool gone_ = false;
+  uint32_t slots_;
+  ClassLoad online_;
+  ClassLoad batch_;
+  TimePoint load_measured_at_;
+  TimePoint up_since_;
+  TimePoint closed_until_;
+};
+
+}  // namespace knapweedstile::decide
+
+#endif  // KNAPWEEDSTILE_DECIDE_ROUTER_SERVER_H_
