--- a/libs/decide/tests/gate_driver.h
+++ b/libs/decide/tests/gate_driver.h
@@ -57,9 +57,12 @@
                    .max_tokens = tokens,
                    .due = due});
   }
+  // Also of a request that has ended, or was never there: the gate ignores it.
   void Cancel(RequestId id) {
     running_.erase(id);
-    if (records_[id].end == End::kNone) Finish(id, End::kCancelled);
+    if (records_.contains(id) && records_[id].end == End::kNone) {
+      Finish(id, End::kCancelled);
+    }
     Act([&](auto& actions) { gate_.OnCancel(now_, id, actions); });
   }
   void Policy(const SharingPolicy& policy) {
