Wire: silence, damage and unreadable text end only what they must

Cause: a connection gone silent, a frozen process, a damaged message or a caller's Latin-1 header must not take other requests with them.

New bounds: incomplete messages of one connection; GOAWAY or used-up stream numbers replace an idle connection.

Ruled out: checking UTF-8 before sending, which would refuse what HTTP allows.

--- a/libs/wire/src/connection.cc
+++ b/libs/wire/src/connection.cc
@@ -213,6 +213,7 @@
   if (!up_ && now - started_ > settings.silence_limit) {
     return Close(PeerDownReason::kProtocol);
   }
+  if (session_.worn_out()) return Close(PeerDownReason::kClosed);
   SendHeartbeat();
   ScheduleTick();
 }
--- a/libs/wire/src/http2_session.cc
+++ b/libs/wire/src/http2_session.cc
@@ -29,6 +29,10 @@
 // online requests arrive.
 constexpr uint64_t kResetBurst = 1 << 20;
 constexpr uint64_t kResetsPerSecond = 1 << 20;
+// Bytes of incomplete messages kept for one connection, in multiples of what
+// the other end may have unsent. Messages that travel at once are each partly
+// here and partly there, about half and half.
+constexpr size_t kWaitingFactor = 4;
 
 nghttp2_nv HeaderField(std::string_view name, std::string_view value) {
   // nghttp2 copies both; its interface lacks the const.
@@ -83,6 +87,8 @@
     if (frame->hd.type == NGHTTP2_DATA) {
       return Verdict(self.EndData(number, EndsStream(frame)));
     }
+    // The other end takes no new streams; those that are open go on.
+    if (frame->hd.type == NGHTTP2_GOAWAY) self.used_up_ = true;
     if (frame->hd.type != NGHTTP2_HEADERS) return 0;
     // Every stream of this protocol carries a message, so none ends here.
     if (EndsStream(frame)) return Verdict(self.FindStream(number) == nullptr);
@@ -257,7 +263,10 @@
     return false;
   }
   const int32_t number = SubmitRequest(kRunPath);
-  if (number < 0) return false;
+  if (number < 0) {
+    used_up_ = number == NGHTTP2_ERR_STREAM_ID_NOT_AVAILABLE;
+    return false;
+  }
   Stream& stream =
       streams_.try_emplace(number, settings_.max_message_bytes).first->second;
   stream.kind = StreamKind::kRun;
@@ -343,6 +352,14 @@
   for (auto& [number, stream] : streams_) Lose(stream, false);
 }
 
+bool Http2Session::worn_out() const noexcept {
+  return used_up_ && numbers_.empty();
+}
+
+void Http2Session::SkipStreamNumbers(int32_t next) {
+  nghttp2_session_set_next_stream_id(session_, next);
+}
+
 Http2Session::Stream* Http2Session::FindStream(int32_t number) {
   const auto found = streams_.find(number);
   return found == streams_.end() ? nullptr : &found->second;
@@ -383,15 +400,30 @@
   // Data of a stream that was cancelled or refused here is still under way.
   if (stream == nullptr) return true;
   stream->reader.Append(bytes);
+  waiting_bytes_ += bytes.size();
+  // Failure guarded against: a peer that starts thousands of messages and ends
+  // none fills the memory, each of them being under the bound for one message.
+  if (waiting_bytes_ > kWaitingFactor * settings_.max_queued_bytes) {
+    return false;
+  }
   if (stream->kind == StreamKind::kControl) return TakeControls(*stream);
-  if (side_ == SessionSide::kOpening) return TakeRunEvents(*stream);
+  if (side_ == SessionSide::kOpening) return TakeRunEvents(number, *stream);
   return true;
 }
 
+ReadStatus Http2Session::NextMessage(Stream& stream,
+                                     std::string_view& payload) {
+  const size_t before = stream.reader.size();
+  const ReadStatus status = stream.reader.Next(payload);
+  waiting_bytes_ -= before - stream.reader.size();
+  return status;
+}
+
 bool Http2Session::TakeControls(Stream& stream) {
   std::string_view payload;
-  ReadStatus status = stream.reader.Next(payload);
-  for (; status == ReadStatus::kMessage; status = stream.reader.Next(payload)) {
+  ReadStatus status = NextMessage(stream, payload);
+  for (; status == ReadStatus::kMessage;
+       status = NextMessage(stream, payload)) {
     pb::Control control;
     if (!Parse(payload, control)) return false;
     if (!listener_.OnControl(std::move(control))) return false;
@@ -402,10 +434,16 @@
 bool Http2Session::TakeRunRequest(int32_t number, Stream& stream) {
   std::string_view payload;
   pb::RunRequest request;
-  if (stream.reader.Next(payload) != ReadStatus::kMessage) return false;
-  if (!Parse(payload, request)) return false;
+  if (NextMessage(stream, payload) != ReadStatus::kMessage) return false;
+  // Failure guarded against: one request that cannot be read would end every
+  // other request of the connection. Frames and lengths are in order here, so
+  // the damage is inside this message, and only its stream ends.
+  if (!Parse(payload, request)) {
+    Drop(number, NGHTTP2_PROTOCOL_ERROR);
+    return true;
+  }
   // One message is the whole of the body.
-  if (stream.reader.Next(payload) != ReadStatus::kNeedMore) return false;
+  if (NextMessage(stream, payload) != ReadStatus::kNeedMore) return false;
   if (!stream.reader.empty()) return false;
   const StreamId id = listener_.NewStreamId();
   if (!listener_.OnStreamOpened(id, std::move(request))) return false;
@@ -414,12 +452,18 @@
   return true;
 }
 
-bool Http2Session::TakeRunEvents(Stream& stream) {
+bool Http2Session::TakeRunEvents(int32_t number, Stream& stream) {
   std::string_view payload;
-  ReadStatus status = stream.reader.Next(payload);
-  for (; status == ReadStatus::kMessage; status = stream.reader.Next(payload)) {
+  ReadStatus status = NextMessage(stream, payload);
+  for (; status == ReadStatus::kMessage;
+       status = NextMessage(stream, payload)) {
     pb::RunEvent event;
-    if (!Parse(payload, event)) return false;
+    if (!Parse(payload, event)) {
+      // As for requests: only this stream ends.
+      Lose(stream, false);
+      Drop(number, NGHTTP2_PROTOCOL_ERROR);
+      return true;
+    }
     ReleaseHeld(stream, false);
     stream.held = std::move(event);
   }
@@ -462,8 +506,13 @@
   // Without its control stream a connection has no heartbeats.
   if (number == control_number_) broken_ = true;
   Lose(found->second, refused);
-  queued_bytes_ -= found->second.out.size();
-  streams_.erase(found);
+  Forget(found);
+}
+
+void Http2Session::Forget(std::unordered_map<int32_t, Stream>::iterator it) {
+  queued_bytes_ -= it->second.out.size();
+  waiting_bytes_ -= it->second.reader.size();
+  streams_.erase(it);
 }
 
 void Http2Session::Lose(Stream& stream, bool refused) {
@@ -488,8 +537,7 @@
 void Http2Session::Drop(int32_t number, uint32_t code) {
   const auto found = streams_.find(number);
   if (found == streams_.end()) return;
-  queued_bytes_ -= found->second.out.size();
-  streams_.erase(found);
+  Forget(found);
   Reset(number, code);
 }
 
--- a/libs/wire/src/http2_session.h
+++ b/libs/wire/src/http2_session.h
@@ -49,6 +49,14 @@
   // Tells the listener that every stream is lost, since the connection is.
   void Abandon();
 
+  // Goes on with stream number `next`, which is odd: for tests of the last
+  // ones.
+  void SkipStreamNumbers(int32_t next);
+
+  // No stream can be opened any more and none is open: an HTTP/2 connection has
+  // 2^30 of them, twelve days at a thousand requests a second, and the other
+  // end may send GOAWAY.
+  bool worn_out() const noexcept;
   // Control messages wait that nghttp2 has not taken for writing yet.
   bool control_blocked() const;
   bool accepting() const noexcept { return side_ == SessionSide::kAccepting; }
@@ -82,12 +90,14 @@
   bool SetPath(int32_t number, std::string_view path);
   bool StartAccepted(int32_t number);
   bool TakeData(int32_t number, std::string_view bytes);
+  ReadStatus NextMessage(Stream& stream, std::string_view& payload);
   bool TakeControls(Stream& stream);
   bool TakeRunRequest(int32_t number, Stream& stream);
-  bool TakeRunEvents(Stream& stream);
+  bool TakeRunEvents(int32_t number, Stream& stream);
   bool EndData(int32_t number, bool end_of_stream);
   void ReleaseHeld(Stream& stream, bool last);
   void CloseStream(int32_t number, bool refused);
+  void Forget(std::unordered_map<int32_t, Stream>::iterator it);
   void Lose(Stream& stream, bool refused);
   void Reset(int32_t number, uint32_t code);
   void Drop(int32_t number, uint32_t code);
@@ -104,8 +114,9 @@
   std::unordered_map<int32_t, Stream> streams_;
   std::unordered_map<StreamId, int32_t> numbers_;
   int32_t control_number_ = 0;
-  size_t run_streams_ = 0;
   size_t queued_bytes_ = 0;
+  size_t waiting_bytes_ = 0;  // of incomplete messages, all streams
+  bool used_up_ = false;
   bool broken_ = false;
   // Last: its end calls back into the members above.
   nghttp2_session* session_ = nullptr;
--- a/libs/wire/src/message_reader.h
+++ b/libs/wire/src/message_reader.h
@@ -25,18 +25,22 @@
   explicit MessageReader(size_t max_message_bytes) noexcept
       : max_message_bytes_(max_message_bytes) {}
 
-  void Append(std::string_view bytes) { buffer_.append(bytes); }
+  void Append(std::string_view bytes);
 
-  // Takes the next message; `payload` is valid until the next call.
+  // Takes the next message; `payload` is valid until the next Append.
   ReadStatus Next(std::string_view& payload);
 
   // The next message is over the bound.
   bool too_large() const noexcept;
   // No part of a message is waiting for its rest.
-  bool empty() const noexcept { return consumed_ == buffer_.size(); }
+  bool empty() const noexcept { return size() == 0; }
+  // Bytes that wait for the rest of their message.
+  size_t size() const noexcept { return buffer_.size() - consumed_; }
 
  private:
-  void DropConsumed();
+  std::string_view waiting() const noexcept {
+    return {buffer_.data() + consumed_, size()};
+  }
 
   size_t max_message_bytes_;
   std::string buffer_;
--- a/libs/wire/src/transport.cc
+++ b/libs/wire/src/transport.cc
@@ -1,5 +1,7 @@
 #include "wire/transport.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -379,7 +381,11 @@
 
 Transport::Transport(boost::asio::io_context& io,
                      const TransportSettings& settings, EventSink sink)
-    : impl_(std::make_shared<Impl>(io, settings, std::move(sink))) {}
+    : impl_(std::make_shared<Impl>(io, settings, std::move(sink))) {
+  // The library writes its own lines to standard error for each message that
+  // cannot be read; here those are counted outcomes.
+  google::protobuf::SetLogHandler(nullptr);
+}
 
 Transport::~Transport() { impl_->Close(); }
 
--- a/libs/wire/tests/transport_test.cc
+++ b/libs/wire/tests/transport_test.cc
@@ -93,6 +93,8 @@
   REQUIRE_FALSE(pair.sidecar.lost(kept));
   pair.sidecar.transport.Execute(Finish(kept));
   RunUntil(pair.io, [&] { return pair.entry.finished(StreamId(1)); });
+  pair.entry.transport.Execute(OpenWith(kPeer, kStreams + 1, "next"));
+  RunUntil(pair.io, [&] { return pair.sidecar.opened.size() == kStreams + 1; });
   REQUIRE(pair.entry.closed.empty());
   REQUIRE(pair.entry.downs.empty());
 }
@@ -187,6 +189,22 @@
   REQUIRE(pair.entry.downs.empty());
 }
 
+TEST_CASE("text of a caller that is not UTF-8 harms nobody") {
+  // A caller sends a Latin-1 header. Were it a protobuf string, the sidecar
+  // could not read the request and would end all others beside it.
+  Pair pair;
+  pair.entry.transport.Execute(OpenWith(kPeer, 1, "beside"));
+  OpenStreamCommand command = OpenWith(kPeer, 2, "latin-1");
+  pb::Header* header = command.request.add_headers();
+  header->set_name("x-owner");
+  header->set_value("Z\xfcrich");
+  command.request.set_path("/k\xe4tzchen");
+  pair.entry.transport.Execute(std::move(command));
+  RunUntil(pair.io, [&] { return pair.sidecar.opened.size() == 2; });
+  REQUIRE(pair.sidecar.opened[1].request.headers(0).value() == "Z\xfcrich");
+  REQUIRE(pair.entry.closed.empty());
+}
+
 TEST_CASE("a message over the receiver's bound ends the connection") {
   // A process with broken settings or memory sends a message of any size. The
   // receiver closes before it keeps the payload.
