--- a/libs/jobs/include/jobs/job_id.h
+++ b/libs/jobs/include/jobs/job_id.h
@@ -1,7 +1,6 @@
 #ifndef KNAPWEEDSTILE_JOBS_JOB_ID_H_
 #define KNAPWEEDSTILE_JOBS_JOB_ID_H_
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,7 +16,7 @@
   uint32_t shard = 0;
   std::string hash;  // 32 hexadecimal digits
 
-  auto operator<=>(const JobId&) const = default;
+  bool operator==(const JobId&) const = default;
 };
 
 JobId MakeJobId(std::string_view workspace, std::string_view key,
--- a/libs/jobs/include/jobs/shard_lease.h
+++ b/libs/jobs/include/jobs/shard_lease.h
@@ -8,6 +8,7 @@
 
 #include "base/time.h"
 #include "jobs/backoff.h"
+#include "jobs/head_write.h"
 #include "jobs/lease_event.h"
 #include "jobs/lease_settings.h"
 #include "platform/store_answer.h"
@@ -68,22 +69,7 @@
 
  private:
   enum class State { kCandidate, kHeld };
-  enum class Phase { kWriting, kReadingBack, kWaiting };
-
-  // A write whose effect is not known yet.
-  struct PendingWrite {
-    ShardHead head;
-    std::string value;
-    uint64_t if_version = 0;
-    TimePoint first_sent;
-    TimePoint last_sent;
-    Phase phase = Phase::kWriting;
-    bool in_doubt = false;  // some sending of it may have taken effect
-    bool read_next = false;
-    bool takes_over = false;
-    bool releases = false;
-    TimePoint retry_at = kNever;
-  };
+  using Phase = HeadWrite::Phase;
 
   void Poll(TimePoint now, CallQueue& calls);
   void OnPolled(const platform::StoreAnswer& answer, TimePoint now,
@@ -126,7 +112,7 @@
   TimePoint renew_at_ = kNever;
   uint64_t writes_ = 0;
   size_t head_bytes_ = 0;
-  std::optional<PendingWrite> write_;
+  std::optional<HeadWrite> write_;
   std::vector<LeaseEvent> events_;
 };
 
--- a/libs/jobs/src/open_job.cc
+++ b/libs/jobs/src/open_job.cc
@@ -79,7 +79,7 @@
   if (!Holds(index) || line >= line_begins_.size()) return {};
   const size_t begin = line_begins_[line];
   const size_t end = std::min(segment_.find('\n', begin), segment_.size());
-  return std::string_view(segment_).substr(begin, end - begin);
+  return {segment_.data() + begin, end - begin};
 }
 
 bool OpenJob::Holds(uint32_t index) const noexcept {
--- a/libs/jobs/src/shard_lease.cc
+++ b/libs/jobs/src/shard_lease.cc
@@ -214,7 +214,7 @@
   renew_at_ = counted_from + settings_.renew_after;
   seen_holder_ = write_->head.lease.holder;
   seen_fence_ = write_->head.lease.fence;
-  PendingWrite done = std::move(*write_);
+  HeadWrite done = std::move(*write_);
   write_.reset();
   if (done.releases) return Lose(counted_from);
   if (!done.takes_over) {
--- a/libs/jobs/tests/jobs_harness.h
+++ b/libs/jobs/tests/jobs_harness.h
@@ -46,8 +46,8 @@
   uint64_t incarnation = 0;
   std::vector<std::unique_ptr<ShardOwner>> shards;
   std::vector<TimePoint> wake;
-  std::set<std::pair<uint32_t, ItemTicket>> running;
-  uint32_t capacity = 24;  // items at once
+  std::set<std::pair<uint32_t, uint64_t>> running;  // shard and ticket
+  uint32_t capacity = 24;                           // items at once
   bool alive = true;
   TimePoint paused_until;
   std::vector<std::function<void()>> held_back;  // while paused
@@ -339,7 +339,7 @@
       });
     }
     for (const ItemTicket ticket : shard.TakeStops()) {
-      owner.running.erase({s, ticket});
+      owner.running.erase({s, ticket.value()});
     }
     owner.wake[s] = shard.next_wakeup(now_);
   }
@@ -360,7 +360,7 @@
         ++stale_hand_outs_;
       }
       ++runs_[{item->job.hash, item->index}];
-      owner.running.emplace(s, item->ticket);
+      owner.running.emplace(s, item->ticket.value());
       At(now_ + Delay(200), [this, &owner, s, work = *item] {
         Deliver(owner, [this, &owner, s, work] { EndItem(owner, s, work); });
       });
@@ -368,7 +368,7 @@
   }
   void EndItem(Owner& owner, uint32_t s, const ItemWork& work) {
     ShardOwner& shard = *owner.shards[s];
-    owner.running.erase({s, work.ticket});
+    owner.running.erase({s, work.ticket.value()});
     const std::string answer = fmt::format(R"("said {}")", work.index);
     if (work.index == poison_ || Chance(faults.crash_item)) {
       shard.OnItemFailed(work.ticket,
--- a/libs/objects/src/catalog.cc
+++ b/libs/objects/src/catalog.cc
@@ -116,10 +116,10 @@
 
 const Policy* Catalog::WinningPolicy(std::string_view workspace,
                                      std::string_view target) const {
-  static const Labels no_labels;
+  static const Labels kNoLabels;
   const Workspace* found = FindIn(workspaces_, workspace);
   return objects::WinningPolicy(
-      AllPolicies(), found == nullptr ? no_labels : found->labels, target);
+      AllPolicies(), found == nullptr ? kNoLabels : found->labels, target);
 }
 
 std::vector<std::string> Catalog::EnginesOf(const Policy* policy,
--- a/libs/objects/src/field_reader.cc
+++ b/libs/objects/src/field_reader.cc
@@ -126,8 +126,9 @@
     allowed += allowed.empty() ? name : ", " + name;
   }
   for (const auto& entry : object_) {
-    if (known_.contains(std::string_view(entry.key()))) continue;
-    Add(PathOf(entry.key()), &entry.value(),
+    const std::string_view name = entry.key();
+    if (known_.contains(name)) continue;
+    Add(PathOf(name), &entry.value(),
         "no such field; the fields are " + allowed);
   }
 }
