Fleet and configuration spread in both roles

Cause: serving policies must reach the gates, and membership must survive lists that lag and connections that go silent. Change: EntryFleet carries out fleet::Membership and fleet::ConfigSpread; the sidecar pulls the configuration from its entries, puts the sharing policy that wins for its engine in force, and passes quarantine notices between entries. Policies that name no traffic no longer shadow each other's traffic (objects).

--- a/libs/node/include/node/entry_node_settings.h
+++ b/libs/node/include/node/entry_node_settings.h
@@ -19,7 +19,11 @@
   http::ServerSettings http;
   std::vector<std::string> platform_addresses;
   std::chrono::milliseconds vm_list_period{1000};
-  std::chrono::milliseconds watch_wait{10000};
+  std::chrono::milliseconds watch_wait{25000};
+  std::chrono::milliseconds watch_gap{1000};
+  uint32_t relays = 2;
+  uint32_t servers_per_target = 0;
+  std::chrono::milliseconds forget_after{30000};
   std::chrono::milliseconds platform_deadline{3000};
   // The first token of an online answer is late after this, unless the caller
   // says otherwise with X-Deadline-Ms.
--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -4,7 +4,6 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <charconv>
-#include <set>
 #include <utility>
 
 #include "admin_api.h"
@@ -25,8 +24,6 @@
 constexpr size_t kMaxHeaderText = 256;
 // What a restarting duty thread left behind is flushed at least this often.
 constexpr std::chrono::milliseconds kIdleWake{100};
-// After a watch that failed; the platform's outage must not be hammered.
-constexpr std::chrono::milliseconds kWatchRetry{1000};
 
 ApiError NoSuchModel(const std::string& model) {
   return {kNotFound,         "invalid_request_error",
@@ -51,19 +48,22 @@
 }  // namespace
 
 EntryNode::EntryNode(const EntryNodeSettings& settings, uint64_t seed,
-                     EntryPorts ports)
+                     TimePoint now, EntryPorts ports)
     : settings_(settings),
       ports_(std::move(ports)),
       incarnation_(seed),
       timeline_(settings.node.timeline_events),
-      policies_(catalog_),
       platform_(ports_.platform),
       runner_(settings.scheduler, seed, timeline_, ports_.wire),
+      fleet_(settings_, seed, now, ports_, platform_, runner_,
+             [this](TimePoint at, const std::vector<std::string>& entries) {
+               shards_.SetEntries(at, entries);
+             }),
       online_(ports_, metrics_),
       services_(ports_, metrics_),
       shards_(ShardOwnerSettingsOf(settings), settings.shard_count,
               settings.node.name, seed, platform_),
-      batch_items_(shards_, runner_, policies_, metrics_),
+      batch_items_(shards_, runner_, fleet_.policies(), metrics_),
       batch_calls_(ports_, platform_, SubmissionSettingsOf(settings), seed,
                    [this](TimePoint now, const jobs::JobId& id) {
                      if (id.shard < shards_.count()) {
@@ -113,17 +113,17 @@
     return;
   }
   const auto& completion = std::get<CompletionRequest>(parsed);
-  if (!Serves(completion.model)) {
+  if (!fleet_.Serves(completion.model)) {
     RespondError(request.exchange, identity, NoSuchModel(completion.model));
     return;
   }
   const RequestId id(++last_id_);
   exchanges_[request.exchange] = id;
   exchange_of_[id] = request.exchange;
-  auto prepared =
-      online_.Begin(id, request, completion, identity,
-                    policies_.RouteOf(identity.workspace, completion.model),
-                    DeadlineOf(request));
+  auto prepared = online_.Begin(
+      id, request, completion, identity,
+      fleet_.policies().RouteOf(identity.workspace, completion.model),
+      DeadlineOf(request));
   runner_.Submit(now, std::move(prepared.info), std::move(prepared.message));
 }
 
@@ -131,7 +131,7 @@
                                  const http::RequestEvent& request) {
   const CallerIdentity identity = IdentityOf(request);
   const objects::Service* service =
-      catalog_.ServiceForPath(PathOf(request.target));
+      fleet_.catalog().ServiceForPath(PathOf(request.target));
   if (service == nullptr) {
     RespondError(request.exchange, identity, NoSuchPath());
     return;
@@ -141,24 +141,16 @@
   const RequestId id(++last_id_);
   exchanges_[request.exchange] = id;
   exchange_of_[id] = request.exchange;
-  auto prepared =
-      services_.Begin(id, request, *service, idempotent, identity,
-                      policies_.RouteOf(identity.workspace, service->name),
-                      request.received_at + service->timeout);
+  auto prepared = services_.Begin(
+      id, request, *service, idempotent, identity,
+      fleet_.policies().RouteOf(identity.workspace, service->name),
+      request.received_at + service->timeout);
   runner_.Submit(now, std::move(prepared.info), std::move(prepared.message));
 }
 
 void EntryNode::ListModels(const http::RequestEvent& request) {
-  std::set<std::string> models;
-  for (const auto& [name, server] : servers_) {
-    const bool model = !catalog_.services().contains(server.target);
-    if (model && server.state == BackendServerState::kIn) {
-      models.insert(server.target);
-    }
-  }
-  ports_.callers(JsonResponse(
-      request.exchange, kOk,
-      RenderModels(std::vector<std::string>(models.begin(), models.end()))));
+  ports_.callers(
+      JsonResponse(request.exchange, kOk, RenderModels(fleet_.Models())));
 }
 
 void EntryNode::OnCallerDisconnect(TimePoint now, ExchangeId exchange) {
@@ -212,12 +204,6 @@
                                       : settings_.online_deadline);
 }
 
-bool EntryNode::Serves(const std::string& target) const {
-  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
-    return entry.second.target == target;
-  });
-}
-
 void EntryNode::PassOnEvents(TimePoint now) {
   bool batch_ended = false;
   for (const RequestEvent& event : runner_.TakeEvents()) {
@@ -251,183 +237,26 @@
                  std::get_if<wire::StreamClosedEvent>(&event)) {
     runner_.OnStreamClosed(now, *closed);
   } else if (const auto* up = std::get_if<wire::PeerUpEvent>(&event)) {
-    if (BackendServer* server = FindServer(up->peer)) {
-      LogInfo("sidecar_connected", {{"vm", server->name}});
-      server->connected = true;
-      server->healthy = false;  // until its first heartbeat
-      server->leaving = false;  // a new connection tells anew
-      Reconsider(now, *server);
-    }
+    fleet_.OnPeerUp(now, *up);
   } else if (const auto* down = std::get_if<wire::PeerDownEvent>(&event)) {
-    if (BackendServer* server = FindServer(down->peer)) {
-      if (server->connected) {
-        LogInfo("sidecar_disconnected",
-                {{"vm", server->name}, {"reason", NameOf(down->reason)}});
-      }
-      server->connected = false;
-      Reconsider(now, *server);
-    }
+    fleet_.OnPeerDown(now, *down);
   } else if (const auto* control = std::get_if<wire::ControlEvent>(&event)) {
-    BackendServer* server = FindServer(control->peer);
-    if (server != nullptr && control->control.has_heartbeat()) {
-      OnHeartbeat(now, *server, control->control.heartbeat());
-    }
+    fleet_.OnControl(now, *control);
   }
   PassOnEvents(now);
 }
 
-void EntryNode::OnHeartbeat(TimePoint now, BackendServer& server,
-                            const pb::Heartbeat& heartbeat) {
-  server.healthy = heartbeat.backend_server_healthy();
-  server.leaving = server.leaving || heartbeat.leaving();
-  Reconsider(now, server);
-  if (heartbeat.has_load()) {
-    server.load = heartbeat.load();
-    runner_.OnLoad(now, server.id, heartbeat.load());
-  }
-}
-
-void EntryNode::Reconsider(TimePoint now, BackendServer& server) {
-  BackendServerState state = BackendServerState::kDown;
-  if (server.connected && server.healthy) state = BackendServerState::kIn;
-  if (server.connected && server.leaving) state = BackendServerState::kLeaving;
-  if (state == server.state) return;
-  LogInfo("backend_server_state", {{"vm", server.name},
-                                   {"from", NameOf(server.state)},
-                                   {"to", NameOf(state)}});
-  server.state = state;
-  switch (state) {
-    case BackendServerState::kIn:
-      server.pools.clear();
-      Enlist(now, server);
-      break;
-    case BackendServerState::kLeaving:
-      runner_.OnBackendServerLeaving(now, server.id);
-      break;
-    case BackendServerState::kDown:
-    case BackendServerState::kSilent:
-      runner_.OnBackendServerDown(now, server.id);
-      break;
-  }
-}
-
-BackendServer* EntryNode::FindServer(PeerId peer) {
-  const auto name = peers_.find(peer);
-  return name == peers_.end() ? nullptr : &servers_.at(name->second);
-}
-
 void EntryNode::OnPlatform(TimePoint now, platform::StoreAnswer&& answer) {
   platform_.OnAnswer(now, std::move(answer));
   PassOnEvents(now);
 }
 
-void EntryNode::ReadVmList(TimePoint now) {
-  if (reading_vm_list_ || now < next_vm_list_) return;
-  reading_vm_list_ = true;
-  platform_.Call(
-      {0, platform::VmListRequest{}, now + settings_.platform_deadline},
-      [this](TimePoint at, platform::StoreAnswer&& answer) {
-        reading_vm_list_ = false;
-        next_vm_list_ = at + settings_.vm_list_period;
-        if (answer.outcome == platform::StoreOutcome::kOk) {
-          OnVmList(at, answer.vms);
-        }
-      });
-}
-
-void EntryNode::WatchConfig(TimePoint now) {
-  if (watching_ || now < next_watch_) return;
-  watching_ = true;
-  platform::WatchRequest watch;
-  for (const std::string_view kind : kEnumNames<objects::ObjectKind>) {
-    watch.kinds.emplace_back(kind);
-  }
-  watch.after = config_revision_;
-  watch.wait_until = now + settings_.watch_wait;
-  platform_.Call({0, std::move(watch),
-                  now + settings_.watch_wait + settings_.platform_deadline},
-                 [this](TimePoint at, platform::StoreAnswer&& answer) {
-                   watching_ = false;
-                   const bool answered =
-                       answer.outcome == platform::StoreOutcome::kOk;
-                   next_watch_ = answered ? at : at + kWatchRetry;
-                   if (answered) OnConfig(at, answer);
-                 });
-}
-
-void EntryNode::OnConfig(TimePoint now, const platform::StoreAnswer& answer) {
-  bool changed = false;
-  for (const platform::StoredObject& object : answer.objects) {
-    const objects::ApplyResult result = catalog_.Apply(
-        object.kind, object.name, object.version, object.value, object.deleted);
-    LogInfo("config", {{"kind", object.kind},
-                       {"name", object.name},
-                       {"version", object.version},
-                       {"outcome", NameOf(result.outcome)}});
-    changed |= result.outcome == objects::ApplyOutcome::kAccepted;
-  }
-  config_revision_ = std::max(config_revision_, answer.revision);
-  if (!changed) return;
-  for (auto& [name, server] : servers_) {
-    if (server.state == BackendServerState::kIn) Enlist(now, server);
-  }
-}
-
-// Also for a server that is in: its pools may have changed.
-void EntryNode::Enlist(TimePoint now, BackendServer& server) {
-  auto pools =
-      policies_.PoolsOf(server.name, server.availability_zone, server.target);
-  if (pools == server.pools) return;
-  server.pools = pools;
-  runner_.OnBackendServerUp(now, server.id, std::move(pools),
-                            server.availability_zone);
-}
-
-void EntryNode::OnVmList(TimePoint now, const std::vector<platform::Vm>& vms) {
-  vm_list_known_ = true;
-  std::vector<std::string> entries;
-  for (const platform::Vm& vm : vms) {
-    if (vm.role == "entry" && vm.state == platform::VmState::kLive) {
-      entries.push_back(vm.name);
-    }
-  }
-  shards_.SetEntries(now, entries);
-  for (const platform::Vm& vm : vms) {
-    if (vm.role != "sidecar") continue;
-    BackendServer& server = servers_[vm.name];
-    if (!server.id) {
-      server.id = BackendServerId(++last_id_);
-      server.name = vm.name;
-      server.availability_zone = vm.availability_zone;
-      server.target = vm.target;
-      peers_[PeerId(server.id.value())] = vm.name;
-    }
-    if (server.address != vm.address) {
-      const PeerId peer(server.id.value());
-      if (!server.address.empty()) ports_.wire(wire::DisconnectCommand{peer});
-      server.address = vm.address;
-      ports_.wire(wire::ConnectCommand{peer, vm.address});
-    }
-    if (vm.state == platform::VmState::kLeaving) {
-      server.leaving = true;
-      Reconsider(now, server);
-    }
-  }
-}
-
 void EntryNode::OnTick(TimePoint now) {
   runner_.OnTick(now);
-  ReadVmList(now);
-  WatchConfig(now);
+  fleet_.OnTick(now);
   shards_.Tick(now);
   batch_calls_.Tick(now);
   FillBatch(now);
-  if (now >= next_heartbeat_) {
-    next_heartbeat_ = now + settings_.node.heartbeat_period / 2;
-    wire::SetHeartbeatCommand command;
-    command.heartbeat.set_leaving(draining_);
-    ports_.wire(std::move(command));
-  }
   if (draining_ && accepting_ &&
       now >= drain_began_ + settings_.node.drain_notice) {
     accepting_ = false;
@@ -442,11 +271,13 @@
   drain_began_ = now;
   LogInfo("drain_began", {{"open", runner_.open_requests()}});
   shards_.Release(now);
+  fleet_.BeginLeaving();
 }
 
 TimePoint EntryNode::NextWake() const {
-  return std::min({runner_.NextWake(), batch_calls_.NextWake(), next_heartbeat_,
-                   MonotonicNow() + kIdleWake});
+  const TimePoint now = MonotonicNow();
+  return std::min({runner_.NextWake(), batch_calls_.NextWake(),
+                   fleet_.NextWake(now), now + kIdleWake});
 }
 
 bool EntryNode::Drained(TimePoint now) const {
@@ -473,20 +304,13 @@
   if (path == "/healthz") {
     ports_.admin(TextResponse(exchange, kOk, "ok\n"));
   } else if (path == "/readyz") {
-    const bool ready = vm_list_known_ && !draining_;
-    const char* reason = draining_ ? "draining\n" : "fleet not known yet\n";
+    const bool ready = fleet_.ready() && !draining_;
+    const char* reason =
+        draining_ ? "draining\n" : "fleet or configuration not known yet\n";
     ports_.admin(TextResponse(exchange, ready ? kOk : kUnavailable,
                               ready ? "ready\n" : reason));
   } else if (path == "/metrics") {
-    metrics_.Set("knap_entry_open_requests",
-                 static_cast<double>(runner_.open_requests()));
-    std::map<BackendServerState, double> counts;
-    for (const auto& [name, server] : servers_) ++counts[server.state];
-    for (const auto& [state, count] : counts) {
-      metrics_.Set("knap_entry_backend_servers", count,
-                   {std::string(NameOf(state))});
-    }
-    ports_.admin(TextResponse(exchange, kOk, metrics_.Render()));
+    ports_.admin(TextResponse(exchange, kOk, MetricsText()));
   } else if (path == "/status") {
     ports_.admin(JsonResponse(exchange, kOk, StatusJson()));
   } else if (path == "/timeline") {
@@ -500,31 +324,37 @@
   }
 }
 
+std::string EntryNode::MetricsText() {
+  metrics_.Set("knap_entry_open_requests",
+               static_cast<double>(runner_.open_requests()));
+  for (const auto& [state, count] : fleet_.CountByState()) {
+    metrics_.Set("knap_entry_backend_servers", count,
+                 {std::string(NameOf(state))});
+  }
+  return metrics_.Render();
+}
+
 std::string EntryNode::StatusJson() const {
-  json::array servers;
-  for (const auto& [name, server] : servers_) {
-    servers.push_back({{"name", name},
-                       {"target", server.target},
-                       {"availability_zone", server.availability_zone},
-                       {"state", NameOf(server.state)},
-                       {"load",
-                        {{"slots", server.load.slots()},
-                         {"online_running", server.load.online_running()},
-                         {"online_waiting", server.load.online_waiting()},
-                         {"batch_running", server.load.batch_running()},
-                         {"batch_waiting", server.load.batch_waiting()}}}});
+  json::array quarantine;
+  for (const auto& [fingerprint, until] : runner_.Quarantined()) {
+    quarantine.push_back(
+        {{"fingerprint", HexOf(fingerprint)},
+         {"remaining_ms", ToMillis(Remaining(until, MonotonicNow()))}});
   }
-  return json::serialize(
-      json::value{{"node", settings_.node.name},
-                  {"role", "entry"},
-                  {"availability_zone", settings_.node.availability_zone},
-                  {"incarnation", HexOf(incarnation_)},
-                  {"draining", draining_},
-                  {"open_requests", runner_.open_requests()},
-                  {"config_revision", catalog_.revision()},
-                  {"config_digest", HexOf(catalog_.digest())},
-                  {"backend_servers", std::move(servers)},
-                  {"shards", ShardsJson()}});
+  json::object status{{"node", settings_.node.name},
+                      {"role", "entry"},
+                      {"availability_zone", settings_.node.availability_zone},
+                      {"incarnation", HexOf(incarnation_)},
+                      {"draining", draining_},
+                      {"ready", fleet_.ready()},
+                      {"open_requests", runner_.open_requests()},
+                      {"backend_servers", fleet_.ServersJson()},
+                      {"shards", ShardsJson()},
+                      {"policies", fleet_.PoliciesJson()},
+                      {"refused_objects", fleet_.RefusedJson()},
+                      {"quarantine", std::move(quarantine)}};
+  fleet_.AddConfigStatus(status);
+  return json::serialize(status);
 }
 
 json::array EntryNode::ShardsJson() const {
@@ -547,7 +377,7 @@
   const json::value head{{"node", settings_.node.name},
                          {"wall_clock_nanos", WallClockNanos()},
                          {"last", timeline_.last_sequence()},
-                         {"peers", json::array()}};
+                         {"peers", fleet_.PeersJson()}};
   std::string text = json::serialize(head);
   text.pop_back();
   return text + ",\"events\":" + timeline_.EventsJson(after, kTimelinePage) +
--- a/libs/node/src/entry_node.h
+++ b/libs/node/src/entry_node.h
@@ -10,23 +10,21 @@
 #include <vector>
 
 #include "api_error.h"
-#include "backend_server.h"
 #include "base/id.h"
 #include "base/time.h"
 #include "batch_calls.h"
 #include "batch_items.h"
 #include "caller_identity.h"
 #include "completion_request.h"
+#include "entry_fleet.h"
 #include "entry_ports.h"
 #include "http/server_event.h"
 #include "node/entry_node_settings.h"
-#include "objects/catalog.h"
 #include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "online_calls.h"
 #include "platform/store_answer.h"
 #include "platform_calls.h"
-#include "policy_view.h"
 #include "request_runner.h"
 #include "service_calls.h"
 #include "shard_set.h"
@@ -39,7 +37,8 @@
 // answers callers and operators.
 class EntryNode {
  public:
-  EntryNode(const EntryNodeSettings& settings, uint64_t seed, EntryPorts ports);
+  EntryNode(const EntryNodeSettings& settings, uint64_t seed, TimePoint now,
+            EntryPorts ports);
 
   // Commands.
   void OnCallers(TimePoint now, http::ServerEvent&& event);
@@ -65,21 +64,11 @@
                     const ApiError& error);
   CallerIdentity IdentityOf(const http::RequestEvent& request);
   TimePoint DeadlineOf(const http::RequestEvent& request) const;
-  bool Serves(const std::string& target) const;
   void PassOnEvents(TimePoint now);
   void FillBatch(TimePoint now);
 
-  void ReadVmList(TimePoint now);
-  void WatchConfig(TimePoint now);
-  void OnConfig(TimePoint now, const platform::StoreAnswer& answer);
-  void OnVmList(TimePoint now, const std::vector<platform::Vm>& vms);
-  void OnHeartbeat(TimePoint now, BackendServer& server,
-                   const pb::Heartbeat& heartbeat);
-  void Reconsider(TimePoint now, BackendServer& server);
-  void Enlist(TimePoint now, BackendServer& server);
-  BackendServer* FindServer(PeerId peer);
-
   void AnswerAdmin(TimePoint now, const http::RequestEvent& request);
+  std::string MetricsText();
   std::string StatusJson() const;
   boost::json::array ShardsJson() const;
   std::string TimelineJson(uint64_t after) const;
@@ -89,10 +78,9 @@
   uint64_t incarnation_;
   observe::Metrics metrics_;
   observe::Timeline timeline_;
-  objects::Catalog catalog_;
-  PolicyView policies_;
   PlatformCalls platform_;
   RequestRunner runner_;
+  EntryFleet fleet_;
   OnlineCalls online_;
   ServiceCalls services_;
   ShardSet shards_;
@@ -101,16 +89,7 @@
   // Calls in progress, both ways.
   std::unordered_map<ExchangeId, RequestId> exchanges_;
   std::unordered_map<RequestId, ExchangeId> exchange_of_;
-  std::map<std::string, BackendServer> servers_;  // by VM name
-  std::unordered_map<PeerId, std::string> peers_;
   uint64_t last_id_ = 0;
-  bool reading_vm_list_ = false;
-  TimePoint next_vm_list_;
-  bool watching_ = false;
-  TimePoint next_watch_;
-  uint64_t config_revision_ = 0;
-  TimePoint next_heartbeat_;
-  bool vm_list_known_ = false;
   bool draining_ = false;
   bool accepting_ = true;
   TimePoint drain_began_;
--- a/libs/node/src/entry_node_settings.cc
+++ b/libs/node/src/entry_node_settings.cc
@@ -94,6 +94,21 @@
                 &settings->vm_list_period, 50, 600'000);
   schema.Millis("platform.watch_wait", "How long one watch call waits.",
                 &settings->watch_wait, 100, 600'000);
+  schema.Millis("platform.watch_gap",
+                "Between two watches of one relay: bounds its calls when "
+                "changes are many.",
+                &settings->watch_gap, 0, 60'000);
+  schema.Integer("fleet.relays", "entries",
+                 "Entries of each availability zone that watch the platform.",
+                 &settings->relays, 1, 64);
+  schema.Integer("fleet.servers_per_target", "backend servers",
+                 "Backend servers of one model or service that this entry "
+                 "connects to; 0: all.",
+                 &settings->servers_per_target, 0, 10'000);
+  schema.Millis("fleet.forget_after",
+                "A VM that is absent from the list for this long and not "
+                "connected is forgotten.",
+                &settings->forget_after, 100, 86'400'000);
   schema.Millis("platform.deadline", "Deadline of one other call.",
                 &settings->platform_deadline, 50, 60'000);
   BindBatch(schema, settings);
--- a/libs/node/src/entry_process.cc
+++ b/libs/node/src/entry_process.cc
@@ -31,7 +31,7 @@
   explicit EntryProcess(const EntryNodeSettings& settings)
       : settings_(settings),
         seed_(ProcessSeed()),
-        node_(settings, seed_, MakePorts()),
+        node_(settings, seed_, MonotonicNow(), MakePorts()),
         loop_(decisions_.io(), node_, [this] { AfterStep(); }),
         signals_(decisions_.io(), SIGTERM, SIGINT) {}
 
--- a/libs/node/src/policy_view.cc
+++ b/libs/node/src/policy_view.cc
@@ -24,31 +24,11 @@
              policy.targets.end();
 }
 
-// A policy that names no traffic sets only the sharing on its engines.
-bool SelectsTraffic(const objects::Policy& policy) {
-  const objects::Selector& selector = policy.traffic;
-  return !policy.targets.empty() || !selector.match.empty() ||
-         !selector.in.empty() || !selector.not_in.empty() ||
-         !selector.exists.empty();
-}
-
 }  // namespace
 
-const objects::Policy* PolicyView::TrafficPolicy(
-    std::string_view workspace, std::string_view target) const {
-  std::vector<const objects::Policy*> policies;
-  for (const auto& [name, policy] : catalog_.policies()) {
-    if (SelectsTraffic(policy)) policies.push_back(&policy);
-  }
-  const auto object = catalog_.workspaces().find(workspace);
-  const bool known = object != catalog_.workspaces().end();
-  return objects::WinningPolicy(
-      policies, known ? object->second.labels : objects::Labels(), target);
-}
-
 TrafficRoute PolicyView::RouteOf(std::string_view workspace,
                                  std::string_view target) const {
-  const objects::Policy* policy = TrafficPolicy(workspace, target);
+  const objects::Policy* policy = catalog_.WinningPolicy(workspace, target);
   if (policy == nullptr) {
     return {std::string(target), std::string(kNoPolicy), PoolName(target, "")};
   }
--- a/libs/node/src/policy_view.h
+++ b/libs/node/src/policy_view.h
@@ -8,7 +8,6 @@
 #include "decide/sharing_policy.h"
 #include "objects/catalog.h"
 #include "objects/engine.h"
-#include "objects/policy.h"
 #include "traffic_route.h"
 
 namespace knapweedstile::node {
@@ -17,11 +16,6 @@
 // to, and the pools that a backend server belongs to. A pool is one target
 // under one policy; the pool without a policy holds every server of the target.
 //
-// A policy that selects traffic binds that traffic to the engines it selects. A
-// policy that selects none sets only how its engines are shared. Without that
-// difference, moving engines one by one from an old policy to a new one would
-// send all the traffic to the first engine moved.
-//
 // A VM without an engine object counts as an engine that has only the built-in
 // labels `vm`, `availability_zone` and `target`; an engine object adds its own.
 class PolicyView {
@@ -39,8 +33,6 @@
                                   std::string_view target) const;
 
  private:
-  const objects::Policy* TrafficPolicy(std::string_view workspace,
-                                       std::string_view target) const;
   objects::Engine EngineOf(std::string_view vm,
                            std::string_view availability_zone,
                            std::string_view target) const;
--- a/libs/node/src/sidecar_node.cc
+++ b/libs/node/src/sidecar_node.cc
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "config_apply.h"
 #include "decide/request_info.h"
 
 namespace knapweedstile::node {
@@ -49,12 +50,16 @@
 }  // namespace
 
 SidecarNode::SidecarNode(const SidecarNodeSettings& settings, uint64_t seed,
-                         Ports ports)
+                         TimePoint now, Ports ports)
     : settings_(settings),
       ports_(std::move(ports)),
       incarnation_(seed),
       gate_(settings.gate, seed),
-      timeline_(settings.node.timeline_events) {
+      timeline_(settings.node.timeline_events),
+      policies_(catalog_),
+      spread_(fleet::SpreadSettings(),
+              {settings.node.name, settings.node.availability_zone, false},
+              seed, now) {
   metrics_.DeclareCounter("knap_sidecar_requests_total",
                           "Requests by class and how they ended here.",
                           {"class", "end"});
@@ -80,11 +85,70 @@
                  std::get_if<wire::StreamClosedEvent>(&event)) {
     Drop(now, closed->stream);
   } else if (const auto* up = std::get_if<wire::PeerUpEvent>(&event)) {
-    LogInfo("peer_up", {{"peer", up->hello.node()}});
+    OnPeerUp(now, *up);
   } else if (const auto* down = std::get_if<wire::PeerDownEvent>(&event)) {
-    LogInfo("peer_down", {{"reason", NameOf(down->reason)}});
+    OnPeerDown(now, *down);
+  } else if (const auto* control = std::get_if<wire::ControlEvent>(&event)) {
+    OnControl(now, *control);
   }
   Perform(now);
+  PerformSpread(now);
+}
+
+void SidecarNode::OnPeerUp(TimePoint now, const wire::PeerUpEvent& event) {
+  LogInfo("peer_up", {{"node", event.hello.node()}});
+  spread_.OnPeerUp(now, event.peer, event.hello, spread_actions_);
+}
+
+void SidecarNode::OnPeerDown(TimePoint now, const wire::PeerDownEvent& event) {
+  LogInfo("peer_down", {{"reason", NameOf(event.reason)}});
+  spread_.OnPeerDown(now, event.peer, spread_actions_);
+}
+
+void SidecarNode::OnControl(TimePoint now, const wire::ControlEvent& event) {
+  if (event.control.has_heartbeat()) {
+    const pb::Heartbeat& heartbeat = event.control.heartbeat();
+    spread_.OnHeartbeat(now, event.peer, heartbeat, spread_actions_);
+    for (const pb::QuarantineNotice& notice : heartbeat.quarantine()) {
+      TimePoint& until = quarantine_[notice.fingerprint()];
+      until = std::max(until,
+                       now + std::chrono::milliseconds(notice.remaining_ms()));
+    }
+  } else if (event.control.has_config_request()) {
+    spread_.OnRequest(event.peer, event.control.config_request(),
+                      spread_actions_);
+  } else if (event.control.has_config_delta()) {
+    spread_.OnDelta(now, event.peer, event.control.config_delta(),
+                    spread_actions_);
+  }
+}
+
+void SidecarNode::PerformSpread(TimePoint now) {
+  for (auto& action : std::exchange(spread_actions_, {})) {
+    if (auto* send = std::get_if<fleet::SendConfigAction>(&action)) {
+      ports_.wire(
+          wire::SendControlCommand{send->peer, std::move(send->control)});
+    } else if (const auto* adopted =
+                   std::get_if<fleet::AdoptedAction>(&action)) {
+      Adopt(now, *adopted);
+    }
+    // A sidecar has no platform to watch and connects to nobody.
+  }
+}
+
+void SidecarNode::Adopt(TimePoint now, const fleet::AdoptedAction& action) {
+  ApplyAll(catalog_, action.objects);
+  const decide::SharingPolicy policy = policies_.SharingOf(
+      settings_.node.name, settings_.node.availability_zone, settings_.target);
+  if (policy.name != policy_.name || policy.revision != policy_.revision) {
+    LogInfo("policy_in_force",
+            {{"policy", policy.name}, {"sharing", NameOf(policy.kind)}});
+    Record("policy_in_force", "", policy.name);
+    policy_ = policy;
+    gate_.OnPolicy(now, policy_, actions_);
+    Perform(now);
+  }
+  PublishHeartbeat(now);
 }
 
 void SidecarNode::Take(TimePoint now, wire::StreamOpenedEvent&& event) {
@@ -354,6 +418,10 @@
 void SidecarNode::OnTick(TimePoint now) {
   gate_.OnTick(now, actions_);
   Perform(now);
+  spread_.OnTick(now, spread_actions_);
+  PerformSpread(now);
+  std::erase_if(quarantine_,
+                [&](const auto& entry) { return entry.second <= now; });
   if (now >= next_probe_) Probe(now);
   if (now >= next_heartbeat_) PublishHeartbeat(now);
 }
@@ -413,7 +481,8 @@
 }
 
 TimePoint SidecarNode::NextWake() const {
-  return std::min({gate_.NextWake(), next_probe_, next_heartbeat_});
+  return std::min({gate_.NextWake(), spread_.NextWake(MonotonicNow()),
+                   next_probe_, next_heartbeat_});
 }
 
 pb::Load SidecarNode::LoadNow(TimePoint now) const {
@@ -435,6 +504,12 @@
   command.heartbeat.set_leaving(draining_);
   command.heartbeat.set_backend_server_healthy(healthy_);
   *command.heartbeat.mutable_load() = LoadNow(now);
+  spread_.Announce(command.heartbeat);
+  for (const auto& [fingerprint, until] : quarantine_) {
+    pb::QuarantineNotice& notice = *command.heartbeat.add_quarantine();
+    notice.set_fingerprint(fingerprint);
+    notice.set_remaining_ms(ToMillis(Remaining(until, now)));
+  }
   ports_.wire(std::move(command));
 }
 
@@ -490,6 +565,8 @@
                   {"draining", draining_},
                   {"backend_server_healthy", healthy_},
                   {"policy", policy_.name},
+                  {"config_revision", spread_.store().revision()},
+                  {"config_digest", HexOf(spread_.store().digest())},
                   {"load",
                    {{"slots", load.slots},
                     {"online_running", load.online_running},
--- a/libs/objects/include/objects/policy_order.h
+++ b/libs/objects/include/objects/policy_order.h
@@ -22,6 +22,13 @@
 // the same request differently.
 bool Wins(const Policy& a, const Policy& b);
 
+// True when the policy names any traffic: conditions on the workspace's labels,
+// or targets. One that names none sets only the sharing of its engines.
+//
+// Without that difference, moving engines one by one from an old policy to a
+// new one would send all the traffic to the first engine moved.
+bool SelectsTraffic(const Policy& policy);
+
 // True when the policy takes this traffic.
 bool TakesTraffic(const Policy& policy, const Labels& workspace_labels,
                   std::string_view target);
--- a/libs/objects/src/policy_order.cc
+++ b/libs/objects/src/policy_order.cc
@@ -40,6 +40,7 @@
 
 bool ShareTraffic(const Policy& a, const Policy& b,
                   const std::vector<const Workspace*>& workspaces) {
+  if (!SelectsTraffic(a) || !SelectsTraffic(b)) return false;
   if (!ShareTarget(a, b)) return false;
   return std::any_of(workspaces.begin(), workspaces.end(),
                      [&](const Workspace* workspace) {
@@ -67,9 +68,16 @@
   return a.name < b.name;
 }
 
+bool SelectsTraffic(const Policy& policy) {
+  const Selector& traffic = policy.traffic;
+  return !policy.targets.empty() || !traffic.match.empty() ||
+         !traffic.in.empty() || !traffic.not_in.empty() ||
+         !traffic.exists.empty();
+}
+
 bool TakesTraffic(const Policy& policy, const Labels& workspace_labels,
                   std::string_view target) {
-  return ServesTarget(policy, target) &&
+  return SelectsTraffic(policy) && ServesTarget(policy, target) &&
          Matches(policy.traffic, workspace_labels);
 }
 
