Fleet: a node with nothing to do sleeps

Cause: ConfigSpread::NextWake gave the next watch's time also for nodes that never watch; it stood in the past, so each sidecar's decision thread spun (top: 50 to 100% of a core for each of four idle sidecars; a demo run took 3m17s of system time). Change: the next watch counts only for nodes that watch, and only when it is to come.

--- a/libs/fleet/src/config_spread.cc
+++ b/libs/fleet/src/config_spread.cc
@@ -403,7 +403,10 @@
 TimePoint ConfigSpread::NextWake(TimePoint now) const {
   TimePoint wake = now + kIdleWake;
   if (pull_) wake = std::min(wake, pull_->deadline);
-  if (!watching_) wake = std::min(wake, std::max(next_watch_, now));
+  // Only a node that watches, and only a time to come: a time that has passed
+  // would make the thread spin instead of sleep.
+  const bool watches = self_.entry && !watching_ && (relay_ || isolated_);
+  if (watches && next_watch_ > now) wake = std::min(wake, next_watch_);
   return wake;
 }
 
