--- a/libs/decide/src/entry_pool.h
+++ b/libs/decide/src/entry_pool.h
@@ -26,7 +26,8 @@
 // What the entry holds for one target: the servers it may use, who waits for
 // them, and what has been measured.
 struct EntryPool {
-  EntryPool(const EntryRules& rules, uint64_t seed) : router(rules, seed) {}
+  EntryPool(const EntrySettings& settings, uint64_t seed)
+      : router(settings, seed) {}
 
   Router router;
   FairQueue online;
--- a/libs/decide/src/entry_scheduler.cc
+++ b/libs/decide/src/entry_scheduler.cc
@@ -35,8 +35,8 @@
                                        std::vector<std::string> targets,
                                        std::string availability_zone,
                                        std::vector<EntryAction>& actions) {
-  impl_->OnBackendServerUp(now, id, std::move(targets), availability_zone,
-                           actions);
+  impl_->OnBackendServerUp(now, id, std::move(targets),
+                           std::move(availability_zone), actions);
 }
 
 void EntryScheduler::OnBackendServerLeaving(TimePoint now, BackendServerId id) {
--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -509,17 +509,17 @@
   Dispatch(now, request, *server, actions);
 }
 
-void EntryScheduler::Impl::OnBackendServerUp(
-    TimePoint now, BackendServerId id, std::vector<std::string> targets,
-    const std::string& availability_zone, Actions& actions) {
+void EntryScheduler::Impl::OnBackendServerUp(TimePoint now, BackendServerId id,
+                                             std::vector<std::string> targets,
+                                             std::string availability_zone,
+                                             Actions& actions) {
   now_ = now;
   const auto [place, added] = servers_.try_emplace(id, id, now);
   RouterServer& server = place->second;
   if (!added && !server.gone()) LeavePools(server);
   if (!server.in()) server.ComeUp(now);
   server.set_gone(false);
-  server.Describe(std::move(targets),
-                  availability_zone == settings_.availability_zone);
+  server.Describe(std::move(targets), std::move(availability_zone));
   JoinPools(server);
   PumpAllOf(now, server, actions);
 }
@@ -568,8 +568,8 @@
 
 void EntryScheduler::Impl::OnTick(TimePoint now, Actions& actions) {
   now_ = now;
-  while (!wakes_.empty() && wakes_.begin()->first <= now) {
-    EntryRequest& request = requests_.at(wakes_.begin()->second);
+  while (!wakes_.empty() && wakes_.begin()->at <= now) {
+    EntryRequest& request = requests_.at(wakes_.begin()->request);
     SetWake(request, kNever);
     OnWake(now, request, actions);
   }
@@ -605,11 +605,11 @@
   if (request.wake == wake) return;
   if (request.wake != kNever) wakes_.erase({request.wake, request.info.id});
   request.wake = wake;
-  if (wake != kNever) wakes_.emplace(wake, request.info.id);
+  if (wake != kNever) wakes_.insert({wake, request.info.id});
 }
 
 TimePoint EntryScheduler::Impl::NextWake() const {
-  const TimePoint first = wakes_.empty() ? kNever : wakes_.begin()->first;
+  const TimePoint first = wakes_.empty() ? kNever : wakes_.begin()->at;
   return std::min(first, poll_at_);
 }
 
@@ -655,7 +655,7 @@
 EntryPool& EntryScheduler::Impl::PoolFor(const std::string& target) {
   const auto found = pools_.find(target);
   if (found != pools_.end()) return found->second;
-  return pools_.try_emplace(target, settings_.rules, rng_()).first->second;
+  return pools_.try_emplace(target, settings_, rng_()).first->second;
 }
 
 }  // namespace knapweedstile::decide
--- a/libs/decide/src/entry_scheduler_impl.h
+++ b/libs/decide/src/entry_scheduler_impl.h
@@ -34,8 +34,7 @@
                       TimePoint come_back_at, Actions& actions);
   void OnBackendServerUp(TimePoint now, BackendServerId id,
                          std::vector<std::string> targets,
-                         const std::string& availability_zone,
-                         Actions& actions);
+                         std::string availability_zone, Actions& actions);
   void OnBackendServerLeaving(TimePoint now, BackendServerId id);
   void OnBackendServerDown(TimePoint now, BackendServerId id);
   void OnLoad(TimePoint now, BackendServerId id, const LoadReport& load,
@@ -55,6 +54,15 @@
     bool first_output = false;
   };
 
+  struct Wake {
+    TimePoint at;
+    RequestId request;
+    friend bool operator<(const Wake& a, const Wake& b) {
+      if (a.at != b.at) return a.at < b.at;
+      return a.request.value() < b.request.value();
+    }
+  };
+
   // Admission. A reason when the request is refused at once.
   std::optional<RefusalReason> RefusesOnArrival(TimePoint now,
                                                 const EntryPool& pool,
@@ -114,7 +122,7 @@
   std::unordered_map<AttemptId, Attempt> attempts_;
   std::unordered_map<BackendServerId, RouterServer> servers_;
   std::unordered_map<std::string, EntryPool> pools_;
-  std::set<std::pair<TimePoint, RequestId>> wakes_;
+  std::set<Wake> wakes_;
   uint64_t last_attempt_ = 0;
   TimePoint now_;  // of the latest event, for queries
   TimePoint poll_at_ = kNever;
--- a/libs/decide/src/router.cc
+++ b/libs/decide/src/router.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
+#include "decide/entry_settings.h"
 #include "router_server.h"
 
 namespace knapweedstile::decide {
@@ -25,8 +25,8 @@
 
 }  // namespace
 
-Router::Router(const EntryRules& rules, uint64_t seed)
-    : rules_(rules), rng_(seed) {}
+Router::Router(const EntrySettings& settings, uint64_t seed)
+    : rules_(settings.rules), zone_(settings.availability_zone), rng_(seed) {}
 
 void Router::Add(RouterServer* server) { servers_.push_back(server); }
 
@@ -118,9 +118,10 @@
 }
 
 double Router::Score(TimePoint now, const RouterServer& server) const {
-  const double load = LoadOf(now, server, TrafficClass::kOnline) +
-                      kBatchWeight * LoadOf(now, server, TrafficClass::kBatch) +
-                      (server.same_zone() ? 0 : kOtherZoneCost);
+  const double load =
+      LoadOf(now, server, TrafficClass::kOnline) +
+      kBatchWeight * LoadOf(now, server, TrafficClass::kBatch) +
+      (server.availability_zone() == zone_ ? 0 : kOtherZoneCost);
   return (load + 1) / server.UsableSlots(now, rules_.slow_start);
 }
 
--- a/libs/decide/src/router.h
+++ b/libs/decide/src/router.h
@@ -5,17 +5,19 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "base/id.h"
 #include "base/rng.h"
 #include "base/time.h"
 #include "base/traffic_class.h"
-#include "decide/entry_rules.h"
 
 namespace knapweedstile::decide {
 
 class RouterServer;
+struct EntryRules;
+struct EntrySettings;
 
 // One request as the router sees it.
 struct RouterRequest {
@@ -36,7 +38,7 @@
 // candidates, the less loaded one taken, avoids both (Mitzenmacher 2001).
 class Router {
  public:
-  Router(const EntryRules& rules, uint64_t seed);
+  Router(const EntrySettings& settings, uint64_t seed);
 
   // Commands.
   void Add(RouterServer* server);
@@ -75,6 +77,7 @@
   RouterServer* TakeTurn(TimePoint now, const RouterRequest& request);
 
   const EntryRules& rules_;
+  const std::string& zone_;
   Rng rng_;
   std::vector<RouterServer*> servers_;
   std::vector<Candidate> candidates_;  // kept to avoid allocation
--- a/libs/decide/src/router_server.cc
+++ b/libs/decide/src/router_server.cc
@@ -27,9 +27,10 @@
       up_since_(now),
       closed_until_(TimePoint::min()) {}
 
-void RouterServer::Describe(std::vector<std::string> targets, bool same_zone) {
+void RouterServer::Describe(std::vector<std::string> targets,
+                            std::string availability_zone) {
   targets_ = std::move(targets);
-  same_zone_ = same_zone;
+  zone_ = std::move(availability_zone);
 }
 
 void RouterServer::ComeUp(TimePoint now) {
--- a/libs/decide/src/router_server.h
+++ b/libs/decide/src/router_server.h
@@ -21,7 +21,8 @@
   RouterServer(BackendServerId id, TimePoint now);
 
   // Commands.
-  void Describe(std::vector<std::string> targets, bool same_zone);
+  void Describe(std::vector<std::string> targets,
+                std::string availability_zone);
   void ComeUp(TimePoint now);
   void Leave() noexcept { in_ = false; }
   void OnLoad(const LoadReport& load);
@@ -40,7 +41,7 @@
   const std::vector<std::string>& targets() const noexcept { return targets_; }
   bool in() const noexcept { return in_; }
   bool gone() const noexcept { return gone_; }
-  bool same_zone() const noexcept { return same_zone_; }
+  const std::string& availability_zone() const noexcept { return zone_; }
   bool isolating() const noexcept { return isolating_; }
   bool Open(TimePoint now) const noexcept {
     return in_ && !isolating_ && now >= closed_until_;
@@ -68,7 +69,7 @@
 
   BackendServerId id_;
   std::vector<std::string> targets_;
-  bool same_zone_ = false;
+  std::string zone_;
   bool in_ = true;
   bool isolating_ = false;
   bool gone_ = false;
