--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -166,7 +166,7 @@
   EntryRequest& request = requests_.at(attempt.request);
   request.first_output = true;
   if (IsOnline(request)) {
-    request.pool->first_output_times.OnFirstOutput(now - attempt.started);
+    NoteFirstOutput(now, attempt, *request.pool);
   }
   SetWake(request, kNever);
   if (request.attempts.size() < 2) return;
@@ -216,9 +216,14 @@
   if (!IsOnline(request)) return;
   pool.budget.OnSuccess();
   pool.admission.OnServed(now - attempt.started);
-  if (!attempt.first_output) {
-    pool.first_output_times.OnFirstOutput(now - attempt.started);
-  }
+  if (!attempt.first_output) NoteFirstOutput(now, attempt, pool);
+}
+
+void EntryScheduler::Impl::NoteFirstOutput(TimePoint now,
+                                           const Attempt& attempt,
+                                           EntryPool& pool) {
+  pool.first_output_times.OnFirstOutput(now - attempt.started);
+  pool.router.OnFirstOutput(now, *attempt.server, now - attempt.started);
 }
 
 void EntryScheduler::Impl::OnNotAnswered(TimePoint now, AttemptOutcome outcome,
@@ -489,9 +494,8 @@
   actions.push_back(DispatchAction{request.info.id, id, server.id()});
   TimePoint wake = request.info.deadline;
   const auto hedge_after = pool.first_output_times.hedge_after();
-  const bool may_hedge = settings_.rules.hedges && IsOnline(request) &&
-                         request.info.idempotent && !request.suspect &&
-                         !request.hedged;
+  const bool may_hedge = IsOnline(request) && request.info.idempotent &&
+                         !request.suspect && !request.hedged;
   if (may_hedge && hedge_after) wake = std::min(wake, now + *hedge_after);
   SetWake(request, wake);
 }
@@ -499,6 +503,8 @@
 void EntryScheduler::Impl::Hedge(TimePoint now, EntryRequest& request,
                                  Actions& actions) {
   EntryPool& pool = *request.pool;
+  RequireInvariant(request.attempts.size() == 1, "one attempt is hedged");
+  pool.router.OnLate(now, *attempts_.at(request.attempts[0]).server);
   request.hedged = true;
   SetWake(request, request.info.deadline);
   RouterServer* server = pool.router.Choose(
--- a/libs/decide/src/entry_scheduler_impl.h
+++ b/libs/decide/src/entry_scheduler_impl.h
@@ -86,6 +86,8 @@
 
   // Ends of attempts and requests.
   void OnAnswered(TimePoint now, const Attempt& attempt, EntryRequest& request);
+  static void NoteFirstOutput(TimePoint now, const Attempt& attempt,
+                              EntryPool& pool);
   void OnNotAnswered(TimePoint now, AttemptOutcome outcome,
                      EntryRequest& request, Actions& actions);
   bool MaySendAgain(TimePoint now, AttemptOutcome outcome,
--- a/libs/decide/src/router.cc
+++ b/libs/decide/src/router.cc
@@ -18,6 +18,23 @@
 // What another availability zone costs, in requests waiting: a round trip of
 // 3 ms against service times of 100 ms and more. Only breaks near ties.
 constexpr double kOtherZoneCost = 0.25;
+// A prefix stays on its home while that is loaded at most this much above the
+// mean (bounded loads: Mirrokni, Thorup, Zadimoghaddam 2018). To be measured.
+constexpr double kAffinityBound = 1.25;
+// Prefixes looked up for one prompt, longest first.
+constexpr size_t kMostLookups = 8;
+// At most one server in this many is left out for being slow: when more seem
+// slow the comparison is at fault, not the servers.
+constexpr size_t kServersPerEjection = 3;
+
+// A random-looking order of servers for each prefix. Entries agree on it when
+// they number the servers alike, as with ids made from the servers' names.
+uint64_t Mix(uint64_t prefix, BackendServerId server) {
+  uint64_t x = prefix ^ (server.value() * 0x9E3779B97F4A7C15ULL);
+  x = (x ^ (x >> 32)) * 0xD6E8FEB86659FD93ULL;
+  x = (x ^ (x >> 32)) * 0xD6E8FEB86659FD93ULL;
+  return x ^ (x >> 32);
+}
 
 bool Contains(std::span<const BackendServerId> ids, BackendServerId id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -39,6 +56,17 @@
 RouterServer* Router::Choose(TimePoint now, const RouterRequest& request) {
   if (!rules_.least_outstanding) return TakeTurn(now, request);
   CollectCandidates(now, request);
+  const bool by_prefix =
+      rules_.prefix_affinity && !request.prefix_hashes.empty();
+  RouterServer* server = by_prefix ? TakeByPrefix(now, request) : nullptr;
+  if (server == nullptr) server = TakeLessLoaded();
+  if (by_prefix && server != nullptr) {
+    prefixes_.Note(request.prefix_hashes, server->id());
+  }
+  return server;
+}
+
+RouterServer* Router::TakeLessLoaded() {
   if (candidates_.empty()) return nullptr;
   const size_t count = candidates_.size();
   const size_t first = UniformBelow(rng_, count);
@@ -49,6 +77,98 @@
   return a.score <= b.score ? a.server : b.server;
 }
 
+RouterServer* Router::TakeByPrefix(TimePoint now,
+                                   const RouterRequest& request) {
+  const auto& prefixes = request.prefix_hashes;
+  const size_t lookups = std::min(prefixes.size(), kMostLookups);
+  for (size_t i = 0; i < lookups; ++i) {
+    RouterServer* home =
+        TakeHome(now, request, prefixes[prefixes.size() - 1 - i]);
+    if (home != nullptr) return home;
+  }
+  return TakeByHash(prefixes.front());
+}
+
+RouterServer* Router::TakeHome(TimePoint now, const RouterRequest& request,
+                               uint64_t prefix) const {
+  for (const BackendServerId home : prefixes_.HomesOf(prefix)) {
+    if (!rules_.bounded_affinity) {
+      for (RouterServer* server : servers_) {
+        if (server->id() == home && Usable(now, *server) &&
+            !Contains(request.tried, home)) {
+          return server;
+        }
+      }
+      continue;
+    }
+    for (const Candidate& candidate : candidates_) {
+      if (candidate.server->id() != home) continue;
+      if (WithinBound(candidate)) return candidate.server;
+      break;
+    }
+  }
+  return nullptr;
+}
+
+RouterServer* Router::TakeByHash(uint64_t prefix) const {
+  RouterServer* best = nullptr;
+  uint64_t best_hash = 0;
+  for (const Candidate& candidate : candidates_) {
+    if (rules_.bounded_affinity && !WithinBound(candidate)) continue;
+    const uint64_t hash = Mix(prefix, candidate.server->id());
+    if (best != nullptr && hash <= best_hash) continue;
+    best = candidate.server;
+    best_hash = hash;
+  }
+  return best;
+}
+
+bool Router::WithinBound(const Candidate& candidate) const {
+  return candidate.score <= kAffinityBound * mean_score_;
+}
+
+bool Router::Usable(TimePoint now, const RouterServer& server) const {
+  if (!server.Open(now)) return false;
+  if (!rules_.slow_server_ejection) return true;
+  if (server.pace().Ejected(now)) return false;
+  return !server.pace().probing() || server.own() == 0;
+}
+
+void Router::OnFirstOutput(TimePoint now, RouterServer& server,
+                           Duration after) {
+  if (!rules_.slow_server_ejection) return;
+  const bool was_probing = server.pace().probing();
+  server.pace().OnFirstOutput(now, after, MeanOfPeers(server), MayEject(now));
+  // Back in: it takes its share again bit by bit.
+  if (was_probing && !server.pace().probing()) server.StartSlowly(now);
+}
+
+void Router::OnLate(TimePoint now, RouterServer& server) {
+  if (!rules_.slow_server_ejection) return;
+  server.pace().OnLate(now, MayEject(now));
+}
+
+bool Router::MayEject(TimePoint now) const {
+  const auto ejected = static_cast<size_t>(std::count_if(
+      servers_.begin(), servers_.end(), [now](const RouterServer* server) {
+        return server->pace().Ejected(now) || server->pace().probing();
+      }));
+  return (ejected + 1) * kServersPerEjection <= servers_.size();
+}
+
+std::optional<double> Router::MeanOfPeers(const RouterServer& server) const {
+  double sum = 0;
+  size_t count = 0;
+  for (const RouterServer* peer : servers_) {
+    const auto mean = peer->pace().mean_seconds();
+    if (peer == &server || !mean) continue;
+    sum += *mean;
+    ++count;
+  }
+  if (count == 0) return std::nullopt;
+  return sum / static_cast<double>(count);
+}
+
 RouterServer* Router::LeastOwn(TimePoint now,
                                std::span<const BackendServerId> tried) const {
   RouterServer* least = nullptr;
@@ -75,7 +195,7 @@
 bool Router::HasRoom(TimePoint now, TrafficClass traffic_class) const {
   return std::any_of(
       servers_.begin(), servers_.end(), [&](const RouterServer* server) {
-        if (!server->Open(now)) return false;
+        if (!Usable(now, *server)) return false;
         if (traffic_class == TrafficClass::kBatch) {
           return HasFreeSlot(now, *server, traffic_class);
         }
@@ -86,7 +206,7 @@
 size_t Router::FreeSlots(TimePoint now) const {
   double free = 0;
   for (const RouterServer* server : servers_) {
-    if (!server->Open(now)) continue;
+    if (!Usable(now, *server)) continue;
     const double used = LoadOf(now, *server, TrafficClass::kOnline) +
                         LoadOf(now, *server, TrafficClass::kBatch);
     free += std::max(0.0, server->UsableSlots(now, rules_.slow_start) - used);
@@ -94,18 +214,6 @@
   return static_cast<size_t>(free);
 }
 
-double Router::OnlineWindow(TimePoint now) const {
-  double window = 0;
-  for (const RouterServer* server : servers_) {
-    if (!server->in()) continue;
-    const double slots =
-        server->UsableSlots(now, rules_.slow_start) * (1 + kAheadShare);
-    const double others = server->others(TrafficClass::kOnline);
-    window += std::max(1.0, slots - others);
-  }
-  return window;
-}
-
 double Router::LoadOf(TimePoint now, const RouterServer& server,
                       TrafficClass traffic_class) const {
   double others = server.others(traffic_class);
@@ -147,8 +255,14 @@
 void Router::CollectCandidates(TimePoint now, const RouterRequest& request) {
   candidates_.clear();
   bool free_slot_seen = false;
+  double sum = 0;
+  size_t usable = 0;
   for (RouterServer* server : servers_) {
-    if (!server->Open(now) || Contains(request.tried, server->id())) continue;
+    if (!Usable(now, *server)) continue;
+    const double score = Score(now, *server);
+    sum += score;
+    ++usable;
+    if (Contains(request.tried, server->id())) continue;
     const bool free_slot = HasFreeSlot(now, *server, request.traffic_class);
     if (!free_slot) {
       const bool full = request.only_free_slot || free_slot_seen ||
@@ -158,14 +272,15 @@
       free_slot_seen = true;
       candidates_.clear();
     }
-    candidates_.push_back({server, Score(now, *server)});
+    candidates_.push_back({server, score});
   }
+  mean_score_ = usable == 0 ? 0 : sum / static_cast<double>(usable);
 }
 
 RouterServer* Router::TakeTurn(TimePoint now, const RouterRequest& request) {
   for (size_t i = 0; i < servers_.size(); ++i) {
     RouterServer* server = servers_[turn_++ % servers_.size()];
-    if (server->Open(now) && !Contains(request.tried, server->id())) {
+    if (Usable(now, *server) && !Contains(request.tried, server->id())) {
       return server;
     }
   }
--- a/libs/decide/src/router.h
+++ b/libs/decide/src/router.h
@@ -12,6 +12,7 @@
 #include "base/rng.h"
 #include "base/time.h"
 #include "base/traffic_class.h"
+#include "router_prefixes.h"
 
 namespace knapweedstile::decide {
 
@@ -45,6 +46,10 @@
   void Remove(BackendServerId id);
   // The server to send to, or none when all are busy, closed or tried.
   RouterServer* Choose(TimePoint now, const RouterRequest& request);
+  // First output of an attempt came `after` its dispatch.
+  void OnFirstOutput(TimePoint now, RouterServer& server, Duration after);
+  // An attempt there is later than nearly all answers of the target.
+  void OnLate(TimePoint now, RouterServer& server);
   // The open server on which this entry has least; none when all were tried.
   RouterServer* LeastOwn(TimePoint now,
                          std::span<const BackendServerId> tried) const;
@@ -57,8 +62,6 @@
   bool HasRoom(TimePoint now, TrafficClass traffic_class) const;
   // Free slots that batch could use now.
   size_t FreeSlots(TimePoint now) const;
-  // Online requests that can be with the servers at once, for this entry.
-  double OnlineWindow(TimePoint now) const;
 
  private:
   struct Candidate {
@@ -75,12 +78,24 @@
   bool MayTake(TimePoint now, const RouterServer& server) const;
   void CollectCandidates(TimePoint now, const RouterRequest& request);
   RouterServer* TakeTurn(TimePoint now, const RouterRequest& request);
+  RouterServer* TakeLessLoaded();
+  RouterServer* TakeByPrefix(TimePoint now, const RouterRequest& request);
+  RouterServer* TakeHome(TimePoint now, const RouterRequest& request,
+                         uint64_t prefix) const;
+  // The candidate that all entries would pick for a prefix unknown here.
+  RouterServer* TakeByHash(uint64_t prefix) const;
+  bool WithinBound(const Candidate& candidate) const;
+  bool Usable(TimePoint now, const RouterServer& server) const;
+  bool MayEject(TimePoint now) const;
+  std::optional<double> MeanOfPeers(const RouterServer& server) const;
 
   const EntryRules& rules_;
   const std::string& zone_;
   Rng rng_;
   std::vector<RouterServer*> servers_;
   std::vector<Candidate> candidates_;  // kept to avoid allocation
+  double mean_score_ = 0;  // over the usable servers, at the last choice
+  RouterPrefixes prefixes_;
   size_t turn_ = 0;
 };
 
--- a/libs/decide/src/router_server.cc
+++ b/libs/decide/src/router_server.cc
@@ -36,6 +36,7 @@
 void RouterServer::ComeUp(TimePoint now) {
   in_ = true;
   up_since_ = now;
+  pace_.Reset();
   closed_until_ = TimePoint::min();
   load_measured_at_ = TimePoint::min();
   online_.others = 0;
--- a/libs/decide/src/router_server.h
+++ b/libs/decide/src/router_server.h
@@ -9,6 +9,7 @@
 #include "base/time.h"
 #include "base/traffic_class.h"
 #include "router_own_attempts.h"
+#include "router_pace.h"
 
 namespace knapweedstile::decide {
 
@@ -36,7 +37,12 @@
   // Reported down: in no pool, kept while attempts to it are unreported.
   void set_gone(bool gone) noexcept { gone_ = gone; }
 
+  // As after coming up: full use only after a while.
+  void StartSlowly(TimePoint now) noexcept { up_since_ = now; }
+  RouterPace& pace() noexcept { return pace_; }
+
   // Queries.
+  const RouterPace& pace() const noexcept { return pace_; }
   BackendServerId id() const noexcept { return id_; }
   const std::vector<std::string>& targets() const noexcept { return targets_; }
   bool in() const noexcept { return in_; }
@@ -76,6 +82,7 @@
   uint32_t slots_;
   ClassLoad online_;
   ClassLoad batch_;
+  RouterPace pace_;
   TimePoint load_measured_at_;
   TimePoint up_since_;
   TimePoint closed_until_;
