--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -166,7 +166,7 @@
   EntryRequest& request = requests_.at(attempt.request);
   request.first_output = true;
   if (IsOnline(request)) {
-    request.pool->first_output_times.OnFirstOutput(now - attempt.started);
+    NoteFirstOutput(now, attempt, *request.pool);
   }
   SetWake(request, kNever);
   if (request.attempts.size() < 2) return;
@@ -216,9 +216,14 @@
   if (!IsOnline(request)) return;
   pool.budget.OnSuccess();
   pool.admission.OnServed(now - attempt.started);
-  if (!attempt.first_output) {
-    pool.first_output_times.OnFirstOutput(now - attempt.started);
-  }
+  if (!attempt.first_output) NoteFirstOutput(now, attempt, pool);
+}
+
+void EntryScheduler::Impl::NoteFirstOutput(TimePoint now,
+                                           const Attempt& attempt,
+                                           EntryPool& pool) {
+  pool.first_output_times.OnFirstOutput(now - attempt.started);
+  pool.router.OnFirstOutput(now, *attempt.server, now - attempt.started);
 }
 
 void EntryScheduler::Impl::OnNotAnswered(TimePoint now, AttemptOutcome outcome,
@@ -489,9 +494,8 @@
   actions.push_back(DispatchAction{request.info.id, id, server.id()});
   TimePoint wake = request.info.deadline;
   const auto hedge_after = pool.first_output_times.hedge_after();
-  const bool may_hedge = settings_.rules.hedges && IsOnline(request) &&
-                         request.info.idempotent && !request.suspect &&
-                         !request.hedged;
+  const bool may_hedge = IsOnline(request) && request.info.idempotent &&
+                         !request.suspect && !request.hedged;
   if (may_hedge && hedge_after) wake = std::min(wake, now + *hedge_after);
   SetWake(request, wake);
 }
@@ -499,6 +503,8 @@
 void EntryScheduler::Impl::Hedge(TimePoint now, EntryRequest& request,
                                  Actions& actions) {
   EntryPool& pool = *request.pool;
+  RequireInvariant(request.attempts.size() == 1, "one attempt is hedged");
+  pool.router.OnLate(now, *attempts_.at(request.attempts[0]).server);
   request.hedged = true;
   SetWake(request, request.info.deadline);
   RouterServer* server = pool.router.Choose(
@@ -509,17 +515,17 @@
   Dispatch(now, request, *server, actions);
 }
 
-void EntryScheduler::Impl::OnBackendServerUp(
-    TimePoint now, BackendServerId id, std::vector<std::string> targets,
-    const std::string& availability_zone, Actions& actions) {
+void EntryScheduler::Impl::OnBackendServerUp(TimePoint now, BackendServerId id,
+                                             std::vector<std::string> targets,
+                                             std::string availability_zone,
+                                             Actions& actions) {
   now_ = now;
   const auto [place, added] = servers_.try_emplace(id, id, now);
   RouterServer& server = place->second;
   if (!added && !server.gone()) LeavePools(server);
   if (!server.in()) server.ComeUp(now);
   server.set_gone(false);
-  server.Describe(std::move(targets),
-                  availability_zone == settings_.availability_zone);
+  server.Describe(std::move(targets), std::move(availability_zone));
   JoinPools(server);
   PumpAllOf(now, server, actions);
 }
@@ -568,8 +574,8 @@
 
 void EntryScheduler::Impl::OnTick(TimePoint now, Actions& actions) {
   now_ = now;
-  while (!wakes_.empty() && wakes_.begin()->first <= now) {
-    EntryRequest& request = requests_.at(wakes_.begin()->second);
+  while (!wakes_.empty() && wakes_.begin()->at <= now) {
+    EntryRequest& request = requests_.at(wakes_.begin()->request);
     SetWake(request, kNever);
     OnWake(now, request, actions);
   }
@@ -605,11 +611,11 @@
   if (request.wake == wake) return;
   if (request.wake != kNever) wakes_.erase({request.wake, request.info.id});
   request.wake = wake;
-  if (wake != kNever) wakes_.emplace(wake, request.info.id);
+  if (wake != kNever) wakes_.insert({wake, request.info.id});
 }
 
 TimePoint EntryScheduler::Impl::NextWake() const {
-  const TimePoint first = wakes_.empty() ? kNever : wakes_.begin()->first;
+  const TimePoint first = wakes_.empty() ? kNever : wakes_.begin()->at;
   return std::min(first, poll_at_);
 }
 
@@ -655,7 +661,7 @@
 EntryPool& EntryScheduler::Impl::PoolFor(const std::string& target) {
   const auto found = pools_.find(target);
   if (found != pools_.end()) return found->second;
-  return pools_.try_emplace(target, settings_.rules, rng_()).first->second;
+  return pools_.try_emplace(target, settings_, rng_()).first->second;
 }
 
 }  // namespace knapweedstile::decide
--- a/libs/decide/src/router_server.cc
+++ b/libs/decide/src/router_server.cc
@@ -27,14 +27,16 @@
       up_since_(now),
       closed_until_(TimePoint::min()) {}
 
-void RouterServer::Describe(std::vector<std::string> targets, bool same_zone) {
+void RouterServer::Describe(std::vector<std::string> targets,
+                            std::string availability_zone) {
   targets_ = std::move(targets);
-  same_zone_ = same_zone;
+  zone_ = std::move(availability_zone);
 }
 
 void RouterServer::ComeUp(TimePoint now) {
   in_ = true;
   up_since_ = now;
+  pace_.Reset();
   closed_until_ = TimePoint::min();
   load_measured_at_ = TimePoint::min();
   online_.others = 0;
