--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -151,7 +151,10 @@
 void EntryNode::ListModels(const http::RequestEvent& request) {
   std::set<std::string> models;
   for (const auto& [name, server] : servers_) {
-    if (server.state == BackendServerState::kIn) models.insert(server.target);
+    const bool model = !catalog_.services().contains(server.target);
+    if (model && server.state == BackendServerState::kIn) {
+      models.insert(server.target);
+    }
   }
   ports_.callers(JsonResponse(
       request.exchange, kOk,
@@ -216,18 +219,29 @@
 }
 
 void EntryNode::PassOnEvents(TimePoint now) {
+  bool batch_ended = false;
   for (const RequestEvent& event : runner_.TakeEvents()) {
-    const bool taken = online_.OnEvent(now, event) ||
-                       services_.OnEvent(now, event) ||
-                       batch_items_.OnEvent(now, event);
-    if (!taken) LogWarning("event_without_request", {});
-    if (std::holds_alternative<RequestOutputEvent>(event)) continue;
+    const bool ended = !std::holds_alternative<RequestOutputEvent>(event);
+    if (batch_items_.OnEvent(now, event)) {
+      batch_ended |= ended;
+      continue;
+    }
+    if (!online_.OnEvent(now, event)) services_.OnEvent(now, event);
+    if (!ended) continue;
     const RequestId id =
         std::visit([](const auto& typed) { return typed.request; }, event);
-    if (const auto ended = exchange_of_.extract(id)) {
-      exchanges_.erase(ended.mapped());
+    if (const auto call = exchange_of_.extract(id)) {
+      exchanges_.erase(call.mapped());
     }
   }
+  if (batch_ended) FillBatch(now);
+}
+
+// Idle room lasts only moments, so it is refilled when an item ends as well as
+// at each tick.
+void EntryNode::FillBatch(TimePoint now) {
+  if (draining_) return;
+  batch_items_.Fill(now, [this] { return RequestId(++last_id_); });
 }
 
 void EntryNode::OnWire(TimePoint now, wire::TransportEvent&& event) {
@@ -407,9 +421,7 @@
   WatchConfig(now);
   shards_.Tick(now);
   batch_calls_.Tick(now);
-  if (!draining_) {
-    batch_items_.Fill(now, [this] { return RequestId(++last_id_); });
-  }
+  FillBatch(now);
   if (now >= next_heartbeat_) {
     next_heartbeat_ = now + settings_.node.heartbeat_period / 2;
     wire::SetHeartbeatCommand command;
@@ -440,8 +452,13 @@
 bool EntryNode::Drained(TimePoint now) const {
   if (!draining_) return false;
   if (now >= drain_began_ + settings_.node.drain_limit) return true;
+  // A platform that is out cannot take the leases back: they lapse by
+  // themselves after a term, so there is no use in waiting longer for it.
+  const bool leases_gone =
+      shards_.Released() ||
+      now >= drain_began_ + settings_.node.drain_notice + settings_.lease_term;
   return !accepting_ && runner_.open_requests() == 0 &&
-         batch_calls_.size() == 0 && shards_.Released();
+         batch_calls_.size() == 0 && leases_gone;
 }
 
 void EntryNode::OnAdmin(TimePoint now, http::ServerEvent&& event) {
