--- a/libs/jobs/tests/jobs_faults_test.cc
+++ b/libs/jobs/tests/jobs_faults_test.cc
@@ -188,7 +188,7 @@
     sum.yields += verdict.sum.yields;
   }
   // The faults struck.
-  CHECK(sum.acquired > 12 * kShards);
+  CHECK(sum.acquired > uint64_t{12} * kShards);
   CHECK(sum.late_results > 0);
   CHECK(sum.discarded_at_loss > 0);
   CHECK(sum.yields > 0);
