Objects: a policy that names no traffic takes none

Ruled out: keeping both meanings apart in the node: status would name shadows that routing does not know. Pools exist only for policies that bind traffic, so relabelling engines no longer touches the router.

--- a/libs/node/src/policy_view.cc
+++ b/libs/node/src/policy_view.cc
@@ -41,7 +41,7 @@
   const objects::Engine engine = EngineOf(vm, availability_zone, target);
   std::vector<std::string> pools{PoolName(target, "")};
   for (const auto& [name, policy] : catalog_.policies()) {
-    if (TakesTarget(policy, target) &&
+    if (objects::SelectsTraffic(policy) && TakesTarget(policy, target) &&
         objects::Matches(policy.engines, engine.labels)) {
       pools.push_back(PoolName(target, name));
     }
