--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -135,9 +135,16 @@
   return settings;
 }
 
+// 20 to 180 tokens, 100 on average: with equal lengths round robin would look
+// better than it is.
+uint32_t AnyLength(EntryFleetModel& model) {
+  return static_cast<uint32_t>(20 + UniformBelow(model.rng(), 161));
+}
+
 ModelCall FromOneOf(EntryFleetModel& model, size_t callers) {
   ModelCall call;
   call.caller = fmt::format("caller-{}", UniformBelow(model.rng(), callers));
+  call.max_tokens = AnyLength(model);
   return call;
 }
 
@@ -228,6 +235,7 @@
           model.Load(2 * kCapacity, 120, [&] {
             ModelCall call;
             call.workspace = fmt::format("workspace-{}", turn++ % 4);
+            call.max_tokens = AnyLength(model);
             return call;
           });
           model.Run(200);
--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -507,11 +507,12 @@
   pool.router.OnLate(now, *attempts_.at(request.attempts[0]).server);
   request.hedged = true;
   SetWake(request, request.info.deadline);
+  if (!settings_.rules.hedges) return;
+  if (pool.budget.tokens() < 1 + kRetryReserve) return;
   RouterServer* server = pool.router.Choose(
       now,
       {TrafficClass::kOnline, request.info.prefix_hashes, request.tried, true});
-  if (server == nullptr) return;
-  if (!pool.budget.TrySpend(kRetryReserve)) return;
+  if (server == nullptr || !pool.budget.TrySpend(kRetryReserve)) return;
   Dispatch(now, request, *server, actions);
 }
 
--- a/libs/decide/src/router.cc
+++ b/libs/decide/src/router.cc
@@ -11,7 +11,7 @@
 
 // Online requests sent beyond the slots, as a share of them: they cover the
 // time between a slot's end and the next request's arrival there.
-constexpr double kAheadShare = 0.25;
+constexpr double kAheadShare = 0.0;
 // Weight of a running batch stream beside an online request: batch gives way,
 // but cancelling it costs work, so a server without it goes first.
 constexpr double kBatchWeight = 0.25;
@@ -45,12 +45,23 @@
 Router::Router(const EntrySettings& settings, uint64_t seed)
     : rules_(settings.rules), zone_(settings.availability_zone), rng_(seed) {}
 
-void Router::Add(RouterServer* server) { servers_.push_back(server); }
+void Router::Add(RouterServer* server) {
+  servers_.push_back(server);
+  FindOldestUp();
+}
 
 void Router::Remove(BackendServerId id) {
   std::erase_if(servers_, [id](const RouterServer* server) {
     return server->id() == id;
   });
+  FindOldestUp();
+}
+
+void Router::FindOldestUp() {
+  oldest_up_ = TimePoint::max();
+  for (const RouterServer* server : servers_) {
+    oldest_up_ = std::min(oldest_up_, server->up_since());
+  }
 }
 
 RouterServer* Router::Choose(TimePoint now, const RouterRequest& request) {
@@ -209,7 +220,7 @@
     if (!Usable(now, *server)) continue;
     const double used = LoadOf(now, *server, TrafficClass::kOnline) +
                         LoadOf(now, *server, TrafficClass::kBatch);
-    free += std::max(0.0, server->UsableSlots(now, rules_.slow_start) - used);
+    free += std::max(0.0, SlotsOf(now, *server) - used);
   }
   return static_cast<size_t>(free);
 }
@@ -225,12 +236,17 @@
   return server.own(traffic_class) + others;
 }
 
+double Router::SlotsOf(TimePoint now, const RouterServer& server) const {
+  return rules_.slow_start ? server.UsableSlots(now, oldest_up_)
+                           : server.slots();
+}
+
 double Router::Score(TimePoint now, const RouterServer& server) const {
   const double load =
       LoadOf(now, server, TrafficClass::kOnline) +
       kBatchWeight * LoadOf(now, server, TrafficClass::kBatch) +
       (server.availability_zone() == zone_ ? 0 : kOtherZoneCost);
-  return (load + 1) / server.UsableSlots(now, rules_.slow_start);
+  return (load + 1) / SlotsOf(now, server);
 }
 
 bool Router::HasFreeSlot(TimePoint now, const RouterServer& server,
@@ -239,7 +255,7 @@
   if (traffic_class == TrafficClass::kBatch) {
     used += LoadOf(now, server, TrafficClass::kBatch);
   }
-  return used + 1 <= server.UsableSlots(now, rules_.slow_start);
+  return used + 1 <= SlotsOf(now, server);
 }
 
 bool Router::MayTake(TimePoint now, const RouterServer& server) const {
@@ -247,8 +263,7 @@
   // their reports would otherwise keep this entry out for good. The gate beside
   // the server queues or refuses it.
   if (server.own(TrafficClass::kOnline) == 0) return true;
-  const double limit =
-      std::ceil(server.UsableSlots(now, rules_.slow_start) * (1 + kAheadShare));
+  const double limit = std::ceil(SlotsOf(now, server) * (1 + kAheadShare));
   return LoadOf(now, server, TrafficClass::kOnline) + 1 <= limit;
 }
 
--- a/libs/decide/src/router_server.cc
+++ b/libs/decide/src/router_server.cc
@@ -18,6 +18,11 @@
 // Share of the slots used at once after coming up.
 constexpr double kFirstShare = 0.125;
 
+double StartedShare(Duration age) {
+  const double share = ToSeconds(age) / ToSeconds(Duration(kSlowStart));
+  return std::clamp(share, kFirstShare, 1.0);
+}
+
 }  // namespace
 
 RouterServer::RouterServer(BackendServerId id, TimePoint now)
@@ -82,13 +87,11 @@
 }
 
 double RouterServer::UsableSlots(TimePoint now,
-                                 bool slow_start) const noexcept {
+                                 TimePoint oldest_up) const noexcept {
   const double slots = slots_;
-  const Duration age = now - up_since_;
-  if (!slow_start || age >= kSlowStart) return slots;
-  const double share =
-      std::max(kFirstShare, ToSeconds(age) / ToSeconds(Duration(kSlowStart)));
-  return std::max(1.0, slots * share);
+  if (up_since_ == oldest_up || now - up_since_ >= kSlowStart) return slots;
+  const double share = StartedShare(now - up_since_);
+  return std::max(1.0, slots * share / StartedShare(now - oldest_up));
 }
 
 }  // namespace knapweedstile::decide
--- a/libs/decide/src/router_server.h
+++ b/libs/decide/src/router_server.h
@@ -58,8 +58,10 @@
   uint32_t own() const noexcept;
   uint32_t others(TrafficClass traffic_class) const noexcept;
   uint32_t slots() const noexcept { return slots_; }
-  // Slots that may be used now: fewer while it has just come up.
-  double UsableSlots(TimePoint now, bool slow_start) const noexcept;
+  TimePoint up_since() const noexcept { return up_since_; }
+  // Slots that may be used now: fewer while it has just come up, compared with
+  // the server of the target that came up first, at `oldest_up`.
+  double UsableSlots(TimePoint now, TimePoint oldest_up) const noexcept;
 
  private:
   struct ClassLoad {
