Entry: heavy flows leave headroom for the others

Cause: fair order lets a heavy flow take every slot that falls idle, and the next light request waits for a whole service time. Change: AdmissionFlows; a flow far above the others' mean leaves 2 sigma of the others' number free. kAheadShare back to 0.25.

--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -39,6 +39,7 @@
   EntryRules rules;
   rules.fair_queue = false;
   rules.cost_fairness = false;
+  rules.headroom = false;
   rules.deadline_refusal = false;
   rules.least_outstanding = false;
   rules.prefix_affinity = false;
@@ -195,33 +196,33 @@
 
 void HotCaller() {
   for (const double hot : {0.0, 1.3}) {
-    Print(
-        fmt::format("hot caller: 20 callers ask for 0.4x together, one for "
-                    "{}x; the 20",
-                    hot),
-        {Baseline(), Ours(), Without("no fair queue", &EntryRules::fair_queue)},
-        Fleet(), [hot](const ModelSettings& settings, uint64_t seed) {
-          EntryFleetModel model(settings, seed);
-          model.Load(0.4 * kCapacity, 120,
-                     [&] { return FromOneOf(model, 20); });
-          if (hot > 0) {
-            model.Load(hot * kCapacity, 120, [] {
-              ModelCall call;
-              call.caller = "hot";
-              return call;
-            });
-          }
-          model.Run(200);
-          Figures figures = Received(
-              model.answers(), 120,
-              [](const ModelAnswer& a) { return a.call.caller != "hot"; });
-          double of_hot = 0;
-          for (const ModelAnswer& a : model.answers()) {
-            of_hot += a.call.caller == "hot" && a.InTime();
-          }
-          figures.push_back({"hot good/s", of_hot / 120});
-          return figures;
-        });
+    Print(fmt::format("hot caller: 20 callers ask for 0.4x together, one for "
+                      "{}x; the 20",
+                      hot),
+          {Baseline(), Without("no fair queue", &EntryRules::fair_queue),
+           Without("no headroom", &EntryRules::headroom), Ours()},
+          Fleet(), [hot](const ModelSettings& settings, uint64_t seed) {
+            EntryFleetModel model(settings, seed);
+            model.Load(0.4 * kCapacity, 120,
+                       [&] { return FromOneOf(model, 20); });
+            if (hot > 0) {
+              model.Load(hot * kCapacity, 120, [] {
+                ModelCall call;
+                call.caller = "hot";
+                return call;
+              });
+            }
+            model.Run(200);
+            Figures figures = Received(
+                model.answers(), 120,
+                [](const ModelAnswer& a) { return a.call.caller != "hot"; });
+            double of_hot = 0;
+            for (const ModelAnswer& a : model.answers()) {
+              of_hot += a.call.caller == "hot" && a.InTime();
+            }
+            figures.push_back({"hot good/s", of_hot / 120});
+            return figures;
+          });
   }
 }
 
@@ -296,7 +297,7 @@
       "long among short: 20% of the calls, of one caller, make 1000 tokens; "
       "the short ones",
       {Baseline(), Without("count, not cost", &EntryRules::cost_fairness),
-       Ours()},
+       Without("no headroom", &EntryRules::headroom), Ours()},
       Fleet(), [](const ModelSettings& settings, uint64_t seed) {
         EntryFleetModel model(settings, seed);
         model.Load(0.5 * kCapacity, 120, [&] { return FromOneOf(model, 20); });
--- /dev/null
+++ b/libs/decide/src/admission_flows.h
@@ -0,0 +1,40 @@
+#ifndef KNAPWEEDSTILE_DECIDE_ADMISSION_FLOWS_H_
+#define KNAPWEEDSTILE_DECIDE_ADMISSION_FLOWS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+namespace knapweedstile::decide {
+
+// How many requests each flow (workspace, or caller) has at the servers, and
+// how many free slots a heavy one must leave to the others.
+//
+// Load pattern: one flow asks for more than there is, others for little. Fair
+// order alone lets the heavy flow take every slot that falls idle for a moment,
+// and the next light request waits until one is free again: for seconds when
+// the heavy flow's requests are long. Nobody can be cancelled for it, as online
+// requests are not preempted.
+//
+// Rule: a heavy flow leaves free what the others' number is likely to grow by,
+// kHeadroomSigmas standard deviations of a Poisson count. A flow that is alone
+// uses everything, and among equal flows nobody is heavy.
+class AdmissionFlows {
+ public:
+  // Commands.
+  void Start(uint64_t flow);
+  void End(uint64_t flow);
+
+  // Queries.
+  // Free slots that one more request of this flow must leave; zero unless it
+  // is heavy.
+  double HeadroomFor(uint64_t flow) const;
+
+ private:
+  std::unordered_map<uint64_t, size_t> in_service_;
+  size_t total_ = 0;
+};
+
+}  // namespace knapweedstile::decide
+
+#endif  // KNAPWEEDSTILE_DECIDE_ADMISSION_FLOWS_H_
--- a/libs/decide/src/entry_pool.h
+++ b/libs/decide/src/entry_pool.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "admission.h"
+#include "admission_flows.h"
 #include "base/id.h"
 #include "fair_queue.h"
 #include "hedge_timer.h"
@@ -39,6 +40,8 @@
   HedgeTimer first_output_times;
   Admission admission;
   size_t online_in_service = 0;
+  AdmissionFlows workspaces_in_service;
+  AdmissionFlows callers_in_service;
 
   size_t OnlineWaiting() const { return online.size() + again.size(); }
 };
--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -40,6 +40,10 @@
           info.caller.empty() ? 0 : Hash64(info.caller)};
 }
 
+uint64_t CallerFlow(FairQueueKey key) {
+  return HashCombine(key.workspace, key.caller);
+}
+
 bool IsOnline(const EntryRequest& request) {
   return request.info.traffic_class == TrafficClass::kOnline;
 }
@@ -283,7 +287,12 @@
   EntryRequest& request = requests_.at(attempt.request);
   std::erase(request.attempts, id);
   attempt.server->End(request.info.traffic_class, attempt.started, now);
-  if (IsOnline(request)) --request.pool->online_in_service;
+  if (IsOnline(request)) {
+    EntryPool& pool = *request.pool;
+    --pool.online_in_service;
+    pool.workspaces_in_service.End(request.key.workspace);
+    pool.callers_in_service.End(CallerFlow(request.key));
+  }
   return attempt;
 }
 
@@ -368,7 +377,7 @@
            AttemptOutcome::kUnknown, actions);
   }
   for (FairQueue* queue : {&pool.online, &pool.batch}) {
-    while (const auto id = queue->Pop()) {
+    while (const auto id = queue->Pop([](FairQueueKey) { return true; })) {
       EntryRequest& request = requests_.at(*id);
       bounds_.Remove(request.info.traffic_class, request.key);
       Refuse(now, request, RefusalReason::kNoBackendServer, actions);
@@ -449,7 +458,12 @@
   while (!queue.empty() && pool.router.HasRoom(now, traffic_class)) {
     RequireInvariant(online || pool.OnlineWaiting() == 0,
                      "batch goes only when no online request waits");
-    EntryRequest& request = requests_.at(*queue.Pop());
+    const double free = pool.router.FreeSlots(now, traffic_class);
+    const auto id = queue.Pop([&](FairQueueKey key) {
+      return !online || LeavesHeadroom(pool, key, free);
+    });
+    if (!id) return;
+    EntryRequest& request = requests_.at(*id);
     bounds_.Remove(traffic_class, request.key);
     request.place = EntryRequestPlace::kServers;
     if (quarantine_.StandingOf(now, request.info.fingerprint) !=
@@ -471,6 +485,15 @@
   }
 }
 
+bool EntryScheduler::Impl::LeavesHeadroom(const EntryPool& pool,
+                                          FairQueueKey key, double free) const {
+  if (!settings_.rules.headroom) return true;
+  const double headroom =
+      std::max(pool.workspaces_in_service.HeadroomFor(key.workspace),
+               pool.callers_in_service.HeadroomFor(CallerFlow(key)));
+  return headroom == 0 || free >= headroom + 1;
+}
+
 void EntryScheduler::Impl::PumpAllOf(TimePoint now, const RouterServer& server,
                                      Actions& actions) {
   for (const std::string& target : server.targets()) {
@@ -490,7 +513,11 @@
   request.place = EntryRequestPlace::kServers;
   server.Start(request.info.traffic_class, now);
   EntryPool& pool = *request.pool;
-  if (IsOnline(request)) ++pool.online_in_service;
+  if (IsOnline(request)) {
+    ++pool.online_in_service;
+    pool.workspaces_in_service.Start(request.key.workspace);
+    pool.callers_in_service.Start(CallerFlow(request.key));
+  }
   actions.push_back(DispatchAction{request.info.id, id, server.id()});
   TimePoint wake = request.info.deadline;
   const auto hedge_after = pool.first_output_times.hedge_after();
@@ -625,7 +652,8 @@
   if (found == pools_.end()) return 0;
   const EntryPool& pool = found->second;
   if (pool.OnlineWaiting() > 0) return 0;
-  const size_t free = pool.router.FreeSlots(now_);
+  const auto free =
+      static_cast<size_t>(pool.router.FreeSlots(now_, TrafficClass::kBatch));
   const size_t bound =
       settings_.queue_limit - bounds_.waiting(TrafficClass::kBatch);
   const size_t waiting = pool.batch.size();
--- a/libs/decide/src/entry_scheduler_impl.h
+++ b/libs/decide/src/entry_scheduler_impl.h
@@ -79,6 +79,9 @@
                     Actions& actions);
   void PumpQueue(TimePoint now, EntryPool& pool, TrafficClass traffic_class,
                  Actions& actions);
+  // Whether a request of this flow may go with that many slots free.
+  bool LeavesHeadroom(const EntryPool& pool, FairQueueKey key,
+                      double free) const;
   void PumpAllOf(TimePoint now, const RouterServer& server, Actions& actions);
   void Dispatch(TimePoint now, EntryRequest& request, RouterServer& server,
                 Actions& actions);
--- a/libs/decide/src/fair_queue.cc
+++ b/libs/decide/src/fair_queue.cc
@@ -16,24 +16,19 @@
   ++size_;
 }
 
-std::optional<RequestId> FairQueue::Pop() {
-  if (size_ == 0) return std::nullopt;
-  const uint64_t workspace_key = workspaces_.first();
-  const auto found = waiting_.find(workspace_key);
-  RequireInvariant(found != waiting_.end(), "an active workspace waits");
-  Workspace& workspace = found->second;
-  const auto line = workspace.lines.find(workspace.callers.first());
-  RequireInvariant(line != workspace.lines.end(), "an active caller waits");
-  const Item item = line->second.front();
-  line->second.pop_front();
-  const bool caller_has_more = !line->second.empty();
-  if (!caller_has_more) workspace.lines.erase(line);
-  workspace.callers.Serve(item.cost, caller_has_more);
+RequestId FairQueue::Take(FairQueueKey key) {
+  Workspace& workspace = waiting_.at(key.workspace);
+  std::deque<Item>& line = workspace.lines.at(key.caller);
+  const Item item = line.front();
+  line.pop_front();
+  const bool caller_has_more = !line.empty();
+  if (!caller_has_more) workspace.lines.erase(key.caller);
+  workspace.callers.Serve(key.caller, item.cost, caller_has_more);
   --workspace.waiting;
   --size_;
   const bool workspace_has_more = workspace.waiting > 0;
-  if (!workspace_has_more) waiting_.erase(found);
-  workspaces_.Serve(item.cost, workspace_has_more);
+  if (!workspace_has_more) waiting_.erase(key.workspace);
+  workspaces_.Serve(key.workspace, item.cost, workspace_has_more);
   return item.request;
 }
 
--- a/libs/decide/src/fair_queue.h
+++ b/libs/decide/src/fair_queue.h
@@ -28,8 +28,9 @@
 class FairQueue {
  public:
   void Push(FairQueueKey key, double weight, RequestId request, double cost);
-  // The next request to serve, charged to its flow.
-  std::optional<RequestId> Pop();
+  // The next request to serve of a flow that `may_go` accepts, charged to it.
+  template <typename MayGo>
+  std::optional<RequestId> Pop(const MayGo& may_go);
   // A request that no longer waits: cancelled, or its deadline has passed.
   void Remove(FairQueueKey key, RequestId request);
 
@@ -52,11 +53,28 @@
     size_t waiting = 0;
   };
 
+  RequestId Take(FairQueueKey key);
+
   FairQueueOrder workspaces_;
   std::unordered_map<uint64_t, Workspace> waiting_;
   size_t size_ = 0;
 };
 
+template <typename MayGo>
+std::optional<RequestId> FairQueue::Pop(const MayGo& may_go) {
+  FairQueueKey key;
+  const auto workspace_may_go = [&](uint64_t workspace) {
+    const auto caller =
+        waiting_.at(workspace).callers.First([&](uint64_t candidate) {
+          return may_go(FairQueueKey{workspace, candidate});
+        });
+    if (caller) key = {workspace, *caller};
+    return caller.has_value();
+  };
+  if (!workspaces_.First(workspace_may_go)) return std::nullopt;
+  return Take(key);
+}
+
 }  // namespace knapweedstile::decide
 
 #endif  // KNAPWEEDSTILE_DECIDE_FAIR_QUEUE_H_
--- a/libs/decide/src/fair_queue_order.cc
+++ b/libs/decide/src/fair_queue_order.cc
@@ -30,12 +30,11 @@
   ForgetPassedFlows();
 }
 
-void FairQueueOrder::Serve(double cost, bool more) {
-  const auto [start, flow] = *order_.begin();
-  order_.erase(order_.begin());
+void FairQueueOrder::Serve(uint64_t flow, double cost, bool more) {
   Flow& entry = flows_[flow];
-  virtual_time_ = start;
-  entry.start = start + cost / entry.weight;
+  order_.erase({entry.start, flow});
+  virtual_time_ = std::max(virtual_time_, entry.start);
+  entry.start += cost / entry.weight;
   if (more) {
     order_.emplace(entry.start, flow);
     return;
--- a/libs/decide/src/fair_queue_order.h
+++ b/libs/decide/src/fair_queue_order.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -22,13 +23,21 @@
   void Activate(uint64_t flow, double weight);
   // The flow has nothing waiting any more, without having been served.
   void Deactivate(uint64_t flow);
-  // The first flow was served; `more` says whether it stays active.
-  void Serve(double cost, bool more);
+  // An active flow was served; `more` says whether it stays active. It need not
+  // be the first: flows that may not go now are passed over.
+  void Serve(uint64_t flow, double cost, bool more);
 
   bool empty() const noexcept { return order_.empty(); }
   size_t active() const noexcept { return order_.size(); }
   double active_weight() const noexcept { return active_weight_; }
-  uint64_t first() const { return order_.begin()->second; }
+  // The first active flow that `may_go` accepts.
+  template <typename MayGo>
+  std::optional<uint64_t> First(const MayGo& may_go) const {
+    for (const auto& [start, flow] : order_) {
+      if (may_go(flow)) return flow;
+    }
+    return std::nullopt;
+  }
 
  private:
   struct Flow {
--- a/libs/decide/src/router.cc
+++ b/libs/decide/src/router.cc
@@ -11,7 +11,7 @@
 
 // Online requests sent beyond the slots, as a share of them: they cover the
 // time between a slot's end and the next request's arrival there.
-constexpr double kAheadShare = 0.0;
+constexpr double kAheadShare = 0.25;
 // Weight of a running batch stream beside an online request: batch gives way,
 // but cancelling it costs work, so a server without it goes first.
 constexpr double kBatchWeight = 0.25;
@@ -214,15 +214,21 @@
       });
 }
 
-size_t Router::FreeSlots(TimePoint now) const {
+double Router::FreeSlots(TimePoint now, TrafficClass traffic_class) const {
   double free = 0;
   for (const RouterServer* server : servers_) {
     if (!Usable(now, *server)) continue;
-    const double used = LoadOf(now, *server, TrafficClass::kOnline) +
-                        LoadOf(now, *server, TrafficClass::kBatch);
-    free += std::max(0.0, SlotsOf(now, *server) - used);
+    free += std::max(
+        0.0, SlotsOf(now, *server) - UsedBefore(now, *server, traffic_class));
   }
-  return static_cast<size_t>(free);
+  return free;
+}
+
+double Router::UsedBefore(TimePoint now, const RouterServer& server,
+                          TrafficClass traffic_class) const {
+  const double online = LoadOf(now, server, TrafficClass::kOnline);
+  if (traffic_class == TrafficClass::kOnline) return online;
+  return online + LoadOf(now, server, TrafficClass::kBatch);
 }
 
 double Router::LoadOf(TimePoint now, const RouterServer& server,
@@ -251,11 +257,7 @@
 
 bool Router::HasFreeSlot(TimePoint now, const RouterServer& server,
                          TrafficClass traffic_class) const {
-  double used = LoadOf(now, server, TrafficClass::kOnline);
-  if (traffic_class == TrafficClass::kBatch) {
-    used += LoadOf(now, server, TrafficClass::kBatch);
-  }
-  return used + 1 <= SlotsOf(now, server);
+  return UsedBefore(now, server, traffic_class) + 1 <= SlotsOf(now, server);
 }
 
 bool Router::MayTake(TimePoint now, const RouterServer& server) const {
--- a/libs/decide/src/router.h
+++ b/libs/decide/src/router.h
@@ -60,8 +60,8 @@
   // True when a server is in that the request was not sent to yet.
   bool HasUntried(std::span<const BackendServerId> tried) const;
   bool HasRoom(TimePoint now, TrafficClass traffic_class) const;
-  // Free slots that batch could use now.
-  size_t FreeSlots(TimePoint now) const;
+  // Free slots that requests of the class could use now.
+  double FreeSlots(TimePoint now, TrafficClass traffic_class) const;
 
  private:
   struct Candidate {
@@ -73,6 +73,9 @@
   // How many of the class are there, own and others', as far as known.
   double LoadOf(TimePoint now, const RouterServer& server,
                 TrafficClass traffic_class) const;
+  // The load that goes before one more of the class.
+  double UsedBefore(TimePoint now, const RouterServer& server,
+                    TrafficClass traffic_class) const;
   double SlotsOf(TimePoint now, const RouterServer& server) const;
   double Score(TimePoint now, const RouterServer& server) const;
   bool HasFreeSlot(TimePoint now, const RouterServer& server,
--- a/libs/decide/src/router_server.cc
+++ b/libs/decide/src/router_server.cc
@@ -14,7 +14,7 @@
 constexpr Duration kLoadLife = std::chrono::seconds(3);
 // How long a server that came up takes to get its full share. Its reports need
 // a heartbeat or two to show what all entries together have sent.
-constexpr Duration kSlowStart = std::chrono::seconds(10);
+constexpr Duration kSlowStart = std::chrono::seconds(3);
 // Share of the slots used at once after coming up.
 constexpr double kFirstShare = 0.125;
 
