Gate: one batch stream computes its prompt at a time

Cause: where streams share the engine's time, an online request that comes while several batch prompts are computed waits for all of them.

Change: the next batch stream starts after the first output of the last, or after 250 ms for backend servers that tell none.

Ruled out: leaving it to the engine, since its prompt budget is first come first served.

--- a/bench/gate_bench.cc
+++ b/bench/gate_bench.cc
@@ -535,6 +535,8 @@
   partition.preempt_batch = false;
   GateRules no_delay;
   no_delay.return_delay = false;
+  GateRules no_pace;
+  no_pace.pace_batch = false;
   return {
       {.name = "no gate (FIFO)", .gate = false},
       {.name = "share 250, no cancel", .policy = share, .rules = partition},
@@ -543,6 +545,7 @@
       {.name = "priority_cancel, no delay",
        .policy = cancel,
        .rules = no_delay},
+      {.name = "priority_cancel, no pace", .policy = cancel, .rules = no_pace},
       {.name = "arrival_reserve 1 sigma", .policy = narrow},
       {.name = "arrival_reserve 2 sigma", .policy = reserve},
   };
--- a/libs/decide/include/decide/gate.h
+++ b/libs/decide/include/decide/gate.h
@@ -34,7 +34,8 @@
   // Commands.
   void OnArrival(TimePoint now, const RequestInfo& request,
                  std::vector<GateAction>& actions);
-  // `tokens` more were produced for a running request.
+  // `tokens` more were produced for a running request. May bring NextWake
+  // forward.
   void OnOutput(TimePoint now, RequestId request, uint32_t tokens);
   // The backend server finished, failed or crashed on a running request.
   void OnEnded(TimePoint now, RequestId request,
--- a/libs/decide/src/gate.cc
+++ b/libs/decide/src/gate.cc
@@ -28,6 +28,11 @@
 // what resuming a stream costs (its context computed anew); waiting as long as
 // the cost bounds the loss to twice the best. To be measured.
 constexpr Duration kBatchReturn = milliseconds(100);
+// How long the start of a batch stream holds back the next one, unless its
+// first output comes earlier. Ground: the time to compute a prompt of a
+// thousand tokens (some hundred milliseconds), with room; it bounds what a
+// backend server that tells no output (a plain service) loses.
+constexpr Duration kBatchPace = milliseconds(250);
 // How long a batch stream may hold its slot before it gives way to a shorter or
 // more urgent item. Ground: long against the cost of resuming (about a hundred
 // milliseconds), so turns cost about one hundredth. To be measured.
@@ -99,6 +104,7 @@
     request.produced += tokens;
     if (!request.has_output) {
       request.has_output = true;
+      if (id == pacing_) next_batch_start_ = now;
       EstimatesOf(request).OnFirstOutput(now - request.started_at);
     }
     if (IsBatch(request)) shares_.Charge(request.owner, tokens);
@@ -164,7 +170,7 @@
     }
     // A slot that is ready for batch but not used is held back by the sharing
     // rule, whose demand changes slowly: the turn check sees to it.
-    const TimePoint slot = idle_.NextForBatch();
+    const TimePoint slot = std::max(idle_.NextForBatch(), next_batch_start_);
     return slot > last_settled_ ? std::min(wake, slot) : wake;
   }
 
@@ -286,7 +292,8 @@
 
   void StartBatch(TimePoint now, Actions& actions) {
     const uint32_t limit = CurrentLimit(now).start;
-    while (running_batch_.size() < limit && idle_.NextForBatch() <= now) {
+    while (running_batch_.size() < limit && idle_.NextForBatch() <= now &&
+           next_batch_start_ <= now) {
       const GateRequest* next = batch_.Next(now);
       if (next == nullptr) return;
       StartBatchItem(now, batch_.Take(next->id), actions);
@@ -300,6 +307,10 @@
     shares_.OnStarted(item.owner);
     shares_.Charge(item.owner, item.Context() / kPromptTokensPerCharge + 1);
     running_batch_.push_back(item.id);
+    if (settings_.rules.pace_batch) {
+      pacing_ = item.id;
+      next_batch_start_ = now + kBatchPace;
+    }
     Start(now, item, actions);
   }
 
@@ -453,6 +464,7 @@
     running_.erase(found);
     if (IsBatch(request)) {
       std::erase(running_batch_, id);
+      if (id == pacing_) next_batch_start_ = now;
       shares_.OnStopped(request.owner);
       idle_.Release(now);
     } else {
@@ -522,6 +534,10 @@
   GateEstimates online_estimates_;
   GateEstimates batch_estimates_;
   TimePoint next_turn_check_ = kNever;
+  // Two prompts of batch computed at once would hold back an online request
+  // that comes in between by both; the last start stands for its prompt.
+  RequestId pacing_;
+  TimePoint next_batch_start_ = TimePoint::min();
   TimePoint last_settled_;
 };
 
--- a/libs/decide/tests/gate_test.cc
+++ b/libs/decide/tests/gate_test.cc
@@ -131,6 +131,28 @@
   REQUIRE(parks(false) > 10);
 }
 
+// Batch fills an idle engine. Were all its streams started together, an owner
+// who asks in that moment would wait until all their prompts are computed.
+TEST_CASE("batch streams compute their prompts one after another") {
+  const auto most_at_once = [](bool rule_on) {
+    GateDriver driver({.slots = 4, .rules = {.pace_batch = rule_on}});
+    for (int i = 0; i < 8; ++i) driver.Batch(60);
+    int64_t most = 0;
+    for (int i = 0; i < 200; ++i) {
+      const auto& records = driver.Records();
+      most = std::max<int64_t>(
+          most, std::count_if(records.begin(), records.end(), [&](auto& r) {
+            return driver.Running(r.first) && r.second.produced == 0;
+          }));
+      driver.RunFor(GateDriver::kToken);
+    }
+    REQUIRE(driver.gate().Idle());
+    return most;
+  };
+  REQUIRE(most_at_once(true) == 1);
+  REQUIRE(most_at_once(false) == 4);
+}
+
 // Online fills an engine for a minute. The parked manifest items must not wait
 // for its end here: they are given back within seconds, with what they have
 // produced, so that an idle engine resumes them.
