Gate: a batch prompt in progress makes room for an online request

Cause: an engine computes prompts in the order of their start, so an online request waits behind the batch prompt that is being computed although slots are free.

Change: on an online start the batch stream without output (at most one, see the pace) is parked and the next batch start waits for the online first output.

--- a/libs/decide/include/decide/gate_rules.h
+++ b/libs/decide/include/decide/gate_rules.h
@@ -12,7 +12,7 @@
   bool fair_shares = true;    // workspaces and callers served least go first
   bool take_turns = true;     // long streams give way to short or urgent items
   bool return_delay = true;   // a slot that online left stays idle for a moment
-  bool pace_batch = true;     // one batch stream computes its prompt at a time
+  bool pace_batch = true;     // one batch prompt at a time, none beside online
   bool yield_stale = true;    // give back items that have waited too long here
 };
 
--- a/libs/decide/src/gate.cc
+++ b/libs/decide/src/gate.cc
@@ -276,14 +276,35 @@
 
   void StartOnline(TimePoint now, Actions& actions) {
     while (!online_.empty()) {
+      const bool prompt_stopped = StopBatchPrompt(now, actions);
       if (idle_.Count() == 0 && !MakeRoom(now, actions)) return;
       GateRequest request = online_.front();
       online_.pop_front();
       idle_.TakeForOnline();
+      if (prompt_stopped) PaceAfter(now, request.id);
       Start(now, request, actions);
     }
   }
 
+  // An engine computes prompts in the order of their start: a batch prompt that
+  // is being computed would hold back the online one behind it.
+  bool StopBatchPrompt(TimePoint now, Actions& actions) {
+    const auto found = running_.find(pacing_);
+    if (!settings_.rules.pace_batch || found == running_.end()) return false;
+    const GateRequest& item = found->second;
+    if (!IsBatch(item) || item.has_output || next_batch_start_ <= now) {
+      return false;
+    }
+    Displace(now, item.id, actions);
+    return true;
+  }
+
+  // Holds back batch starts until the request's first output, or for a while.
+  void PaceAfter(TimePoint now, RequestId id) {
+    pacing_ = id;
+    next_batch_start_ = now + kBatchPace;
+  }
+
   bool MakeRoom(TimePoint now, Actions& actions) {
     if (!settings_.rules.preempt_batch || running_batch_.empty()) return false;
     Displace(now, Victim(now), actions);
@@ -307,10 +328,7 @@
     shares_.OnStarted(item.owner);
     shares_.Charge(item.owner, item.Context() / kPromptTokensPerCharge + 1);
     running_batch_.push_back(item.id);
-    if (settings_.rules.pace_batch) {
-      pacing_ = item.id;
-      next_batch_start_ = now + kBatchPace;
-    }
+    if (settings_.rules.pace_batch) PaceAfter(now, item.id);
     Start(now, item, actions);
   }
 
@@ -462,9 +480,9 @@
     const auto found = running_.find(id);
     GateRequest request = found->second;
     running_.erase(found);
+    if (id == pacing_) next_batch_start_ = now;
     if (IsBatch(request)) {
       std::erase(running_batch_, id);
-      if (id == pacing_) next_batch_start_ = now;
       shares_.OnStopped(request.owner);
       idle_.Release(now);
     } else {
--- a/libs/decide/tests/gate_test.cc
+++ b/libs/decide/tests/gate_test.cc
@@ -153,6 +153,24 @@
   REQUIRE(most_at_once(false) == 4);
 }
 
+// An owner asks while a batch stream's prompt is being computed; other slots
+// are free. The engine computes prompts in order, so the answer would wait for
+// the whole of it: the stream makes room, and is resumed after the owner's
+// first token, with nothing lost.
+TEST_CASE("a batch prompt in progress makes room for an online one") {
+  for (const bool rule_on : {true, false}) {
+    GateDriver driver({.slots = 4, .rules = {.pace_batch = rule_on}});
+    const RequestId item = driver.Batch(60);
+    const RequestId online = driver.Online(60);
+    REQUIRE(driver.Running(item) != rule_on);
+    driver.RunFor(seconds(5));
+    REQUIRE((driver.Of(item).first_token > driver.Of(online).first_token) ==
+            rule_on);
+    REQUIRE(driver.Of(item).end == End::kDone);
+    REQUIRE(driver.Of(item).produced == 60);
+  }
+}
+
 // Online fills an engine for a minute. The parked manifest items must not wait
 // for its end here: they are given back within seconds, with what they have
 // produced, so that an idle engine resumes them.
