--- a/libs/decide/src/gate.cc
+++ b/libs/decide/src/gate.cc
@@ -28,6 +28,11 @@
 // what resuming a stream costs (its context computed anew); waiting as long as
 // the cost bounds the loss to twice the best. To be measured.
 constexpr Duration kBatchReturn = milliseconds(100);
+// How long the start of a batch stream holds back the next one, unless its
+// first output comes earlier. Ground: the time to compute a prompt of a
+// thousand tokens (some hundred milliseconds), with room; it bounds what a
+// backend server that tells no output (a plain service) loses.
+constexpr Duration kBatchPace = milliseconds(250);
 // How long a batch stream may hold its slot before it gives way to a shorter or
 // more urgent item. Ground: long against the cost of resuming (about a hundred
 // milliseconds), so turns cost about one hundredth. To be measured.
@@ -99,6 +104,7 @@
     request.produced += tokens;
     if (!request.has_output) {
       request.has_output = true;
+      if (id == pacing_) next_batch_start_ = now;
       EstimatesOf(request).OnFirstOutput(now - request.started_at);
     }
     if (IsBatch(request)) shares_.Charge(request.owner, tokens);
@@ -164,7 +170,7 @@
     }
     // A slot that is ready for batch but not used is held back by the sharing
     // rule, whose demand changes slowly: the turn check sees to it.
-    const TimePoint slot = idle_.NextForBatch();
+    const TimePoint slot = std::max(idle_.NextForBatch(), next_batch_start_);
     return slot > last_settled_ ? std::min(wake, slot) : wake;
   }
 
@@ -270,14 +276,35 @@
 
   void StartOnline(TimePoint now, Actions& actions) {
     while (!online_.empty()) {
+      const bool prompt_stopped = StopBatchPrompt(now, actions);
       if (idle_.Count() == 0 && !MakeRoom(now, actions)) return;
       GateRequest request = online_.front();
       online_.pop_front();
       idle_.TakeForOnline();
+      if (prompt_stopped) PaceAfter(now, request.id);
       Start(now, request, actions);
     }
   }
 
+  // An engine computes prompts in the order of their start: a batch prompt that
+  // is being computed would hold back the online one behind it.
+  bool StopBatchPrompt(TimePoint now, Actions& actions) {
+    const auto found = running_.find(pacing_);
+    if (!settings_.rules.pace_batch || found == running_.end()) return false;
+    const GateRequest& item = found->second;
+    if (!IsBatch(item) || item.has_output || next_batch_start_ <= now) {
+      return false;
+    }
+    Displace(now, item.id, actions);
+    return true;
+  }
+
+  // Holds back batch starts until the request's first output, or for a while.
+  void PaceAfter(TimePoint now, RequestId id) {
+    pacing_ = id;
+    next_batch_start_ = now + kBatchPace;
+  }
+
   bool MakeRoom(TimePoint now, Actions& actions) {
     if (!settings_.rules.preempt_batch || running_batch_.empty()) return false;
     Displace(now, Victim(now), actions);
@@ -286,7 +313,8 @@
 
   void StartBatch(TimePoint now, Actions& actions) {
     const uint32_t limit = CurrentLimit(now).start;
-    while (running_batch_.size() < limit && idle_.NextForBatch() <= now) {
+    while (running_batch_.size() < limit && idle_.NextForBatch() <= now &&
+           next_batch_start_ <= now) {
       const GateRequest* next = batch_.Next(now);
       if (next == nullptr) return;
       StartBatchItem(now, batch_.Take(next->id), actions);
@@ -300,6 +328,7 @@
     shares_.OnStarted(item.owner);
     shares_.Charge(item.owner, item.Context() / kPromptTokensPerCharge + 1);
     running_batch_.push_back(item.id);
+    if (settings_.rules.pace_batch) PaceAfter(now, item.id);
     Start(now, item, actions);
   }
 
@@ -451,6 +480,7 @@
     const auto found = running_.find(id);
     GateRequest request = found->second;
     running_.erase(found);
+    if (id == pacing_) next_batch_start_ = now;
     if (IsBatch(request)) {
       std::erase(running_batch_, id);
       shares_.OnStopped(request.owner);
@@ -522,6 +552,10 @@
   GateEstimates online_estimates_;
   GateEstimates batch_estimates_;
   TimePoint next_turn_check_ = kNever;
+  // Two prompts of batch computed at once would hold back an online request
+  // that comes in between by both; the last start stands for its prompt.
+  RequestId pacing_;
+  TimePoint next_batch_start_ = TimePoint::min();
   TimePoint last_settled_;
 };
 
