Plain services: claims before dispatch, at most once under a key

Cause: a booking that its caller resends through another entry must not run twice. Change: ClaimedCalls drives jobs::Claim; nothing is submitted before the claim is durable, the answer is stored into it, a caller that goes away leaves its claimed call running so that a resend learns the outcome.

--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -60,7 +60,8 @@
                shards_.SetEntries(at, entries);
              }),
       online_(ports_, metrics_),
-      services_(ports_, metrics_),
+      services_(ports_, metrics_, runner_, platform_, seed,
+                [this](RequestId id) { EndExchange(id); }),
       shards_(ShardOwnerSettingsOf(settings), settings.shard_count,
               settings.node.name, seed, platform_),
       batch_items_(shards_, runner_, fleet_.policies(), metrics_),
@@ -136,16 +137,11 @@
     RespondError(request.exchange, identity, NoSuchPath());
     return;
   }
-  const bool idempotent =
-      objects::IsIdempotent(*service, request.method, PathOf(request.target));
   const RequestId id(++last_id_);
   exchanges_[request.exchange] = id;
   exchange_of_[id] = request.exchange;
-  auto prepared = services_.Begin(
-      id, request, *service, idempotent, identity,
-      fleet_.policies().RouteOf(identity.workspace, service->name),
-      request.received_at + service->timeout);
-  runner_.Submit(now, std::move(prepared.info), std::move(prepared.message));
+  services_.Begin(now, id, request, *service, identity,
+                  fleet_.policies().RouteOf(identity.workspace, service->name));
 }
 
 void EntryNode::ListModels(const http::RequestEvent& request) {
@@ -160,9 +156,7 @@
   const RequestId id = found->second;
   exchanges_.erase(found);
   exchange_of_.erase(id);
-  online_.Forget(id);
-  services_.Forget(id);
-  runner_.Cancel(now, id);
+  if (online_.Forget(id) || services_.Forget(id)) runner_.Cancel(now, id);
 }
 
 void EntryNode::RespondError(ExchangeId exchange,
@@ -216,13 +210,17 @@
     if (!ended) continue;
     const RequestId id =
         std::visit([](const auto& typed) { return typed.request; }, event);
-    if (const auto call = exchange_of_.extract(id)) {
-      exchanges_.erase(call.mapped());
-    }
+    EndExchange(id);
   }
   if (batch_ended) FillBatch(now);
 }
 
+void EntryNode::EndExchange(RequestId id) {
+  if (const auto call = exchange_of_.extract(id)) {
+    exchanges_.erase(call.mapped());
+  }
+}
+
 // Idle room lasts only moments, so it is refilled when an item ends as well as
 // at each tick.
 void EntryNode::FillBatch(TimePoint now) {
@@ -256,6 +254,7 @@
   fleet_.OnTick(now);
   shards_.Tick(now);
   batch_calls_.Tick(now);
+  services_.Tick(now);
   FillBatch(now);
   if (draining_ && accepting_ &&
       now >= drain_began_ + settings_.node.drain_notice) {
@@ -277,7 +276,8 @@
 TimePoint EntryNode::NextWake() const {
   const TimePoint now = MonotonicNow();
   return std::min({runner_.NextWake(), batch_calls_.NextWake(),
-                   fleet_.NextWake(now), now + kIdleWake});
+                   services_.NextWake(), fleet_.NextWake(now),
+                   now + kIdleWake});
 }
 
 bool EntryNode::Drained(TimePoint now) const {
@@ -289,7 +289,7 @@
       shards_.Released() ||
       now >= drain_began_ + settings_.node.drain_notice + settings_.lease_term;
   return !accepting_ && runner_.open_requests() == 0 &&
-         batch_calls_.size() == 0 && leases_gone;
+         batch_calls_.size() == 0 && services_.size() == 0 && leases_gone;
 }
 
 void EntryNode::OnAdmin(TimePoint now, http::ServerEvent&& event) {
--- a/libs/node/src/entry_node.h
+++ b/libs/node/src/entry_node.h
@@ -66,6 +66,7 @@
   TimePoint DeadlineOf(const http::RequestEvent& request) const;
   void PassOnEvents(TimePoint now);
   void FillBatch(TimePoint now);
+  void EndExchange(RequestId id);
 
   void AnswerAdmin(TimePoint now, const http::RequestEvent& request);
   std::string MetricsText();
--- a/libs/node/src/online_calls.cc
+++ b/libs/node/src/online_calls.cc
@@ -43,12 +43,12 @@
                             {"policy", "class"});
 }
 
-OnlineCalls::Prepared OnlineCalls::Begin(RequestId id,
-                                         const http::RequestEvent& request,
-                                         const CompletionRequest& completion,
-                                         const CallerIdentity& identity,
-                                         const TrafficRoute& route,
-                                         TimePoint deadline) {
+PreparedRequest OnlineCalls::Begin(RequestId id,
+                                   const http::RequestEvent& request,
+                                   const CompletionRequest& completion,
+                                   const CallerIdentity& identity,
+                                   const TrafficRoute& route,
+                                   TimePoint deadline) {
   OnlineCall call;
   call.exchange = request.exchange;
   call.identity = identity;
@@ -61,7 +61,7 @@
   call.answer.created_seconds = WallClockSeconds();
   calls_.emplace(id, std::move(call));
 
-  Prepared prepared;
+  PreparedRequest prepared;
   prepared.info.id = id;
   prepared.info.workspace = identity.workspace;
   prepared.info.caller = identity.caller;
--- a/libs/node/src/online_calls.h
+++ b/libs/node/src/online_calls.h
@@ -8,10 +8,9 @@
 #include "base/time.h"
 #include "caller_identity.h"
 #include "completion_request.h"
-#include "decide/request_info.h"
 #include "http/server_event.h"
-#include "knapweedstile.pb.h"
 #include "online_call.h"
+#include "prepared_request.h"
 #include "request_event.h"
 
 namespace knapweedstile::observe {
@@ -29,20 +28,15 @@
  public:
   OnlineCalls(EntryPorts& ports, observe::Metrics& metrics);
 
-  // What Submit of the runner needs, for a call that is well-formed.
-  struct Prepared {
-    decide::RequestInfo info;
-    pb::RunRequest message;
-  };
-
   // Commands.
-  Prepared Begin(RequestId id, const http::RequestEvent& request,
-                 const CompletionRequest& completion,
-                 const CallerIdentity& identity, const TrafficRoute& route,
-                 TimePoint deadline);
+  PreparedRequest Begin(RequestId id, const http::RequestEvent& request,
+                        const CompletionRequest& completion,
+                        const CallerIdentity& identity,
+                        const TrafficRoute& route, TimePoint deadline);
   // True when the event belongs to a call here.
   bool OnEvent(TimePoint now, const RequestEvent& event);
-  void Forget(RequestId id) { calls_.erase(id); }
+  // The caller is gone. True when its request is to be cancelled.
+  bool Forget(RequestId id) { return calls_.erase(id) != 0; }
 
   // Queries.
   size_t size() const noexcept { return calls_.size(); }
--- a/libs/node/src/service_call.h
+++ b/libs/node/src/service_call.h
@@ -10,11 +10,10 @@
 
 // One call of a plain service that a caller waits for.
 struct ServiceCall {
-  ExchangeId exchange;
+  ExchangeId exchange;  // none once the caller is gone
   CallerIdentity identity;
   std::string service;
-  std::string claim;  // of a keyed call that may not be repeated, else empty
-  std::string body;   // of the answer so far
+  std::string body;  // of the answer so far
 };
 
 }  // namespace knapweedstile::node
