Gate: a batch queue that moves gives nothing back

Cause: items that wait 30 s behind others of their kind were given back to the entry, so a fleet full of batch moved its queues about.

Change: for items that were not displaced by online the limit counts from the last batch start; displaced ones keep 5 s. A refused client comes back after 200 ms at the least (50 ms before), also while no request has ended yet.

--- a/libs/decide/src/batch_queue.cc
+++ b/libs/decide/src/batch_queue.cc
@@ -57,15 +57,6 @@
   return best;
 }
 
-const GateRequest* BatchQueue::WaitingSinceBefore(
-    TimePoint new_limit, TimePoint parked_limit) const {
-  for (const GateRequest& item : items_) {
-    const TimePoint limit = item.parked ? parked_limit : new_limit;
-    if (item.waiting_since <= limit) return &item;
-  }
-  return nullptr;
-}
-
 const GateRequest* BatchQueue::LastNew(TimePoint now) const {
   const GateRequest* last = nullptr;
   Rank last_rank;
--- a/libs/decide/src/batch_queue.h
+++ b/libs/decide/src/batch_queue.h
@@ -38,9 +38,6 @@
   const std::vector<GateRequest>& Items() const { return items_; }
   // The item to start next.
   const GateRequest* Next(TimePoint now) const;
-  // The item that has waited since before `limit`, if there is one.
-  const GateRequest* WaitingSinceBefore(TimePoint new_limit,
-                                        TimePoint parked_limit) const;
   // The never started item that would run last.
   const GateRequest* LastNew(TimePoint now) const;
 
--- a/libs/decide/src/gate.cc
+++ b/libs/decide/src/gate.cc
@@ -41,16 +41,19 @@
 constexpr uint32_t kShorterBy = 2;
 // How often turns are looked at while batch waits.
 constexpr Duration kTurnCheck = seconds(1);
-// How long a parked or a new item waits here before it is given back to the
-// entry. Ground: idle capacity elsewhere lasts seconds; a new item has nothing
-// to lose and may wait for a stream ahead to end. To be measured.
-constexpr Duration kParkedLimit = seconds(5);
-constexpr Duration kNewLimit = seconds(30);
+// How long an item displaced by online waits here before it is given back to
+// the entry. Ground: idle capacity elsewhere lasts seconds. To be measured.
+constexpr Duration kDisplacedLimit = seconds(5);
+// How long other items wait while no batch stream is started here. Counted from
+// the last start: a queue that moves gives nothing back, since items would move
+// about between engines that are all as busy. To be measured.
+constexpr Duration kStandstillLimit = seconds(30);
 // Tokens of prompt that cost as much as one produced token. Ground: prefill
 // runs in parallel, about ten to thirty times as fast. To be measured.
 constexpr uint32_t kPromptTokensPerCharge = 16;
-// The least time until a refused client should come back.
-constexpr Duration kLeastComeBack = milliseconds(50);
+// The least time until a refused client should come back, also while nothing is
+// known of the backend server. To be measured.
+constexpr Duration kLeastComeBack = milliseconds(200);
 
 Duration Spread(Rng& rng, Duration base) {
   const auto span = static_cast<uint64_t>(std::max<int64_t>(1, base.count()));
@@ -166,7 +169,7 @@
     if (batch_.Empty()) return wake;
     wake = std::min(wake, next_turn_check_);
     for (const GateRequest& item : batch_.Items()) {
-      wake = std::min(wake, item.waiting_since + LimitOfWaiting(item));
+      wake = std::min(wake, StaleAt(item));
     }
     // A slot that is ready for batch but not used is held back by the sharing
     // rule, whose demand changes slowly: the turn check sees to it.
@@ -324,6 +327,7 @@
   void StartBatchItem(TimePoint now, const GateRequest& item,
                       Actions& actions) {
     batch_.OnPicked();
+    last_batch_start_ = now;
     idle_.TakeForBatch();
     shares_.OnStarted(item.owner);
     shares_.Charge(item.owner, item.Context() / kPromptTokensPerCharge + 1);
@@ -408,8 +412,11 @@
 
   void YieldStale(TimePoint now, Actions& actions) {
     if (!settings_.rules.yield_stale) return;
-    while (const GateRequest* item =
-               batch_.WaitingSinceBefore(now - kNewLimit, now - kParkedLimit)) {
+    const auto stale = [&](const auto& item) { return StaleAt(item) <= now; };
+    const auto& items = batch_.Items();
+    for (auto item = std::find_if(items.begin(), items.end(), stale);
+         item != items.end();
+         item = std::find_if(items.begin(), items.end(), stale)) {
       YieldWaiting(item->id, actions);
     }
   }
@@ -515,8 +522,9 @@
     return settings_.rules.return_delay ? kBatchReturn : Duration::zero();
   }
 
-  static Duration LimitOfWaiting(const GateRequest& item) {
-    return item.parked ? kParkedLimit : kNewLimit;
+  TimePoint StaleAt(const GateRequest& item) const {
+    if (item.displaced) return item.waiting_since + kDisplacedLimit;
+    return std::max(item.waiting_since, last_batch_start_) + kStandstillLimit;
   }
 
   GateEstimates& EstimatesOf(const GateRequest& request) {
@@ -557,6 +565,7 @@
   RequestId pacing_;
   TimePoint next_batch_start_ = TimePoint::min();
   TimePoint last_settled_;
+  TimePoint last_batch_start_ = TimePoint::min();
 };
 
 Gate::Gate(const GateSettings& settings, uint64_t seed)
--- a/libs/decide/tests/gate_test.cc
+++ b/libs/decide/tests/gate_test.cc
@@ -187,6 +187,18 @@
   }
 }
 
+// A manifest job keeps an engine's queue full for minutes. Items that wait only
+// because others of the same sort are ahead stay: giving them back would move
+// them about between engines that are all as busy.
+TEST_CASE("a batch queue that moves gives nothing back") {
+  GateDriver driver({.slots = 4});
+  for (int i = 0; i < 32; ++i) driver.Batch(200);
+  driver.RunFor(minutes(3));
+  for (const auto& [id, record] : driver.Records()) {
+    REQUIRE(record.end == End::kDone);
+  }
+}
+
 // An operator relabels an engine while both classes run on it, again and again.
 // Every request must still end exactly once with all of its tokens, and a
 // static share must hold from the moment it is in force.
