--- /dev/null
+++ b/libs/decide/src/router.h
@@ -0,0 +1,112 @@
+#ifndef KNAPWEEDSTILE_DECIDE_ROUTER_H_
+#define KNAPWEEDSTILE_DECIDE_ROUTER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/rng.h"
+#include "base/time.h"
+#include "base/traffic_class.h"
+#include "router_prefixes.h"
+
+namespace knapweedstile::decide {
+
+class RouterServer;
+struct EntryRules;
+struct EntrySettings;
+
+// One request as the router sees it.
+struct RouterRequest {
+  TrafficClass traffic_class = TrafficClass::kOnline;
+  std::span<const uint64_t> prefix_hashes;
+  // Servers it was sent to already: never chosen again.
+  std::span<const BackendServerId> tried;
+  // Only a server with a free slot will do (hedges and batch).
+  bool only_free_slot = false;
+};
+
+// Picks the backend server of a request among those of one target that this
+// entry knows (its subset).
+//
+// Load pattern: many servers whose load is known late and in part. Least
+// outstanding work of all would send every entry to the same server between two
+// reports; random choice leaves long lines beside idle servers. Two random
+// candidates, the less loaded one taken, avoids both (Mitzenmacher 2001).
+class Router {
+ public:
+  Router(const EntrySettings& settings, uint64_t seed);
+
+  // Commands.
+  void Add(RouterServer* server);
+  void Remove(BackendServerId id);
+  // The server to send to, or none when all are busy, closed or tried.
+  RouterServer* Choose(TimePoint now, const RouterRequest& request);
+  // First output of an attempt came `after` its dispatch.
+  void OnFirstOutput(TimePoint now, RouterServer& server, Duration after);
+  // An attempt there is later than nearly all answers of the target.
+  void OnLate(TimePoint now, RouterServer& server);
+  // The open server on which this entry has least; none when all were tried.
+  RouterServer* LeastOwn(TimePoint now,
+                         std::span<const BackendServerId> tried) const;
+
+  // Queries.
+  // Servers that are in, closed or not.
+  size_t InCount() const;
+  // True when a server is in that the request was not sent to yet.
+  bool HasUntried(std::span<const BackendServerId> tried) const;
+  bool HasRoom(TimePoint now, TrafficClass traffic_class) const;
+  // Free slots that requests of the class could use now.
+  double FreeSlots(TimePoint now, TrafficClass traffic_class) const;
+
+ private:
+  struct Candidate {
+    RouterServer* server = nullptr;
+    double score = 0;
+  };
+
+  void FindOldestUp();
+  // How many of the class are there, own and others', as far as known.
+  double LoadOf(TimePoint now, const RouterServer& server,
+                TrafficClass traffic_class) const;
+  // The load that goes before one more of the class.
+  double UsedBefore(TimePoint now, const RouterServer& server,
+                    TrafficClass traffic_class) const;
+  double SlotsOf(TimePoint now, const RouterServer& server) const;
+  double Score(TimePoint now, const RouterServer& server) const;
+  bool HasFreeSlot(TimePoint now, const RouterServer& server,
+                   TrafficClass traffic_class) const;
+  bool MayTake(TimePoint now, const RouterServer& server) const;
+  void CollectCandidates(TimePoint now, const RouterRequest& request);
+  RouterServer* TakeTurn(TimePoint now, const RouterRequest& request);
+  RouterServer* TakeLessLoaded();
+  RouterServer* TakeByPrefix(TimePoint now, const RouterRequest& request);
+  RouterServer* TakeHome(TimePoint now, const RouterRequest& request,
+                         uint64_t prefix) const;
+  // The candidate that all entries would pick for a prefix unknown here.
+  RouterServer* TakeByHash(uint64_t prefix) const;
+  bool WithinBound(const Candidate& candidate) const;
+  bool Usable(TimePoint now, const RouterServer& server) const;
+  bool MayEject(TimePoint now) const;
+  std::optional<double> MeanOfPeers(const RouterServer& server) const;
+
+  const EntryRules& rules_;
+  const std::string& zone_;
+  Rng rng_;
+  std::vector<RouterServer*> servers_;
+  std::vector<Candidate> candidates_;  // kept to avoid allocation
+  double mean_score_ = 0;  // over the usable servers, at the last choice
+  RouterPrefixes prefixes_;
+  // When the server that has been up longest came up: slow start is relative
+  // to it, since a whole fleet that starts has nobody to spare its servers.
+  TimePoint oldest_up_ = TimePoint::max();
+  size_t turn_ = 0;
+};
+
+}  // namespace knapweedstile::decide
+
+#endif  // KNAPWEEDSTILE_DECIDE_ROUTER_H_
