--- a/libs/fleet/tests/config_store_test.cc
+++ b/libs/fleet/tests/config_store_test.cc
@@ -62,6 +62,15 @@
   REQUIRE(store.revision() == 9);
 }
 
+TEST_CASE("an older whole state takes nothing back") {
+  // A peer that was cut off answers late with everything it has.
+  ConfigStore store;
+  store.AdoptAll({Policy("a", 3), Policy("b", 8)}, 9);
+  REQUIRE(store.AdoptAll({Policy("a", 3)}, 5).empty());
+  REQUIRE(VersionOf(store, "b") == 8);
+  REQUIRE(store.revision() == 9);
+}
+
 TEST_CASE("a deleted object does not come back from a node that was away") {
   // Policy "a" is deleted at 10 while one node is cut off. The others restart,
   // so that nobody remembers the deletion. The node comes back and shows "a":
--- a/libs/fleet/tests/membership_test.cc
+++ b/libs/fleet/tests/membership_test.cc
@@ -190,6 +190,17 @@
   REQUIRE(entry.StateOf("engine-0") == MemberState::kDown);
 }
 
+TEST_CASE("another process at a VM's address is not that VM") {
+  // An address was given to a new VM, and the list still shows the old one.
+  Entry entry;
+  entry.List({Sidecar("engine-0")});
+  pb::Hello hello;
+  hello.set_node("engine-7");
+  entry.membership.OnPeerUp(entry.PeerOf("engine-0"), hello, entry.actions);
+  entry.Beat("engine-0");
+  REQUIRE(entry.StateOf("engine-0") == MemberState::kDown);
+}
+
 TEST_CASE("each entry connects to its own stable part of a large fleet") {
   MembershipSettings settings;
   settings.servers_per_target = 10;
