--- a/libs/jobs/src/shard_lease.cc
+++ b/libs/jobs/src/shard_lease.cc
@@ -70,7 +70,10 @@
 }
 
 bool ShardLease::Valid(TimePoint now) const noexcept {
-  return held() && (now < valid_until_ || !settings_.stop_on_own_clock);
+  // Once a release has been sent it may have taken effect, whatever is wanted
+  // since.
+  if (!held() || (write_ && write_->releases)) return false;
+  return now < valid_until_ || !settings_.stop_on_own_clock;
 }
 
 TimePoint ShardLease::next_wakeup() const noexcept {
@@ -214,7 +217,7 @@
   renew_at_ = counted_from + settings_.renew_after;
   seen_holder_ = write_->head.lease.holder;
   seen_fence_ = write_->head.lease.fence;
-  PendingWrite done = std::move(*write_);
+  HeadWrite done = std::move(*write_);
   write_.reset();
   if (done.releases) return Lose(counted_from);
   if (!done.takes_over) {
