--- a/libs/jobs/include/jobs/item_line.h
+++ b/libs/jobs/include/jobs/item_line.h
@@ -14,6 +14,7 @@
 // One item as its input segment holds it.
 struct ItemLine {
   std::string custom_id;
+  std::string model;
   std::string body;   // JSON; empty when the item cannot run
   std::string error;  // why it cannot run
 };
--- a/libs/jobs/include/jobs/open_job.h
+++ b/libs/jobs/include/jobs/open_job.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "jobs/input_segment_ref.h"
+#include "jobs/item_line.h"
 #include "jobs/item_set.h"
 #include "jobs/job_progress.h"
 #include "jobs/job_record.h"
@@ -26,8 +27,9 @@
   void SetRecord(JobRecord record, uint64_t version);
   void SetState(JobState state, uint64_t version);
 
-  // Takes the next item of the held segment out, in order of index.
-  std::optional<uint32_t> TakeNext();
+  // Takes the next item of the held segment out, in order of index; only while
+  // ready().
+  uint32_t TakeNext();
   void HoldSegment(const InputSegmentRef& ref, std::string value);
   void DropSegment();
 
@@ -45,6 +47,8 @@
   // The segment to load for the next items; none when all items are handed out
   // or the held segment still has some.
   std::optional<InputSegmentRef> WantedSegment() const;
+  // The line of the item that TakeNext() would take; only while ready().
+  const ItemLine& NextLine();
   // The line of an item of the held segment.
   std::string_view LineOf(uint32_t index) const;
   size_t held_bytes() const noexcept { return segment_.size(); }
@@ -68,6 +72,7 @@
   InputSegmentRef held_;
   std::string segment_;
   std::vector<uint32_t> line_begins_;
+  std::optional<ItemLine> next_line_;  // read ahead
 };
 
 }  // namespace knapweedstile::jobs
--- a/libs/jobs/include/jobs/shard_owner.h
+++ b/libs/jobs/include/jobs/shard_owner.h
@@ -15,6 +15,7 @@
 #include "jobs/item_failure.h"
 #include "jobs/item_ticket.h"
 #include "jobs/item_work.h"
+#include "jobs/lane.h"
 #include "jobs/open_job.h"
 #include "jobs/result_buffer.h"
 #include "jobs/shard_lease.h"
@@ -25,6 +26,8 @@
 
 namespace knapweedstile::jobs {
 
+class LaneFilter;
+
 // One process's part in one job shard: takes the shard's lease when it is free,
 // hands the items of the shard's jobs out, and commits their results. Without
 // network, clock, thread or log: after each call the shell makes the calls of
@@ -73,7 +76,12 @@
 
   // The next item to run: the earliest due first, and among those due at about
   // the same time in turn between workspaces and then between jobs.
-  std::optional<ItemWork> NextItem(TimePoint now);
+  //
+  // Load pattern: one model is full while others idle. Only lanes with room are
+  // chosen from; without that, the items of the full one come back first again
+  // and again, and the others' never come up.
+  std::optional<ItemWork> NextItem(TimePoint now,
+                                   const LaneHasRoom& has_room = {});
   // The outcome of an item, once for each ticket. `response`: JSON.
   void OnItemDone(ItemTicket ticket, std::string_view response, TimePoint now);
   void OnItemFailed(ItemTicket ticket, ItemFailure failure, TimePoint now);
@@ -149,7 +157,7 @@
   void OnInputRead(const PendingCall& call, const platform::StoreAnswer& answer,
                    TimePoint now);
   // Items.
-  Jobs::iterator MostUrgentReady();
+  Jobs::iterator MostUrgentReady(LaneFilter& filter);
   bool MoreUrgent(const OpenJob& a, const OpenJob& b) const;
   ItemWork HandOut(OutstandingItem item, OpenJob& job);
   std::optional<OutstandingItem> TakeFrom(Jobs::iterator job, TimePoint now);
--- a/libs/jobs/include/jobs/waiting_items.h
+++ b/libs/jobs/include/jobs/waiting_items.h
@@ -3,44 +3,43 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <utility>
 
 #include "base/time.h"
-#include "jobs/partial_output.h"
+#include "jobs/lane.h"
+#include "jobs/outstanding_item.h"
 
 namespace knapweedstile::jobs {
 
-// An item outside its input segment: in flight, or waiting to go out again.
-struct OutstandingItem {
-  std::string job;  // the id's hash
-  uint32_t index = 0;
-  std::string custom_id;
-  std::string body;
-  PartialOutput partial;
-};
+class LaneFilter;
 
-// Items that wait to go out again, by urgency once their time has come.
+// Items that wait to go out again, by urgency within their lane once their time
+// has come.
 class WaitingItems {
  public:
+  // Lower is more urgent.
   void Add(OutstandingItem item, int64_t urgency, TimePoint ready_at);
   // Makes the items ready whose time has come.
   void Promote(TimePoint now);
-  // The most urgent ready item; lower is more urgent.
-  std::optional<int64_t> FrontUrgency() const;
-  OutstandingItem TakeFront();
+  // The lane with the most urgent ready item among those with room, or null.
+  const Lane* MostUrgent(LaneFilter& filter) const;
+  // Of the first ready item of a lane that MostUrgent() gave.
+  int64_t UrgencyOf(const Lane& lane) const;
+  OutstandingItem TakeFirst(const Lane& lane);
   void RemoveJob(const std::string& job);
   void Clear();
 
-  size_t size() const noexcept { return delayed_.size() + ready_.size(); }
+  size_t size() const noexcept { return delayed_.size() + ready_count_; }
   TimePoint next_ready() const noexcept;
 
  private:
   using Entry = std::pair<int64_t, OutstandingItem>;
+  using Queue = std::multimap<int64_t, OutstandingItem>;
 
   std::multimap<TimePoint, Entry> delayed_;
-  std::multimap<int64_t, OutstandingItem> ready_;
+  std::map<Lane, Queue> ready_;  // no empty queues
+  size_t ready_count_ = 0;
 };
 
 }  // namespace knapweedstile::jobs
--- a/libs/jobs/src/item_line.cc
+++ b/libs/jobs/src/item_line.cc
@@ -72,12 +72,16 @@
 
 ItemLine DecodeItemLine(std::string_view line) {
   const auto parsed = ParseObject(line);
-  if (!parsed) return {"", "", "the stored line cannot be read"};
   ItemLine item;
+  if (!parsed) {
+    item.error = "the stored line cannot be read";
+    return item;
+  }
   item.custom_id = TextAt(*parsed, "custom_id");
   item.error = TextAt(*parsed, "error");
   if (const json::object* body = ObjectAt(*parsed, "body")) {
     item.body = json::serialize(*body);
+    item.model = TextAt(*body, "model");
   } else if (item.error.empty()) {
     item.error = "the stored line cannot be read";
   }
--- a/libs/jobs/src/job_record.cc
+++ b/libs/jobs/src/job_record.cc
@@ -47,7 +47,9 @@
                              static_cast<uint32_t>(inputs[i + 1])});
   }
   if (const json::object* progress = ObjectAt(*object, "progress")) {
-    record.progress = ProgressFromJson(*progress);
+    auto read = ProgressFromJson(*progress);
+    if (!read) return std::nullopt;
+    record.progress = std::move(*read);
   }
   return record;
 }
--- a/libs/jobs/src/open_job.cc
+++ b/libs/jobs/src/open_job.cc
@@ -27,9 +27,14 @@
   version_ = version;
 }
 
-std::optional<uint32_t> OpenJob::TakeNext() {
-  if (!ready()) return std::nullopt;
+const ItemLine& OpenJob::NextLine() {
+  if (!next_line_) next_line_ = DecodeItemLine(LineOf(NextIndex()));
+  return *next_line_;
+}
+
+uint32_t OpenJob::TakeNext() {
   const uint32_t index = NextIndex();
+  next_line_.reset();
   taken_.Insert(index);
   cursor_ = index + 1;
   return index;
@@ -38,6 +43,7 @@
 void OpenJob::HoldSegment(const InputSegmentRef& ref, std::string value) {
   held_ = ref;
   segment_ = std::move(value);
+  next_line_.reset();
   line_begins_.clear();
   uint32_t begin = 0;
   for (uint32_t i = 0; i < ref.count && begin < segment_.size(); ++i) {
@@ -51,6 +57,7 @@
   held_ = {};
   segment_ = {};
   line_begins_ = {};
+  next_line_.reset();
 }
 
 int64_t OpenJob::urgency() const noexcept {
--- a/libs/jobs/src/progress_json.cc
+++ b/libs/jobs/src/progress_json.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr uint64_t kMostStoredItems = 10'000'000;
+
 // Fence, then pairs of sequence difference and count; a new fence begins a new
 // list.
 json::array ResultsToJson(const std::vector<ResultSegmentRef>& results) {
@@ -73,7 +75,8 @@
   return object;
 }
 
-JobProgress ProgressFromJson(const json::object& object) {
+std::optional<JobProgress> ProgressFromJson(const json::object& object) {
+  if (UintAt(object, "total") > kMostStoredItems) return std::nullopt;
   JobProgress progress;
   progress.done = ItemSet(static_cast<uint32_t>(UintAt(object, "total")));
   const std::vector<uint64_t> done = UintsAt(object, "done");
--- a/libs/jobs/src/progress_json.h
+++ b/libs/jobs/src/progress_json.h
@@ -2,7 +2,7 @@
 #define KNAPWEEDSTILE_JOBS_PROGRESS_JSON_H_
 
 #include <boost/json.hpp>
-#include <cstdint>
+#include <optional>
 
 #include "jobs/job_progress.h"
 
@@ -12,7 +12,9 @@
 // flat and, where numbers rise, hold differences: the head is rewritten with
 // every commit.
 boost::json::object ToJson(const JobProgress& progress);
-JobProgress ProgressFromJson(const boost::json::object& object);
+// Nothing when it says more items than any job may have: a damaged value must
+// not make its reader allocate gigabytes.
+std::optional<JobProgress> ProgressFromJson(const boost::json::object& object);
 
 }  // namespace knapweedstile::jobs
 
--- a/libs/jobs/src/shard_head.cc
+++ b/libs/jobs/src/shard_head.cc
@@ -37,8 +37,9 @@
   head.intake_revision = UintAt(*object, "intake_revision");
   for (const auto& entry : *jobs) {
     if (!entry.value().is_object()) return std::nullopt;
-    head.jobs[std::string(entry.key())] =
-        ProgressFromJson(entry.value().get_object());
+    auto progress = ProgressFromJson(entry.value().get_object());
+    if (!progress) return std::nullopt;
+    head.jobs[std::string(entry.key())] = std::move(*progress);
   }
   return head;
 }
--- a/libs/jobs/src/shard_owner_items.cc
+++ b/libs/jobs/src/shard_owner_items.cc
@@ -4,22 +4,28 @@
 #include <utility>
 
 #include "jobs/item_line.h"
+#include "jobs/lane_filter.h"
 #include "jobs/result_line.h"
 #include "jobs/shard_owner.h"
 
 namespace knapweedstile::jobs {
 
-std::optional<ItemWork> ShardOwner::NextItem(TimePoint now) {
+std::optional<ItemWork> ShardOwner::NextItem(TimePoint now,
+                                             const LaneHasRoom& has_room) {
   waiting_.Promote(now);
+  LaneFilter filter(has_room);
   for (;;) {
     if (releasing_ || !lease_.Valid(now)) return std::nullopt;
     if (uncommitted_bytes() >= settings_.max_uncommitted_bytes) {
       return std::nullopt;
     }
-    const auto job = MostUrgentReady();
-    const auto waiting = waiting_.FrontUrgency();
-    if (waiting && (job == jobs_.end() || *waiting <= job->second.urgency())) {
-      OutstandingItem item = waiting_.TakeFront();
+    const auto job = MostUrgentReady(filter);
+    const Lane* lane = waiting_.MostUrgent(filter);
+    const bool waiting_first =
+        lane != nullptr && (job == jobs_.end() ||
+                            waiting_.UrgencyOf(*lane) <= job->second.urgency());
+    if (waiting_first) {
+      OutstandingItem item = waiting_.TakeFirst(Lane(*lane));
       OpenJob& of_item = jobs_.at(item.job);
       return HandOut(std::move(item), of_item);
     }
@@ -30,14 +36,21 @@
   }
 }
 
-ShardOwner::Jobs::iterator ShardOwner::MostUrgentReady() {
+ShardOwner::Jobs::iterator ShardOwner::MostUrgentReady(LaneFilter& filter) {
   auto best = jobs_.end();
   if (in_flight_.size() + waiting_.size() >= settings_.max_outstanding) {
     return best;
   }
   for (auto it = jobs_.begin(); it != jobs_.end(); ++it) {
-    if (!it->second.ready()) continue;
-    if (best == jobs_.end() || MoreUrgent(it->second, best->second)) best = it;
+    OpenJob& job = it->second;
+    if (!job.ready()) continue;
+    if (best != jobs_.end() && !MoreUrgent(job, best->second)) continue;
+    // A line that cannot run needs no room.
+    const ItemLine& line = job.NextLine();
+    if (!line.error.empty() ||
+        filter.HasRoom({job.record().workspace, line.model})) {
+      best = it;
+    }
   }
   return best;
 }
@@ -56,11 +69,15 @@
 std::optional<OutstandingItem> ShardOwner::TakeFrom(Jobs::iterator job,
                                                     TimePoint now) {
   OpenJob& open = job->second;
-  const uint32_t index = *open.TakeNext();
-  ItemLine line = DecodeItemLine(open.LineOf(index));
+  ItemLine line = open.NextLine();
+  const uint32_t index = open.TakeNext();
   if (!open.ready()) open.DropSegment();
-  OutstandingItem item{
-      job->first, index, std::move(line.custom_id), std::move(line.body), {}};
+  OutstandingItem item{job->first,
+                       index,
+                       std::move(line.custom_id),
+                       std::move(line.body),
+                       {open.record().workspace, std::move(line.model)},
+                       {}};
   if (line.error.empty()) return item;
   AddResult(item, true,
             FailedLine(index, item.custom_id, "invalid_item", line.error, 0),
--- a/libs/jobs/tests/jobs_path_test.cc
+++ b/libs/jobs/tests/jobs_path_test.cc
@@ -116,6 +116,34 @@
   REQUIRE(std::count(order.begin() + 60, order.end(), "late") == 20);
 }
 
+// Story: the engines of one model are full for an hour, those of another idle.
+// A job for each stands in one shard; the second must get its items out.
+TEST_CASE("a full model does not hold up the items of another") {
+  Harness harness(7, 1);
+  std::string other = Harness::Items(30);
+  for (size_t at = 0; (at = other.find("\"m\"", at)) != std::string::npos;) {
+    other.replace(at, 3, "\"n\"");
+  }
+  harness.Submit("ws", "a", Harness::Items(30));
+  harness.Submit("ws", "b", other);
+  Owner& owner = harness.StartOwner("vm-1");
+  owner.capacity = 0;
+  harness.RunFor(seconds(2));
+  ShardOwner& shard = *owner.shards[0];
+  // Items of both came back and wait, ahead of everything.
+  for (int i = 0; i < 20; ++i) {
+    const auto item = shard.NextItem(harness.now());
+    shard.OnItemRefused(item->ticket, harness.now(), harness.now());
+  }
+  const auto only_n = [](const Lane& lane) { return lane.model == "n"; };
+  int found = 0;
+  while (shard.NextItem(harness.now(), only_n)) ++found;
+  REQUIRE(found == 30);
+  found = 0;
+  while (shard.NextItem(harness.now())) ++found;
+  REQUIRE(found == 30);
+}
+
 TEST_CASE("ids, lines and names survive a round trip") {
   const JobId id = MakeJobId("ws", "key", 256);
   REQUIRE(ParseJobId(ToString(id)) == id);
