Graceful end: the last answers leave before the process does

Cause: planned_stop (real processes) failed each time: 'online-4: complete 200 ...' without [DONE] when a sidecar stopped, 'lost 200 the server closed the connection' when an entry did. Both processes ended once their last answer was queued: it was not written, or the socket was reset with unread heartbeats in it. Ruled out: a pause before the end; it hides the fault as long as the machine is fast. Change: Transport::Shutdown writes out, closes the sending side and waits for the other ends to close; an entry waits for its open exchanges. Bounded at 5 s. A first form shared the accept timer, which a closed acceptor rearms, and never ended; it has a timer of its own.

--- a/apps/knapctl/src/output.cc
+++ b/apps/knapctl/src/output.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -11,7 +12,7 @@
 namespace {
 
 constexpr size_t kGap = 2;
-constexpr int kBarWidth = 32;
+constexpr size_t kBarWidth = 32;
 
 }  // namespace
 
@@ -46,8 +47,8 @@
 void ProgressBar::Show(double share, std::string_view note) {
   if (!terminal_) return;
   drawn_ = true;
-  const int full =
-      static_cast<int>(std::clamp(share, 0.0, 1.0) * kBarWidth + 0.5);
+  const auto full =
+      static_cast<size_t>(std::lround(std::clamp(share, 0.0, 1.0) * kBarWidth));
   fmt::print(stderr, "\r{} [{}{}] {}   ", title_, std::string(full, '#'),
              std::string(kBarWidth - full, '.'), note);
   std::fflush(stderr);
--- a/apps/knapctl/src/status_command.cc
+++ b/apps/knapctl/src/status_command.cc
@@ -27,9 +27,9 @@
 }
 
 const json::array& ListAt(const json::object& object, std::string_view name) {
-  static const json::array empty;
+  static const json::array kEmpty;
   const json::value* value = object.if_contains(name);
-  return value != nullptr && value->is_array() ? value->get_array() : empty;
+  return value != nullptr && value->is_array() ? value->get_array() : kEmpty;
 }
 
 std::string ShowLoad(const json::object& server) {
--- a/libs/base/include/base/channel.h
+++ b/libs/base/include/base/channel.h
@@ -49,6 +49,9 @@
     return true;
   }
 
+  // Messages not handled yet. On the consumer's thread.
+  size_t pending() const noexcept { return ring_.read_available(); }
+
   // Messages refused since the start, for the metrics.
   uint64_t refused() const noexcept {
     return refused_.load(std::memory_order_relaxed);
--- a/libs/node/src/duty_thread.h
+++ b/libs/node/src/duty_thread.h
@@ -3,8 +3,15 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <functional>
+#include <future>
 #include <thread>
 
+#include "base/clock.h"
+#include "base/time.h"
+
 namespace knapweedstile::node {
 
 // One thread for one duty, running its own io_context until stopped.
@@ -19,6 +26,18 @@
   void Start() {
     thread_ = std::thread([this] { io_.run(); });
   }
+  // Runs `condition` on this duty's thread until it holds; false when it did
+  // not by `deadline`. Blocks; from another thread.
+  bool PollUntil(TimePoint deadline, const std::function<bool()>& condition) {
+    constexpr std::chrono::milliseconds kPoll{5};
+    for (;;) {
+      std::promise<bool> holds;
+      boost::asio::post(io_, [&] { holds.set_value(condition()); });
+      if (holds.get_future().get()) return true;
+      if (MonotonicNow() >= deadline) return false;
+      std::this_thread::sleep_for(kPoll);
+    }
+  }
   // Blocks until the handler that runs now is done. Not from its own thread.
   void Stop() {
     io_.stop();
--- a/libs/node/src/entry_process.cc
+++ b/libs/node/src/entry_process.cc
@@ -2,7 +2,9 @@
 
 #include <fmt/core.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <memory>
@@ -24,6 +26,8 @@
 namespace {
 
 constexpr size_t kRing = 16384;
+// For the last answers to be written when the process ends.
+constexpr std::chrono::milliseconds kLastWrites{5000};
 
 // The threads of an entry and the rings between them.
 class EntryProcess {
@@ -41,6 +45,7 @@
   EntryPorts MakePorts();
   wire::TransportSettings WireSettings() const;
   int ListenAndServe();
+  void SendWhatIsLeft();
   void AfterStep();
   void WaitForSignal();
 
@@ -167,6 +172,7 @@
       platform_.io(), settings_.platform_addresses,
       [this](platform::StoreAnswer&& a) { from_platform_.Push(std::move(a)); });
   const int exit_code = ListenAndServe();
+  if (exit_code == 0) SendWhatIsLeft();
   callers_.Stop();
   fleet_.Stop();
   platform_.Stop();
@@ -176,6 +182,15 @@
   return exit_code;
 }
 
+// The last answers are queued, but not written to their callers yet.
+void EntryProcess::SendWhatIsLeft() {
+  const TimePoint deadline = MonotonicNow() + kLastWrites;
+  callers_.PollUntil(deadline, [this] {
+    to_callers_.Flush();
+    return to_callers_.Empty() && callers_server_->open_exchanges() == 0;
+  });
+}
+
 int EntryProcess::ListenAndServe() {
   const auto callers_port = callers_server_->Listen(settings_.callers_listen);
   const auto fleet_port = transport_->Listen(settings_.node.fleet_listen);
--- a/libs/node/src/outbox.h
+++ b/libs/node/src/outbox.h
@@ -36,6 +36,11 @@
     }
   }
 
+  // Nothing is waiting on either side. On the consumer's thread, once the
+  // producer has stopped.
+  bool Empty() const noexcept {
+    return waiting_.empty() && channel_.pending() == 0;
+  }
   size_t waiting() const noexcept { return waiting_.size(); }
   uint64_t refused() const noexcept { return channel_.refused(); }
 
--- a/libs/node/src/sidecar_process.cc
+++ b/libs/node/src/sidecar_process.cc
@@ -2,9 +2,12 @@
 
 #include <fmt/core.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <future>
 #include <memory>
 #include <variant>
 
@@ -25,6 +28,8 @@
 namespace {
 
 constexpr size_t kRing = 16384;
+// For the last answers to be written and read when the process ends.
+constexpr std::chrono::milliseconds kLastWrites{5000};
 
 // A call to the backend server, or its cancelling.
 using BackendServerCommand = std::variant<http::ClientRequest, ExchangeId>;
@@ -53,6 +58,7 @@
   }
   wire::TransportSettings WireSettings() const;
   int ListenAndServe();
+  void SendWhatIsLeft();
   void AfterStep();
   void WaitForSignal();
   void OnBackendServerCommand(BackendServerCommand&& command);
@@ -153,6 +159,7 @@
         return from_admin_.TryPush(std::move(e));
       });
   const int exit_code = ListenAndServe();
+  if (exit_code == 0) SendWhatIsLeft();
   fleet_.Stop();
   backend_.Stop();
   transport_->Close();
@@ -161,6 +168,20 @@
   return exit_code;
 }
 
+// The last answers are queued, but neither written nor read by the entries yet.
+void SidecarProcess::SendWhatIsLeft() {
+  const TimePoint deadline = MonotonicNow() + kLastWrites;
+  fleet_.PollUntil(deadline, [this] {
+    to_fleet_.Flush();
+    return to_fleet_.Empty();
+  });
+  std::promise<void> closed;
+  boost::asio::post(fleet_.io(), [&, this] {
+    transport_->Shutdown(deadline, [&closed] { closed.set_value(); });
+  });
+  closed.get_future().wait();
+}
+
 int SidecarProcess::ListenAndServe() {
   const auto fleet_port = transport_->Listen(settings_.node.fleet_listen);
   const auto admin_port = admin_->Listen(settings_.node.admin_listen);
--- a/libs/wire/include/wire/transport.h
+++ b/libs/wire/include/wire/transport.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "base/error.h"
+#include "base/time.h"
 #include "wire/transport_command.h"
 #include "wire/transport_counters.h"
 #include "wire/transport_event.h"
@@ -33,6 +34,15 @@
   // Listens on `address` ("IP:PORT", port 0 picks one); the port bound.
   Result<uint16_t> Listen(const std::string& address);
   void Execute(TransportCommand&& command);
+  // Graceful end: stops accepting and reconnecting, writes out what is queued,
+  // closes the sending sides, and calls `done` once every other end has closed,
+  // at `deadline` at the latest.
+  //
+  // Failure guarded against: a process that closes its sockets as soon as its
+  // last answer is queued. What is unwritten is lost, and a socket closed with
+  // unread heartbeats in it is reset, which destroys what the other end has not
+  // read yet; callers would see answers cut short by a planned stop.
+  void Shutdown(TimePoint deadline, std::function<void()> done);
   // Stops accepting and closes every connection; no event follows.
   void Close();
 
--- a/libs/wire/src/connection.cc
+++ b/libs/wire/src/connection.cc
@@ -159,8 +159,17 @@
   Read();
 }
 
+bool Connection::FinishSending() {
+  if (sending_finished_) return true;
+  if (writing_ || session_.queued_bytes() > 0) return false;
+  sending_finished_ = true;
+  error_code ignored;
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  return true;
+}
+
 void Connection::ScheduleWrite() {
-  if (writing_ || closed_) return;
+  if (writing_ || closed_ || sending_finished_) return;
   writing_ = true;
   // Posted, so that everything submitted in one turn leaves in one write.
   boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
--- a/libs/wire/src/connection.h
+++ b/libs/wire/src/connection.h
@@ -32,6 +32,10 @@
   void Close(PeerDownReason reason);
   // Ends without a word to the owner, which is going away.
   void Abort();
+  // Once all is written, closes the sending side only: the other end reads what
+  // is on its way and then closes. False while something is still to be
+  // written.
+  bool FinishSending();
 
   bool OpenStream(StreamId stream, const pb::RunRequest& request);
   void SendEvent(StreamId stream, const pb::RunEvent& event, bool last);
@@ -80,6 +84,7 @@
   bool closed_ = false;
   bool reading_ = false;
   bool writing_ = false;  // a write is under way or posted
+  bool sending_finished_ = false;
 };
 
 }  // namespace knapweedstile::wire
--- a/libs/wire/src/transport.cc
+++ b/libs/wire/src/transport.cc
@@ -33,6 +33,8 @@
 constexpr std::chrono::milliseconds kRetryEvents{1};
 // After an accept that failed, as when file descriptors have run out.
 constexpr std::chrono::milliseconds kRetryAccept{100};
+// How often a graceful end looks whether all is written and closed.
+constexpr std::chrono::milliseconds kShutdownPoll{5};
 
 }  // namespace
 
@@ -48,10 +50,12 @@
         rng_(std::random_device()()),
         acceptor_(io),
         accept_timer_(io),
-        deliver_timer_(io) {}
+        deliver_timer_(io),
+        shutdown_timer_(io) {}
 
   Result<uint16_t> Listen(const std::string& address);
   void Close();
+  void Shutdown(TimePoint deadline, std::function<void()> done);
 
   void Run(const ConnectCommand& command);
   void Run(const DisconnectCommand& command);
@@ -97,6 +101,7 @@
   void ScheduleDelivery();
   void RetryDelivery();
   void ResumeReading();
+  void PollShutdown(TimePoint deadline, const std::function<void()>& done);
   Peer* FindPeer(PeerId id);
   Connection* FindConnection(PeerId id);
   Connection* ConnectionOf(StreamId stream);
@@ -112,12 +117,14 @@
   tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_timer_;
   boost::asio::steady_timer deliver_timer_;
+  boost::asio::steady_timer shutdown_timer_;
   std::unordered_map<PeerId, Peer> peers_;
   std::unordered_map<StreamId, PeerId> stream_peers_;
   uint64_t last_id_ = 0;
   uint64_t last_attempt_ = 0;
   bool delivery_scheduled_ = false;
   bool delivery_blocked_ = false;
+  bool shutting_down_ = false;
   bool closed_ = false;
 };
 
@@ -148,6 +155,7 @@
 }
 
 void Transport::Impl::OnAccept(const error_code& error, tcp::socket socket) {
+  if (shutting_down_) return;
   if (error) {
     accept_timer_.expires_after(kRetryAccept);
     accept_timer_.async_wait([weak = weak_from_this()](const error_code& e) {
@@ -217,7 +225,7 @@
   peer.timer.expires_after(backoff_.Next(peer.failures, rng_));
   peer.timer.async_wait([weak = weak_from_this(), id](const error_code& error) {
     const auto self = weak.lock();
-    if (error || !self || self->closed_) return;
+    if (error || !self || self->closed_ || self->shutting_down_) return;
     Peer* found = self->FindPeer(id);
     if (found != nullptr && !found->connection) self->Attempt(id, *found);
   });
@@ -368,6 +376,26 @@
   return connections;
 }
 
+void Transport::Impl::Shutdown(TimePoint deadline, std::function<void()> done) {
+  error_code ignored;
+  acceptor_.close(ignored);
+  accept_timer_.cancel();
+  shutting_down_ = true;
+  PollShutdown(deadline, done);
+}
+
+void Transport::Impl::PollShutdown(TimePoint deadline,
+                                   const std::function<void()>& done) {
+  const auto connections = Connections();
+  for (const auto& connection : connections) connection->FinishSending();
+  if (connections.empty() || MonotonicNow() >= deadline) return done();
+  shutdown_timer_.expires_after(kShutdownPoll);
+  shutdown_timer_.async_wait(
+      [self = shared_from_this(), deadline, done](const error_code& error) {
+        if (!error) self->PollShutdown(deadline, done);
+      });
+}
+
 void Transport::Impl::Close() {
   closed_ = true;
   error_code ignored;
@@ -397,6 +425,10 @@
   std::visit([this](auto& c) { impl_->Run(c); }, command);
 }
 
+void Transport::Shutdown(TimePoint deadline, std::function<void()> done) {
+  impl_->Shutdown(deadline, std::move(done));
+}
+
 void Transport::Close() { impl_->Close(); }
 
 const TransportCounters& Transport::counters() const {
