Entry: load reports allow for the network's delay; headroom shared between entries

Cause: a report that came with an answer was counted as if that answer's request still ran, so each entry took the others for one fewer on every server.

--- a/libs/decide/src/admission_flows.cc
+++ b/libs/decide/src/admission_flows.cc
@@ -1,5 +1,6 @@
 #include "admission_flows.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "entry_invariant.h"
@@ -12,7 +13,9 @@
 constexpr double kHeavyFactor = 3;
 constexpr double kHeavyFloor = 4;
 // Standard deviations of the others' number kept free.
-constexpr double kHeadroomSigmas = 2;
+constexpr double kHeadroomSigmas = 3;
+// Share of an entry that has next to nothing in service yet.
+constexpr double kLeastShare = 0.05;
 
 }  // namespace
 
@@ -28,14 +31,14 @@
   --total_;
 }
 
-double AdmissionFlows::HeadroomFor(uint64_t flow) const {
+double AdmissionFlows::HeadroomFor(uint64_t flow, double share) const {
   const auto found = in_service_.find(flow);
   if (found == in_service_.end() || in_service_.size() < 2) return 0;
   const double own = static_cast<double>(found->second);
   const double others = static_cast<double>(total_) - own;
   const double flows = static_cast<double>(in_service_.size() - 1);
   if (own <= kHeavyFactor * others / flows + kHeavyFloor) return 0;
-  return std::ceil(kHeadroomSigmas * std::sqrt(others));
+  return kHeadroomSigmas * std::sqrt(others / std::max(share, kLeastShare));
 }
 
 }  // namespace knapweedstile::decide
--- a/libs/decide/src/admission_flows.h
+++ b/libs/decide/src/admission_flows.h
@@ -27,8 +27,9 @@
 
   // Queries.
   // Free slots that one more request of this flow must leave; zero unless it
-  // is heavy.
-  double HeadroomFor(uint64_t flow) const;
+  // is heavy. `share` is this entry's part of all requests at the servers: the
+  // headroom is one for all entries together, so it grows with their number.
+  double HeadroomFor(uint64_t flow, double share) const;
 
  private:
   std::unordered_map<uint64_t, size_t> in_service_;
--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -458,9 +458,9 @@
   while (!queue.empty() && pool.router.HasRoom(now, traffic_class)) {
     RequireInvariant(online || pool.OnlineWaiting() == 0,
                      "batch goes only when no online request waits");
-    const double free = pool.router.FreeSlots(now, traffic_class);
+    const RouterOccupancy occupancy = pool.router.Occupancy(now, traffic_class);
     const auto id = queue.Pop([&](FairQueueKey key) {
-      return !online || LeavesHeadroom(pool, key, free);
+      return !online || LeavesHeadroom(pool, key, occupancy);
     });
     if (!id) return;
     EntryRequest& request = requests_.at(*id);
@@ -485,13 +485,16 @@
   }
 }
 
-bool EntryScheduler::Impl::LeavesHeadroom(const EntryPool& pool,
-                                          FairQueueKey key, double free) const {
+bool EntryScheduler::Impl::LeavesHeadroom(
+    const EntryPool& pool, FairQueueKey key,
+    const RouterOccupancy& occupancy) const {
   if (!settings_.rules.headroom) return true;
+  const double share =
+      occupancy.own / std::max(occupancy.own + occupancy.others, 1.0);
   const double headroom =
-      std::max(pool.workspaces_in_service.HeadroomFor(key.workspace),
-               pool.callers_in_service.HeadroomFor(CallerFlow(key)));
-  return headroom == 0 || free >= headroom + 1;
+      std::max(pool.workspaces_in_service.HeadroomFor(key.workspace, share),
+               pool.callers_in_service.HeadroomFor(CallerFlow(key), share));
+  return headroom == 0 || (occupancy.free - headroom) * share >= 1;
 }
 
 void EntryScheduler::Impl::PumpAllOf(TimePoint now, const RouterServer& server,
@@ -652,8 +655,8 @@
   if (found == pools_.end()) return 0;
   const EntryPool& pool = found->second;
   if (pool.OnlineWaiting() > 0) return 0;
-  const auto free =
-      static_cast<size_t>(pool.router.FreeSlots(now_, TrafficClass::kBatch));
+  const auto free = static_cast<size_t>(
+      pool.router.Occupancy(now_, TrafficClass::kBatch).free);
   const size_t bound =
       settings_.queue_limit - bounds_.waiting(TrafficClass::kBatch);
   const size_t waiting = pool.batch.size();
--- a/libs/decide/src/entry_scheduler_impl.h
+++ b/libs/decide/src/entry_scheduler_impl.h
@@ -79,9 +79,9 @@
                     Actions& actions);
   void PumpQueue(TimePoint now, EntryPool& pool, TrafficClass traffic_class,
                  Actions& actions);
-  // Whether a request of this flow may go with that many slots free.
+  // Whether a request of this flow may go and leave what it must.
   bool LeavesHeadroom(const EntryPool& pool, FairQueueKey key,
-                      double free) const;
+                      const RouterOccupancy& occupancy) const;
   void PumpAllOf(TimePoint now, const RouterServer& server, Actions& actions);
   void Dispatch(TimePoint now, EntryRequest& request, RouterServer& server,
                 Actions& actions);
--- a/libs/decide/src/router.cc
+++ b/libs/decide/src/router.cc
@@ -214,14 +214,18 @@
       });
 }
 
-double Router::FreeSlots(TimePoint now, TrafficClass traffic_class) const {
-  double free = 0;
+RouterOccupancy Router::Occupancy(TimePoint now,
+                                  TrafficClass traffic_class) const {
+  RouterOccupancy occupancy;
   for (const RouterServer* server : servers_) {
     if (!Usable(now, *server)) continue;
-    free += std::max(
-        0.0, SlotsOf(now, *server) - UsedBefore(now, *server, traffic_class));
+    const double used = UsedBefore(now, *server, traffic_class);
+    const double own = server->own(traffic_class);
+    occupancy.free += std::max(0.0, SlotsOf(now, *server) - used);
+    occupancy.own += own;
+    occupancy.others += used - own;
   }
-  return free;
+  return occupancy;
 }
 
 double Router::UsedBefore(TimePoint now, const RouterServer& server,
--- a/libs/decide/src/router.h
+++ b/libs/decide/src/router.h
@@ -30,6 +30,13 @@
   bool only_free_slot = false;
 };
 
+// What is taken and free on the usable servers together.
+struct RouterOccupancy {
+  double free = 0;
+  double own = 0;     // requests of this entry
+  double others = 0;  // of other entries, as far as reported
+};
+
 // Picks the backend server of a request among those of one target that this
 // entry knows (its subset).
 //
@@ -60,8 +67,8 @@
   // True when a server is in that the request was not sent to yet.
   bool HasUntried(std::span<const BackendServerId> tried) const;
   bool HasRoom(TimePoint now, TrafficClass traffic_class) const;
-  // Free slots that requests of the class could use now.
-  double FreeSlots(TimePoint now, TrafficClass traffic_class) const;
+  // Slots and requests that count for the class: online does not see batch.
+  RouterOccupancy Occupancy(TimePoint now, TrafficClass traffic_class) const;
 
  private:
   struct Candidate {
--- a/libs/decide/src/router_own_attempts.h
+++ b/libs/decide/src/router_own_attempts.h
@@ -31,13 +31,16 @@
     ended_.emplace_back(started, now);
   }
 
-  // How many ran at `measured_at`; ends before that are forgotten.
+  // How many ran at the server at `measured_at`; earlier ends are forgotten.
+  // A start reaches the server, and an end this entry, a network delay later:
+  // without allowing for it each report that comes with an answer would count
+  // that answer's request as running, and the others as one fewer.
   uint32_t RunningAt(TimePoint measured_at) {
     std::erase_if(ended_, [measured_at](const auto& attempt) {
-      return attempt.second <= measured_at;
+      return attempt.second <= measured_at + kNetworkDelay;
     });
     const auto began = [measured_at](TimePoint started) {
-      return started <= measured_at;
+      return started + kNetworkDelay <= measured_at;
     };
     const auto running = std::count_if(running_.begin(), running_.end(), began);
     const auto ended = std::count_if(
@@ -51,6 +54,8 @@
   }
 
  private:
+  // One way between availability zones, about 1.5 ms, and its handling.
+  static constexpr Duration kNetworkDelay = std::chrono::milliseconds(2);
   // Ends kept for the next report; enough for one server's slots many times
   // over within the lag of a report.
   static constexpr size_t kRememberedEnds = 64;
--- a/libs/decide/tests/entry_fleet_model.h
+++ b/libs/decide/tests/entry_fleet_model.h
@@ -317,7 +317,9 @@
     const double token = 1 / settings_.tokens_per_second;
     const uint64_t incarnation = s.incarnation;
     After((prefill + token) / s.speed, [=, this] {
-      if (Runs(server, incarnation, running)) FirstOutput(running);
+      if (!Runs(server, incarnation, running)) return;
+      FirstOutput(running);
+      ReportWithReply(server, running.entry);
     });
     After((prefill + token * call.max_tokens) / s.speed, [=, this] {
       if (Runs(server, incarnation, running)) Done(server, running);
@@ -355,6 +357,7 @@
     servers_[server].running.erase(running.key());
     StartNext(server);
     EndAttempt(running, AttemptOutcome::kDone, 0);
+    ReportWithReply(server, running.entry);
   }
 
   void StartNext(size_t server) {
@@ -400,30 +403,42 @@
     });
   }
 
-  void Report(size_t server) {
-    After(settings_.report_every, [this, server] { Report(server); });
-    const Server& s = servers_[server];
-    if (!s.up) return;
+  LoadReport LoadOf(const Server& s) const {
     LoadReport report;
     report.measured_at = Now();
     report.slots = settings_.slots;
+    const auto is_batch = [&](const Running& running) {
+      return answers_[running.call].call.traffic_class == TrafficClass::kBatch;
+    };
     for (const auto& [key, running] : s.running) {
-      const bool batch =
-          answers_[running.call].call.traffic_class == TrafficClass::kBatch;
-      ++(batch ? report.batch_running : report.online_running);
+      ++(is_batch(running) ? report.batch_running : report.online_running);
     }
     for (const Running& running : s.waiting) {
-      const bool batch =
-          answers_[running.call].call.traffic_class == TrafficClass::kBatch;
-      ++(batch ? report.batch_waiting : report.online_waiting);
+      ++(is_batch(running) ? report.batch_waiting : report.online_waiting);
     }
+    return report;
+  }
+
+  // The load as it was at the server goes to one entry with a reply.
+  void ReportWithReply(size_t server, size_t entry) {
+    const LoadReport report = LoadOf(servers_[server]);
+    After(settings_.network_seconds,
+          [=, this] { Deliver(server, entry, report); });
+  }
+
+  void Deliver(size_t server, size_t entry, const LoadReport& report) {
+    if (!servers_[server].up) return;
+    Drive(entry, [&](EntryScheduler& scheduler, Actions& actions) {
+      scheduler.OnLoad(Now(), IdOf(server), report, actions);
+    });
+  }
+
+  void Report(size_t server) {
+    After(settings_.report_every, [this, server] { Report(server); });
+    if (!servers_[server].up) return;
+    const LoadReport report = LoadOf(servers_[server]);
     After(settings_.report_lag, [this, server, report] {
-      if (!servers_[server].up) return;
-      for (size_t i = 0; i < entries_.size(); ++i) {
-        Drive(i, [&](EntryScheduler& scheduler, Actions& actions) {
-          scheduler.OnLoad(Now(), IdOf(server), report, actions);
-        });
-      }
+      for (size_t i = 0; i < entries_.size(); ++i) Deliver(server, i, report);
     });
   }
 
