--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -494,7 +494,13 @@
   const double headroom =
       std::max(pool.workspaces_in_service.HeadroomFor(key.workspace, share),
                pool.callers_in_service.HeadroomFor(CallerFlow(key), share));
-  return headroom == 0 || (occupancy.free - headroom) * share >= 1;
+  if (headroom == 0) return true;
+  // What this entry has added since the last reports, the others have added in
+  // proportion: they see the same free slots and no more of this entry than it
+  // sees of them.
+  const double unseen = std::max(occupancy.growth, 0.0) * occupancy.others /
+                        std::max(occupancy.own, 1.0);
+  return occupancy.free - unseen - headroom >= 1;
 }
 
 void EntryScheduler::Impl::PumpAllOf(TimePoint now, const RouterServer& server,
--- a/libs/decide/src/router.cc
+++ b/libs/decide/src/router.cc
@@ -224,6 +224,7 @@
     occupancy.free += std::max(0.0, SlotsOf(now, *server) - used);
     occupancy.own += own;
     occupancy.others += used - own;
+    occupancy.growth += server->OwnGrowth(traffic_class);
   }
   return occupancy;
 }
--- a/libs/decide/src/router.h
+++ b/libs/decide/src/router.h
@@ -35,6 +35,7 @@
   double free = 0;
   double own = 0;     // requests of this entry
   double others = 0;  // of other entries, as far as reported
+  double growth = 0;  // of `own` since the servers' last reports
 };
 
 // Picks the backend server of a request among those of one target that this
--- a/libs/decide/src/router_server.cc
+++ b/libs/decide/src/router_server.cc
@@ -55,6 +55,7 @@
   const auto minus_own = [&](ClassLoad& of, uint32_t reported) {
     const uint32_t own = of.own.RunningAt(load.measured_at);
     of.others = reported > own ? reported - own : 0;
+    of.own_when_reported = own;
   };
   minus_own(online_, load.online_running + load.online_waiting);
   minus_own(batch_, load.batch_running + load.batch_waiting);
@@ -86,6 +87,12 @@
   return of(traffic_class).others;
 }
 
+int32_t RouterServer::OwnGrowth(TrafficClass traffic_class) const noexcept {
+  const ClassLoad& load = of(traffic_class);
+  return static_cast<int32_t>(load.own.running()) -
+         static_cast<int32_t>(load.own_when_reported);
+}
+
 double RouterServer::UsableSlots(TimePoint now,
                                  TimePoint oldest_up) const noexcept {
   const double slots = slots_;
--- a/libs/decide/src/router_server.h
+++ b/libs/decide/src/router_server.h
@@ -57,6 +57,8 @@
   uint32_t own(TrafficClass traffic_class) const noexcept;
   uint32_t own() const noexcept;
   uint32_t others(TrafficClass traffic_class) const noexcept;
+  // How many more of this entry's are there than the last report has counted.
+  int32_t OwnGrowth(TrafficClass traffic_class) const noexcept;
   uint32_t slots() const noexcept { return slots_; }
   TimePoint up_since() const noexcept { return up_since_; }
   // Slots that may be used now: fewer while it has just come up, compared with
@@ -67,6 +69,7 @@
   struct ClassLoad {
     RouterOwnAttempts own;
     uint32_t others = 0;
+    uint32_t own_when_reported = 0;
   };
   ClassLoad& of(TrafficClass traffic_class) noexcept {
     return traffic_class == TrafficClass::kOnline ? online_ : batch_;
