--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -641,7 +641,7 @@
     const EntryRequest& request) const {
   if (request.info.deadline == kNever) return kNever;
   if (!settings_.rules.deadline_refusal) return request.info.deadline;
-  return request.info.deadline - request.pool->first_output_times.typical();
+  return request.info.deadline - request.pool->first_output_times.late();
 }
 
 void EntryScheduler::Impl::SetWake(EntryRequest& request, TimePoint wake) {
--- a/libs/decide/src/hedge_timer.cc
+++ b/libs/decide/src/hedge_timer.cc
@@ -38,10 +38,9 @@
       total_ += count;
     }
   }
-  if (++since_refresh_ < kRefreshEvery && typical_ > Duration::zero()) return;
+  if (++since_refresh_ < kRefreshEvery && late_ > Duration::zero()) return;
   since_refresh_ = 0;
   late_ = Percentile(kHedgePercentile);
-  typical_ = Percentile(0.5);
 }
 
 std::optional<Duration> HedgeTimer::hedge_after() const noexcept {
--- a/libs/decide/src/hedge_timer.h
+++ b/libs/decide/src/hedge_timer.h
@@ -24,8 +24,8 @@
   // After this long without output a second attempt is due; none while too few
   // answers have been seen.
   std::optional<Duration> hedge_after() const noexcept;
-  // The median; zero while nothing has been seen.
-  Duration typical() const noexcept { return typical_; }
+  // Nearly every answer is there after this; zero while nothing was seen.
+  Duration late() const noexcept { return late_; }
 
  private:
   static constexpr size_t kBuckets = 80;
@@ -37,7 +37,6 @@
   uint32_t total_ = 0;
   uint32_t since_refresh_ = 0;
   Duration late_{};
-  Duration typical_{};
 };
 
 }  // namespace knapweedstile::decide
