--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <cstddef>
 #include <cstdio>
 #include <functional>
 #include <string>
@@ -62,9 +64,10 @@
 
 double Percentile(std::vector<double> values, double share) {
   if (values.empty()) return 0;
-  const auto index =
-      static_cast<size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
-  std::nth_element(values.begin(), values.begin() + static_cast<long>(index),
+  const double place = share * static_cast<double>(values.size() - 1);
+  const auto index = static_cast<size_t>(std::lround(place));
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(index),
                    values.end());
   return values[index];
 }
@@ -120,6 +123,7 @@
     fmt::print("{:<20}", variant.name);
     for (size_t i = 0; i < runs[0].size(); ++i) {
       std::vector<double> values;
+      values.reserve(runs.size());
       for (const Figures& figures : runs) values.push_back(figures[i].value);
       std::sort(values.begin(), values.end());
       fmt::print(" {:>21}",
@@ -407,6 +411,12 @@
       });
 }
 
+std::vector<std::string> Names(std::string_view prefix, size_t count) {
+  std::vector<std::string> names(count);
+  for (size_t i = 0; i < count; ++i) names[i] = fmt::format("{}-{}", prefix, i);
+  return names;
+}
+
 // Wall-clock cost of arrival, dispatch, first output and end together, with
 // half of the slots taken.
 void DecisionCost() {
@@ -415,14 +425,10 @@
   fmt::print("{:<12} {:>10} {:>16} {:>14}\n", "engines", "subset",
              "ns a request", "ns a decision");
   for (const size_t engines : {10, 100, 1000, 10000}) {
-    std::vector<std::string> names;
-    for (size_t i = 0; i < engines; ++i) names.push_back(fmt::format("e{}", i));
+    const auto names = Names("engine", engines);
     const std::vector<std::string_view> views(names.begin(), names.end());
-    std::vector<std::string> entry_names;
-    const size_t entries = std::max<size_t>(3, engines * 32 / 100);
-    for (size_t i = 0; i < entries; ++i) {
-      entry_names.push_back(fmt::format("entry-{}", i));
-    }
+    const auto entry_names =
+        Names("entry", std::max<size_t>(3, engines * 32 / 100));
     const std::vector<std::string_view> entry_views(entry_names.begin(),
                                                     entry_names.end());
     const auto subset = SubsetOf(entry_views[0], entry_views, views);
@@ -486,10 +492,8 @@
 
 void Subsets() {
   fmt::print("\nsubsets: 3,200 entries, 10,000 engines, size 64\n");
-  std::vector<std::string> entries;
-  std::vector<std::string> engines;
-  for (int i = 0; i < 3200; ++i) entries.push_back(fmt::format("entry-{}", i));
-  for (int i = 0; i < 10000; ++i) engines.push_back(fmt::format("eng-{}", i));
+  const auto entries = Names("entry", 3200);
+  const auto engines = Names("engine", 10000);
   const std::vector<std::string_view> entry_views(entries.begin(),
                                                   entries.end());
   const std::vector<std::string_view> views(engines.begin(), engines.end());
--- a/libs/decide/tests/subset_test.cc
+++ b/libs/decide/tests/subset_test.cc
@@ -10,7 +10,8 @@
 
 std::vector<std::string> Names(const char* prefix, size_t count) {
   std::vector<std::string> names;
-  for (size_t i = 0; i < count; ++i) names.push_back(prefix + std::to_string(i));
+  for (size_t i = 0; i < count; ++i)
+    names.push_back(prefix + std::to_string(i));
   return names;
 }
 
@@ -35,7 +36,8 @@
       ++known_by[i];
     }
   }
-  const auto [low, high] = std::minmax_element(known_by.begin(), known_by.end());
+  const auto [low, high] =
+      std::minmax_element(known_by.begin(), known_by.end());
   REQUIRE(*high - *low <= 1);
   REQUIRE(*low >= 20);
 }
