--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -102,7 +102,9 @@
                        pool.online.AheadOf(request.key, WeightOf(request));
   const Duration wait =
       pool.admission.WaitBehind(ahead, pool.online_in_service);
-  if (Remaining(LatestDispatch(request), now) <= wait) {
+  const Duration left = Remaining(LatestDispatch(request), now);
+  const Duration longest = left / 100 * settings_.longest_wait_percent;
+  if (left == Duration::zero() || wait > longest) {
     return RefusalReason::kDeadline;
   }
   return std::nullopt;
@@ -227,6 +229,7 @@
                                            const Attempt& attempt,
                                            EntryPool& pool) {
   pool.first_output_times.OnFirstOutput(now - attempt.started);
+  if (attempt.cached) return;
   pool.router.OnFirstOutput(now, *attempt.server, now - attempt.started);
 }
 
@@ -458,9 +461,9 @@
   while (!queue.empty() && pool.router.HasRoom(now, traffic_class)) {
     RequireInvariant(online || pool.OnlineWaiting() == 0,
                      "batch goes only when no online request waits");
-    const double free = pool.router.FreeSlots(now, traffic_class);
+    const RouterOccupancy occupancy = pool.router.Occupancy(now, traffic_class);
     const auto id = queue.Pop([&](FairQueueKey key) {
-      return !online || LeavesHeadroom(pool, key, free);
+      return !online || LeavesHeadroom(pool, key, occupancy);
     });
     if (!id) return;
     EntryRequest& request = requests_.at(*id);
@@ -485,13 +488,22 @@
   }
 }
 
-bool EntryScheduler::Impl::LeavesHeadroom(const EntryPool& pool,
-                                          FairQueueKey key, double free) const {
+bool EntryScheduler::Impl::LeavesHeadroom(
+    const EntryPool& pool, FairQueueKey key,
+    const RouterOccupancy& occupancy) const {
   if (!settings_.rules.headroom) return true;
+  const double share =
+      occupancy.own / std::max(occupancy.own + occupancy.others, 1.0);
   const double headroom =
-      std::max(pool.workspaces_in_service.HeadroomFor(key.workspace),
-               pool.callers_in_service.HeadroomFor(CallerFlow(key)));
-  return headroom == 0 || free >= headroom + 1;
+      std::max(pool.workspaces_in_service.HeadroomFor(key.workspace, share),
+               pool.callers_in_service.HeadroomFor(CallerFlow(key), share));
+  if (headroom == 0) return true;
+  // What this entry has added since the last reports, the others have added in
+  // proportion: they see the same free slots and no more of this entry than it
+  // sees of them.
+  const double unseen = std::max(occupancy.growth, 0.0) * occupancy.others /
+                        std::max(occupancy.own, 1.0);
+  return occupancy.free - unseen - headroom >= 1;
 }
 
 void EntryScheduler::Impl::PumpAllOf(TimePoint now, const RouterServer& server,
@@ -507,7 +519,8 @@
                              server.id()) == request.tried.end(),
                    "a request is sent to a server once");
   const AttemptId id(++last_attempt_);
-  attempts_.emplace(id, Attempt{request.info.id, &server, now, false});
+  attempts_.emplace(id, Attempt{request.info.id, &server, now, false,
+                                request.pool->router.chose_home()});
   request.attempts.push_back(id);
   request.tried.push_back(server.id());
   request.place = EntryRequestPlace::kServers;
@@ -632,7 +645,7 @@
     const EntryRequest& request) const {
   if (request.info.deadline == kNever) return kNever;
   if (!settings_.rules.deadline_refusal) return request.info.deadline;
-  return request.info.deadline - request.pool->first_output_times.typical();
+  return request.info.deadline - request.pool->first_output_times.late();
 }
 
 void EntryScheduler::Impl::SetWake(EntryRequest& request, TimePoint wake) {
@@ -652,8 +665,8 @@
   if (found == pools_.end()) return 0;
   const EntryPool& pool = found->second;
   if (pool.OnlineWaiting() > 0) return 0;
-  const auto free =
-      static_cast<size_t>(pool.router.FreeSlots(now_, TrafficClass::kBatch));
+  const auto free = static_cast<size_t>(
+      pool.router.Occupancy(now_, TrafficClass::kBatch).free);
   const size_t bound =
       settings_.queue_limit - bounds_.waiting(TrafficClass::kBatch);
   const size_t waiting = pool.batch.size();
