Gate bench: overload, cost of a decision, an engine whose prompts share its time

Cause: the tables lacked overload, cost at larger sizes, and which part of the engine's sharing binds the tail.

Change: a third engine model (prompts share, decoding does not), answers begun in time at 1x and 2x with 2 s patience, nanoseconds a decision at 8, 32, 128 slots.

--- a/bench/gate_bench.cc
+++ b/bench/gate_bench.cc
@@ -49,6 +49,7 @@
   double burst_every = 40;  // seconds on average
   double burst_length = 6;
   bool batch = true;
+  double patience = 0;  // first token after this is late; 0: never
 };
 
 struct Arrival {
@@ -110,8 +111,8 @@
 };
 
 struct Result {
-  std::vector<double> first_token;  // seconds, of online requests
-  uint64_t refused = 0;
+  std::vector<double> first_token;    // seconds, of online requests
+  std::vector<double> refused_after;  // seconds, of online requests
   uint64_t batch_items = 0;
   uint64_t batch_tokens = 0;       // produced and kept
   uint64_t recomputed_tokens = 0;  // context computed again after parking
@@ -155,8 +156,8 @@
   }
 
  private:
-  // Batch items in the gate: enough that the queue never runs dry.
-  static constexpr size_t kBatchFed = 24;
+  // Batch items in the gate for each slot: enough that it never runs dry.
+  static constexpr size_t kBatchFed = 3;
 
   struct Request {
     RequestInfo info;
@@ -186,7 +187,7 @@
   }
 
   void FeedBatch() {
-    while (batch_in_ < kBatchFed) {
+    while (batch_in_ < kBatchFed * model_.slots) {
       Request request;
       if (!given_back_.empty()) {
         request = given_back_.front();
@@ -207,6 +208,9 @@
     request.info.prompt_tokens = arrival.prompt;
     request.info.max_tokens = arrival.output;
     request.arrived = now_;
+    if (traffic_.patience > 0) {
+      request.info.deadline = Time() + FromSeconds(traffic_.patience);
+    }
     Arrive(std::move(request));
   }
 
@@ -255,7 +259,8 @@
     requests_.erase(action.request);
   }
   void Apply(const GateRefuseAction& action) {
-    ++result_.refused;
+    const Request& request = requests_.at(action.request);
+    result_.refused_after.push_back(now_ - request.arrived);
     requests_.erase(action.request);
   }
 
@@ -433,7 +438,11 @@
     NoGate none;
     return Simulation<NoGate>(model, traffic, none).Run();
   }
-  Gate gate({.slots = model.slots, .rules = variant.rules}, traffic.seed);
+  const GateSettings settings{.slots = model.slots,
+                              .online_waiting = 4 * model.slots,
+                              .batch_waiting = 4 * model.slots,
+                              .rules = variant.rules};
+  Gate gate(settings, traffic.seed);
   std::vector<GateAction> actions;
   gate.OnPolicy(TimePoint(), variant.policy, actions);
   return Simulation<Gate>(model, traffic, gate).Run();
@@ -551,6 +560,66 @@
   };
 }
 
+// Online alone at once and twice what the slots can serve, each request to be
+// begun within two seconds.
+void PrintOverload(const EngineModel& model, uint64_t seeds) {
+  // Four iterations for the mean prompt and eighty for the mean answer.
+  const double capacity = model.slots / (84 * model.iteration);
+  GateRules wait;
+  wait.refuse_late = false;
+  const std::vector<Variant> variants = {
+      {.name = "no gate (FIFO)", .gate = false},
+      {.name = "gate, no early refusal", .rules = wait},
+      {.name = "gate"}};
+  fmt::print(
+      "\noverload: answers begun in time a second, {} seeds\n"
+      "{:<28} {:>16} {:>16} {:>8} {:>12} {:>12}\n",
+      seeds, "", "at 1x", "at 2x", "2x/1x", "refused p50", "refused p99");
+  for (const Variant& variant : variants) {
+    std::vector<double> once;
+    std::vector<double> twice;
+    std::vector<double> refused_after;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+      for (const double load : {1.0, 2.0}) {
+        const Traffic traffic{.seed = seed,
+                              .seconds = 600,
+                              .rate = load * capacity,
+                              .burst_rate = load * capacity,
+                              .batch = false,
+                              .patience = 2};
+        const Result result = RunVariant(model, traffic, variant);
+        const auto in_time =
+            std::count_if(result.first_token.begin(), result.first_token.end(),
+                          [&](double t) { return t <= traffic.patience; });
+        (load == 1.0 ? once : twice)
+            .push_back(static_cast<double>(in_time) / traffic.seconds);
+        refused_after.insert(refused_after.end(), result.refused_after.begin(),
+                             result.refused_after.end());
+      }
+    }
+    fmt::print("{:<28} {:>16} {:>16} {:>8.2f} {:>9.0f} ms {:>9.0f} ms\n",
+               variant.name, Spread(once, 2), Spread(twice, 2),
+               Median(twice) / Median(once),
+               1000 * Percentile(refused_after, 0.50),
+               1000 * Percentile(refused_after, 0.99));
+  }
+}
+
+void PrintCost(const EngineModel& model) {
+  fmt::print("\ncost of a decision, online and batch, queues of 4 x slots\n");
+  for (const uint32_t slots : {8U, 32U, 128U}) {
+    EngineModel larger = model;
+    larger.slots = slots;
+    const double scale = slots / 8.0;
+    const Traffic traffic{
+        .seconds = 300, .rate = 0.6 * scale, .burst_rate = 4.0 * scale};
+    const Result result = RunVariant(larger, traffic, {.name = "cost"});
+    fmt::print(
+        "{:>4} slots {:>6.0f} ns\n", slots,
+        1e9 * result.decision_seconds / static_cast<double>(result.decisions));
+  }
+}
+
 }  // namespace
 
 // usage: gate_bench [SEEDS [SECONDS]]
@@ -568,11 +637,17 @@
                            .per_prompt_token = 0.0001,
                            .prompt_per_stream = 256,
                            .prompt_budget = 256};
-  for (const EngineModel* model : {&apart, &shared}) {
+  EngineModel prompts = shared;
+  prompts.name = "prompts share the engine's time, decoding does not";
+  prompts.per_stream = 0;
+  const std::vector<const EngineModel*> models = {&apart, &prompts, &shared};
+  for (const EngineModel* model : models) {
     for (const Traffic* traffic : {&within, &beyond}) {
       PrintModel(*model, MakeVariants(), seeds, *traffic);
     }
   }
+  PrintOverload(apart, seeds);
+  PrintCost(apart);
   return 0;
 }
 
--- a/libs/decide/include/decide/entry_rules.h
+++ b/libs/decide/include/decide/entry_rules.h
@@ -9,7 +9,7 @@
 struct EntryRules {
   bool fair_queue = true;         // off: one first-in-first-out line
   bool cost_fairness = true;      // off: a long request counts as a short one
-  bool headroom = true;            // off: a heavy flow may take the last slot
+  bool headroom = true;           // off: a heavy flow may take the last slot
   bool deadline_refusal = true;   // off: waits until its deadline has passed
   bool least_outstanding = true;  // off: round robin, never held in the entry
   bool prefix_affinity = true;    // off: the prompt does not matter
