--- a/libs/fleet/include/fleet/config_store.h
+++ b/libs/fleet/include/fleet/config_store.h
@@ -34,8 +34,8 @@
 //   whole state and drops what is not in it.
 class ConfigStore {
  public:
-  // Deletions remembered; about 120 bytes each. At 840 replaced VMs a day whose
-  // engine objects go, this is four days.
+  // Deletions remembered; about 320 bytes each (bench/spread_bench). At 840
+  // replaced VMs a day whose engine objects go, this is four days.
   static constexpr size_t kMostDeletions = 4000;
 
   // Takes changes that are complete between `since` and `revision`. Returns
--- a/libs/wire/src/connection.cc
+++ b/libs/wire/src/connection.cc
@@ -25,6 +25,7 @@
   error_code ignored;
   // Token events are small and must not wait for each other's acknowledgement.
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
 }
 
 void Connection::Start() {
@@ -132,20 +133,29 @@
 
 void Connection::Read() {
   reading_ = true;
-  socket_.async_read_some(
-      boost::asio::buffer(read_buffer_),
-      [self = shared_from_this()](const error_code& error, size_t size) {
-        self->reading_ = false;
-        if (!self->closed_) self->OnRead(!error, size);
-      });
-}
-
-void Connection::OnRead(bool ok, size_t size) {
-  if (!ok) return Close(PeerDownReason::kClosed);
+  socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const error_code& error) {
+                       self->reading_ = false;
+                       if (self->closed_) return;
+                       if (error) return self->Close(PeerDownReason::kClosed);
+                       self->OnReadable();
+                     });
+}
+
+void Connection::OnReadable() {
+  const std::span<char> buffer = owner_.read_buffer();
+  error_code error;
+  const size_t size = socket_.read_some(
+      boost::asio::buffer(buffer.data(), buffer.size()), error);
+  // Readiness may be reported without bytes.
+  if (error == boost::asio::error::would_block) return Read();
+  if (error) return Close(PeerDownReason::kClosed);
+  Take(std::string_view(buffer.data(), size));
+}
+
+void Connection::Take(std::string_view bytes) {
   last_received_ = MonotonicNow();
-  const bool sound =
-      session_.Receive(std::string_view(read_buffer_.data(), size));
-  if (!sound) return Close(PeerDownReason::kProtocol);
+  if (!session_.Receive(bytes)) return Close(PeerDownReason::kProtocol);
   ScheduleWrite();
   const bool delivered = owner_.DeliverEvents();
   // The sink may have closed this connection.
@@ -174,6 +184,9 @@
     return Close(PeerDownReason::kProtocol);
   }
   if (write_buffer_.empty()) {
+    if (write_buffer_.capacity() > kKeptWriteBytes) {
+      write_buffer_.shrink_to_fit();
+    }
     writing_ = false;
     return;
   }
@@ -198,9 +211,9 @@
   const TransportSettings& settings = owner_.settings();
   // Failure guarded against: this process itself was paused (SIGSTOP, a frozen
   // VM) and on waking takes every connection for silent, although the bytes
-  // wait in its sockets. A tick that comes late shows the pause; the other
-  // ends then get the whole limit again.
-  const bool was_paused = now - last_tick_ > 2 * settings.heartbeat_period;
+  // wait in its sockets. A tick that comes late by much of the limit shows the
+  // pause; the other ends then get the whole limit again.
+  const bool was_paused = now - last_tick_ > settings.silence_limit / 2;
   last_tick_ = now;
   if (was_paused || !reading_) last_received_ = now;
   // Failure guarded against: something between the two ends has lost track of
--- a/libs/wire/src/connection.h
+++ b/libs/wire/src/connection.h
@@ -1,13 +1,13 @@
 #ifndef KNAPWEEDSTILE_WIRE_CONNECTION_H_
 #define KNAPWEEDSTILE_WIRE_CONNECTION_H_
 
-#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/time.h"
 #include "connection_owner.h"
@@ -46,8 +46,9 @@
   bool up() const noexcept { return up_; }
 
  private:
-  static constexpr size_t kReadBytes = 64 << 10;
   static constexpr size_t kWriteBytes = 256 << 10;
+  // A write buffer that grew in a burst is given back.
+  static constexpr size_t kKeptWriteBytes = 16 << 10;
 
   StreamId NewStreamId() override;
   bool OnControl(pb::Control&& control) override;
@@ -58,7 +59,8 @@
   bool TakeHello(pb::Hello&& hello);
   bool TakeControl(pb::Control&& control);
   void Read();
-  void OnRead(bool ok, size_t size);
+  void OnReadable();
+  void Take(std::string_view bytes);
   void ScheduleWrite();
   void Write();
   void ScheduleTick();
@@ -71,7 +73,6 @@
   boost::asio::steady_timer timer_;
   Http2Session session_;
   HeartbeatClock clock_;
-  std::array<char, kReadBytes> read_buffer_;
   std::string write_buffer_;
   const TimePoint started_;
   TimePoint last_received_;
--- a/libs/wire/src/connection_owner.h
+++ b/libs/wire/src/connection_owner.h
@@ -1,6 +1,8 @@
 #ifndef KNAPWEEDSTILE_WIRE_CONNECTION_OWNER_H_
 #define KNAPWEEDSTILE_WIRE_CONNECTION_OWNER_H_
 
+#include <span>
+
 #include "base/id.h"
 #include "wire/transport_counters.h"
 #include "wire/transport_event.h"
@@ -17,6 +19,9 @@
   // What heartbeats carry at present.
   virtual const pb::Heartbeat& heartbeat() const = 0;
   virtual TransportCounters& counters() = 0;
+  // Shared by all connections, which read one after the other on one thread: a
+  // buffer for each would be two thirds of a connection's memory.
+  virtual std::span<char> read_buffer() = 0;
   virtual StreamId NewStreamId() = 0;
   // Queues an event for the sink.
   virtual void Publish(TransportEvent&& event) = 0;
--- a/libs/wire/src/transport.cc
+++ b/libs/wire/src/transport.cc
@@ -2,11 +2,13 @@
 
 #include <google/protobuf/stubs/logging.h>
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <random>
+#include <span>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -82,6 +84,7 @@
   const TransportSettings& settings() const override { return settings_; }
   const pb::Heartbeat& heartbeat() const override { return heartbeat_; }
   TransportCounters& counters() override { return counters_; }
+  std::span<char> read_buffer() override { return read_buffer_; }
   StreamId NewStreamId() override { return StreamId(kOwnIds | ++last_id_); }
   void Publish(TransportEvent&& event) override;
   bool DeliverEvents() override;
@@ -102,8 +105,11 @@
   Connection* ConnectionOf(StreamId stream);
   std::vector<std::shared_ptr<Connection>> Connections() const;
 
+  static constexpr size_t kReadBytes = 64 << 10;
+
   boost::asio::io_context& io_;
   const TransportSettings settings_;
+  std::array<char, kReadBytes> read_buffer_;
   EventQueue events_;
   const Backoff backoff_;
   Rng rng_;
--- a/libs/wire/tests/silence_test.cc
+++ b/libs/wire/tests/silence_test.cc
@@ -1,3 +1,4 @@
+#include <array>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <string>
@@ -94,6 +95,14 @@
       {boost::asio::ip::address_v4::loopback(), PortOf(sidecar.Listen())});
   RunUntil(
       io, [&] { return sidecar.transport.counters().connections_silent == 1; });
+  std::array<char, 1> byte;
+  boost::system::error_code error;
+  scanner.non_blocking(true);
+  RunUntil(io, [&] {
+    scanner.read_some(boost::asio::buffer(byte), error);
+    return error == boost::asio::error::eof ||
+           error == boost::asio::error::connection_reset;
+  });
   REQUIRE(sidecar.ups.empty());
   REQUIRE(sidecar.downs.empty());
 }
