--- a/libs/decide/src/entry_pool.h
+++ b/libs/decide/src/entry_pool.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "admission.h"
+#include "admission_flows.h"
 #include "base/id.h"
 #include "fair_queue.h"
 #include "hedge_timer.h"
@@ -26,7 +27,8 @@
 // What the entry holds for one target: the servers it may use, who waits for
 // them, and what has been measured.
 struct EntryPool {
-  EntryPool(const EntryRules& rules, uint64_t seed) : router(rules, seed) {}
+  EntryPool(const EntrySettings& settings, uint64_t seed)
+      : router(settings, seed) {}
 
   Router router;
   FairQueue online;
@@ -38,6 +40,8 @@
   HedgeTimer first_output_times;
   Admission admission;
   size_t online_in_service = 0;
+  AdmissionFlows workspaces_in_service;
+  AdmissionFlows callers_in_service;
 
   size_t OnlineWaiting() const { return online.size() + again.size(); }
 };
--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -40,6 +40,10 @@
           info.caller.empty() ? 0 : Hash64(info.caller)};
 }
 
+uint64_t CallerFlow(FairQueueKey key) {
+  return HashCombine(key.workspace, key.caller);
+}
+
 bool IsOnline(const EntryRequest& request) {
   return request.info.traffic_class == TrafficClass::kOnline;
 }
@@ -166,7 +170,7 @@
   EntryRequest& request = requests_.at(attempt.request);
   request.first_output = true;
   if (IsOnline(request)) {
-    request.pool->first_output_times.OnFirstOutput(now - attempt.started);
+    NoteFirstOutput(now, attempt, *request.pool);
   }
   SetWake(request, kNever);
   if (request.attempts.size() < 2) return;
@@ -216,9 +220,14 @@
   if (!IsOnline(request)) return;
   pool.budget.OnSuccess();
   pool.admission.OnServed(now - attempt.started);
-  if (!attempt.first_output) {
-    pool.first_output_times.OnFirstOutput(now - attempt.started);
-  }
+  if (!attempt.first_output) NoteFirstOutput(now, attempt, pool);
+}
+
+void EntryScheduler::Impl::NoteFirstOutput(TimePoint now,
+                                           const Attempt& attempt,
+                                           EntryPool& pool) {
+  pool.first_output_times.OnFirstOutput(now - attempt.started);
+  pool.router.OnFirstOutput(now, *attempt.server, now - attempt.started);
 }
 
 void EntryScheduler::Impl::OnNotAnswered(TimePoint now, AttemptOutcome outcome,
@@ -278,7 +287,12 @@
   EntryRequest& request = requests_.at(attempt.request);
   std::erase(request.attempts, id);
   attempt.server->End(request.info.traffic_class, attempt.started, now);
-  if (IsOnline(request)) --request.pool->online_in_service;
+  if (IsOnline(request)) {
+    EntryPool& pool = *request.pool;
+    --pool.online_in_service;
+    pool.workspaces_in_service.End(request.key.workspace);
+    pool.callers_in_service.End(CallerFlow(request.key));
+  }
   return attempt;
 }
 
@@ -363,7 +377,7 @@
            AttemptOutcome::kUnknown, actions);
   }
   for (FairQueue* queue : {&pool.online, &pool.batch}) {
-    while (const auto id = queue->Pop()) {
+    while (const auto id = queue->Pop([](FairQueueKey) { return true; })) {
       EntryRequest& request = requests_.at(*id);
       bounds_.Remove(request.info.traffic_class, request.key);
       Refuse(now, request, RefusalReason::kNoBackendServer, actions);
@@ -444,7 +458,12 @@
   while (!queue.empty() && pool.router.HasRoom(now, traffic_class)) {
     RequireInvariant(online || pool.OnlineWaiting() == 0,
                      "batch goes only when no online request waits");
-    EntryRequest& request = requests_.at(*queue.Pop());
+    const double free = pool.router.FreeSlots(now, traffic_class);
+    const auto id = queue.Pop([&](FairQueueKey key) {
+      return !online || LeavesHeadroom(pool, key, free);
+    });
+    if (!id) return;
+    EntryRequest& request = requests_.at(*id);
     bounds_.Remove(traffic_class, request.key);
     request.place = EntryRequestPlace::kServers;
     if (quarantine_.StandingOf(now, request.info.fingerprint) !=
@@ -466,6 +485,15 @@
   }
 }
 
+bool EntryScheduler::Impl::LeavesHeadroom(const EntryPool& pool,
+                                          FairQueueKey key, double free) const {
+  if (!settings_.rules.headroom) return true;
+  const double headroom =
+      std::max(pool.workspaces_in_service.HeadroomFor(key.workspace),
+               pool.callers_in_service.HeadroomFor(CallerFlow(key)));
+  return headroom == 0 || free >= headroom + 1;
+}
+
 void EntryScheduler::Impl::PumpAllOf(TimePoint now, const RouterServer& server,
                                      Actions& actions) {
   for (const std::string& target : server.targets()) {
@@ -485,13 +513,16 @@
   request.place = EntryRequestPlace::kServers;
   server.Start(request.info.traffic_class, now);
   EntryPool& pool = *request.pool;
-  if (IsOnline(request)) ++pool.online_in_service;
+  if (IsOnline(request)) {
+    ++pool.online_in_service;
+    pool.workspaces_in_service.Start(request.key.workspace);
+    pool.callers_in_service.Start(CallerFlow(request.key));
+  }
   actions.push_back(DispatchAction{request.info.id, id, server.id()});
   TimePoint wake = request.info.deadline;
   const auto hedge_after = pool.first_output_times.hedge_after();
-  const bool may_hedge = settings_.rules.hedges && IsOnline(request) &&
-                         request.info.idempotent && !request.suspect &&
-                         !request.hedged;
+  const bool may_hedge = IsOnline(request) && request.info.idempotent &&
+                         !request.suspect && !request.hedged;
   if (may_hedge && hedge_after) wake = std::min(wake, now + *hedge_after);
   SetWake(request, wake);
 }
@@ -499,27 +530,30 @@
 void EntryScheduler::Impl::Hedge(TimePoint now, EntryRequest& request,
                                  Actions& actions) {
   EntryPool& pool = *request.pool;
+  RequireInvariant(request.attempts.size() == 1, "one attempt is hedged");
+  pool.router.OnLate(now, *attempts_.at(request.attempts[0]).server);
   request.hedged = true;
   SetWake(request, request.info.deadline);
+  if (!settings_.rules.hedges) return;
+  if (pool.budget.tokens() < 1 + kRetryReserve) return;
   RouterServer* server = pool.router.Choose(
       now,
       {TrafficClass::kOnline, request.info.prefix_hashes, request.tried, true});
-  if (server == nullptr) return;
-  if (!pool.budget.TrySpend(kRetryReserve)) return;
+  if (server == nullptr || !pool.budget.TrySpend(kRetryReserve)) return;
   Dispatch(now, request, *server, actions);
 }
 
-void EntryScheduler::Impl::OnBackendServerUp(
-    TimePoint now, BackendServerId id, std::vector<std::string> targets,
-    const std::string& availability_zone, Actions& actions) {
+void EntryScheduler::Impl::OnBackendServerUp(TimePoint now, BackendServerId id,
+                                             std::vector<std::string> targets,
+                                             std::string availability_zone,
+                                             Actions& actions) {
   now_ = now;
   const auto [place, added] = servers_.try_emplace(id, id, now);
   RouterServer& server = place->second;
   if (!added && !server.gone()) LeavePools(server);
   if (!server.in()) server.ComeUp(now);
   server.set_gone(false);
-  server.Describe(std::move(targets),
-                  availability_zone == settings_.availability_zone);
+  server.Describe(std::move(targets), std::move(availability_zone));
   JoinPools(server);
   PumpAllOf(now, server, actions);
 }
@@ -568,8 +602,8 @@
 
 void EntryScheduler::Impl::OnTick(TimePoint now, Actions& actions) {
   now_ = now;
-  while (!wakes_.empty() && wakes_.begin()->first <= now) {
-    EntryRequest& request = requests_.at(wakes_.begin()->second);
+  while (!wakes_.empty() && wakes_.begin()->at <= now) {
+    EntryRequest& request = requests_.at(wakes_.begin()->request);
     SetWake(request, kNever);
     OnWake(now, request, actions);
   }
@@ -605,11 +639,11 @@
   if (request.wake == wake) return;
   if (request.wake != kNever) wakes_.erase({request.wake, request.info.id});
   request.wake = wake;
-  if (wake != kNever) wakes_.emplace(wake, request.info.id);
+  if (wake != kNever) wakes_.insert({wake, request.info.id});
 }
 
 TimePoint EntryScheduler::Impl::NextWake() const {
-  const TimePoint first = wakes_.empty() ? kNever : wakes_.begin()->first;
+  const TimePoint first = wakes_.empty() ? kNever : wakes_.begin()->at;
   return std::min(first, poll_at_);
 }
 
@@ -618,7 +652,8 @@
   if (found == pools_.end()) return 0;
   const EntryPool& pool = found->second;
   if (pool.OnlineWaiting() > 0) return 0;
-  const size_t free = pool.router.FreeSlots(now_);
+  const auto free =
+      static_cast<size_t>(pool.router.FreeSlots(now_, TrafficClass::kBatch));
   const size_t bound =
       settings_.queue_limit - bounds_.waiting(TrafficClass::kBatch);
   const size_t waiting = pool.batch.size();
@@ -655,7 +690,7 @@
 EntryPool& EntryScheduler::Impl::PoolFor(const std::string& target) {
   const auto found = pools_.find(target);
   if (found != pools_.end()) return found->second;
-  return pools_.try_emplace(target, settings_.rules, rng_()).first->second;
+  return pools_.try_emplace(target, settings_, rng_()).first->second;
 }
 
 }  // namespace knapweedstile::decide
--- a/libs/decide/src/gate.cc
+++ b/libs/decide/src/gate.cc
@@ -28,6 +28,11 @@
 // what resuming a stream costs (its context computed anew); waiting as long as
 // the cost bounds the loss to twice the best. To be measured.
 constexpr Duration kBatchReturn = milliseconds(100);
+// How long the start of a batch stream holds back the next one, unless its
+// first output comes earlier. Ground: the time to compute a prompt of a
+// thousand tokens (some hundred milliseconds), with room; it bounds what a
+// backend server that tells no output (a plain service) loses.
+constexpr Duration kBatchPace = milliseconds(250);
 // How long a batch stream may hold its slot before it gives way to a shorter or
 // more urgent item. Ground: long against the cost of resuming (about a hundred
 // milliseconds), so turns cost about one hundredth. To be measured.
@@ -36,16 +41,19 @@
 constexpr uint32_t kShorterBy = 2;
 // How often turns are looked at while batch waits.
 constexpr Duration kTurnCheck = seconds(1);
-// How long a parked or a new item waits here before it is given back to the
-// entry. Ground: idle capacity elsewhere lasts seconds; a new item has nothing
-// to lose and may wait for a stream ahead to end. To be measured.
-constexpr Duration kParkedLimit = seconds(5);
-constexpr Duration kNewLimit = seconds(30);
+// How long an item displaced by online waits here before it is given back to
+// the entry. Ground: idle capacity elsewhere lasts seconds. To be measured.
+constexpr Duration kDisplacedLimit = seconds(5);
+// How long other items wait while no batch stream is started here. Counted from
+// the last start: a queue that moves gives nothing back, since items would move
+// about between engines that are all as busy. To be measured.
+constexpr Duration kStandstillLimit = seconds(30);
 // Tokens of prompt that cost as much as one produced token. Ground: prefill
 // runs in parallel, about ten to thirty times as fast. To be measured.
 constexpr uint32_t kPromptTokensPerCharge = 16;
-// The least time until a refused client should come back.
-constexpr Duration kLeastComeBack = milliseconds(50);
+// The least time until a refused client should come back, also while nothing is
+// known of the backend server. To be measured.
+constexpr Duration kLeastComeBack = milliseconds(200);
 
 Duration Spread(Rng& rng, Duration base) {
   const auto span = static_cast<uint64_t>(std::max<int64_t>(1, base.count()));
@@ -99,6 +107,7 @@
     request.produced += tokens;
     if (!request.has_output) {
       request.has_output = true;
+      if (id == pacing_) next_batch_start_ = now;
       EstimatesOf(request).OnFirstOutput(now - request.started_at);
     }
     if (IsBatch(request)) shares_.Charge(request.owner, tokens);
@@ -160,11 +169,11 @@
     if (batch_.Empty()) return wake;
     wake = std::min(wake, next_turn_check_);
     for (const GateRequest& item : batch_.Items()) {
-      wake = std::min(wake, item.waiting_since + LimitOfWaiting(item));
+      wake = std::min(wake, StaleAt(item));
     }
     // A slot that is ready for batch but not used is held back by the sharing
     // rule, whose demand changes slowly: the turn check sees to it.
-    const TimePoint slot = idle_.NextForBatch();
+    const TimePoint slot = std::max(idle_.NextForBatch(), next_batch_start_);
     return slot > last_settled_ ? std::min(wake, slot) : wake;
   }
 
@@ -270,14 +279,35 @@
 
   void StartOnline(TimePoint now, Actions& actions) {
     while (!online_.empty()) {
+      const bool prompt_stopped = StopBatchPrompt(now, actions);
       if (idle_.Count() == 0 && !MakeRoom(now, actions)) return;
       GateRequest request = online_.front();
       online_.pop_front();
       idle_.TakeForOnline();
+      if (prompt_stopped) PaceAfter(now, request.id);
       Start(now, request, actions);
     }
   }
 
+  // An engine computes prompts in the order of their start: a batch prompt that
+  // is being computed would hold back the online one behind it.
+  bool StopBatchPrompt(TimePoint now, Actions& actions) {
+    const auto found = running_.find(pacing_);
+    if (!settings_.rules.pace_batch || found == running_.end()) return false;
+    const GateRequest& item = found->second;
+    if (!IsBatch(item) || item.has_output || next_batch_start_ <= now) {
+      return false;
+    }
+    Displace(now, item.id, actions);
+    return true;
+  }
+
+  // Holds back batch starts until the request's first output, or for a while.
+  void PaceAfter(TimePoint now, RequestId id) {
+    pacing_ = id;
+    next_batch_start_ = now + kBatchPace;
+  }
+
   bool MakeRoom(TimePoint now, Actions& actions) {
     if (!settings_.rules.preempt_batch || running_batch_.empty()) return false;
     Displace(now, Victim(now), actions);
@@ -286,7 +316,8 @@
 
   void StartBatch(TimePoint now, Actions& actions) {
     const uint32_t limit = CurrentLimit(now).start;
-    while (running_batch_.size() < limit && idle_.NextForBatch() <= now) {
+    while (running_batch_.size() < limit && idle_.NextForBatch() <= now &&
+           next_batch_start_ <= now) {
       const GateRequest* next = batch_.Next(now);
       if (next == nullptr) return;
       StartBatchItem(now, batch_.Take(next->id), actions);
@@ -296,10 +327,12 @@
   void StartBatchItem(TimePoint now, const GateRequest& item,
                       Actions& actions) {
     batch_.OnPicked();
+    last_batch_start_ = now;
     idle_.TakeForBatch();
     shares_.OnStarted(item.owner);
     shares_.Charge(item.owner, item.Context() / kPromptTokensPerCharge + 1);
     running_batch_.push_back(item.id);
+    if (settings_.rules.pace_batch) PaceAfter(now, item.id);
     Start(now, item, actions);
   }
 
@@ -379,8 +412,11 @@
 
   void YieldStale(TimePoint now, Actions& actions) {
     if (!settings_.rules.yield_stale) return;
-    while (const GateRequest* item =
-               batch_.WaitingSinceBefore(now - kNewLimit, now - kParkedLimit)) {
+    const auto stale = [&](const auto& item) { return StaleAt(item) <= now; };
+    const auto& items = batch_.Items();
+    for (auto item = std::find_if(items.begin(), items.end(), stale);
+         item != items.end();
+         item = std::find_if(items.begin(), items.end(), stale)) {
       YieldWaiting(item->id, actions);
     }
   }
@@ -451,6 +487,7 @@
     const auto found = running_.find(id);
     GateRequest request = found->second;
     running_.erase(found);
+    if (id == pacing_) next_batch_start_ = now;
     if (IsBatch(request)) {
       std::erase(running_batch_, id);
       shares_.OnStopped(request.owner);
@@ -485,8 +522,9 @@
     return settings_.rules.return_delay ? kBatchReturn : Duration::zero();
   }
 
-  static Duration LimitOfWaiting(const GateRequest& item) {
-    return item.parked ? kParkedLimit : kNewLimit;
+  TimePoint StaleAt(const GateRequest& item) const {
+    if (item.displaced) return item.waiting_since + kDisplacedLimit;
+    return std::max(item.waiting_since, last_batch_start_) + kStandstillLimit;
   }
 
   GateEstimates& EstimatesOf(const GateRequest& request) {
@@ -522,7 +560,12 @@
   GateEstimates online_estimates_;
   GateEstimates batch_estimates_;
   TimePoint next_turn_check_ = kNever;
+  // Two prompts of batch computed at once would hold back an online request
+  // that comes in between by both; the last start stands for its prompt.
+  RequestId pacing_;
+  TimePoint next_batch_start_ = TimePoint::min();
   TimePoint last_settled_;
+  TimePoint last_batch_start_ = TimePoint::min();
 };
 
 Gate::Gate(const GateSettings& settings, uint64_t seed)
--- a/libs/decide/src/router_server.cc
+++ b/libs/decide/src/router_server.cc
@@ -14,10 +14,15 @@
 constexpr Duration kLoadLife = std::chrono::seconds(3);
 // How long a server that came up takes to get its full share. Its reports need
 // a heartbeat or two to show what all entries together have sent.
-constexpr Duration kSlowStart = std::chrono::seconds(10);
+constexpr Duration kSlowStart = std::chrono::seconds(3);
 // Share of the slots used at once after coming up.
 constexpr double kFirstShare = 0.125;
 
+double StartedShare(Duration age) {
+  const double share = ToSeconds(age) / ToSeconds(Duration(kSlowStart));
+  return std::clamp(share, kFirstShare, 1.0);
+}
+
 }  // namespace
 
 RouterServer::RouterServer(BackendServerId id, TimePoint now)
@@ -27,14 +32,16 @@
       up_since_(now),
       closed_until_(TimePoint::min()) {}
 
-void RouterServer::Describe(std::vector<std::string> targets, bool same_zone) {
+void RouterServer::Describe(std::vector<std::string> targets,
+                            std::string availability_zone) {
   targets_ = std::move(targets);
-  same_zone_ = same_zone;
+  zone_ = std::move(availability_zone);
 }
 
 void RouterServer::ComeUp(TimePoint now) {
   in_ = true;
   up_since_ = now;
+  pace_.Reset();
   closed_until_ = TimePoint::min();
   load_measured_at_ = TimePoint::min();
   online_.others = 0;
@@ -80,13 +87,11 @@
 }
 
 double RouterServer::UsableSlots(TimePoint now,
-                                 bool slow_start) const noexcept {
+                                 TimePoint oldest_up) const noexcept {
   const double slots = slots_;
-  const Duration age = now - up_since_;
-  if (!slow_start || age >= kSlowStart) return slots;
-  const double share =
-      std::max(kFirstShare, ToSeconds(age) / ToSeconds(Duration(kSlowStart)));
-  return std::max(1.0, slots * share);
+  if (up_since_ == oldest_up || now - up_since_ >= kSlowStart) return slots;
+  const double share = StartedShare(now - up_since_);
+  return std::max(1.0, slots * share / StartedShare(now - oldest_up));
 }
 
 }  // namespace knapweedstile::decide
--- a/libs/decide/src/router_server.h
+++ b/libs/decide/src/router_server.h
@@ -9,6 +9,7 @@
 #include "base/time.h"
 #include "base/traffic_class.h"
 #include "router_own_attempts.h"
+#include "router_pace.h"
 
 namespace knapweedstile::decide {
 
@@ -21,7 +22,8 @@
   RouterServer(BackendServerId id, TimePoint now);
 
   // Commands.
-  void Describe(std::vector<std::string> targets, bool same_zone);
+  void Describe(std::vector<std::string> targets,
+                std::string availability_zone);
   void ComeUp(TimePoint now);
   void Leave() noexcept { in_ = false; }
   void OnLoad(const LoadReport& load);
@@ -35,12 +37,17 @@
   // Reported down: in no pool, kept while attempts to it are unreported.
   void set_gone(bool gone) noexcept { gone_ = gone; }
 
+  // As after coming up: full use only after a while.
+  void StartSlowly(TimePoint now) noexcept { up_since_ = now; }
+  RouterPace& pace() noexcept { return pace_; }
+
   // Queries.
+  const RouterPace& pace() const noexcept { return pace_; }
   BackendServerId id() const noexcept { return id_; }
   const std::vector<std::string>& targets() const noexcept { return targets_; }
   bool in() const noexcept { return in_; }
   bool gone() const noexcept { return gone_; }
-  bool same_zone() const noexcept { return same_zone_; }
+  const std::string& availability_zone() const noexcept { return zone_; }
   bool isolating() const noexcept { return isolating_; }
   bool Open(TimePoint now) const noexcept {
     return in_ && !isolating_ && now >= closed_until_;
@@ -51,8 +58,10 @@
   uint32_t own() const noexcept;
   uint32_t others(TrafficClass traffic_class) const noexcept;
   uint32_t slots() const noexcept { return slots_; }
-  // Slots that may be used now: fewer while it has just come up.
-  double UsableSlots(TimePoint now, bool slow_start) const noexcept;
+  TimePoint up_since() const noexcept { return up_since_; }
+  // Slots that may be used now: fewer while it has just come up, compared with
+  // the server of the target that came up first, at `oldest_up`.
+  double UsableSlots(TimePoint now, TimePoint oldest_up) const noexcept;
 
  private:
   struct ClassLoad {
@@ -68,13 +77,14 @@
 
   BackendServerId id_;
   std::vector<std::string> targets_;
-  bool same_zone_ = false;
+  std::string zone_;
   bool in_ = true;
   bool isolating_ = false;
   bool gone_ = false;
   uint32_t slots_;
   ClassLoad online_;
   ClassLoad batch_;
+  RouterPace pace_;
   TimePoint load_measured_at_;
   TimePoint up_since_;
   TimePoint closed_until_;
--- a/libs/decide/tests/gate_test.cc
+++ b/libs/decide/tests/gate_test.cc
@@ -131,6 +131,46 @@
   REQUIRE(parks(false) > 10);
 }
 
+// Batch fills an idle engine. Were all its streams started together, an owner
+// who asks in that moment would wait until all their prompts are computed.
+TEST_CASE("batch streams compute their prompts one after another") {
+  const auto most_at_once = [](bool rule_on) {
+    GateDriver driver({.slots = 4, .rules = {.pace_batch = rule_on}});
+    for (int i = 0; i < 8; ++i) driver.Batch(60);
+    int64_t most = 0;
+    for (int i = 0; i < 200; ++i) {
+      const auto& records = driver.Records();
+      most = std::max<int64_t>(
+          most, std::count_if(records.begin(), records.end(), [&](auto& r) {
+            return driver.Running(r.first) && r.second.produced == 0;
+          }));
+      driver.RunFor(GateDriver::kToken);
+    }
+    REQUIRE(driver.gate().Idle());
+    return most;
+  };
+  REQUIRE(most_at_once(true) == 1);
+  REQUIRE(most_at_once(false) == 4);
+}
+
+// An owner asks while a batch stream's prompt is being computed; other slots
+// are free. The engine computes prompts in order, so the answer would wait for
+// the whole of it: the stream makes room, and is resumed after the owner's
+// first token, with nothing lost.
+TEST_CASE("a batch prompt in progress makes room for an online one") {
+  for (const bool rule_on : {true, false}) {
+    GateDriver driver({.slots = 4, .rules = {.pace_batch = rule_on}});
+    const RequestId item = driver.Batch(60);
+    const RequestId online = driver.Online(60);
+    REQUIRE(driver.Running(item) != rule_on);
+    driver.RunFor(seconds(5));
+    REQUIRE((driver.Of(item).first_token > driver.Of(online).first_token) ==
+            rule_on);
+    REQUIRE(driver.Of(item).end == End::kDone);
+    REQUIRE(driver.Of(item).produced == 60);
+  }
+}
+
 // Online fills an engine for a minute. The parked manifest items must not wait
 // for its end here: they are given back within seconds, with what they have
 // produced, so that an idle engine resumes them.
@@ -147,6 +187,18 @@
   }
 }
 
+// A manifest job keeps an engine's queue full for minutes. Items that wait only
+// because others of the same sort are ahead stay: giving them back would move
+// them about between engines that are all as busy.
+TEST_CASE("a batch queue that moves gives nothing back") {
+  GateDriver driver({.slots = 4});
+  for (int i = 0; i < 32; ++i) driver.Batch(200);
+  driver.RunFor(minutes(3));
+  for (const auto& [id, record] : driver.Records()) {
+    REQUIRE(record.end == End::kDone);
+  }
+}
+
 // An operator relabels an engine while both classes run on it, again and again.
 // Every request must still end exactly once with all of its tokens, and a
 // static share must hold from the moment it is in force.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -38,7 +38,7 @@
 echo "engines are relabelled between the policies static and cancel (about a minute)"
 "$CTL" compare --first static --second cancel --model hundehaus-llm \
   --rate "${DEMO_RATE:-40}" --service-share 0.1 --service-path /empfang/nights \
-  --baseline-seconds 10 --blocks 12 --block-seconds 4 --settle-ms 500 \
+  --baseline-seconds 10 --blocks 10 --block-seconds 6 --settle-ms 1000 \
   --batch-items 20000 --batch-tokens 32
 "$CTL" status | head -8
 "$CTL" timeline --chrome "$TIMELINE" | head -1
