--- a/libs/decide/src/entry_scheduler_impl.h
+++ b/libs/decide/src/entry_scheduler_impl.h
@@ -34,8 +34,7 @@
                       TimePoint come_back_at, Actions& actions);
   void OnBackendServerUp(TimePoint now, BackendServerId id,
                          std::vector<std::string> targets,
-                         const std::string& availability_zone,
-                         Actions& actions);
+                         std::string availability_zone, Actions& actions);
   void OnBackendServerLeaving(TimePoint now, BackendServerId id);
   void OnBackendServerDown(TimePoint now, BackendServerId id);
   void OnLoad(TimePoint now, BackendServerId id, const LoadReport& load,
@@ -55,6 +54,15 @@
     bool first_output = false;
   };
 
+  struct Wake {
+    TimePoint at;
+    RequestId request;
+    friend bool operator<(const Wake& a, const Wake& b) {
+      if (a.at != b.at) return a.at < b.at;
+      return a.request.value() < b.request.value();
+    }
+  };
+
   // Admission. A reason when the request is refused at once.
   std::optional<RefusalReason> RefusesOnArrival(TimePoint now,
                                                 const EntryPool& pool,
@@ -71,6 +79,9 @@
                     Actions& actions);
   void PumpQueue(TimePoint now, EntryPool& pool, TrafficClass traffic_class,
                  Actions& actions);
+  // Whether a request of this flow may go with that many slots free.
+  bool LeavesHeadroom(const EntryPool& pool, FairQueueKey key,
+                      double free) const;
   void PumpAllOf(TimePoint now, const RouterServer& server, Actions& actions);
   void Dispatch(TimePoint now, EntryRequest& request, RouterServer& server,
                 Actions& actions);
@@ -78,6 +89,8 @@
 
   // Ends of attempts and requests.
   void OnAnswered(TimePoint now, const Attempt& attempt, EntryRequest& request);
+  static void NoteFirstOutput(TimePoint now, const Attempt& attempt,
+                              EntryPool& pool);
   void OnNotAnswered(TimePoint now, AttemptOutcome outcome,
                      EntryRequest& request, Actions& actions);
   bool MaySendAgain(TimePoint now, AttemptOutcome outcome,
@@ -114,7 +127,7 @@
   std::unordered_map<AttemptId, Attempt> attempts_;
   std::unordered_map<BackendServerId, RouterServer> servers_;
   std::unordered_map<std::string, EntryPool> pools_;
-  std::set<std::pair<TimePoint, RequestId>> wakes_;
+  std::set<Wake> wakes_;
   uint64_t last_attempt_ = 0;
   TimePoint now_;  // of the latest event, for queries
   TimePoint poll_at_ = kNever;
