--- a/tests/harness/online_load.cc
+++ b/tests/harness/online_load.cc
@@ -94,7 +94,7 @@
   ledger_.Failed(sent.request, failure);
   failures_.push_back(sent.request + ": " + std::string(NameOf(end.outcome)) +
                       " " + std::to_string(end.status) + " " + end.message +
-                      " " + failure.body);
+                      " " + Tail(failure.body));
 }
 
 }  // namespace knapweedstile::harness
