--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "caller_access.h"
 #include "outcome_errors.h"
 
 namespace knapweedstile::node {
@@ -21,7 +22,6 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 constexpr size_t kTimelinePage = 5000;
-constexpr size_t kMaxHeaderText = 256;
 // What a restarting duty thread left behind is flushed at least this often.
 constexpr std::chrono::milliseconds kIdleWake{100};
 
@@ -87,25 +87,33 @@
 }
 
 void EntryNode::OnCallerRequest(TimePoint now, http::RequestEvent&& request) {
+  const CallerIdentity identity = IdentityOf(request);
+  const WorkspaceRule rule = settings_.require_workspace
+                                 ? WorkspaceRule::kObjectsOnly
+                                 : WorkspaceRule::kAnyName;
+  if (const auto denied =
+          CheckAccess(request.headers, identity, rule, fleet_.catalog())) {
+    RespondError(request.exchange, identity, *denied);
+    return;
+  }
   const std::string_view path = PathOf(request.target);
   const auto api = ParseEnum<CompletionApi>(path);
   if (api && request.method == "POST") {
-    BeginCompletion(now, request, *api);
+    BeginCompletion(now, request, identity, *api);
   } else if (path == "/v1/models" && request.method == "GET") {
     ListModels(request);
   } else if (path.starts_with("/v1/batches")) {
-    const CallerIdentity identity = IdentityOf(request);
     batch_calls_.Begin(now, std::move(request), identity,
                        now + settings_.submit_deadline);
   } else {
-    BeginServiceCall(now, request);
+    BeginServiceCall(now, request, identity);
   }
 }
 
 void EntryNode::BeginCompletion(TimePoint now,
                                 const http::RequestEvent& request,
+                                const CallerIdentity& identity,
                                 CompletionApi api) {
-  const CallerIdentity identity = IdentityOf(request);
   const TokenLimits limits{settings_.default_max_tokens,
                            settings_.most_max_tokens};
   auto parsed = ParseCompletion(api, request.body, limits);
@@ -114,6 +122,11 @@
     return;
   }
   const auto& completion = std::get<CompletionRequest>(parsed);
+  if (const auto denied =
+          CheckModel(identity, completion.model, fleet_.catalog())) {
+    RespondError(request.exchange, identity, *denied);
+    return;
+  }
   if (!fleet_.Serves(completion.model)) {
     RespondError(request.exchange, identity, NoSuchModel(completion.model));
     return;
@@ -129,8 +142,8 @@
 }
 
 void EntryNode::BeginServiceCall(TimePoint now,
-                                 const http::RequestEvent& request) {
-  const CallerIdentity identity = IdentityOf(request);
+                                 const http::RequestEvent& request,
+                                 const CallerIdentity& identity) {
   const objects::Service* service =
       fleet_.catalog().ServiceForPath(PathOf(request.target));
   if (service == nullptr) {
@@ -170,14 +183,7 @@
 }
 
 CallerIdentity EntryNode::IdentityOf(const http::RequestEvent& request) {
-  const auto text = [&](std::string_view name) {
-    return std::string(request.headers.Find(name).substr(0, kMaxHeaderText));
-  };
-  CallerIdentity identity;
-  identity.workspace = text("X-Workspace");
-  if (identity.workspace.empty()) identity.workspace = "default";
-  identity.caller = text("X-Caller");
-  identity.request_id = text("X-Request-Id");
+  CallerIdentity identity = ReadIdentity(request.headers, fleet_.catalog());
   if (identity.request_id.empty()) {
     identity.request_id = settings_.node.name + "-" +
                           HexOf(incarnation_).substr(0, 8) + "-" +
--- a/libs/node/src/entry_node.h
+++ b/libs/node/src/entry_node.h
@@ -57,8 +57,9 @@
   void OnCallerRequest(TimePoint now, http::RequestEvent&& request);
   void OnCallerDisconnect(TimePoint now, ExchangeId exchange);
   void BeginCompletion(TimePoint now, const http::RequestEvent& request,
-                       CompletionApi api);
-  void BeginServiceCall(TimePoint now, const http::RequestEvent& request);
+                       const CallerIdentity& identity, CompletionApi api);
+  void BeginServiceCall(TimePoint now, const http::RequestEvent& request,
+                        const CallerIdentity& identity);
   void ListModels(const http::RequestEvent& request);
   void RespondError(ExchangeId exchange, const CallerIdentity& identity,
                     const ApiError& error);
