--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -46,7 +46,6 @@
   rules.least_outstanding = false;
   rules.prefix_affinity = false;
   rules.slow_server_ejection = false;
-  rules.slow_start = false;
   rules.retry_budget = false;
   rules.hedges = false;
   rules.quarantine = false;
@@ -366,7 +365,7 @@
 
 void ComesAndGoes() {
   Print("comes and goes: 0.7x, server 3 down for 2 s of every 8 s",
-        {Baseline(), Without("no slow start", &EntryRules::slow_start), Ours()},
+        {Baseline(), Without("least of all", &EntryRules::two_choices), Ours()},
         Fleet(), [](const ModelSettings& settings, uint64_t seed) {
           EntryFleetModel model(settings, seed);
           model.Load(0.7 * kCapacity, 120,
--- a/libs/decide/include/decide/entry_rules.h
+++ b/libs/decide/include/decide/entry_rules.h
@@ -12,10 +12,10 @@
   bool headroom = true;           // off: a heavy flow may take the last slot
   bool deadline_refusal = true;   // off: waits until its deadline has passed
   bool least_outstanding = true;  // off: round robin, never held in the entry
+  bool two_choices = true;        // off: the least loaded of all
   bool prefix_affinity = true;    // off: the prompt does not matter
   bool bounded_affinity = true;   // off: a prefix stays on its one server
   bool slow_server_ejection = true;
-  bool slow_start = true;
   bool retry_budget = true;  // off: retries without limit
   bool hedges = true;
   bool quarantine = true;
--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -561,10 +561,10 @@
                                              std::string availability_zone,
                                              Actions& actions) {
   now_ = now;
-  const auto [place, added] = servers_.try_emplace(id, id, now);
+  const auto [place, added] = servers_.try_emplace(id, id);
   RouterServer& server = place->second;
   if (!added && !server.gone()) LeavePools(server);
-  if (!server.in()) server.ComeUp(now);
+  if (!server.in()) server.ComeUp();
   server.set_gone(false);
   server.Describe(std::move(targets), std::move(availability_zone));
   JoinPools(server);
--- a/libs/decide/src/router.cc
+++ b/libs/decide/src/router.cc
@@ -51,23 +51,12 @@
 Router::Router(const EntrySettings& settings, uint64_t seed)
     : rules_(settings.rules), zone_(settings.availability_zone), rng_(seed) {}
 
-void Router::Add(RouterServer* server) {
-  servers_.push_back(server);
-  FindOldestUp();
-}
+void Router::Add(RouterServer* server) { servers_.push_back(server); }
 
 void Router::Remove(BackendServerId id) {
   std::erase_if(servers_, [id](const RouterServer* server) {
     return server->id() == id;
   });
-  FindOldestUp();
-}
-
-void Router::FindOldestUp() {
-  oldest_up_ = TimePoint::max();
-  for (const RouterServer* server : servers_) {
-    oldest_up_ = std::min(oldest_up_, server->up_since());
-  }
 }
 
 RouterServer* Router::Choose(TimePoint now, const RouterRequest& request) {
@@ -86,6 +75,13 @@
 
 RouterServer* Router::TakeLessLoaded() {
   if (candidates_.empty()) return nullptr;
+  if (!rules_.two_choices) {
+    return std::min_element(candidates_.begin(), candidates_.end(),
+                            [](const Candidate& a, const Candidate& b) {
+                              return a.score < b.score;
+                            })
+        ->server;
+  }
   const size_t count = candidates_.size();
   const size_t first = UniformBelow(rng_, count);
   size_t second = UniformBelow(rng_, count);
@@ -157,10 +153,7 @@
 void Router::OnFirstOutput(TimePoint now, RouterServer& server,
                            Duration after) {
   if (!rules_.slow_server_ejection) return;
-  const bool was_probing = server.pace().probing();
   server.pace().OnFirstOutput(now, after, UsualSeconds(), MayEject(now));
-  // Back in: it takes its share again bit by bit.
-  if (was_probing && !server.pace().probing()) server.StartSlowly(now);
 }
 
 void Router::OnLate(TimePoint now, RouterServer& server) {
@@ -232,7 +225,7 @@
     if (!Usable(now, *server)) continue;
     const double used = UsedBefore(now, *server, traffic_class);
     const double own = server->own(traffic_class);
-    occupancy.free += std::max(0.0, SlotsOf(now, *server) - used);
+    occupancy.free += std::max(0.0, server->slots() - used);
     occupancy.own += own;
     occupancy.others += used - own;
     occupancy.growth += server->OwnGrowth(traffic_class);
@@ -258,22 +251,17 @@
   return server.own(traffic_class) + others;
 }
 
-double Router::SlotsOf(TimePoint now, const RouterServer& server) const {
-  return rules_.slow_start ? server.UsableSlots(now, oldest_up_)
-                           : server.slots();
-}
-
 double Router::Score(TimePoint now, const RouterServer& server) const {
   const double load =
       LoadOf(now, server, TrafficClass::kOnline) +
       kBatchWeight * LoadOf(now, server, TrafficClass::kBatch) +
       (server.availability_zone() == zone_ ? 0 : kOtherZoneCost);
-  return (load + 1) / SlotsOf(now, server);
+  return (load + 1) / server.slots();
 }
 
 bool Router::HasFreeSlot(TimePoint now, const RouterServer& server,
                          TrafficClass traffic_class) const {
-  return UsedBefore(now, server, traffic_class) + 1 <= SlotsOf(now, server);
+  return UsedBefore(now, server, traffic_class) + 1 <= server.slots();
 }
 
 bool Router::MayTake(TimePoint now, const RouterServer& server) const {
@@ -281,7 +269,7 @@
   // their reports would otherwise keep this entry out for good. The gate beside
   // the server queues or refuses it.
   if (server.own(TrafficClass::kOnline) == 0) return true;
-  const double limit = std::ceil(SlotsOf(now, server) * (1 + kAheadShare));
+  const double limit = std::ceil(server.slots() * (1 + kAheadShare));
   return LoadOf(now, server, TrafficClass::kOnline) + 1 <= limit;
 }
 
--- a/libs/decide/src/router.h
+++ b/libs/decide/src/router.h
@@ -81,14 +81,12 @@
     double score = 0;
   };
 
-  void FindOldestUp();
   // How many of the class are there, own and others', as far as known.
   double LoadOf(TimePoint now, const RouterServer& server,
                 TrafficClass traffic_class) const;
   // The load that goes before one more of the class.
   double UsedBefore(TimePoint now, const RouterServer& server,
                     TrafficClass traffic_class) const;
-  double SlotsOf(TimePoint now, const RouterServer& server) const;
   double Score(TimePoint now, const RouterServer& server) const;
   bool HasFreeSlot(TimePoint now, const RouterServer& server,
                    TrafficClass traffic_class) const;
@@ -113,9 +111,6 @@
   std::vector<Candidate> candidates_;  // kept to avoid allocation
   double mean_score_ = 0;  // over the usable servers, at the last choice
   RouterPrefixes prefixes_;
-  // When the server that has been up longest came up: slow start is relative
-  // to it, since a whole fleet that starts has nobody to spare its servers.
-  TimePoint oldest_up_ = TimePoint::max();
   bool chose_home_ = false;
   std::optional<double> usual_seconds_;
   uint32_t answers_since_usual_ = 0;
--- a/libs/decide/src/router_server.cc
+++ b/libs/decide/src/router_server.cc
@@ -12,24 +12,13 @@
 constexpr uint32_t kAssumedSlots = 8;
 // A report older than this is treated as missing: three heartbeats of a second.
 constexpr Duration kLoadLife = std::chrono::seconds(3);
-// How long a server that came up takes to get its full share. Its reports need
-// a heartbeat or two to show what all entries together have sent.
-constexpr Duration kSlowStart = std::chrono::seconds(3);
-// Share of the slots used at once after coming up.
-constexpr double kFirstShare = 0.125;
-
-double StartedShare(Duration age) {
-  const double share = ToSeconds(age) / ToSeconds(Duration(kSlowStart));
-  return std::clamp(share, kFirstShare, 1.0);
-}
 
 }  // namespace
 
-RouterServer::RouterServer(BackendServerId id, TimePoint now)
+RouterServer::RouterServer(BackendServerId id)
     : id_(id),
       slots_(kAssumedSlots),
       load_measured_at_(TimePoint::min()),
-      up_since_(now),
       closed_until_(TimePoint::min()) {}
 
 void RouterServer::Describe(std::vector<std::string> targets,
@@ -38,9 +27,8 @@
   zone_ = std::move(availability_zone);
 }
 
-void RouterServer::ComeUp(TimePoint now) {
+void RouterServer::ComeUp() {
   in_ = true;
-  up_since_ = now;
   pace_.Reset();
   closed_until_ = TimePoint::min();
   load_measured_at_ = TimePoint::min();
@@ -93,12 +81,4 @@
          static_cast<int32_t>(load.own_when_reported);
 }
 
-double RouterServer::UsableSlots(TimePoint now,
-                                 TimePoint oldest_up) const noexcept {
-  const double slots = slots_;
-  if (up_since_ == oldest_up || now - up_since_ >= kSlowStart) return slots;
-  const double share = StartedShare(now - up_since_);
-  return std::max(1.0, slots * share / StartedShare(now - oldest_up));
-}
-
 }  // namespace knapweedstile::decide
--- a/libs/decide/src/router_server.h
+++ b/libs/decide/src/router_server.h
@@ -19,12 +19,12 @@
 // load reports.
 class RouterServer {
  public:
-  RouterServer(BackendServerId id, TimePoint now);
+  explicit RouterServer(BackendServerId id);
 
   // Commands.
   void Describe(std::vector<std::string> targets,
                 std::string availability_zone);
-  void ComeUp(TimePoint now);
+  void ComeUp();
   void Leave() noexcept { in_ = false; }
   void OnLoad(const LoadReport& load);
   void Start(TrafficClass traffic_class, TimePoint now);
@@ -37,8 +37,6 @@
   // Reported down: in no pool, kept while attempts to it are unreported.
   void set_gone(bool gone) noexcept { gone_ = gone; }
 
-  // As after coming up: full use only after a while.
-  void StartSlowly(TimePoint now) noexcept { up_since_ = now; }
   RouterPace& pace() noexcept { return pace_; }
 
   // Queries.
@@ -60,10 +58,6 @@
   // How many more of this entry's are there than the last report has counted.
   int32_t OwnGrowth(TrafficClass traffic_class) const noexcept;
   uint32_t slots() const noexcept { return slots_; }
-  TimePoint up_since() const noexcept { return up_since_; }
-  // Slots that may be used now: fewer while it has just come up, compared with
-  // the server of the target that came up first, at `oldest_up`.
-  double UsableSlots(TimePoint now, TimePoint oldest_up) const noexcept;
 
  private:
   struct ClassLoad {
@@ -89,7 +83,6 @@
   ClassLoad batch_;
   RouterPace pace_;
   TimePoint load_measured_at_;
-  TimePoint up_since_;
   TimePoint closed_until_;
 };
 
--- a/libs/decide/tests/entry_load_test.cc
+++ b/libs/decide/tests/entry_load_test.cc
@@ -295,26 +295,33 @@
   REQUIRE(without_answer(&EntryRules::hedges) > 0);
 }
 
-// An engine comes back in the middle of the morning, idle. Every entry sees it
-// idle until its next report; if all of them send what they have, it refuses
-// and the callers wait in its line beside engines with room.
+// An engine comes back in the middle of the morning, idle. Twenty entries see
+// it idle until its next report, a second later. If each sends what it has to
+// the idlest engine, callers wait in a long line there, beside engines with
+// room.
 TEST_CASE("a server that came up is not overrun") {
-  const auto late = [](Rule without) {
+  const auto longest_line = [](Rule without) {
     ModelSettings settings = Fleet(without);
     settings.entries = 20;
-    settings.report_lag = 0.5;
     settings.report_every = 1;
+    settings.report_lag = 0.2;
     EntryFleetModel model(settings, 7);
-    model.Load(0.75 * kCapacity, 80, [&] { return FromOneOf(model, 50); });
+    model.Load(0.7 * kCapacity, 80, [&] { return FromOneOf(model, 50); });
+    size_t longest = 0;
     for (double t = 20; t < 80; t += 10) {
       model.After(t, [&] { model.Down(3, AttemptOutcome::kNotSent); });
       model.After(t + 3, [&] { model.Up(3); });
+      for (double d = 3; d < 6; d += 0.05) {
+        model.After(t + d,
+                    [&] { longest = std::max(longest, model.LoadAt(3)); });
+      }
     }
     model.Run(160);
-    return FirstOutput(model, 0.99,
-                       [](const ModelAnswer& a) { return a.arrived > 20; });
+    return longest;
   };
-  printf("SLOWSTART %f %f\n", late(nullptr), late(&EntryRules::slow_start));
+  // Twice its slots.
+  REQUIRE(longest_line(nullptr) <= 16);
+  REQUIRE(longest_line(&EntryRules::two_choices) > 16);
 }
 
 }  // namespace
