--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -153,17 +153,26 @@
 }
 
 void Overload() {
-  for (const double load : {1.0, 2.0}) {
-    Print(fmt::format("overload: {}x of the capacity for 120 s", load),
-          {Baseline(), Ours(),
-           Without("no deadline refusal", &EntryRules::deadline_refusal)},
-          Fleet(), [load](const ModelSettings& settings, uint64_t seed) {
-            EntryFleetModel model(settings, seed);
-            model.Load(load * kCapacity, 120,
-                       [&] { return FromOneOf(model, 50); });
-            model.Run(200);
-            return Received(model.answers(), 120, All);
+  struct Case {
+    double load;
+    double deadline_seconds;
+  };
+  for (const Case c : {Case{1, 10}, Case{2, 10}, Case{1, 3}, Case{2, 3}}) {
+    Print(
+        fmt::format("overload: {}x of the capacity for 120 s, deadlines {} s",
+                    c.load, c.deadline_seconds),
+        {Baseline(),
+         Without("no deadline refusal", &EntryRules::deadline_refusal), Ours()},
+        Fleet(), [c](const ModelSettings& settings, uint64_t seed) {
+          EntryFleetModel model(settings, seed);
+          model.Load(c.load * kCapacity, 120, [&] {
+            ModelCall call = FromOneOf(model, 50);
+            call.deadline_seconds = c.deadline_seconds;
+            return call;
           });
+          model.Run(200);
+          return Received(model.answers(), 120, All);
+        });
   }
 }
 
@@ -296,25 +305,35 @@
 }
 
 void LongAmongShort() {
-  Print(
-      "long among short: 20% of the calls, of one caller, make 1000 tokens; "
-      "the short ones",
-      {Baseline(), Without("count, not cost", &EntryRules::cost_fairness),
-       Without("no headroom", &EntryRules::headroom), Ours()},
-      Fleet(), [](const ModelSettings& settings, uint64_t seed) {
-        EntryFleetModel model(settings, seed);
-        model.Load(0.5 * kCapacity, 120, [&] { return FromOneOf(model, 20); });
-        model.Load(0.125 * kCapacity, 120, [] {
-          ModelCall call;
-          call.caller = "long";
-          call.max_tokens = 1000;
-          return call;
-        });
-        model.Run(260);
-        return Received(model.answers(), 120, [](const ModelAnswer& a) {
-          return a.call.caller != "long";
-        });
-      });
+  for (const double short_load : {0.5, 1.5}) {
+    Print(fmt::format("long among short: one caller asks for 1.2x in calls of "
+                      "1000 tokens, 20 for {}x in short ones; the short ones",
+                      short_load),
+          {Baseline(), Without("count, not cost", &EntryRules::cost_fairness),
+           Without("no headroom", &EntryRules::headroom), Ours()},
+          Fleet(), [short_load](const ModelSettings& settings, uint64_t seed) {
+            EntryFleetModel model(settings, seed);
+            model.Load(short_load * kCapacity, 120,
+                       [&] { return FromOneOf(model, 20); });
+            model.Load(0.125 * kCapacity, 120, [] {
+              ModelCall call;
+              call.caller = "long";
+              call.max_tokens = 1000;
+              return call;
+            });
+            model.Run(260);
+            const auto is_short = [](const ModelAnswer& a) {
+              return a.call.caller != "long";
+            };
+            Figures figures = Received(model.answers(), 120, is_short);
+            double of_long = 0;
+            for (const ModelAnswer& a : model.answers()) {
+              of_long += !is_short(a) && a.InTime();
+            }
+            figures.push_back({"long good/s", of_long / 120});
+            return figures;
+          });
+  }
 }
 
 // Clients that come back after a refusal, up to four times, as they were told
