--- a/tests/harness/batch_job.cc
+++ b/tests/harness/batch_job.cc
@@ -88,12 +88,13 @@
   }
 }
 
+std::string BatchJob::State(const std::string& entry) {
+  return TextIn(caller_.Get(entry, "/v1/batches/" + id_).body, "state");
+}
+
 bool BatchJob::WaitForState(const std::string& entry,
                             const std::string& state) {
-  return caller_.GetUntil(entry, "/v1/batches/" + id_,
-                          [&](const http::EndEvent& end) {
-                            return TextIn(end.body, "state") == state;
-                          });
+  return caller_.RunUntil([&] { return State(entry) == state; });
 }
 
 bool BatchJob::ReadResults(const std::string& entry) {
--- a/tests/harness/batch_job.h
+++ b/tests/harness/batch_job.h
@@ -34,6 +34,8 @@
   const std::string& body() const noexcept { return body_; }
   size_t results() const noexcept { return results_; }
   http::EndEvent Send(const std::string& entry);
+  // The state that `entry` tells; empty when it cannot.
+  std::string State(const std::string& entry);
 
  private:
   struct Item {
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -14,6 +14,7 @@
 
 namespace json = boost::json;
 
+constexpr int kServiceSlots = 8;
 constexpr char kZone[] = "bern-a";
 
 // Short periods, so that tests of failures do not wait long; no verdict rests
@@ -70,15 +71,36 @@
   flags.push_back(fmt::format("--slots={}", options.slots));
   flags.push_back(fmt::format("--token-ms={}", options.token_ms));
   flags.push_back("--run-log=" + run_log(name));
-  Start("backend-" + name, Program::kEngine, flags);
+  StartBackendServer(name, Program::kEngine, std::move(flags));
   StartSidecar(name, "model_engine", kModel, options.slots,
                options.behind_proxy);
 }
 
-void Fleet::AddService(const std::string& name) {
-  Start("backend-" + name, Program::kService,
-        {std::string("--name=") + kService, "--run-log=" + run_log(name)});
-  StartSidecar(name, "plain_service", kService, 8, false);
+void Fleet::AddService(const std::string& name, int delay_ms) {
+  StartBackendServer(
+      name, Program::kService,
+      {std::string("--name=") + kService,
+       fmt::format("--delay-ms={}", delay_ms), "--run-log=" + run_log(name)});
+  StartSidecar(name, "plain_service", kService, kServiceSlots, false);
+}
+
+void Fleet::StartBackendServer(const std::string& name, Program program,
+                               std::vector<std::string> arguments) {
+  const std::string address =
+      Start("backend-" + name, program, arguments).WaitForValue("address");
+  arguments.push_back("--listen=" + address);
+  commands_[name] = {program, std::move(arguments)};
+}
+
+void Fleet::RestartBackendServer(const std::string& name) {
+  const Command& command = commands_.at(name);
+  Start("backend-" + name, command.program, command.arguments)
+      .WaitForValue("address");
+}
+
+void Fleet::OrderPlatform(const std::string& order) {
+  const http::EndEvent end = caller_.Post(platform_, "/control", order);
+  if (end.status != 200) throw std::runtime_error("platform: " + end.body);
 }
 
 void Fleet::StartSidecar(const std::string& name, const std::string& kind,
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -30,11 +30,15 @@
 
   // Commands; each returns when the process listens and is in the VM list.
   void AddEngine(const std::string& name, const EngineOptions& options);
-  void AddService(const std::string& name);
+  void AddService(const std::string& name, int delay_ms = 0);
   // `settings`: further TOML.
   void AddEntry(const std::string& name, const std::string& settings = {});
   void PutObject(const std::string& kind, const std::string& name,
                  const std::string& json);
+  // Starts the backend server again at its address after it has ended.
+  void RestartBackendServer(const std::string& name);
+  // Orders the platform's stand-in (POST /control).
+  void OrderPlatform(const std::string& order);
   // Puts `fault` on the connections to the engine's sidecar.
   void Strike(const std::string& engine, const std::string& fault);
   // Waits until every entry has every sidecar in; false at the limit.
@@ -67,6 +71,8 @@
  private:
   Process& Start(const std::string& name, Program program,
                  const std::vector<std::string>& arguments);
+  void StartBackendServer(const std::string& name, Program program,
+                          std::vector<std::string> arguments);
   void StartSidecar(const std::string& name, const std::string& kind,
                     const std::string& target, int slots, bool behind_proxy);
   void StartNode(const std::string& name, const std::string& role,
@@ -81,6 +87,11 @@
   std::map<std::string, std::string> callers_;
   std::map<std::string, std::string> admin_;
   std::map<std::string, std::string> proxies_;  // control addresses
+  struct Command {
+    Program program;
+    std::vector<std::string> arguments;
+  };
+  std::map<std::string, Command> commands_;  // of the backend servers
   std::vector<std::string> backend_servers_;
 };
 
