--- a/bench/jobs_bench.cc
+++ b/bench/jobs_bench.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <malloc.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -61,19 +62,29 @@
     const auto begin = std::chrono::steady_clock::now();
     if constexpr (std::is_void_v<decltype(work())>) {
       work();
-      total_ += std::chrono::steady_clock::now() - begin;
+      Add(std::chrono::steady_clock::now() - begin);
     } else {
       auto result = work();
-      total_ += std::chrono::steady_clock::now() - begin;
+      Add(std::chrono::steady_clock::now() - begin);
       return result;
     }
   }
   double Micros() const {
     return std::chrono::duration<double, std::micro>(total_).count();
   }
+  // The longest single piece of work: how long it holds its thread up.
+  double LongestMillis() const {
+    return std::chrono::duration<double, std::milli>(longest_).count();
+  }
 
  private:
+  void Add(std::chrono::steady_clock::duration span) {
+    total_ += span;
+    longest_ = std::max(longest_, span);
+  }
+
   std::chrono::steady_clock::duration total_{};
+  std::chrono::steady_clock::duration longest_{};
 };
 
 size_t HeapBytes() { return mallinfo2().uordblks; }
@@ -90,6 +101,8 @@
     return *owners_.back();
   }
 
+  void RemoveOwners() { owners_.clear(); }
+
   SubmitResult Submit(const std::string& key, std::string body) {
     SubmissionSettings submission;
     submission.shard_count = 1;
@@ -97,6 +110,7 @@
                           {"ws", key, std::move(body), 1, 0, kNever}, kSeed);
     submitting.Time([&] { machine.Start(now); });
     while (!machine.finished()) {
+      submitting.Time([&] { machine.Tick(now); });
       for (const auto& call : machine.TakeCalls()) {
         const auto answer = store.Execute(call);
         submitting.Time([&] { machine.OnAnswer(answer, now); });
@@ -142,15 +156,17 @@
 
 void PrintSubmission() {
   fmt::print("\nSubmission of one job ({} B prompts)\n", kPromptBytes);
-  fmt::print("{:>8} {:>8} {:>8} {:>12} {:>10}\n", "items", "writes", "reads",
-             "bytes/item", "us/item");
+  fmt::print("{:>8} {:>8} {:>8} {:>12} {:>10} {:>14}\n", "items", "writes",
+             "reads", "bytes/item", "us/item", "longest ms");
   for (const uint32_t items : {100U, 843U, 130000U}) {
     World world(DesignSettings());
     world.Submit("k", JobBody(items));
     const CallCounts& counts = world.store.counts();
-    fmt::print("{:>8} {:>8} {:>8} {:>12.0f} {:>10.2f}\n", items, counts.writes,
-               counts.reads, static_cast<double>(counts.bytes_written) / items,
-               world.submitting.Micros() / items);
+    fmt::print("{:>8} {:>8} {:>8} {:>12.0f} {:>10.2f} {:>14.2f}\n", items,
+               counts.writes, counts.reads,
+               static_cast<double>(counts.bytes_written) / items,
+               world.submitting.Micros() / items,
+               world.submitting.LongestMillis());
   }
 }
 
@@ -174,18 +190,20 @@
   }
   const CallCounts& counts = world.store.counts();
   const double thousands = items / 1000.0;
-  fmt::print("{:>8} {:>9} {:>12.1f} {:>12.1f} {:>12.0f} {:>10.2f}\n", items,
-             per_step * 100, static_cast<double>(counts.writes) / thousands,
+  fmt::print("{:>8} {:>9} {:>12.1f} {:>12.1f} {:>12.0f} {:>10.2f} {:>12.2f}\n",
+             items, per_step * 100,
+             static_cast<double>(counts.writes) / thousands,
              static_cast<double>(counts.reads + counts.lists) / thousands,
              static_cast<double>(counts.bytes_written) / items,
-             world.owning.Micros() / items);
+             world.owning.Micros() / items, world.owning.LongestMillis());
 }
 
 void PrintCommits() {
   fmt::print("\nRunning one job alone ({} B responses), calls for 1000 items\n",
              kResponseBytes);
-  fmt::print("{:>8} {:>9} {:>12} {:>12} {:>12} {:>10}\n", "items", "items/s",
-             "writes/1000", "reads/1000", "bytes/item", "us/item");
+  fmt::print("{:>8} {:>9} {:>12} {:>12} {:>12} {:>10} {:>12}\n", "items",
+             "items/s", "writes/1000", "reads/1000", "bytes/item", "us/item",
+             "longest ms");
   for (const uint32_t rate : {1U, 10U}) {
     for (const uint32_t items : {100U, 843U, 130000U}) PrintCommit(items, rate);
   }
@@ -212,6 +230,32 @@
   }
 }
 
+// What it takes until a new owner hands out the first item, after the old one
+// was lost without a word.
+void PrintTakeover() {
+  fmt::print("\nTakeover of a shard after its owner was lost\n");
+  fmt::print("{:>10} {:>12} {:>8} {:>8} {:>12}\n", "open jobs", "seconds idle",
+             "reads", "writes", "bytes read");
+  for (const uint32_t jobs : {1U, 50U, 250U}) {
+    World world(DesignSettings());
+    const std::string body = JobBody(100);
+    for (uint32_t i = 0; i < jobs; ++i) world.Submit(std::to_string(i), body);
+    ShardOwner& lost = world.AddOwner("vm-1");
+    for (int i = 0; i < 200; ++i) world.Step(milliseconds(100));
+    while (lost.NextItem(world.now)) {
+    }
+    world.RemoveOwners();
+    world.store.ResetCounts();
+    ShardOwner& next = world.AddOwner("vm-2");
+    const TimePoint begin = world.now;
+    while (!next.NextItem(world.now)) world.Step(milliseconds(10));
+    const CallCounts& counts = world.store.counts();
+    fmt::print("{:>10} {:>12.1f} {:>8} {:>8} {:>12}\n", jobs,
+               ToSeconds(world.now - begin), counts.reads + counts.lists,
+               counts.writes, counts.bytes_read);
+  }
+}
+
 // Items that are at their backend servers, oldest first.
 struct Running {
   ItemTicket ticket;
@@ -283,6 +327,8 @@
   fmt::print("{:<34} {:>10}\n", "largest head, bytes", most_head);
   fmt::print("{:<34} {:>10.4f}\n", "processor of an owner, % of a core",
              world.owning.Micros() / 1e6 / kRun * 100);
+  fmt::print("{:<34} {:>10.2f}\n", "longest piece of work, ms",
+             world.owning.LongestMillis());
 }
 
 }  // namespace
@@ -292,6 +338,7 @@
   knapweedstile::jobs::PrintSubmission();
   knapweedstile::jobs::PrintCommits();
   knapweedstile::jobs::PrintMemory();
+  knapweedstile::jobs::PrintTakeover();
   knapweedstile::jobs::PrintDesignLoad(false);
   knapweedstile::jobs::PrintDesignLoad(true);
   return 0;
--- a/libs/decide/src/router.h
+++ b/libs/decide/src/router.h
@@ -30,6 +30,14 @@
   bool only_free_slot = false;
 };
 
+// What is taken and free on the usable servers together.
+struct RouterOccupancy {
+  double free = 0;
+  double own = 0;     // requests of this entry
+  double others = 0;  // of other entries, as far as reported
+  double growth = 0;  // of `own` since the servers' last reports
+};
+
 // Picks the backend server of a request among those of one target that this
 // entry knows (its subset).
 //
@@ -46,7 +54,9 @@
   void Remove(BackendServerId id);
   // The server to send to, or none when all are busy, closed or tried.
   RouterServer* Choose(TimePoint now, const RouterRequest& request);
-  // First output of an attempt came `after` its dispatch.
+  // First output of an attempt came `after` its dispatch. Not to be called for
+  // one that went to a home of its prefix: cached prompts are answered many
+  // times faster, which would make servers without them look slow.
   void OnFirstOutput(TimePoint now, RouterServer& server, Duration after);
   // An attempt there is later than nearly all answers of the target.
   void OnLate(TimePoint now, RouterServer& server);
@@ -55,13 +65,15 @@
                          std::span<const BackendServerId> tried) const;
 
   // Queries.
+  // Whether the last choice was a server that had the prompt's prefix before.
+  bool chose_home() const noexcept { return chose_home_; }
   // Servers that are in, closed or not.
   size_t InCount() const;
   // True when a server is in that the request was not sent to yet.
   bool HasUntried(std::span<const BackendServerId> tried) const;
   bool HasRoom(TimePoint now, TrafficClass traffic_class) const;
-  // Free slots that requests of the class could use now.
-  double FreeSlots(TimePoint now, TrafficClass traffic_class) const;
+  // Slots and requests that count for the class: online does not see batch.
+  RouterOccupancy Occupancy(TimePoint now, TrafficClass traffic_class) const;
 
  private:
   struct Candidate {
@@ -92,7 +104,7 @@
   bool WithinBound(const Candidate& candidate) const;
   bool Usable(TimePoint now, const RouterServer& server) const;
   bool MayEject(TimePoint now) const;
-  std::optional<double> MeanOfPeers(const RouterServer& server) const;
+  std::optional<double> UsualSeconds();
 
   const EntryRules& rules_;
   const std::string& zone_;
@@ -104,6 +116,9 @@
   // When the server that has been up longest came up: slow start is relative
   // to it, since a whole fleet that starts has nobody to spare its servers.
   TimePoint oldest_up_ = TimePoint::max();
+  bool chose_home_ = false;
+  std::optional<double> usual_seconds_;
+  uint32_t answers_since_usual_ = 0;
   size_t turn_ = 0;
 };
 
