--- a/libs/settings/include/settings/schema.h
+++ b/libs/settings/include/settings/schema.h
@@ -37,20 +37,18 @@
   void Flag(std::string path, std::string doc, bool* field);
 
   template <typename T>
-  void Integer(std::string path, std::string unit, std::string doc, T* field,
-               int64_t least, int64_t most) {
-    BindInteger(std::move(path), std::move(unit), std::move(doc),
-                static_cast<int64_t>(*field), least, most,
+  void Integer(const std::string& path, const std::string& unit,
+               const std::string& doc, T* field, int64_t least, int64_t most) {
+    BindInteger(path, unit, doc, static_cast<int64_t>(*field), least, most,
                 [field](int64_t value) { *field = static_cast<T>(value); });
   }
 
   template <typename E>
-  void Choice(std::string path, std::string doc, E* field) {
+  void Choice(const std::string& path, const std::string& doc, E* field) {
     std::vector<std::string> names(kEnumNames<E>.begin(), kEnumNames<E>.end());
-    BindChoice(std::move(path), std::move(doc), std::string(NameOf(*field)),
-               std::move(names), [field](std::string_view name) {
-                 *field = *ParseEnum<E>(name);
-               });
+    BindChoice(
+        path, doc, std::string(NameOf(*field)), std::move(names),
+        [field](std::string_view name) { *field = *ParseEnum<E>(name); });
   }
 
   // Reads the file and fills every bound field. Returns everything that is
--- /dev/null
+++ b/scripts/settings_page.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Writes docs/settings.md from the programs' own tables of keys; with --check,
+# fails when the page is not what they say.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+program=${BUILD_DIR:-build}/apps/knapweedstile/knapweedstile
+page() {
+  cat <<'TEXT'
+# Settings
+
+One TOML file a process: `knapweedstile entry|sidecar --config FILE`. The file is checked as a whole before anything
+starts: each error names file, line, key, the value seen and what is allowed; unknown keys are errors; `--check`
+validates and exits. This page is made by `scripts/settings_page.sh` from the tables that check the files.
+
+Exit codes: 0 stopped gracefully, 2 wrong usage, 3 cannot listen, 4 wrong settings. On standard output one line
+`role=... node=... callers=... fleet=... admin=...` with the addresses that were bound; everything else is logged to
+standard error, one `key=value` line an event.
+
+## Entry
+
+TEXT
+  "$program" entry --reference
+  printf '\n## Sidecar\n\n'
+  "$program" sidecar --reference
+}
+if [ "${1:-}" = --check ]; then
+  diff <(page) docs/settings.md && echo "docs/settings.md is current"
+else
+  page >docs/settings.md
+fi
