--- a/libs/http/tests/server_test.cc
+++ b/libs/http/tests/server_test.cc
@@ -264,4 +264,57 @@
   CHECK_FALSE(third.Listen("nowhere"));
 }
 
+TEST_CASE("a caller that waits for 100 Continue is told to go on") {
+  io_context io;
+  TestServer server(io);
+  RawCaller caller(io, server.port);
+  caller.Send(
+      "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  REQUIRE(RunUntil(io, [&] { return caller.Got("100 Continue\r\n\r\n"); }));
+  caller.Send("ab");
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 1; }));
+  CHECK(server.requests[0].body == "ab");
+}
+
+TEST_CASE("a second request that came along is answered after the first") {
+  io_context io;
+  TestServer server(io);
+  RawCaller caller(io, server.port);
+  caller.Send(std::string(kGet) + "GET /second HTTP/1.1\r\n\r\n");
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 1; }));
+  server.Respond(server.requests[0].exchange, "one");
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 2; }));
+  CHECK(caller.Got("one"));
+  CHECK(server.requests[1].target == "/second");
+  server.Respond(server.requests[1].exchange, "two");
+  REQUIRE(RunUntil(io, [&] { return caller.Got("two"); }));
+}
+
+TEST_CASE("an HTTP/1.0 caller sees a stream's end by the connection's end") {
+  io_context io;
+  TestServer server(io);
+  RawCaller caller(io, server.port);
+  caller.Send("GET / HTTP/1.0\r\n\r\n");
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 1; }));
+  const ExchangeId exchange = server.requests[0].exchange;
+  server.server.Execute(BeginStreamCommand{.exchange = exchange});
+  server.server.Execute(
+      StreamChunkCommand{.exchange = exchange, .data = "text", .last = true});
+  REQUIRE(RunUntil(io, [&] { return caller.Ended(); }));
+  CHECK(caller.received.ends_with("\r\n\r\ntext"));
+}
+
+TEST_CASE("the kernel's queue of connections is answered before a stop") {
+  // SIGTERM arrives between a caller's connect and the server's accept; closing
+  // the listener alone would reset a connection that the caller holds as made.
+  io_context io;
+  TestServer server(io);
+  RawCaller caller(io, server.port);
+  caller.Send(kGet);
+  server.server.StopAccepting();
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 1; }));
+  server.Respond(server.requests[0].exchange, "answered");
+  REQUIRE(RunUntil(io, [&] { return caller.Got("answered"); }));
+}
+
 }  // namespace knapweedstile::http
