--- a/bench/spread_bench.cc
+++ b/bench/spread_bench.cc
@@ -8,6 +8,7 @@
 #include <malloc.h>
 
 #include <chrono>
+#include <cstdio>
 #include <cstdlib>
 #include <string>
 #include <vector>
@@ -194,6 +195,8 @@
 
 int main(int argc, char** argv) {
   using knapweedstile::fleet::SimulationShape;
+  // Each line as it comes: the whole takes minutes.
+  setvbuf(stdout, nullptr, _IOLBF, 0);
   SimulationShape shape;
   shape.zones = knapweedstile::fleet::kZones;
   const size_t entries = argc > 2 ? std::strtoul(argv[1], nullptr, 10) : 3200;
@@ -218,10 +221,10 @@
       {2, 4, std::chrono::seconds(1)},        {2, 16, std::chrono::seconds(1)},
       {1, 8, std::chrono::seconds(1)},        {4, 8, std::chrono::seconds(1)},
   };
+  knapweedstile::fleet::PrintMemory();
+  knapweedstile::fleet::PrintProcessorTime();
   for (const auto& variant : variants) {
     shape.heartbeat = variant.heartbeat;
     knapweedstile::fleet::Run(shape, variant);
   }
-  knapweedstile::fleet::PrintMemory();
-  knapweedstile::fleet::PrintProcessorTime();
 }
--- a/bench/wire_bench.cc
+++ b/bench/wire_bench.cc
@@ -120,7 +120,8 @@
     const size_t wanted = connections * 100;
     bench.Until([&] { return bench.heartbeats - before >= wanted; });
     fmt::print("heartbeat, {} connections: {:.1f} us to send and receive one\n",
-               connections, (ProcessorMicros() - micros) / wanted);
+               connections,
+               (ProcessorMicros() - micros) / static_cast<double>(wanted));
   }
   pb::Control control;
   pb::Heartbeat& heartbeat = *control.mutable_heartbeat();
--- a/libs/fleet/include/fleet/config_spread.h
+++ b/libs/fleet/include/fleet/config_spread.h
@@ -144,6 +144,7 @@
   std::unordered_map<PeerId, Peer> peers_;
   std::map<std::string, Neighbour> neighbours_;  // wanted or excluded
   std::vector<std::string> wanted_;
+  std::vector<std::string> sample_;  // asked as well until ready
   std::optional<Pull> pull_;
   uint64_t last_token_ = 0;
   TimePoint next_repair_{};
--- a/libs/fleet/src/config_spread.cc
+++ b/libs/fleet/src/config_spread.cc
@@ -31,6 +31,7 @@
                           std::vector<SpreadAction>& actions) {
   view_known_ = true;
   tree_.SetView(entries);
+  sample_ = tree_.Sample(settings_.ready_peers);
   Reconsider(now, actions);
 }
 
@@ -164,8 +165,7 @@
   std::vector<std::string> wanted = tree_.Neighbours(excluded);
   if (!ready_) {
     // Several peers, to learn the highest revision before serving.
-    const auto sample = tree_.Sample(settings_.ready_peers);
-    wanted.insert(wanted.end(), sample.begin(), sample.end());
+    wanted.insert(wanted.end(), sample_.begin(), sample_.end());
   }
   const bool all_connected =
       std::all_of(wanted.begin(), wanted.end(),
