--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <cstddef>
 #include <cstdio>
 #include <functional>
 #include <string>
@@ -44,7 +46,6 @@
   rules.least_outstanding = false;
   rules.prefix_affinity = false;
   rules.slow_server_ejection = false;
-  rules.slow_start = false;
   rules.retry_budget = false;
   rules.hedges = false;
   rules.quarantine = false;
@@ -62,9 +63,10 @@
 
 double Percentile(std::vector<double> values, double share) {
   if (values.empty()) return 0;
-  const auto index =
-      static_cast<size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
-  std::nth_element(values.begin(), values.begin() + static_cast<long>(index),
+  const double place = share * static_cast<double>(values.size() - 1);
+  const auto index = static_cast<size_t>(std::lround(place));
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(index),
                    values.end());
   return values[index];
 }
@@ -120,6 +122,7 @@
     fmt::print("{:<20}", variant.name);
     for (size_t i = 0; i < runs[0].size(); ++i) {
       std::vector<double> values;
+      values.reserve(runs.size());
       for (const Figures& figures : runs) values.push_back(figures[i].value);
       std::sort(values.begin(), values.end());
       fmt::print(" {:>21}",
@@ -150,17 +153,26 @@
 }
 
 void Overload() {
-  for (const double load : {1.0, 2.0}) {
-    Print(fmt::format("overload: {}x of the capacity for 120 s", load),
-          {Baseline(), Ours(),
-           Without("no deadline refusal", &EntryRules::deadline_refusal)},
-          Fleet(), [load](const ModelSettings& settings, uint64_t seed) {
-            EntryFleetModel model(settings, seed);
-            model.Load(load * kCapacity, 120,
-                       [&] { return FromOneOf(model, 50); });
-            model.Run(200);
-            return Received(model.answers(), 120, All);
+  struct Case {
+    double load;
+    double deadline_seconds;
+  };
+  for (const Case c : {Case{1, 10}, Case{2, 10}, Case{1, 3}, Case{2, 3}}) {
+    Print(
+        fmt::format("overload: {}x of the capacity for 120 s, deadlines {} s",
+                    c.load, c.deadline_seconds),
+        {Baseline(),
+         Without("no deadline refusal", &EntryRules::deadline_refusal), Ours()},
+        Fleet(), [c](const ModelSettings& settings, uint64_t seed) {
+          EntryFleetModel model(settings, seed);
+          model.Load(c.load * kCapacity, 120, [&] {
+            ModelCall call = FromOneOf(model, 50);
+            call.deadline_seconds = c.deadline_seconds;
+            return call;
           });
+          model.Run(200);
+          return Received(model.answers(), 120, All);
+        });
   }
 }
 
@@ -293,25 +305,35 @@
 }
 
 void LongAmongShort() {
-  Print(
-      "long among short: 20% of the calls, of one caller, make 1000 tokens; "
-      "the short ones",
-      {Baseline(), Without("count, not cost", &EntryRules::cost_fairness),
-       Without("no headroom", &EntryRules::headroom), Ours()},
-      Fleet(), [](const ModelSettings& settings, uint64_t seed) {
-        EntryFleetModel model(settings, seed);
-        model.Load(0.5 * kCapacity, 120, [&] { return FromOneOf(model, 20); });
-        model.Load(0.125 * kCapacity, 120, [] {
-          ModelCall call;
-          call.caller = "long";
-          call.max_tokens = 1000;
-          return call;
-        });
-        model.Run(260);
-        return Received(model.answers(), 120, [](const ModelAnswer& a) {
-          return a.call.caller != "long";
-        });
-      });
+  for (const double short_load : {0.5, 1.5}) {
+    Print(fmt::format("long among short: one caller asks for 1.2x in calls of "
+                      "1000 tokens, 20 for {}x in short ones; the short ones",
+                      short_load),
+          {Baseline(), Without("count, not cost", &EntryRules::cost_fairness),
+           Without("no headroom", &EntryRules::headroom), Ours()},
+          Fleet(), [short_load](const ModelSettings& settings, uint64_t seed) {
+            EntryFleetModel model(settings, seed);
+            model.Load(short_load * kCapacity, 120,
+                       [&] { return FromOneOf(model, 20); });
+            model.Load(0.125 * kCapacity, 120, [] {
+              ModelCall call;
+              call.caller = "long";
+              call.max_tokens = 1000;
+              return call;
+            });
+            model.Run(260);
+            const auto is_short = [](const ModelAnswer& a) {
+              return a.call.caller != "long";
+            };
+            Figures figures = Received(model.answers(), 120, is_short);
+            double of_long = 0;
+            for (const ModelAnswer& a : model.answers()) {
+              of_long += !is_short(a) && a.InTime();
+            }
+            figures.push_back({"long good/s", of_long / 120});
+            return figures;
+          });
+  }
 }
 
 // Clients that come back after a refusal, up to four times, as they were told
@@ -362,7 +384,7 @@
 
 void ComesAndGoes() {
   Print("comes and goes: 0.7x, server 3 down for 2 s of every 8 s",
-        {Baseline(), Without("no slow start", &EntryRules::slow_start), Ours()},
+        {Baseline(), Without("least of all", &EntryRules::two_choices), Ours()},
         Fleet(), [](const ModelSettings& settings, uint64_t seed) {
           EntryFleetModel model(settings, seed);
           model.Load(0.7 * kCapacity, 120,
@@ -407,6 +429,12 @@
       });
 }
 
+std::vector<std::string> Names(std::string_view prefix, size_t count) {
+  std::vector<std::string> names(count);
+  for (size_t i = 0; i < count; ++i) names[i] = fmt::format("{}-{}", prefix, i);
+  return names;
+}
+
 // Wall-clock cost of arrival, dispatch, first output and end together, with
 // half of the slots taken.
 void DecisionCost() {
@@ -415,14 +443,10 @@
   fmt::print("{:<12} {:>10} {:>16} {:>14}\n", "engines", "subset",
              "ns a request", "ns a decision");
   for (const size_t engines : {10, 100, 1000, 10000}) {
-    std::vector<std::string> names;
-    for (size_t i = 0; i < engines; ++i) names.push_back(fmt::format("e{}", i));
+    const auto names = Names("engine", engines);
     const std::vector<std::string_view> views(names.begin(), names.end());
-    std::vector<std::string> entry_names;
-    const size_t entries = std::max<size_t>(3, engines * 32 / 100);
-    for (size_t i = 0; i < entries; ++i) {
-      entry_names.push_back(fmt::format("entry-{}", i));
-    }
+    const auto entry_names =
+        Names("entry", std::max<size_t>(3, engines * 32 / 100));
     const std::vector<std::string_view> entry_views(entry_names.begin(),
                                                     entry_names.end());
     const auto subset = SubsetOf(entry_views[0], entry_views, views);
@@ -486,10 +510,8 @@
 
 void Subsets() {
   fmt::print("\nsubsets: 3,200 entries, 10,000 engines, size 64\n");
-  std::vector<std::string> entries;
-  std::vector<std::string> engines;
-  for (int i = 0; i < 3200; ++i) entries.push_back(fmt::format("entry-{}", i));
-  for (int i = 0; i < 10000; ++i) engines.push_back(fmt::format("eng-{}", i));
+  const auto entries = Names("entry", 3200);
+  const auto engines = Names("engine", 10000);
   const std::vector<std::string_view> entry_views(entries.begin(),
                                                   entries.end());
   const std::vector<std::string_view> views(engines.begin(), engines.end());
--- a/libs/decide/src/router.cc
+++ b/libs/decide/src/router.cc
@@ -27,6 +27,12 @@
 // slow the comparison is at fault, not the servers.
 constexpr size_t kServersPerEjection = 3;
 
+// The usual time to first output is the upper quartile of the servers' means,
+// so that a few fast ones (cached by other entries' requests) do not make the
+// rest look slow. It is computed again after this many answers.
+constexpr double kUsualQuantile = 0.75;
+constexpr uint32_t kAnswersPerUsual = 16;
+
 // A random-looking order of servers for each prefix. Entries agree on it when
 // they number the servers alike, as with ids made from the servers' names.
 uint64_t Mix(uint64_t prefix, BackendServerId server) {
@@ -45,27 +51,17 @@
 Router::Router(const EntrySettings& settings, uint64_t seed)
     : rules_(settings.rules), zone_(settings.availability_zone), rng_(seed) {}
 
-void Router::Add(RouterServer* server) {
-  servers_.push_back(server);
-  FindOldestUp();
-}
+void Router::Add(RouterServer* server) { servers_.push_back(server); }
 
 void Router::Remove(BackendServerId id) {
   std::erase_if(servers_, [id](const RouterServer* server) {
     return server->id() == id;
   });
-  FindOldestUp();
-}
-
-void Router::FindOldestUp() {
-  oldest_up_ = TimePoint::max();
-  for (const RouterServer* server : servers_) {
-    oldest_up_ = std::min(oldest_up_, server->up_since());
-  }
 }
 
 RouterServer* Router::Choose(TimePoint now, const RouterRequest& request) {
   if (!rules_.least_outstanding) return TakeTurn(now, request);
+  chose_home_ = false;
   CollectCandidates(now, request);
   const bool by_prefix =
       rules_.prefix_affinity && !request.prefix_hashes.empty();
@@ -79,6 +75,13 @@
 
 RouterServer* Router::TakeLessLoaded() {
   if (candidates_.empty()) return nullptr;
+  if (!rules_.two_choices) {
+    return std::min_element(candidates_.begin(), candidates_.end(),
+                            [](const Candidate& a, const Candidate& b) {
+                              return a.score < b.score;
+                            })
+        ->server;
+  }
   const size_t count = candidates_.size();
   const size_t first = UniformBelow(rng_, count);
   size_t second = UniformBelow(rng_, count);
@@ -95,7 +98,9 @@
   for (size_t i = 0; i < lookups; ++i) {
     RouterServer* home =
         TakeHome(now, request, prefixes[prefixes.size() - 1 - i]);
-    if (home != nullptr) return home;
+    if (home == nullptr) continue;
+    chose_home_ = true;
+    return home;
   }
   return TakeByHash(prefixes.front());
 }
@@ -148,10 +153,7 @@
 void Router::OnFirstOutput(TimePoint now, RouterServer& server,
                            Duration after) {
   if (!rules_.slow_server_ejection) return;
-  const bool was_probing = server.pace().probing();
-  server.pace().OnFirstOutput(now, after, MeanOfPeers(server), MayEject(now));
-  // Back in: it takes its share again bit by bit.
-  if (was_probing && !server.pace().probing()) server.StartSlowly(now);
+  server.pace().OnFirstOutput(now, after, UsualSeconds(), MayEject(now));
 }
 
 void Router::OnLate(TimePoint now, RouterServer& server) {
@@ -167,17 +169,19 @@
   return (ejected + 1) * kServersPerEjection <= servers_.size();
 }
 
-std::optional<double> Router::MeanOfPeers(const RouterServer& server) const {
-  double sum = 0;
-  size_t count = 0;
-  for (const RouterServer* peer : servers_) {
-    const auto mean = peer->pace().mean_seconds();
-    if (peer == &server || !mean) continue;
-    sum += *mean;
-    ++count;
+std::optional<double> Router::UsualSeconds() {
+  if (++answers_since_usual_ < kAnswersPerUsual) return usual_seconds_;
+  answers_since_usual_ = 0;
+  std::vector<double> means;
+  for (const RouterServer* server : servers_) {
+    const auto mean = server->pace().mean_seconds();
+    if (mean) means.push_back(*mean);
   }
-  if (count == 0) return std::nullopt;
-  return sum / static_cast<double>(count);
+  if (means.size() < 2) return usual_seconds_ = std::nullopt;
+  const auto place = static_cast<std::ptrdiff_t>(
+      kUsualQuantile * static_cast<double>(means.size() - 1));
+  std::nth_element(means.begin(), means.begin() + place, means.end());
+  return usual_seconds_ = means[static_cast<size_t>(place)];
 }
 
 RouterServer* Router::LeastOwn(TimePoint now,
@@ -214,14 +218,19 @@
       });
 }
 
-double Router::FreeSlots(TimePoint now, TrafficClass traffic_class) const {
-  double free = 0;
+RouterOccupancy Router::Occupancy(TimePoint now,
+                                  TrafficClass traffic_class) const {
+  RouterOccupancy occupancy;
   for (const RouterServer* server : servers_) {
     if (!Usable(now, *server)) continue;
-    free += std::max(
-        0.0, SlotsOf(now, *server) - UsedBefore(now, *server, traffic_class));
+    const double used = UsedBefore(now, *server, traffic_class);
+    const double own = server->own(traffic_class);
+    occupancy.free += std::max(0.0, server->slots() - used);
+    occupancy.own += own;
+    occupancy.others += used - own;
+    occupancy.growth += server->OwnGrowth(traffic_class);
   }
-  return free;
+  return occupancy;
 }
 
 double Router::UsedBefore(TimePoint now, const RouterServer& server,
@@ -242,22 +251,17 @@
   return server.own(traffic_class) + others;
 }
 
-double Router::SlotsOf(TimePoint now, const RouterServer& server) const {
-  return rules_.slow_start ? server.UsableSlots(now, oldest_up_)
-                           : server.slots();
-}
-
 double Router::Score(TimePoint now, const RouterServer& server) const {
   const double load =
       LoadOf(now, server, TrafficClass::kOnline) +
       kBatchWeight * LoadOf(now, server, TrafficClass::kBatch) +
       (server.availability_zone() == zone_ ? 0 : kOtherZoneCost);
-  return (load + 1) / SlotsOf(now, server);
+  return (load + 1) / server.slots();
 }
 
 bool Router::HasFreeSlot(TimePoint now, const RouterServer& server,
                          TrafficClass traffic_class) const {
-  return UsedBefore(now, server, traffic_class) + 1 <= SlotsOf(now, server);
+  return UsedBefore(now, server, traffic_class) + 1 <= server.slots();
 }
 
 bool Router::MayTake(TimePoint now, const RouterServer& server) const {
@@ -265,7 +269,7 @@
   // their reports would otherwise keep this entry out for good. The gate beside
   // the server queues or refuses it.
   if (server.own(TrafficClass::kOnline) == 0) return true;
-  const double limit = std::ceil(SlotsOf(now, server) * (1 + kAheadShare));
+  const double limit = std::ceil(server.slots() * (1 + kAheadShare));
   return LoadOf(now, server, TrafficClass::kOnline) + 1 <= limit;
 }
 
--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "caller_access.h"
 #include "outcome_errors.h"
 
 namespace knapweedstile::node {
@@ -21,7 +22,6 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 constexpr size_t kTimelinePage = 5000;
-constexpr size_t kMaxHeaderText = 256;
 // What a restarting duty thread left behind is flushed at least this often.
 constexpr std::chrono::milliseconds kIdleWake{100};
 
@@ -60,7 +60,8 @@
                shards_.SetEntries(at, entries);
              }),
       online_(ports_, metrics_),
-      services_(ports_, metrics_),
+      services_(ports_, metrics_, runner_, platform_, seed,
+                [this](RequestId id) { EndExchange(id); }),
       shards_(ShardOwnerSettingsOf(settings), settings.shard_count,
               settings.node.name, seed, platform_),
       batch_items_(shards_, runner_, fleet_.policies(), metrics_),
@@ -86,25 +87,33 @@
 }
 
 void EntryNode::OnCallerRequest(TimePoint now, http::RequestEvent&& request) {
+  const CallerIdentity identity = IdentityOf(request);
+  const WorkspaceRule rule = settings_.require_workspace
+                                 ? WorkspaceRule::kObjectsOnly
+                                 : WorkspaceRule::kAnyName;
+  if (const auto denied =
+          CheckAccess(request.headers, identity, rule, fleet_.catalog())) {
+    RespondError(request.exchange, identity, *denied);
+    return;
+  }
   const std::string_view path = PathOf(request.target);
   const auto api = ParseEnum<CompletionApi>(path);
   if (api && request.method == "POST") {
-    BeginCompletion(now, request, *api);
+    BeginCompletion(now, request, identity, *api);
   } else if (path == "/v1/models" && request.method == "GET") {
     ListModels(request);
   } else if (path.starts_with("/v1/batches")) {
-    const CallerIdentity identity = IdentityOf(request);
     batch_calls_.Begin(now, std::move(request), identity,
                        now + settings_.submit_deadline);
   } else {
-    BeginServiceCall(now, request);
+    BeginServiceCall(now, request, identity);
   }
 }
 
 void EntryNode::BeginCompletion(TimePoint now,
                                 const http::RequestEvent& request,
+                                const CallerIdentity& identity,
                                 CompletionApi api) {
-  const CallerIdentity identity = IdentityOf(request);
   const TokenLimits limits{settings_.default_max_tokens,
                            settings_.most_max_tokens};
   auto parsed = ParseCompletion(api, request.body, limits);
@@ -113,6 +122,11 @@
     return;
   }
   const auto& completion = std::get<CompletionRequest>(parsed);
+  if (const auto denied =
+          CheckModel(identity, completion.model, fleet_.catalog())) {
+    RespondError(request.exchange, identity, *denied);
+    return;
+  }
   if (!fleet_.Serves(completion.model)) {
     RespondError(request.exchange, identity, NoSuchModel(completion.model));
     return;
@@ -128,24 +142,19 @@
 }
 
 void EntryNode::BeginServiceCall(TimePoint now,
-                                 const http::RequestEvent& request) {
-  const CallerIdentity identity = IdentityOf(request);
+                                 const http::RequestEvent& request,
+                                 const CallerIdentity& identity) {
   const objects::Service* service =
       fleet_.catalog().ServiceForPath(PathOf(request.target));
   if (service == nullptr) {
     RespondError(request.exchange, identity, NoSuchPath());
     return;
   }
-  const bool idempotent =
-      objects::IsIdempotent(*service, request.method, PathOf(request.target));
   const RequestId id(++last_id_);
   exchanges_[request.exchange] = id;
   exchange_of_[id] = request.exchange;
-  auto prepared = services_.Begin(
-      id, request, *service, idempotent, identity,
-      fleet_.policies().RouteOf(identity.workspace, service->name),
-      request.received_at + service->timeout);
-  runner_.Submit(now, std::move(prepared.info), std::move(prepared.message));
+  services_.Begin(now, id, request, *service, identity,
+                  fleet_.policies().RouteOf(identity.workspace, service->name));
 }
 
 void EntryNode::ListModels(const http::RequestEvent& request) {
@@ -160,9 +169,7 @@
   const RequestId id = found->second;
   exchanges_.erase(found);
   exchange_of_.erase(id);
-  online_.Forget(id);
-  services_.Forget(id);
-  runner_.Cancel(now, id);
+  if (online_.Forget(id) || services_.Forget(id)) runner_.Cancel(now, id);
 }
 
 void EntryNode::RespondError(ExchangeId exchange,
@@ -176,14 +183,7 @@
 }
 
 CallerIdentity EntryNode::IdentityOf(const http::RequestEvent& request) {
-  const auto text = [&](std::string_view name) {
-    return std::string(request.headers.Find(name).substr(0, kMaxHeaderText));
-  };
-  CallerIdentity identity;
-  identity.workspace = text("X-Workspace");
-  if (identity.workspace.empty()) identity.workspace = "default";
-  identity.caller = text("X-Caller");
-  identity.request_id = text("X-Request-Id");
+  CallerIdentity identity = ReadIdentity(request.headers, fleet_.catalog());
   if (identity.request_id.empty()) {
     identity.request_id = settings_.node.name + "-" +
                           HexOf(incarnation_).substr(0, 8) + "-" +
@@ -216,13 +216,17 @@
     if (!ended) continue;
     const RequestId id =
         std::visit([](const auto& typed) { return typed.request; }, event);
-    if (const auto call = exchange_of_.extract(id)) {
-      exchanges_.erase(call.mapped());
-    }
+    EndExchange(id);
   }
   if (batch_ended) FillBatch(now);
 }
 
+void EntryNode::EndExchange(RequestId id) {
+  if (const auto call = exchange_of_.extract(id)) {
+    exchanges_.erase(call.mapped());
+  }
+}
+
 // Idle room lasts only moments, so it is refilled when an item ends as well as
 // at each tick.
 void EntryNode::FillBatch(TimePoint now) {
@@ -256,6 +260,7 @@
   fleet_.OnTick(now);
   shards_.Tick(now);
   batch_calls_.Tick(now);
+  services_.Tick(now);
   FillBatch(now);
   if (draining_ && accepting_ &&
       now >= drain_began_ + settings_.node.drain_notice) {
@@ -277,7 +282,8 @@
 TimePoint EntryNode::NextWake() const {
   const TimePoint now = MonotonicNow();
   return std::min({runner_.NextWake(), batch_calls_.NextWake(),
-                   fleet_.NextWake(now), now + kIdleWake});
+                   services_.NextWake(), fleet_.NextWake(now),
+                   now + kIdleWake});
 }
 
 bool EntryNode::Drained(TimePoint now) const {
@@ -289,7 +295,7 @@
       shards_.Released() ||
       now >= drain_began_ + settings_.node.drain_notice + settings_.lease_term;
   return !accepting_ && runner_.open_requests() == 0 &&
-         batch_calls_.size() == 0 && leases_gone;
+         batch_calls_.size() == 0 && services_.size() == 0 && leases_gone;
 }
 
 void EntryNode::OnAdmin(TimePoint now, http::ServerEvent&& event) {
