--- a/libs/jobs/src/result_segment.cc
+++ b/libs/jobs/src/result_segment.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Of a heading beside the hash; an estimate.
+constexpr size_t kHeadingBytes = 16;
+
 // Takes the text up to the next line's end off `rest`.
 std::string_view TakeLine(std::string_view& rest) {
   const size_t end = std::min(rest.find('\n'), rest.size());
@@ -29,7 +32,13 @@
 }  // namespace
 
 std::string EncodeResultSegment(const ResultLinesByJob& lines) {
+  size_t bytes = 0;
+  for (const auto& [hash, of_job] : lines) {
+    bytes += hash.size() + kHeadingBytes;
+    for (const std::string& line : of_job) bytes += line.size() + 1;
+  }
   std::string segment;
+  segment.reserve(bytes);
   for (const auto& [hash, of_job] : lines) {
     segment += fmt::format("@{} {}\n", hash, of_job.size());
     for (const std::string& line : of_job) {
