--- a/libs/decide/tests/entry_fleet_model.h
+++ b/libs/decide/tests/entry_fleet_model.h
@@ -41,6 +41,7 @@
 struct ModelAnswer {
   ModelCall call;
   double arrived = 0;
+  std::optional<double> dispatched;
   std::optional<double> first_output;
   std::optional<double> done;
   std::optional<double> refused;
@@ -102,6 +103,10 @@
   uint64_t dispatches() const { return dispatches_; }
   uint64_t cache_hits() const { return cache_hits_; }
   uint64_t starts() const { return starts_; }
+  // Requests that run or wait at a server.
+  size_t LoadAt(size_t server) const {
+    return servers_[server].running.size() + servers_[server].waiting.size();
+  }
   EntryScheduler& entry(size_t index) { return *entries_[index]; }
   void set_on_final(OnFinal on_final) { on_final_ = std::move(on_final); }
   // Work per second relative to a healthy server; zero hangs.
@@ -109,6 +114,11 @@
     servers_[server].speed = speed;
   }
 
+  // Cuts each request's connection a while after it came in.
+  void set_cutting(size_t server, bool cutting) {
+    servers_[server].cutting = cutting;
+  }
+
   void After(double seconds, std::function<void()> what) {
     events_.push({now_ + seconds, ++order_, std::move(what)});
   }
@@ -189,6 +199,8 @@
   }
 
  private:
+  static constexpr double kCutAfterSeconds = 0.05;
+
   struct Event {
     double at = 0;
     uint64_t order = 0;
@@ -206,6 +218,7 @@
   struct Server {
     bool up = false;
     double speed = 1;
+    bool cutting = false;
     uint64_t incarnation = 0;
     std::deque<Running> waiting;
     std::map<std::pair<size_t, uint64_t>, Running> running;
@@ -248,6 +261,8 @@
   void Take(size_t entry, const DispatchAction& action) {
     ++dispatches_;
     const Running running{entry, action.request.value() - 1, action.attempt};
+    ModelAnswer& answer = answers_[running.call];
+    if (!answer.dispatched) answer.dispatched = now_;
     const size_t server = action.backend_server.value() - 1;
     const uint64_t incarnation = servers_[server].incarnation;
     After(settings_.network_seconds, [=, this] {
@@ -311,13 +326,22 @@
       return;
     }
     if (s.speed <= 0) return;  // hangs
+    if (s.cutting) {
+      const uint64_t life = s.incarnation;
+      After(kCutAfterSeconds, [=, this] {
+        if (Runs(server, life, running)) Cut(server, running);
+      });
+      return;
+    }
     const bool cached = UsePrefix(s, call.prefix);
     const double prefill =
         cached ? 0 : call.prompt_tokens / settings_.prefill_tokens_per_second;
     const double token = 1 / settings_.tokens_per_second;
     const uint64_t incarnation = s.incarnation;
     After((prefill + token) / s.speed, [=, this] {
-      if (Runs(server, incarnation, running)) FirstOutput(running);
+      if (!Runs(server, incarnation, running)) return;
+      FirstOutput(running);
+      ReportWithReply(server, running.entry);
     });
     After((prefill + token * call.max_tokens) / s.speed, [=, this] {
       if (Runs(server, incarnation, running)) Done(server, running);
@@ -355,6 +379,13 @@
     servers_[server].running.erase(running.key());
     StartNext(server);
     EndAttempt(running, AttemptOutcome::kDone, 0);
+    ReportWithReply(server, running.entry);
+  }
+
+  void Cut(size_t server, const Running& running) {
+    servers_[server].running.erase(running.key());
+    StartNext(server);
+    EndAttempt(running, AttemptOutcome::kUnknown, 0);
   }
 
   void StartNext(size_t server) {
@@ -400,30 +431,42 @@
     });
   }
 
-  void Report(size_t server) {
-    After(settings_.report_every, [this, server] { Report(server); });
-    const Server& s = servers_[server];
-    if (!s.up) return;
+  LoadReport LoadOf(const Server& s) const {
     LoadReport report;
     report.measured_at = Now();
     report.slots = settings_.slots;
+    const auto is_batch = [&](const Running& running) {
+      return answers_[running.call].call.traffic_class == TrafficClass::kBatch;
+    };
     for (const auto& [key, running] : s.running) {
-      const bool batch =
-          answers_[running.call].call.traffic_class == TrafficClass::kBatch;
-      ++(batch ? report.batch_running : report.online_running);
+      ++(is_batch(running) ? report.batch_running : report.online_running);
     }
     for (const Running& running : s.waiting) {
-      const bool batch =
-          answers_[running.call].call.traffic_class == TrafficClass::kBatch;
-      ++(batch ? report.batch_waiting : report.online_waiting);
+      ++(is_batch(running) ? report.batch_waiting : report.online_waiting);
     }
+    return report;
+  }
+
+  // The load as it was at the server goes to one entry with a reply.
+  void ReportWithReply(size_t server, size_t entry) {
+    const LoadReport report = LoadOf(servers_[server]);
+    After(settings_.network_seconds,
+          [=, this] { Deliver(server, entry, report); });
+  }
+
+  void Deliver(size_t server, size_t entry, const LoadReport& report) {
+    if (!servers_[server].up) return;
+    Drive(entry, [&](EntryScheduler& scheduler, Actions& actions) {
+      scheduler.OnLoad(Now(), IdOf(server), report, actions);
+    });
+  }
+
+  void Report(size_t server) {
+    After(settings_.report_every, [this, server] { Report(server); });
+    if (!servers_[server].up) return;
+    const LoadReport report = LoadOf(servers_[server]);
     After(settings_.report_lag, [this, server, report] {
-      if (!servers_[server].up) return;
-      for (size_t i = 0; i < entries_.size(); ++i) {
-        Drive(i, [&](EntryScheduler& scheduler, Actions& actions) {
-          scheduler.OnLoad(Now(), IdOf(server), report, actions);
-        });
-      }
+      for (size_t i = 0; i < entries_.size(); ++i) Deliver(server, i, report);
     });
   }
 
