--- a/libs/load/src/answer_reader.cc
+++ b/libs/load/src/answer_reader.cc
@@ -14,9 +14,8 @@
 }
 
 std::string_view TextAt(const json::value* value) {
-  return value != nullptr && value->is_string()
-             ? std::string_view(value->get_string())
-             : std::string_view();
+  if (value == nullptr || !value->is_string()) return {};
+  return value->get_string();
 }
 
 const json::value* FirstOf(const json::value* list) {
@@ -31,11 +30,12 @@
   if (!stream_) return;
   size_t end = 0;
   while ((end = buffer_.find("\n\n")) != std::string::npos) {
-    const std::string event = buffer_.substr(0, end);
+    const std::string text = buffer_.substr(0, end);
     buffer_.erase(0, end + 2);
     constexpr std::string_view kData = "data: ";
+    const std::string_view event = text;
     if (!event.starts_with(kData)) continue;
-    const std::string_view data = std::string_view(event).substr(kData.size());
+    const std::string_view data = event.substr(kData.size());
     if (data == "[DONE]") {
       whole_ = true;
     } else {
--- a/libs/node/src/engine_stream.cc
+++ b/libs/node/src/engine_stream.cc
@@ -58,7 +58,8 @@
   for (;;) {
     const size_t end = partial_.find(kEventEnd, begin);
     if (end == std::string::npos) break;
-    TakeEvent(std::string_view(partial_).substr(begin, end - begin), text);
+    const std::string_view events = partial_;
+    TakeEvent(events.substr(begin, end - begin), text);
     begin = end + kEventEnd.size();
   }
   partial_.erase(0, begin);
--- a/libs/node/src/outbox.h
+++ b/libs/node/src/outbox.h
@@ -27,7 +27,8 @@
   void Push(T&& message) {
     Flush();
     if (waiting_.empty() && channel_.TryPush(std::move(message))) return;
-    waiting_.push_back(std::move(message));
+    // A refused message is left untouched by TryPush.
+    waiting_.push_back(std::move(message));  // NOLINT(bugprone-use-after-move)
   }
 
   void Flush() {
--- a/libs/node/src/service_calls.cc
+++ b/libs/node/src/service_calls.cc
@@ -125,8 +125,8 @@
                          const TrafficRoute& route) {
   calls_.emplace(
       id, ServiceCall{request.exchange, identity, service.name, std::string()});
-  const bool idempotent = objects::IsIdempotent(
-      service, request.method, std::string_view(request.target));
+  const bool idempotent =
+      objects::IsIdempotent(service, request.method, request.target);
   PreparedRequest prepared =
       Prepare(id, request, service, idempotent, identity, route);
   const std::string key(request.headers.Find("Idempotency-Key"));
--- a/libs/wire/include/wire/transport.h
+++ b/libs/wire/include/wire/transport.h
@@ -42,7 +42,7 @@
   // last answer is queued. What is unwritten is lost, and a socket closed with
   // unread heartbeats in it is reset, which destroys what the other end has not
   // read yet; callers would see answers cut short by a planned stop.
-  void Shutdown(TimePoint deadline, std::function<void()> done);
+  void Shutdown(TimePoint deadline, const std::function<void()>& done);
   // Stops accepting and closes every connection; no event follows.
   void Close();
 
--- a/libs/wire/src/transport.cc
+++ b/libs/wire/src/transport.cc
@@ -57,7 +57,7 @@
 
   Result<uint16_t> Listen(const std::string& address);
   void Close();
-  void Shutdown(TimePoint deadline, std::function<void()> done);
+  void Shutdown(TimePoint deadline, const std::function<void()>& done);
 
   void Run(const ConnectCommand& command);
   void Run(const DisconnectCommand& command);
@@ -431,8 +431,9 @@
   std::visit([this](auto& c) { impl_->Run(c); }, command);
 }
 
-void Transport::Shutdown(TimePoint deadline, std::function<void()> done) {
-  impl_->Shutdown(deadline, std::move(done));
+void Transport::Shutdown(TimePoint deadline,
+                         const std::function<void()>& done) {
+  impl_->Shutdown(deadline, done);
 }
 
 void Transport::Close() { impl_->Close(); }
