Entry: a refused batch item closes a server to batch only; suspects are given up when their quarantine is learned

Cause 1: a gate's refusal of batch closed the server to online for up to a second, which puts online behind batch.

--- a/libs/decide/src/entry_scheduler_impl.cc
+++ b/libs/decide/src/entry_scheduler_impl.cc
@@ -199,7 +199,8 @@
       Forget(request);
       break;
     case AttemptOutcome::kRefused:
-      attempt.server->CloseUntil(std::min(come_back_at, now + kLongestRefusal));
+      OnRefusedBy(*attempt.server, request,
+                  std::min(come_back_at, now + kLongestRefusal));
       OnNotAnswered(now, outcome, request, actions);
       break;
     case AttemptOutcome::kNotSent:
@@ -215,6 +216,16 @@
   PumpAllOf(now, *attempt.server, actions);
 }
 
+void EntryScheduler::Impl::OnRefusedBy(RouterServer& server,
+                                       const EntryRequest& request,
+                                       TimePoint come_back_at) {
+  if (IsOnline(request)) {
+    server.CloseUntil(come_back_at);
+  } else {
+    server.CloseForBatchUntil(come_back_at);
+  }
+}
+
 void EntryScheduler::Impl::OnAnswered(TimePoint now, const Attempt& attempt,
                                       EntryRequest& request) {
   EntryPool& pool = *request.pool;
@@ -414,7 +425,14 @@
   const std::deque<RequestId> waiting = pool.suspects;
   for (const RequestId id : waiting) {
     EntryRequest& request = requests_.at(id);
-    if (!pool.router.HasUntried(request.tried) && !request.tried.empty()) {
+    if (quarantine_.StandingOf(now, request.info.fingerprint) ==
+        QuarantineStanding::kQuarantined) {
+      // Another copy of it, or another entry, has met the proof meanwhile.
+      LeaveQueue(request);
+      GiveUp(now, request, RefusalReason::kQuarantined,
+             AttemptOutcome::kCrashed, actions);
+    } else if (!pool.router.HasUntried(request.tried) &&
+               !request.tried.empty()) {
       LeaveQueue(request);
       GiveUp(now, request, RefusalReason::kRetriesExhausted,
              AttemptOutcome::kCrashed, actions);
--- a/libs/decide/src/entry_scheduler_impl.h
+++ b/libs/decide/src/entry_scheduler_impl.h
@@ -89,6 +89,8 @@
   void Hedge(TimePoint now, EntryRequest& request, Actions& actions);
 
   // Ends of attempts and requests.
+  static void OnRefusedBy(RouterServer& server, const EntryRequest& request,
+                          TimePoint come_back_at);
   void OnAnswered(TimePoint now, const Attempt& attempt, EntryRequest& request);
   static void NoteFirstOutput(TimePoint now, const Attempt& attempt,
                               EntryPool& pool);
--- a/libs/decide/src/router.cc
+++ b/libs/decide/src/router.cc
@@ -226,7 +226,7 @@
                                   TrafficClass traffic_class) const {
   RouterOccupancy occupancy;
   for (const RouterServer* server : servers_) {
-    if (!Usable(now, *server)) continue;
+    if (!Usable(now, *server) || !server->OpenFor(traffic_class, now)) continue;
     const double used = UsedBefore(now, *server, traffic_class);
     const double own = server->own(traffic_class);
     occupancy.free += std::max(0.0, server->slots() - used);
@@ -265,7 +265,8 @@
 
 bool Router::HasFreeSlot(TimePoint now, const RouterServer& server,
                          TrafficClass traffic_class) const {
-  return UsedBefore(now, server, traffic_class) + 1 <= server.slots();
+  return server.OpenFor(traffic_class, now) &&
+         UsedBefore(now, server, traffic_class) + 1 <= server.slots();
 }
 
 bool Router::MayTake(TimePoint now, const RouterServer& server) const {
--- a/libs/decide/src/router_server.cc
+++ b/libs/decide/src/router_server.cc
@@ -21,7 +21,8 @@
     : id_(id),
       slots_(kAssumedSlots),
       load_measured_at_(TimePoint::min()),
-      closed_until_(TimePoint::min()) {}
+      closed_until_(TimePoint::min()),
+      batch_closed_until_(TimePoint::min()) {}
 
 void RouterServer::Describe(std::vector<std::string> targets,
                             std::string availability_zone,
@@ -35,6 +36,7 @@
   in_ = true;
   pace_.Reset();
   closed_until_ = TimePoint::min();
+  batch_closed_until_ = TimePoint::min();
   load_measured_at_ = TimePoint::min();
   online_.others = 0;
   batch_.others = 0;
--- a/libs/decide/src/router_server.h
+++ b/libs/decide/src/router_server.h
@@ -31,6 +31,11 @@
   void End(TrafficClass traffic_class, TimePoint started, TimePoint now);
   // Nothing new until then: it refused, or its connection failed.
   void CloseUntil(TimePoint until) noexcept { closed_until_ = until; }
+  // No new batch until then: it refused a batch item, which says nothing about
+  // online requests.
+  void CloseForBatchUntil(TimePoint until) noexcept {
+    batch_closed_until_ = until;
+  }
   // Kept for one suspect request alone (see Quarantine); nothing else new.
   void set_isolating(bool isolating) noexcept { isolating_ = isolating; }
 
@@ -51,6 +56,9 @@
   bool Open(TimePoint now) const noexcept {
     return in_ && !isolating_ && now >= closed_until_;
   }
+  bool OpenFor(TrafficClass traffic_class, TimePoint now) const noexcept {
+    return traffic_class == TrafficClass::kOnline || now >= batch_closed_until_;
+  }
   // True when reports have stopped: what others have there is then unknown.
   bool LoadIsOld(TimePoint now) const noexcept;
   // Age of the last report, as far as it matters.
@@ -88,6 +96,7 @@
   RouterPace pace_;
   TimePoint load_measured_at_;
   TimePoint closed_until_;
+  TimePoint batch_closed_until_;
 };
 
 }  // namespace knapweedstile::decide
--- a/libs/decide/tests/entry_scheduler_test.cc
+++ b/libs/decide/tests/entry_scheduler_test.cc
@@ -52,5 +52,30 @@
   REQUIRE(CountInTime(answers) > 15.2 * 60 * 0.95);
 }
 
+// An engine's gate has its line of batch items full and refuses one more. An
+// owner's call a moment later must go to that engine all the same.
+TEST_CASE("a refused batch item closes the server to batch only") {
+  EntryScheduler scheduler(EntrySettings(), 1);
+  std::vector<EntryAction> actions;
+  TimePoint now(std::chrono::hours(1));
+  scheduler.OnBackendServerUp(now, BackendServerId(1), {"llm"}, "", actions);
+  const auto arrive = [&](uint64_t id, TrafficClass traffic_class) {
+    RequestInfo info;
+    info.id = RequestId(id);
+    info.traffic_class = traffic_class;
+    info.target = "llm";
+    actions.clear();
+    scheduler.OnArrival(now, info, actions);
+    return actions.empty() ? nullptr : std::get_if<DispatchAction>(&actions[0]);
+  };
+  const auto* sent = arrive(1, TrafficClass::kBatch);
+  REQUIRE(sent != nullptr);
+  scheduler.OnAttemptEnded(now, sent->attempt, AttemptOutcome::kRefused,
+                           now + std::chrono::seconds(1), actions);
+  REQUIRE(scheduler.BatchRoom("llm") == 0);
+  REQUIRE(arrive(2, TrafficClass::kBatch) == nullptr);
+  REQUIRE(arrive(3, TrafficClass::kOnline) != nullptr);
+}
+
 }  // namespace
 }  // namespace knapweedstile::decide
