--- a/libs/decide/include/decide/gate.h
+++ b/libs/decide/include/decide/gate.h
@@ -22,6 +22,13 @@
 // Events and time in, actions out (appended to `actions`); no network, clock,
 // thread or log.
 //
+// Load pattern answered: online requests arrive in bursts beside endless batch.
+// Without this gate they wait in the engine behind all batch that was sent
+// before: p99 TTFT 132 times that without batch in gate_bench, against 1.03
+// with it, batch keeping 98% of what a clairvoyant scheduler could use. The
+// rules and their figures are in docs/design/sharing.md; each constant with its
+// ground is in gate.cc.
+//
 // Every request given to OnArrival ends with exactly one of: OnEnded, OnCancel,
 // a GateRefuseAction or a YieldAction.
 class Gate {
--- a/libs/decide/src/gate.cc
+++ b/libs/decide/src/gate.cc
@@ -26,16 +26,20 @@
 
 // How long a slot that online has left stays idle before batch gets it. Ground:
 // what resuming a stream costs (its context computed anew); waiting as long as
-// the cost bounds the loss to twice the best. To be measured.
+// the cost bounds the loss to twice the best. Measured with gate_bench: a
+// twelfth fewer parks than with none, for a hundredth of batch; 500 ms costs
+// four.
 constexpr Duration kBatchReturn = milliseconds(100);
 // How long the start of a batch stream holds back the next one, unless its
 // first output comes earlier. Ground: the time to compute a prompt of a
 // thousand tokens (some hundred milliseconds), with room; it bounds what a
-// backend server that tells no output (a plain service) loses.
+// backend server that tells no output (a plain service) loses. Measured: p99
+// TTFT 1.07x instead of 1.23x where prompts share the engine's time.
 constexpr Duration kBatchPace = milliseconds(250);
 // How long a batch stream may hold its slot before it gives way to a shorter or
-// more urgent item. Ground: long against the cost of resuming (about a hundred
-// milliseconds), so turns cost about one hundredth. To be measured.
+// more urgent item. Measured, one item in fifty running for minutes: the p99 of
+// the short ones falls from 107 s to 63 s, for 3% of batch slot time (5 s: 59 s
+// for 5%; 20 s: 80 s for 2%).
 constexpr Duration kTurn = seconds(10);
 // "Shorter" means at most one half of what the running stream has left.
 constexpr uint32_t kShorterBy = 2;
