--- a/libs/decide/src/gate.cc
+++ b/libs/decide/src/gate.cc
@@ -27,7 +27,7 @@
 // How long a slot that online has left stays idle before batch gets it. Ground:
 // what resuming a stream costs (its context computed anew); waiting as long as
 // the cost bounds the loss to twice the best. Measured with gate_bench: a
-// twelfth fewer parks than with none, for a hundredth of batch; 500 ms costs
+// sixteenth fewer parks than with none, for a hundredth of batch; 500 ms costs
 // four.
 constexpr Duration kBatchReturn = milliseconds(100);
 // How long the start of a batch stream holds back the next one, unless its
