--- a/libs/fleet/include/fleet/relay_tree.h
+++ b/libs/fleet/include/fleet/relay_tree.h
@@ -18,7 +18,8 @@
 // entry. The entries of an availability zone are ranked by rendezvous hash; the
 // first ones are relays, and each other entry has two parents of lower rank, so
 // that the depth grows with the logarithm of the zone's size and no entry has
-// more than 2 * branching + 2 connections for configuration.
+// more than 2 * branching + 2 connections for configuration, besides those that
+// relays of other zones make to the first entry of a zone.
 //
 // Two entries with different views build different trees. That costs
 // connections and watches; what a connection carries does not depend on it.
