--- a/libs/wire/src/transport.cc
+++ b/libs/wire/src/transport.cc
@@ -382,7 +382,8 @@
   return connections;
 }
 
-void Transport::Impl::Shutdown(TimePoint deadline, std::function<void()> done) {
+void Transport::Impl::Shutdown(TimePoint deadline,
+                               const std::function<void()>& done) {
   error_code ignored;
   acceptor_.close(ignored);
   accept_timer_.cancel();
