Node: lanes with room, weights, stable server ids, items of unknown models

Cause: a full model's items could starve another model's in the same shard; an item whose model no VM offers kept its job open for ever; the weight of a workspace never reached the fair queue; entries numbered servers each in its own order, so they disagreed on a prefix's home server; anybody who knew a job's id could cancel it. Change: BatchItems asks for room lane by lane; an item of a model that is known to be missing (the VM list known for 10 s) ends with model_not_found; RouteOf carries the workspace's weight; Membership derives ids from names; cancelling names the workspace; queue.longest_wait_percent is a setting.

--- a/libs/fleet/include/fleet/membership.h
+++ b/libs/fleet/include/fleet/membership.h
@@ -82,6 +82,7 @@
             std::vector<MembershipAction>& actions);
   void Reconsider(Member& member, std::vector<MembershipAction>& actions);
   Member* FindMember(PeerId peer);
+  PeerId NewPeer(const std::string& name) const;
 
   const MembershipSettings settings_;
   const std::string self_;
@@ -89,7 +90,6 @@
   std::unordered_map<PeerId, std::string> names_;
   std::vector<std::string> wanted_entries_;
   std::optional<TimePoint> short_since_;  // the list is not believed
-  uint64_t last_id_ = 0;
   bool list_known_ = false;
 };
 
--- a/libs/fleet/src/membership.cc
+++ b/libs/fleet/src/membership.cc
@@ -29,7 +29,7 @@
   if (!role) return;
   Member& member = members_[vm.name];
   if (!member.peer) {
-    member.peer = PeerId(++last_id_);
+    member.peer = NewPeer(vm.name);
     member.name = vm.name;
     member.address = vm.address;
     names_[member.peer] = vm.name;
@@ -227,4 +227,14 @@
   return entries;
 }
 
+// From the name, so that every entry knows a server by the same id and sends
+// prompts with the same beginning to the same server's cache.
+PeerId Membership::NewPeer(const std::string& name) const {
+  // Ids with the top bit set are the transport's; zero is "no peer".
+  constexpr uint64_t kIdBits = ~uint64_t{0} >> 1;
+  uint64_t value = (Hash64(name) & kIdBits) | 1;
+  while (names_.contains(PeerId(value))) value = (value + 2) & kIdBits;
+  return PeerId(value);
+}
+
 }  // namespace knapweedstile::fleet
--- a/libs/node/src/batch_calls.cc
+++ b/libs/node/src/batch_calls.cc
@@ -124,7 +124,7 @@
   const uint64_t seed = HashCombine(seed_, ++last_id_);
   if (const auto id = JobOf(path, kCancelSuffix); id && post) {
     Add(now, exchange, identity, false,
-        jobs::JobCancellation(*id, deadline, seed));
+        jobs::JobCancellation(*id, deadline, seed, identity.workspace));
   } else if (const auto id = JobOf(path, kResultsSuffix); id && get) {
     const uint64_t limit = QueryNumber(request.target, "limit", kStandardPage);
     const jobs::JobReadRequest read{
--- a/libs/node/src/batch_items.cc
+++ b/libs/node/src/batch_items.cc
@@ -6,10 +6,10 @@
 #include <variant>
 
 #include "base/clock.h"
+#include "entry_fleet.h"
 #include "jobs/item_failure.h"
 #include "jobs/job_id.h"
 #include "observe/metrics.h"
-#include "policy_view.h"
 #include "request_runner.h"
 #include "traffic_route.h"
 
@@ -19,10 +19,6 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kServerError = 500;
 constexpr unsigned kTooManyRequests = 429;
-// Items looked at in one go whose pool had no room, before the search ends.
-constexpr int kMaxWithoutRoom = 4;
-// When an item whose pool is full is offered again.
-constexpr std::chrono::milliseconds kNoRoomWait{100};
 constexpr TokenLimits kLimits{256, 32768};
 
 TimePoint DueAt(int64_t due_ms, TimePoint now) {
@@ -43,8 +39,8 @@
 }  // namespace
 
 BatchItems::BatchItems(ShardSet& shards, RequestRunner& runner,
-                       const PolicyView& policies, observe::Metrics& metrics)
-    : shards_(shards), runner_(runner), policies_(policies), metrics_(metrics) {
+                       const EntryFleet& fleet, observe::Metrics& metrics)
+    : shards_(shards), runner_(runner), fleet_(fleet), metrics_(metrics) {
   metrics_.DeclareCounter("knap_batch_items_total",
                           "Batch items by policy and how an attempt ended.",
                           {"policy", "end"});
@@ -53,34 +49,39 @@
 void BatchItems::Fill(TimePoint now,
                       const std::function<RequestId()>& next_id) {
   StopCancelled(now);
-  int without_room = 0;
-  while (without_room < kMaxWithoutRoom) {
-    auto item = shards_.NextItem(now);
-    if (!item) return;
-    if (Take(now, std::move(*item), next_id()) == Taken::kNoRoom) {
-      ++without_room;
-    }
+  const jobs::LaneHasRoom has_room = [this, now](const jobs::Lane& lane) {
+    return HasRoom(now, lane);
+  };
+  while (auto item = shards_.NextItem(now, has_room)) {
+    Take(now, std::move(*item), next_id());
   }
 }
 
-BatchItems::Taken BatchItems::Take(TimePoint now, ShardSet::Item&& item,
-                                   RequestId id) {
+// Items of a model that no VM offers are taken too, to end with their own
+// error: they would otherwise keep their job open for ever.
+bool BatchItems::HasRoom(TimePoint now, const jobs::Lane& lane) const {
+  const TrafficRoute route =
+      fleet_.policies().RouteOf(lane.workspace, lane.model);
+  return runner_.BatchRoom(route.pool) > 0 ||
+         fleet_.KnownMissing(now, lane.model);
+}
+
+void BatchItems::Take(TimePoint now, ShardSet::Item&& item, RequestId id) {
   jobs::ItemWork& work = item.work;
   const CompletionApi api = ApiOf(work.body);
   auto parsed = ParseCompletion(api, work.body, kLimits);
   if (const auto* error = std::get_if<ApiError>(&parsed)) {
     FailForGood(now, item.shard, work.ticket, error->code, error->message);
-    return Taken::kFailed;
+    return;
   }
   const auto& completion = std::get<CompletionRequest>(parsed);
-  const TrafficRoute route =
-      policies_.RouteOf(work.workspace, completion.model);
-  if (runner_.BatchRoom(route.pool) == 0) {
-    shards_.owner(item.shard)
-        .OnItemRefused(work.ticket, now + kNoRoomWait, now);
-    shards_.Pump(item.shard);
-    return Taken::kNoRoom;
+  if (fleet_.KnownMissing(now, completion.model)) {
+    FailForGood(now, item.shard, work.ticket, "model_not_found",
+                "no backend server offers the model " + completion.model);
+    return;
   }
+  const TrafficRoute route =
+      fleet_.policies().RouteOf(work.workspace, completion.model);
   BatchItem batch;
   batch.shard = item.shard;
   batch.ticket = work.ticket;
@@ -99,6 +100,7 @@
   info.workspace = work.workspace;
   info.caller = jobs::ToString(work.job);
   info.target = route.pool;
+  info.workspace_weight = route.workspace_weight;
   info.prefix_hashes = completion.prefix_hashes;
   info.prompt_tokens = completion.prompt_tokens;
   info.max_tokens = completion.max_tokens;
@@ -120,7 +122,6 @@
   message.set_resume_tokens(work.partial.tokens);
   items_.emplace(id, std::move(batch));
   runner_.Submit(now, std::move(info), std::move(message));
-  return Taken::kSubmitted;
 }
 
 // Items of jobs that were cancelled, or of a shard that was lost.
--- a/libs/node/src/batch_items.h
+++ b/libs/node/src/batch_items.h
@@ -18,15 +18,15 @@
 
 namespace knapweedstile::node {
 
-class PolicyView;
+class EntryFleet;
 class RequestRunner;
 
 // Takes items from the shards held here while their pools have room, submits
 // them as batch requests, and reports their outcomes back to their shards.
 class BatchItems {
  public:
-  BatchItems(ShardSet& shards, RequestRunner& runner,
-             const PolicyView& policies, observe::Metrics& metrics);
+  BatchItems(ShardSet& shards, RequestRunner& runner, const EntryFleet& fleet,
+             observe::Metrics& metrics);
 
   // Commands. `next_id` gives ids that are unique in this process.
   void Fill(TimePoint now, const std::function<RequestId()>& next_id);
@@ -37,9 +37,8 @@
   size_t size() const noexcept { return items_.size(); }
 
  private:
-  enum class Taken { kSubmitted, kNoRoom, kFailed };
-
-  Taken Take(TimePoint now, ShardSet::Item&& item, RequestId id);
+  bool HasRoom(TimePoint now, const jobs::Lane& lane) const;
+  void Take(TimePoint now, ShardSet::Item&& item, RequestId id);
   void StopCancelled(TimePoint now);
   void OnOutput(TimePoint now, BatchItem& item,
                 const RequestOutputEvent& event);
@@ -53,7 +52,7 @@
 
   ShardSet& shards_;
   RequestRunner& runner_;
-  const PolicyView& policies_;
+  const EntryFleet& fleet_;
   observe::Metrics& metrics_;
   std::unordered_map<RequestId, BatchItem> items_;
 };
--- a/libs/node/src/entry_fleet.cc
+++ b/libs/node/src/entry_fleet.cc
@@ -24,6 +24,9 @@
 using fleet::MemberRole;
 using fleet::MemberState;
 
+// A list that lags may lack the VMs of a model that is just being started.
+constexpr std::chrono::seconds kMissingGrace{10};
+
 fleet::MembershipSettings MembershipSettingsOf(
     const EntryNodeSettings& settings) {
   fleet::MembershipSettings membership;
@@ -212,6 +215,7 @@
         reading_vm_list_ = false;
         next_vm_list_ = at + settings_.vm_list_period;
         if (answer.outcome != platform::StoreOutcome::kOk) return;
+        list_known_since_ = std::min(list_known_since_, at);
         membership_.OnVmList(at, answer.vms, membership_actions_);
         spread_.OnView(at, membership_.Entries(), spread_actions_);
         on_entries_(at, LiveEntries());
@@ -261,6 +265,11 @@
   });
 }
 
+bool EntryFleet::KnownMissing(TimePoint now, const std::string& target) const {
+  return list_known_since_ != kNever &&
+         now >= list_known_since_ + kMissingGrace && !Serves(target);
+}
+
 std::vector<std::string> EntryFleet::Models() const {
   std::set<std::string> models;
   for (const auto& [name, member] : membership_.members()) {
--- a/libs/node/src/entry_fleet.h
+++ b/libs/node/src/entry_fleet.h
@@ -57,6 +57,9 @@
   const PolicyView& policies() const noexcept { return policies_; }
   // A backend server for this model or service is known, in or not.
   bool Serves(const std::string& target) const;
+  // No VM offers it, and the VM list has been known long enough that none is
+  // about to. An item for such a model can never be done.
+  bool KnownMissing(TimePoint now, const std::string& target) const;
   // Models with a backend server in.
   std::vector<std::string> Models() const;
   // Knows the fleet and has a configuration from a sound source.
@@ -109,6 +112,7 @@
   std::unordered_map<BackendServerId, Server> servers_;  // those that are in
   std::unordered_map<PeerId, PeerClock> clocks_;
   bool reading_vm_list_ = false;
+  TimePoint list_known_since_ = kNever;
   TimePoint next_vm_list_;
   TimePoint next_heartbeat_;
   bool leaving_ = false;
--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -64,7 +64,7 @@
                 [this](RequestId id) { EndExchange(id); }),
       shards_(ShardOwnerSettingsOf(settings), settings.shard_count,
               settings.node.name, seed, platform_),
-      batch_items_(shards_, runner_, fleet_.policies(), metrics_),
+      batch_items_(shards_, runner_, fleet_, metrics_),
       batch_calls_(ports_, platform_, SubmissionSettingsOf(settings), seed,
                    [this](TimePoint now, const jobs::JobId& id) {
                      if (id.shard < shards_.count()) {
--- a/libs/node/src/entry_node_settings.cc
+++ b/libs/node/src/entry_node_settings.cc
@@ -117,6 +117,11 @@
   schema.Integer("queue.workspace_limit", "requests",
                  "Requests of one workspace waiting in this entry.",
                  &settings->scheduler.workspace_queue_limit, 1, 1'000'000);
+  schema.Integer(
+      "queue.longest_wait_percent", "percent",
+      "Share of its deadline that a request may be expected to wait; "
+      "beyond, it is refused at once.",
+      &settings->scheduler.longest_wait_percent, 1, 100);
 }
 
 }  // namespace knapweedstile::node
--- a/libs/node/src/online_calls.cc
+++ b/libs/node/src/online_calls.cc
@@ -66,6 +66,7 @@
   prepared.info.workspace = identity.workspace;
   prepared.info.caller = identity.caller;
   prepared.info.target = route.pool;
+  prepared.info.workspace_weight = route.workspace_weight;
   prepared.info.prefix_hashes = completion.prefix_hashes;
   prepared.info.prompt_tokens = completion.prompt_tokens;
   prepared.info.max_tokens = completion.max_tokens;
--- a/libs/node/src/policy_view.cc
+++ b/libs/node/src/policy_view.cc
@@ -29,10 +29,16 @@
 TrafficRoute PolicyView::RouteOf(std::string_view workspace,
                                  std::string_view target) const {
   const objects::Policy* policy = catalog_.WinningPolicy(workspace, target);
-  if (policy == nullptr) {
-    return {std::string(target), std::string(kNoPolicy), PoolName(target, "")};
+  const std::string_view name = policy == nullptr ? "" : policy->name;
+  TrafficRoute route;
+  route.target = target;
+  route.policy = policy == nullptr ? kNoPolicy : name;
+  route.pool = PoolName(target, name);
+  const auto object = catalog_.workspaces().find(workspace);
+  if (object != catalog_.workspaces().end()) {
+    route.workspace_weight = object->second.weight;
   }
-  return {std::string(target), policy->name, PoolName(target, policy->name)};
+  return route;
 }
 
 std::vector<std::string> PolicyView::PoolsOf(std::string_view vm,
--- a/libs/node/src/service_calls.cc
+++ b/libs/node/src/service_calls.cc
@@ -32,6 +32,7 @@
   prepared.info.workspace = identity.workspace;
   prepared.info.caller = identity.caller;
   prepared.info.target = route.pool;
+  prepared.info.workspace_weight = route.workspace_weight;
   prepared.info.deadline = request.received_at + service.timeout;
   prepared.info.fingerprint = HashCombine(
       Hash64(request.method + ' ' + request.target), Hash64(request.body));
--- a/libs/node/src/shard_set.cc
+++ b/libs/node/src/shard_set.cc
@@ -68,12 +68,13 @@
   }
 }
 
-std::optional<ShardSet::Item> ShardSet::NextItem(TimePoint now) {
+std::optional<ShardSet::Item> ShardSet::NextItem(
+    TimePoint now, const jobs::LaneHasRoom& has_room) {
   for (uint32_t tried = 0; tried < count(); ++tried) {
     const uint32_t shard = next_shard_;
     next_shard_ = (next_shard_ + 1) % count();
     if (!owners_[shard]->held()) continue;
-    auto work = owners_[shard]->NextItem(now);
+    auto work = owners_[shard]->NextItem(now, has_room);
     Pump(shard);
     if (work) return Item{shard, std::move(*work)};
   }
--- a/libs/node/src/shard_set.h
+++ b/libs/node/src/shard_set.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "jobs/item_ticket.h"
 #include "jobs/item_work.h"
+#include "jobs/lane.h"
 #include "jobs/shard_owner.h"
 #include "jobs/shard_owner_settings.h"
 
@@ -45,7 +46,8 @@
   void PollSoon(uint32_t shard, TimePoint now);
   // Graceful shutdown: hands nothing out any more and gives the leases up.
   void Release(TimePoint now);
-  std::optional<Item> NextItem(TimePoint now);
+  std::optional<Item> NextItem(TimePoint now,
+                               const jobs::LaneHasRoom& has_room);
   std::vector<Stop> TakeStops();
   // To report an item's outcome; call Pump afterwards.
   jobs::ShardOwner& owner(uint32_t shard) { return *owners_[shard]; }
--- a/libs/node/src/traffic_route.h
+++ b/libs/node/src/traffic_route.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDSTILE_NODE_TRAFFIC_ROUTE_H_
 #define KNAPWEEDSTILE_NODE_TRAFFIC_ROUTE_H_
 
+#include <cstdint>
 #include <string>
 
 namespace knapweedstile::node {
@@ -11,6 +12,7 @@
   std::string target;  // model or service
   std::string policy;
   std::string pool;  // the scheduler's name for (target, policy)
+  uint32_t workspace_weight = 1;
 };
 
 }  // namespace knapweedstile::node
