Integration tests: a leaving server gets no new work, batch gives way and resumes

Change: the VM list's notice and a silent sidecar, each judged by the engine's run log; and an engine full of batch work that online requests must not wait in, judged by what ran when they reached it. Asking without a pause was ruled out: it keeps all slots online, so no batch stream can come back, which is the policy and no fault.

--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -36,6 +36,21 @@
 poll_jobs_every = 300
 )";
 
+struct EventCounts {
+  int starts = 0;
+  int ends = 0;  // cancelled ones too
+};
+
+EventCounts CountEvents(const std::string& run_log) {
+  EventCounts counts;
+  std::istringstream lines(run_log);
+  for (std::string line; std::getline(lines, line);) {
+    const bool start = line.find(R"("event":"start")") != std::string::npos;
+    ++(start ? counts.starts : counts.ends);
+  }
+  return counts;
+}
+
 // How many of `entry`'s backend servers are in, by its status page.
 size_t InCount(const http::EndEvent& status) {
   size_t in = 0;
@@ -141,11 +156,21 @@
 
 void Fleet::PutVm(const std::string& name, const std::string& address,
                   const std::string& role, const std::string& target) {
-  const json::object vm{{"address", address},
-                        {"availability_zone", kZone},
-                        {"role", role},
-                        {"target", target}};
-  caller_.Put(platform_, "/v1/vms/" + name, json::serialize(vm));
+  vms_[name] = {{"address", address},
+                {"availability_zone", kZone},
+                {"role", role},
+                {"target", target},
+                {"state", "live"}};
+  WriteVm(name);
+}
+
+void Fleet::WriteVm(const std::string& name) {
+  caller_.Put(platform_, "/v1/vms/" + name, json::serialize(vms_.at(name)));
+}
+
+void Fleet::MarkLeaving(const std::string& name) {
+  vms_.at(name)["state"] = "leaving";
+  WriteVm(name);
 }
 
 void Fleet::PutObject(const std::string& kind, const std::string& name,
@@ -188,14 +213,13 @@
   return folder_.File(name + ".runs");
 }
 
+int Fleet::Starts(const std::string& name) const {
+  return CountEvents(ReadFile(run_log(name))).starts;
+}
+
 int Fleet::InFlight(const std::string& name) const {
-  int in_flight = 0;
-  std::istringstream lines(ReadFile(run_log(name)));
-  for (std::string line; std::getline(lines, line);) {
-    const bool start = line.find(R"("event":"start")") != std::string::npos;
-    in_flight += start ? 1 : -1;
-  }
-  return in_flight;
+  const EventCounts counts = CountEvents(ReadFile(run_log(name)));
+  return counts.starts - counts.ends;
 }
 
 std::string Fleet::FaultCounts(const std::string& engine) {
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDSTILE_HARNESS_FLEET_H_
 #define KNAPWEEDSTILE_HARNESS_FLEET_H_
 
+#include <boost/json/object.hpp>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,6 +36,8 @@
   void AddEntry(const std::string& name, const std::string& settings = {});
   void PutObject(const std::string& kind, const std::string& name,
                  const std::string& json);
+  // The VM list shows the VM as leaving; its processes are told nothing.
+  void MarkLeaving(const std::string& name);
   // Starts the backend server again at its address after it has ended.
   void RestartBackendServer(const std::string& name);
   // Orders the platform's stand-in (POST /control).
@@ -63,6 +66,8 @@
     return admin_.at(name);
   }
   std::string run_log(const std::string& name) const;
+  // How often the backend server has begun a request.
+  int Starts(const std::string& name) const;
   // Requests that the backend server has begun and not ended by its run log.
   int InFlight(const std::string& name) const;
   // GET /fault of the proxy before the engine's sidecar.
@@ -79,11 +84,13 @@
                  const std::string& settings);
   void PutVm(const std::string& name, const std::string& address,
              const std::string& role, const std::string& target);
+  void WriteVm(const std::string& name);
 
   ScratchFolder folder_;
   Caller caller_;
   std::map<std::string, std::unique_ptr<Process>> processes_;
   std::string platform_;
+  std::map<std::string, boost::json::object> vms_;
   std::map<std::string, std::string> callers_;
   std::map<std::string, std::string> admin_;
   std::map<std::string, std::string> proxies_;  // control addresses
