--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -46,7 +46,6 @@
   rules.least_outstanding = false;
   rules.prefix_affinity = false;
   rules.slow_server_ejection = false;
-  rules.slow_start = false;
   rules.retry_budget = false;
   rules.hedges = false;
   rules.quarantine = false;
@@ -154,17 +153,26 @@
 }
 
 void Overload() {
-  for (const double load : {1.0, 2.0}) {
-    Print(fmt::format("overload: {}x of the capacity for 120 s", load),
-          {Baseline(), Ours(),
-           Without("no deadline refusal", &EntryRules::deadline_refusal)},
-          Fleet(), [load](const ModelSettings& settings, uint64_t seed) {
-            EntryFleetModel model(settings, seed);
-            model.Load(load * kCapacity, 120,
-                       [&] { return FromOneOf(model, 50); });
-            model.Run(200);
-            return Received(model.answers(), 120, All);
+  struct Case {
+    double load;
+    double deadline_seconds;
+  };
+  for (const Case c : {Case{1, 10}, Case{2, 10}, Case{1, 3}, Case{2, 3}}) {
+    Print(
+        fmt::format("overload: {}x of the capacity for 120 s, deadlines {} s",
+                    c.load, c.deadline_seconds),
+        {Baseline(),
+         Without("no deadline refusal", &EntryRules::deadline_refusal), Ours()},
+        Fleet(), [c](const ModelSettings& settings, uint64_t seed) {
+          EntryFleetModel model(settings, seed);
+          model.Load(c.load * kCapacity, 120, [&] {
+            ModelCall call = FromOneOf(model, 50);
+            call.deadline_seconds = c.deadline_seconds;
+            return call;
           });
+          model.Run(200);
+          return Received(model.answers(), 120, All);
+        });
   }
 }
 
@@ -297,25 +305,35 @@
 }
 
 void LongAmongShort() {
-  Print(
-      "long among short: 20% of the calls, of one caller, make 1000 tokens; "
-      "the short ones",
-      {Baseline(), Without("count, not cost", &EntryRules::cost_fairness),
-       Without("no headroom", &EntryRules::headroom), Ours()},
-      Fleet(), [](const ModelSettings& settings, uint64_t seed) {
-        EntryFleetModel model(settings, seed);
-        model.Load(0.5 * kCapacity, 120, [&] { return FromOneOf(model, 20); });
-        model.Load(0.125 * kCapacity, 120, [] {
-          ModelCall call;
-          call.caller = "long";
-          call.max_tokens = 1000;
-          return call;
-        });
-        model.Run(260);
-        return Received(model.answers(), 120, [](const ModelAnswer& a) {
-          return a.call.caller != "long";
-        });
-      });
+  for (const double short_load : {0.5, 1.5}) {
+    Print(fmt::format("long among short: one caller asks for 1.2x in calls of "
+                      "1000 tokens, 20 for {}x in short ones; the short ones",
+                      short_load),
+          {Baseline(), Without("count, not cost", &EntryRules::cost_fairness),
+           Without("no headroom", &EntryRules::headroom), Ours()},
+          Fleet(), [short_load](const ModelSettings& settings, uint64_t seed) {
+            EntryFleetModel model(settings, seed);
+            model.Load(short_load * kCapacity, 120,
+                       [&] { return FromOneOf(model, 20); });
+            model.Load(0.125 * kCapacity, 120, [] {
+              ModelCall call;
+              call.caller = "long";
+              call.max_tokens = 1000;
+              return call;
+            });
+            model.Run(260);
+            const auto is_short = [](const ModelAnswer& a) {
+              return a.call.caller != "long";
+            };
+            Figures figures = Received(model.answers(), 120, is_short);
+            double of_long = 0;
+            for (const ModelAnswer& a : model.answers()) {
+              of_long += !is_short(a) && a.InTime();
+            }
+            figures.push_back({"long good/s", of_long / 120});
+            return figures;
+          });
+  }
 }
 
 // Clients that come back after a refusal, up to four times, as they were told
@@ -364,9 +382,28 @@
       });
 }
 
+void ManyEntries() {
+  for (const size_t entries : {20, 60}) {
+    ModelSettings fleet = Fleet();
+    fleet.entries = entries;
+    fleet.report_every = 1;
+    Print(
+        fmt::format("many entries: {} of them at 0.85x, heartbeats of 1 s",
+                    entries),
+        {Baseline(), Without("least of all", &EntryRules::two_choices), Ours()},
+        fleet, [](const ModelSettings& settings, uint64_t seed) {
+          EntryFleetModel model(settings, seed);
+          model.Load(0.85 * kCapacity, 120,
+                     [&] { return FromOneOf(model, 50); });
+          model.Run(200);
+          return Received(model.answers(), 120, All);
+        });
+  }
+}
+
 void ComesAndGoes() {
   Print("comes and goes: 0.7x, server 3 down for 2 s of every 8 s",
-        {Baseline(), Without("no slow start", &EntryRules::slow_start), Ours()},
+        {Baseline(), Without("least of all", &EntryRules::two_choices), Ours()},
         Fleet(), [](const ModelSettings& settings, uint64_t seed) {
           EntryFleetModel model(settings, seed);
           model.Load(0.7 * kCapacity, 120,
@@ -420,10 +457,9 @@
 // Wall-clock cost of arrival, dispatch, first output and end together, with
 // half of the slots taken.
 void DecisionCost() {
-  fmt::print(
-      "\ncost of one request's decisions (arrival, first output, end)\n");
-  fmt::print("{:<12} {:>10} {:>16} {:>14}\n", "engines", "subset",
-             "ns a request", "ns a decision");
+  fmt::print("\ncost of a decision (arrival, first output or end)\n");
+  fmt::print("{:<12} {:>10} {:>14} {:>14}\n", "engines", "subset", "least ns",
+             "median ns");
   for (const size_t engines : {10, 100, 1000, 10000}) {
     const auto names = Names("engine", engines);
     const std::vector<std::string_view> views(names.begin(), names.end());
@@ -447,10 +483,19 @@
     }
     std::deque<AttemptId> running;
     constexpr int kRequests = 200000;
+    constexpr int kRound = 10000;
+    constexpr int kDecisions = 3;
     const size_t half = subset.size() * 4;
     Rng rng(1);
-    const auto begin = std::chrono::steady_clock::now();
+    std::vector<double> rounds;  // nanoseconds a decision
+    auto begin = std::chrono::steady_clock::now();
     for (int i = 1; i <= kRequests; ++i) {
+      if (i % kRound == 0) {
+        const auto end = std::chrono::steady_clock::now();
+        const std::chrono::duration<double, std::nano> round = end - begin;
+        rounds.push_back(round.count() / kRound / kDecisions);
+        begin = end;
+      }
       now += std::chrono::microseconds(100);
       if (i % 2048 == 0) {
         for (const size_t s : subset) {
@@ -481,12 +526,9 @@
                                actions);
       running.pop_front();
     }
-    const double nanos = std::chrono::duration<double, std::nano>(
-                             std::chrono::steady_clock::now() - begin)
-                             .count() /
-                         kRequests;
-    fmt::print("{:<12} {:>10} {:>16.0f} {:>14.0f}\n", engines, subset.size(),
-               nanos, nanos / 3);
+    std::sort(rounds.begin(), rounds.end());
+    fmt::print("{:<12} {:>10} {:>14.0f} {:>14.0f}\n", engines, subset.size(),
+               rounds.front(), rounds[rounds.size() / 2]);
   }
 }
 
@@ -550,6 +592,7 @@
                                    {"retry_storm", RetryStorm},
                                    {"comes_and_goes", ComesAndGoes},
                                    {"poison", Poison},
+                                   {"many_entries", ManyEntries},
                                    {"cost", DecisionCost},
                                    {"subsets", Subsets}};
 
--- a/libs/decide/src/entry_scheduler_impl.h
+++ b/libs/decide/src/entry_scheduler_impl.h
@@ -81,14 +81,16 @@
   void PumpQueue(TimePoint now, EntryPool& pool, TrafficClass traffic_class,
                  Actions& actions);
   // Whether a request of this flow may go and leave what it must.
-  bool LeavesHeadroom(const EntryPool& pool, FairQueueKey key,
-                      const RouterOccupancy& occupancy) const;
+  bool LeavesHeadroom(TimePoint now, const EntryPool& pool,
+                      FairQueueKey key) const;
   void PumpAllOf(TimePoint now, const RouterServer& server, Actions& actions);
   void Dispatch(TimePoint now, EntryRequest& request, RouterServer& server,
                 Actions& actions);
   void Hedge(TimePoint now, EntryRequest& request, Actions& actions);
 
   // Ends of attempts and requests.
+  static void OnRefusedBy(RouterServer& server, const EntryRequest& request,
+                          TimePoint come_back_at);
   void OnAnswered(TimePoint now, const Attempt& attempt, EntryRequest& request);
   static void NoteFirstOutput(TimePoint now, const Attempt& attempt,
                               EntryPool& pool);
--- a/libs/decide/src/router_server.cc
+++ b/libs/decide/src/router_server.cc
@@ -12,37 +12,31 @@
 constexpr uint32_t kAssumedSlots = 8;
 // A report older than this is treated as missing: three heartbeats of a second.
 constexpr Duration kLoadLife = std::chrono::seconds(3);
-// How long a server that came up takes to get its full share. Its reports need
-// a heartbeat or two to show what all entries together have sent.
-constexpr Duration kSlowStart = std::chrono::seconds(3);
-// Share of the slots used at once after coming up.
-constexpr double kFirstShare = 0.125;
-
-double StartedShare(Duration age) {
-  const double share = ToSeconds(age) / ToSeconds(Duration(kSlowStart));
-  return std::clamp(share, kFirstShare, 1.0);
-}
+// Beyond a heartbeat's interval age says nothing more about the load.
+constexpr Duration kLongestAge = std::chrono::seconds(1);
 
 }  // namespace
 
-RouterServer::RouterServer(BackendServerId id, TimePoint now)
+RouterServer::RouterServer(BackendServerId id)
     : id_(id),
       slots_(kAssumedSlots),
       load_measured_at_(TimePoint::min()),
-      up_since_(now),
-      closed_until_(TimePoint::min()) {}
+      closed_until_(TimePoint::min()),
+      batch_closed_until_(TimePoint::min()) {}
 
 void RouterServer::Describe(std::vector<std::string> targets,
-                            std::string availability_zone) {
+                            std::string availability_zone,
+                            const std::string& own_zone) {
   targets_ = std::move(targets);
-  zone_ = std::move(availability_zone);
+  availability_zone_ = std::move(availability_zone);
+  in_own_zone_ = availability_zone_ == own_zone;
 }
 
-void RouterServer::ComeUp(TimePoint now) {
+void RouterServer::ComeUp() {
   in_ = true;
-  up_since_ = now;
   pace_.Reset();
   closed_until_ = TimePoint::min();
+  batch_closed_until_ = TimePoint::min();
   load_measured_at_ = TimePoint::min();
   online_.others = 0;
   batch_.others = 0;
@@ -75,6 +69,11 @@
          now - load_measured_at_ > kLoadLife;
 }
 
+Duration RouterServer::ReportAge(TimePoint now) const noexcept {
+  if (load_measured_at_ == TimePoint::min()) return kLongestAge;
+  return std::min(kLongestAge, now - load_measured_at_);
+}
+
 uint32_t RouterServer::own(TrafficClass traffic_class) const noexcept {
   return of(traffic_class).own.running();
 }
@@ -93,12 +92,4 @@
          static_cast<int32_t>(load.own_when_reported);
 }
 
-double RouterServer::UsableSlots(TimePoint now,
-                                 TimePoint oldest_up) const noexcept {
-  const double slots = slots_;
-  if (up_since_ == oldest_up || now - up_since_ >= kSlowStart) return slots;
-  const double share = StartedShare(now - up_since_);
-  return std::max(1.0, slots * share / StartedShare(now - oldest_up));
-}
-
 }  // namespace knapweedstile::decide
--- a/libs/decide/src/router_server.h
+++ b/libs/decide/src/router_server.h
@@ -19,26 +19,29 @@
 // load reports.
 class RouterServer {
  public:
-  RouterServer(BackendServerId id, TimePoint now);
+  explicit RouterServer(BackendServerId id);
 
   // Commands.
-  void Describe(std::vector<std::string> targets,
-                std::string availability_zone);
-  void ComeUp(TimePoint now);
+  void Describe(std::vector<std::string> targets, std::string availability_zone,
+                const std::string& own_zone);
+  void ComeUp();
   void Leave() noexcept { in_ = false; }
   void OnLoad(const LoadReport& load);
   void Start(TrafficClass traffic_class, TimePoint now);
   void End(TrafficClass traffic_class, TimePoint started, TimePoint now);
   // Nothing new until then: it refused, or its connection failed.
   void CloseUntil(TimePoint until) noexcept { closed_until_ = until; }
+  // No new batch until then: it refused a batch item, which says nothing about
+  // online requests.
+  void CloseForBatchUntil(TimePoint until) noexcept {
+    batch_closed_until_ = until;
+  }
   // Kept for one suspect request alone (see Quarantine); nothing else new.
   void set_isolating(bool isolating) noexcept { isolating_ = isolating; }
 
   // Reported down: in no pool, kept while attempts to it are unreported.
   void set_gone(bool gone) noexcept { gone_ = gone; }
 
-  // As after coming up: full use only after a while.
-  void StartSlowly(TimePoint now) noexcept { up_since_ = now; }
   RouterPace& pace() noexcept { return pace_; }
 
   // Queries.
@@ -47,23 +50,25 @@
   const std::vector<std::string>& targets() const noexcept { return targets_; }
   bool in() const noexcept { return in_; }
   bool gone() const noexcept { return gone_; }
-  const std::string& availability_zone() const noexcept { return zone_; }
+  // In this entry's own availability zone.
+  bool in_own_zone() const noexcept { return in_own_zone_; }
   bool isolating() const noexcept { return isolating_; }
   bool Open(TimePoint now) const noexcept {
     return in_ && !isolating_ && now >= closed_until_;
   }
+  bool OpenFor(TrafficClass traffic_class, TimePoint now) const noexcept {
+    return traffic_class == TrafficClass::kOnline || now >= batch_closed_until_;
+  }
   // True when reports have stopped: what others have there is then unknown.
   bool LoadIsOld(TimePoint now) const noexcept;
+  // Age of the last report, as far as it matters.
+  Duration ReportAge(TimePoint now) const noexcept;
   uint32_t own(TrafficClass traffic_class) const noexcept;
   uint32_t own() const noexcept;
   uint32_t others(TrafficClass traffic_class) const noexcept;
   // How many more of this entry's are there than the last report has counted.
   int32_t OwnGrowth(TrafficClass traffic_class) const noexcept;
   uint32_t slots() const noexcept { return slots_; }
-  TimePoint up_since() const noexcept { return up_since_; }
-  // Slots that may be used now: fewer while it has just come up, compared with
-  // the server of the target that came up first, at `oldest_up`.
-  double UsableSlots(TimePoint now, TimePoint oldest_up) const noexcept;
 
  private:
   struct ClassLoad {
@@ -80,7 +85,8 @@
 
   BackendServerId id_;
   std::vector<std::string> targets_;
-  std::string zone_;
+  std::string availability_zone_;
+  bool in_own_zone_ = false;
   bool in_ = true;
   bool isolating_ = false;
   bool gone_ = false;
@@ -89,8 +95,8 @@
   ClassLoad batch_;
   RouterPace pace_;
   TimePoint load_measured_at_;
-  TimePoint up_since_;
   TimePoint closed_until_;
+  TimePoint batch_closed_until_;
 };
 
 }  // namespace knapweedstile::decide
