Items of unknown models end with their own error; resumed items count what is left

Change: batch_job names an item whose model nobody offers (one more failed result); the sidecar tells the gate the tokens that are left and the context to compute.

--- a/libs/node/src/sidecar_node.cc
+++ b/libs/node/src/sidecar_node.cc
@@ -38,8 +38,11 @@
   info.workspace = message.workspace();
   info.caller = message.caller();
   info.target = message.target();
-  info.prompt_tokens = message.prompt_tokens();
-  info.max_tokens = message.max_tokens();
+  // What it produced elsewhere is context to compute and is not produced again.
+  const uint32_t resumed = message.resume_tokens();
+  info.prompt_tokens = message.prompt_tokens() + resumed;
+  info.max_tokens =
+      message.max_tokens() - std::min(resumed, message.max_tokens());
   info.deadline = DeadlineOf(message.budget_ms(), now);
   info.due = DeadlineOf(message.due_ms(), now);
   info.fingerprint = message.fingerprint();
--- a/tests/integration/batch_job_test.cc
+++ b/tests/integration/batch_job_test.cc
@@ -25,6 +25,9 @@
     job.AddItem(name, PromptOf(name, 10), 10);
     if (i == 30) job.AddMalformedLine(R"({"custom_id":"odd","body":7})");
   }
+  // Well-formed, but nobody offers its model.
+  job.AddMalformedLine(R"({"custom_id":"lost","body":{"model":"no-such-model",)"
+                       R"("prompt":"a b","max_tokens":2}})");
   REQUIRE(job.Submit(fleet.callers("entry-1")));
 
   // Sent again by a caller that believes it lost, to the other entry.
@@ -42,7 +45,7 @@
   CHECK(load.failures() == kNone);
   REQUIRE(job.WaitForState(fleet.callers("entry-1"), "completed"));
   REQUIRE(job.ReadResults(fleet.callers("entry-2")));
-  CHECK(job.results() == 61);
+  CHECK(job.results() == 62);
   fleet.ReadRunLogs(ledger);
   CHECK(ledger.Faults() == kNone);
 }
