--- a/libs/node/include/node/node_settings.h
+++ b/libs/node/include/node/node_settings.h
@@ -20,7 +20,7 @@
   std::string fleet_listen = "127.0.0.1:0";
   std::string admin_listen = "127.0.0.1:0";
   LogLevel log_level = LogLevel::kInfo;
-  uint32_t timeline_events = 65536;
+  uint32_t timeline_events = 16384;
   // Between the notice of leaving and the end of accepting, so that balancers
   // and peers see the notice before the door closes.
   std::chrono::milliseconds drain_notice{1000};
--- a/scripts/fleet_lib.sh
+++ b/scripts/fleet_lib.sh
@@ -70,6 +70,7 @@
 name = "$1"
 availability_zone = "$2"
 drain_notice = 500
+timeline_events = 65536
 [backend_server]
 kind = "$3"
 target = "$4"
@@ -87,6 +88,7 @@
 name = "$name"
 availability_zone = "$zone"
 drain_notice = 500
+timeline_events = 65536
 [platform]
 addresses = ["$PLATFORM"]
 vm_list_period = 300
