Node: one place for error answers, the time line's page, wire settings; the sidecar's configuration apart

Change: ErrorResponse, TimelinePage, WireSettingsOf; SidecarConfig holds what a sidecar learns from its entries.

--- a/libs/node/src/admin_api.cc
+++ b/libs/node/src/admin_api.cc
@@ -1,10 +1,20 @@
 #include "admin_api.h"
 
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 #include <charconv>
 
+#include "base/clock.h"
+#include "observe/timeline.h"
+
 namespace knapweedstile::node {
+namespace {
+
+constexpr size_t kTimelinePage = 5000;
+
+}  // namespace
 
 std::string_view PathOf(std::string_view target) noexcept {
   return target.substr(0, target.find('?'));
@@ -43,4 +53,18 @@
   return command;
 }
 
+std::string TimelinePage(const std::string& node,
+                         const observe::Timeline& timeline,
+                         const boost::json::array& peers, uint64_t after) {
+  const boost::json::value head{{"node", node},
+                                {"wall_clock_nanos", WallClockNanos()},
+                                {"last", timeline.last_sequence()},
+                                {"peers", peers}};
+  // The events come as text already; they are put in before the closing brace.
+  std::string text = boost::json::serialize(head);
+  text.pop_back();
+  return text + ",\"events\":" + timeline.EventsJson(after, kTimelinePage) +
+         "}";
+}
+
 }  // namespace knapweedstile::node
--- a/libs/node/src/admin_api.h
+++ b/libs/node/src/admin_api.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDSTILE_NODE_ADMIN_API_H_
 #define KNAPWEEDSTILE_NODE_ADMIN_API_H_
 
+#include <boost/json/array.hpp>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -8,6 +9,10 @@
 #include "base/id.h"
 #include "http/server_command.h"
 
+namespace knapweedstile::observe {
+class Timeline;
+}
+
 namespace knapweedstile::node {
 
 // The part of a target before its query.
@@ -24,6 +29,12 @@
 http::RespondCommand TextResponse(ExchangeId exchange, unsigned status,
                                   std::string body);
 
+// The page of a process's time line: its clock, the peers' clocks as this
+// process sees them, and the events after `after`.
+std::string TimelinePage(const std::string& node,
+                         const observe::Timeline& timeline,
+                         const boost::json::array& peers, uint64_t after);
+
 }  // namespace knapweedstile::node
 
 #endif  // KNAPWEEDSTILE_NODE_ADMIN_API_H_
--- a/libs/node/src/batch_calls.cc
+++ b/libs/node/src/batch_calls.cc
@@ -10,13 +10,12 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "entry_ports.h"
+#include "error_response.h"
 #include "jobs/job_id.h"
 #include "jobs/job_read.h"
 #include "jobs/job_status.h"
 #include "jobs/submit_request.h"
 #include "jobs/submit_result.h"
-#include "openai_api.h"
-#include "outcome_errors.h"
 #include "platform_calls.h"
 
 namespace knapweedstile::node {
@@ -323,11 +322,7 @@
                               const CallerIdentity& identity,
                               const ApiError& error) {
   if (!exchange) return;
-  http::RespondCommand command = JsonResponse(
-      exchange, error.status, RenderError(error, identity.request_id));
-  command.headers.Add("X-Request-Id", identity.request_id);
-  AddRetryAfter(error, command.headers);
-  ports_.callers(std::move(command));
+  ports_.callers(ErrorResponse(exchange, identity, error));
 }
 
 TimePoint BatchCalls::NextWake() const {
--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -11,7 +11,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "caller_access.h"
-#include "outcome_errors.h"
+#include "error_response.h"
 
 namespace knapweedstile::node {
 namespace {
@@ -21,7 +21,6 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
-constexpr size_t kTimelinePage = 5000;
 // What a restarting duty thread left behind is flushed at least this often.
 constexpr std::chrono::milliseconds kIdleWake{100};
 
@@ -175,11 +174,7 @@
 void EntryNode::RespondError(ExchangeId exchange,
                              const CallerIdentity& identity,
                              const ApiError& error) {
-  http::RespondCommand command = JsonResponse(
-      exchange, error.status, RenderError(error, identity.request_id));
-  command.headers.Add("X-Request-Id", identity.request_id);
-  AddRetryAfter(error, command.headers);
-  ports_.callers(std::move(command));
+  ports_.callers(ErrorResponse(exchange, identity, error));
 }
 
 CallerIdentity EntryNode::IdentityOf(const http::RequestEvent& request) {
@@ -321,7 +316,9 @@
     ports_.admin(JsonResponse(exchange, kOk, StatusJson()));
   } else if (path == "/timeline") {
     ports_.admin(JsonResponse(
-        exchange, kOk, TimelineJson(QueryNumber(request.target, "after", 0))));
+        exchange, kOk,
+        TimelinePage(settings_.node.name, timeline_, fleet_.PeersJson(),
+                     QueryNumber(request.target, "after", 0))));
   } else if (path == "/drain" && request.method == "POST") {
     BeginDrain(now);
     ports_.admin(TextResponse(exchange, kOk, "draining\n"));
@@ -379,15 +376,4 @@
   return shards;
 }
 
-std::string EntryNode::TimelineJson(uint64_t after) const {
-  const json::value head{{"node", settings_.node.name},
-                         {"wall_clock_nanos", WallClockNanos()},
-                         {"last", timeline_.last_sequence()},
-                         {"peers", fleet_.PeersJson()}};
-  std::string text = json::serialize(head);
-  text.pop_back();
-  return text + ",\"events\":" + timeline_.EventsJson(after, kTimelinePage) +
-         "}";
-}
-
 }  // namespace knapweedstile::node
--- a/libs/node/src/entry_node.h
+++ b/libs/node/src/entry_node.h
@@ -73,7 +73,6 @@
   std::string MetricsText();
   std::string StatusJson() const;
   boost::json::array ShardsJson() const;
-  std::string TimelineJson(uint64_t after) const;
 
   EntryNodeSettings settings_;
   EntryPorts ports_;
--- a/libs/node/src/entry_process.cc
+++ b/libs/node/src/entry_process.cc
@@ -21,6 +21,7 @@
 #include "process_address.h"
 #include "process_seed.h"
 #include "wire/transport.h"
+#include "wire_settings.h"
 
 namespace knapweedstile::node {
 namespace {
@@ -43,7 +44,6 @@
 
  private:
   EntryPorts MakePorts();
-  wire::TransportSettings WireSettings() const;
   int ListenAndServe();
   void SendWhatIsLeft();
   void AfterStep();
@@ -123,17 +123,6 @@
   return ports;
 }
 
-wire::TransportSettings EntryProcess::WireSettings() const {
-  wire::TransportSettings wire;
-  wire.hello.set_node(settings_.node.name);
-  wire.hello.set_role(pb::ROLE_ENTRY);
-  wire.hello.set_availability_zone(settings_.node.availability_zone);
-  wire.hello.set_incarnation(seed_);
-  wire.heartbeat_period = settings_.node.heartbeat_period;
-  wire.silence_limit = settings_.node.silence_limit;
-  return wire;
-}
-
 void EntryProcess::AfterStep() {
   to_callers_.Flush();
   to_admin_.Flush();
@@ -165,7 +154,8 @@
         return from_admin_.TryPush(std::move(e));
       });
   transport_ = std::make_unique<wire::Transport>(
-      fleet_.io(), WireSettings(), [this](wire::TransportEvent&& e) {
+      fleet_.io(), WireSettingsOf(settings_.node, pb::ROLE_ENTRY, seed_),
+      [this](wire::TransportEvent&& e) {
         return from_fleet_.TryPush(std::move(e));
       });
   platform_client_ = std::make_unique<platform::HttpPlatform>(
--- a/libs/node/src/online_calls.cc
+++ b/libs/node/src/online_calls.cc
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "entry_ports.h"
+#include "error_response.h"
 #include "http/server_command.h"
 #include "observe/metrics.h"
 #include "outcome_errors.h"
@@ -172,11 +173,7 @@
         true});
     return;
   }
-  http::HeaderList headers = JsonHeaders(call.identity);
-  AddRetryAfter(error, headers);
-  ports_.callers(
-      http::RespondCommand{call.exchange, error.status, std::move(headers),
-                           RenderError(error, call.identity.request_id)});
+  ports_.callers(ErrorResponse(call.exchange, call.identity, error));
 }
 
 }  // namespace knapweedstile::node
--- a/libs/node/src/outcome_errors.cc
+++ b/libs/node/src/outcome_errors.cc
@@ -1,8 +1,6 @@
 #include "outcome_errors.h"
 
-#include <algorithm>
 #include <string_view>
-#include <utility>
 
 namespace knapweedstile::node {
 namespace {
@@ -10,8 +8,6 @@
 using decide::AttemptOutcome;
 using decide::RefusalReason;
 
-constexpr uint64_t kMillisPerSecond = 1000;
-
 struct RefusalForm {
   unsigned status;
   std::string_view type;
@@ -69,11 +65,4 @@
   return error;
 }
 
-void AddRetryAfter(const ApiError& error, http::HeaderList& headers) {
-  if (!error.retry_after_ms) return;
-  const uint64_t seconds =
-      (*error.retry_after_ms + kMillisPerSecond - 1) / kMillisPerSecond;
-  headers.Add("Retry-After", std::to_string(std::max<uint64_t>(1, seconds)));
-}
-
 }  // namespace knapweedstile::node
--- a/libs/node/src/outcome_errors.h
+++ b/libs/node/src/outcome_errors.h
@@ -7,7 +7,6 @@
 #include "base/time.h"
 #include "decide/attempt_outcome.h"
 #include "decide/refusal.h"
-#include "http/header_list.h"
 
 namespace knapweedstile::node {
 
@@ -16,8 +15,6 @@
 // The answer to a request that may have run.
 ApiError ErrorOfFailure(decide::AttemptOutcome outcome,
                         const std::string& message);
-// Retry-After, when the error says when to come back.
-void AddRetryAfter(const ApiError& error, http::HeaderList& headers);
 
 }  // namespace knapweedstile::node
 
--- a/libs/node/src/service_calls.cc
+++ b/libs/node/src/service_calls.cc
@@ -5,10 +5,10 @@
 
 #include "base/hash.h"
 #include "entry_ports.h"
+#include "error_response.h"
 #include "http/server_command.h"
 #include "objects/service.h"
 #include "observe/metrics.h"
-#include "openai_api.h"
 #include "outcome_errors.h"
 #include "passed_headers.h"
 #include "request_runner.h"
@@ -231,14 +231,7 @@
                                 const ApiError& error) {
   metrics_.Add("knap_service_calls_total", {call.service, error.code});
   if (!call.exchange) return;
-  http::RespondCommand command{call.exchange,
-                               error.status,
-                               {},
-                               RenderError(error, call.identity.request_id)};
-  command.headers.Add("Content-Type", "application/json");
-  command.headers.Add("X-Request-Id", call.identity.request_id);
-  AddRetryAfter(error, command.headers);
-  ports_.callers(std::move(command));
+  ports_.callers(ErrorResponse(call.exchange, call.identity, error));
 }
 
 }  // namespace knapweedstile::node
--- a/libs/node/src/sidecar_node.cc
+++ b/libs/node/src/sidecar_node.cc
@@ -10,7 +10,6 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
-#include "config_apply.h"
 #include "decide/request_info.h"
 
 namespace knapweedstile::node {
@@ -20,7 +19,6 @@
 using decide::AttemptOutcome;
 
 constexpr std::string_view kCompletionsPath = "/v1/completions";
-constexpr size_t kTimelinePage = 5000;
 // A probe that takes longer says "not healthy".
 constexpr std::chrono::milliseconds kProbeTimeout{1000};
 
@@ -59,10 +57,7 @@
       incarnation_(seed),
       gate_(settings.gate, seed),
       timeline_(settings.node.timeline_events),
-      policies_(catalog_),
-      spread_(fleet::SpreadSettings(),
-              {settings.node.name, settings.node.availability_zone, false},
-              seed, now) {
+      config_(settings_, seed, now, ports_.wire) {
   metrics_.DeclareCounter("knap_sidecar_requests_total",
                           "Requests by class and how they ended here.",
                           {"class", "end"});
@@ -88,70 +83,23 @@
                  std::get_if<wire::StreamClosedEvent>(&event)) {
     Drop(now, closed->stream);
   } else if (const auto* up = std::get_if<wire::PeerUpEvent>(&event)) {
-    OnPeerUp(now, *up);
+    config_.OnPeerUp(now, *up);
   } else if (const auto* down = std::get_if<wire::PeerDownEvent>(&event)) {
-    OnPeerDown(now, *down);
+    config_.OnPeerDown(now, *down);
   } else if (const auto* control = std::get_if<wire::ControlEvent>(&event)) {
-    OnControl(now, *control);
+    config_.OnControl(now, *control);
   }
   Perform(now);
-  PerformSpread(now);
+  FollowConfig(now);
 }
 
-void SidecarNode::OnPeerUp(TimePoint now, const wire::PeerUpEvent& event) {
-  LogInfo("peer_up", {{"node", event.hello.node()}});
-  spread_.OnPeerUp(now, event.peer, event.hello, spread_actions_);
-}
-
-void SidecarNode::OnPeerDown(TimePoint now, const wire::PeerDownEvent& event) {
-  LogInfo("peer_down", {{"reason", NameOf(event.reason)}});
-  spread_.OnPeerDown(now, event.peer, spread_actions_);
-}
-
-void SidecarNode::OnControl(TimePoint now, const wire::ControlEvent& event) {
-  if (event.control.has_heartbeat()) {
-    const pb::Heartbeat& heartbeat = event.control.heartbeat();
-    spread_.OnHeartbeat(now, event.peer, heartbeat, spread_actions_);
-    for (const pb::QuarantineNotice& notice : heartbeat.quarantine()) {
-      TimePoint& until = quarantine_[notice.fingerprint()];
-      until = std::max(until,
-                       now + std::chrono::milliseconds(notice.remaining_ms()));
-    }
-  } else if (event.control.has_config_request()) {
-    spread_.OnRequest(event.peer, event.control.config_request(),
-                      spread_actions_);
-  } else if (event.control.has_config_delta()) {
-    spread_.OnDelta(now, event.peer, event.control.config_delta(),
-                    spread_actions_);
-  }
-}
-
-void SidecarNode::PerformSpread(TimePoint now) {
-  for (auto& action : std::exchange(spread_actions_, {})) {
-    if (auto* send = std::get_if<fleet::SendConfigAction>(&action)) {
-      ports_.wire(
-          wire::SendControlCommand{send->peer, std::move(send->control)});
-    } else if (const auto* adopted =
-                   std::get_if<fleet::AdoptedAction>(&action)) {
-      Adopt(now, *adopted);
-    }
-    // A sidecar has no platform to watch and connects to nobody.
-  }
-}
-
-void SidecarNode::Adopt(TimePoint now, const fleet::AdoptedAction& action) {
-  ApplyAll(catalog_, action.objects);
-  const decide::SharingPolicy policy = policies_.SharingOf(
-      settings_.node.name, settings_.node.availability_zone, settings_.target);
-  if (policy.name != policy_.name || policy.revision != policy_.revision) {
-    LogInfo("policy_in_force",
-            {{"policy", policy.name}, {"sharing", NameOf(policy.kind)}});
-    Record("policy_in_force", "", policy.name);
-    policy_ = policy;
-    gate_.OnPolicy(now, policy_, actions_);
+void SidecarNode::FollowConfig(TimePoint now) {
+  if (config_.TakePolicyChange()) {
+    Record("policy_in_force", "", config_.policy().name);
+    gate_.OnPolicy(now, config_.policy(), actions_);
     Perform(now);
   }
-  PublishHeartbeat(now);
+  if (config_.TakeAnnouncement()) PublishHeartbeat(now);
 }
 
 void SidecarNode::Take(TimePoint now, wire::StreamOpenedEvent&& event) {
@@ -421,10 +369,8 @@
 void SidecarNode::OnTick(TimePoint now) {
   gate_.OnTick(now, actions_);
   Perform(now);
-  spread_.OnTick(now, spread_actions_);
-  PerformSpread(now);
-  std::erase_if(quarantine_,
-                [&](const auto& entry) { return entry.second <= now; });
+  config_.OnTick(now);
+  FollowConfig(now);
   if (now >= next_probe_) Probe(now);
   if (now >= next_heartbeat_) PublishHeartbeat(now);
 }
@@ -484,7 +430,7 @@
 }
 
 TimePoint SidecarNode::NextWake() const {
-  return std::min({gate_.NextWake(), spread_.NextWake(MonotonicNow()),
+  return std::min({gate_.NextWake(), config_.NextWake(MonotonicNow()),
                    next_probe_, next_heartbeat_});
 }
 
@@ -507,12 +453,7 @@
   command.heartbeat.set_leaving(draining_);
   command.heartbeat.set_backend_server_healthy(healthy_);
   *command.heartbeat.mutable_load() = LoadNow(now);
-  spread_.Announce(command.heartbeat);
-  for (const auto& [fingerprint, until] : quarantine_) {
-    pb::QuarantineNotice& notice = *command.heartbeat.add_quarantine();
-    notice.set_fingerprint(fingerprint);
-    notice.set_remaining_ms(ToMillis(Remaining(until, now)));
-  }
+  config_.Announce(now, command.heartbeat);
   ports_.wire(std::move(command));
 }
 
@@ -547,8 +488,10 @@
   } else if (path == "/status") {
     ports_.admin(JsonResponse(exchange, kOk, StatusJson(now)));
   } else if (path == "/timeline") {
-    ports_.admin(JsonResponse(
-        exchange, kOk, TimelineJson(QueryNumber(request.target, "after", 0))));
+    ports_.admin(
+        JsonResponse(exchange, kOk,
+                     TimelinePage(settings_.node.name, timeline_, json::array(),
+                                  QueryNumber(request.target, "after", 0))));
   } else if (path == "/drain" && request.method == "POST") {
     BeginDrain(now);
     ports_.admin(TextResponse(exchange, kOk, "draining\n"));
@@ -567,9 +510,9 @@
                   {"target", settings_.target},
                   {"draining", draining_},
                   {"backend_server_healthy", healthy_},
-                  {"policy", policy_.name},
-                  {"config_revision", spread_.store().revision()},
-                  {"config_digest", HexOf(spread_.store().digest())},
+                  {"policy", config_.policy().name},
+                  {"config_revision", config_.revision()},
+                  {"config_digest", HexOf(config_.digest())},
                   {"load",
                    {{"slots", load.slots},
                     {"online_running", load.online_running},
@@ -578,17 +521,6 @@
                     {"batch_waiting", load.batch_waiting}}}});
 }
 
-std::string SidecarNode::TimelineJson(uint64_t after) const {
-  const json::value head{{"node", settings_.node.name},
-                         {"wall_clock_nanos", WallClockNanos()},
-                         {"last", timeline_.last_sequence()},
-                         {"peers", json::array()}};
-  std::string text = json::serialize(head);
-  text.pop_back();
-  return text + ",\"events\":" + timeline_.EventsJson(after, kTimelinePage) +
-         "}";
-}
-
 void SidecarNode::Record(const char* name, const std::string& request,
                          std::string detail) {
   observe::TimelineEvent event;
--- a/libs/node/src/sidecar_node.h
+++ b/libs/node/src/sidecar_node.h
@@ -12,18 +12,14 @@
 #include "decide/attempt_outcome.h"
 #include "decide/gate.h"
 #include "decide/gate_action.h"
-#include "decide/sharing_policy.h"
-#include "fleet/config_spread.h"
-#include "fleet/spread_action.h"
 #include "http/client_event.h"
 #include "http/client_request.h"
 #include "http/server_command.h"
 #include "http/server_event.h"
 #include "node/sidecar_node_settings.h"
-#include "objects/catalog.h"
 #include "observe/metrics.h"
 #include "observe/timeline.h"
-#include "policy_view.h"
+#include "sidecar_config.h"
 #include "sidecar_request.h"
 #include "wire/transport_command.h"
 #include "wire/transport_event.h"
@@ -80,17 +76,12 @@
   void OnProbe(TimePoint now, const http::EndEvent& end);
   void SetHealthy(TimePoint now, bool healthy);
 
-  void OnPeerUp(TimePoint now, const wire::PeerUpEvent& event);
-  void OnPeerDown(TimePoint now, const wire::PeerDownEvent& event);
-  void OnControl(TimePoint now, const wire::ControlEvent& event);
-  void PerformSpread(TimePoint now);
-  void Adopt(TimePoint now, const fleet::AdoptedAction& action);
-
+  // Puts in force what the configuration brought.
+  void FollowConfig(TimePoint now);
   void PublishHeartbeat(TimePoint now);
   pb::Load LoadNow(TimePoint now) const;
   void AnswerAdmin(TimePoint now, const http::RequestEvent& request);
   std::string StatusJson(TimePoint now) const;
-  std::string TimelineJson(uint64_t after) const;
   void Record(const char* name, const std::string& request,
               std::string detail = "");
 
@@ -107,14 +98,7 @@
   // is known with the next probe.
   std::vector<RequestId> suspects_;
   std::vector<decide::GateAction> actions_;
-  objects::Catalog catalog_;
-  PolicyView policies_;
-  fleet::ConfigSpread spread_;
-  std::vector<fleet::SpreadAction> spread_actions_;
-  decide::SharingPolicy policy_;  // in force here
-  // Quarantined fingerprints told by entries, passed on to the others: entries
-  // know each other only through the sidecars that they share.
-  std::unordered_map<uint64_t, TimePoint> quarantine_;
+  SidecarConfig config_;
   uint64_t last_id_ = 0;
   ExchangeId probe_;
   TimePoint next_probe_;
--- a/libs/node/src/sidecar_process.cc
+++ b/libs/node/src/sidecar_process.cc
@@ -23,6 +23,7 @@
 #include "process_seed.h"
 #include "sidecar_node.h"
 #include "wire/transport.h"
+#include "wire_settings.h"
 
 namespace knapweedstile::node {
 namespace {
@@ -107,14 +108,9 @@
 };
 
 wire::TransportSettings SidecarProcess::WireSettings() const {
-  wire::TransportSettings wire;
-  wire.hello.set_node(settings_.node.name);
-  wire.hello.set_role(pb::ROLE_SIDECAR);
-  wire.hello.set_availability_zone(settings_.node.availability_zone);
+  wire::TransportSettings wire =
+      WireSettingsOf(settings_.node, pb::ROLE_SIDECAR, seed_);
   wire.hello.set_target(settings_.target);
-  wire.hello.set_incarnation(seed_);
-  wire.heartbeat_period = settings_.node.heartbeat_period;
-  wire.silence_limit = settings_.node.silence_limit;
   return wire;
 }
 
