--- a/libs/settings/src/schema.cc
+++ b/libs/settings/src/schema.cc
@@ -165,7 +165,7 @@
     const Key* key = Find(leaf.path);
     if (key == nullptr) {
       errors.push_back({file, leaf.line, leaf.path, leaf.shown,
-                        "no such key; see docs/settings.md"});
+                        "a key that docs/settings.md lists"});
     } else if (!key->apply(leaf.value)) {
       errors.push_back({file, leaf.line, leaf.path, leaf.shown, key->allowed});
     }
