Metrics: first token and inter-token series by the policy that served them

Cause: with policies that name only engines every series was labelled 'default', so two policies could not be told apart in /metrics. Change: output names the backend server; the label is the policy that bound the traffic, else the one in force on that server.

--- a/libs/node/src/batch_items.cc
+++ b/libs/node/src/batch_items.cc
@@ -171,6 +171,7 @@
                           const RequestOutputEvent& event) {
   if (event.tokens > 0) {
     const bool first = item.last_output_at == TimePoint();
+    if (first) item.policy = fleet_.PolicyOf(item.policy, event.server);
     metrics_.Observe(
         first ? "knap_ttft_seconds" : "knap_inter_token_seconds",
         ToSeconds(now - (first ? item.submitted_at : item.last_output_at)),
--- a/libs/node/src/entry_fleet.cc
+++ b/libs/node/src/entry_fleet.cc
@@ -238,6 +238,10 @@
   auto pools = policies_.PoolsOf(member->name, member->availability_zone,
                                  member->target);
   Server& server = servers_[id];
+  server.policy =
+      policies_
+          .SharingOf(member->name, member->availability_zone, member->target)
+          .name;
   if (pools == server.pools) return;
   server.pools = pools;
   runner_.OnBackendServerUp(now, id, std::move(pools),
@@ -270,6 +274,13 @@
          now >= list_known_since_ + kMissingGrace && !Serves(target);
 }
 
+const std::string& EntryFleet::PolicyOf(const std::string& route_policy,
+                                        BackendServerId server) const {
+  const auto found = servers_.find(server);
+  const bool bound = route_policy != kNoTrafficPolicy;
+  return bound || found == servers_.end() ? route_policy : found->second.policy;
+}
+
 std::vector<std::string> EntryFleet::Models() const {
   std::set<std::string> models;
   for (const auto& [name, member] : membership_.members()) {
@@ -310,9 +321,7 @@
                         {"online_waiting", load.online_waiting()},
                         {"batch_running", load.batch_running()},
                         {"batch_waiting", load.batch_waiting()}};
-      server["policy"] =
-          policies_.SharingOf(name, member.availability_zone, member.target)
-              .name;
+      server["policy"] = known->second.policy;
     }
     servers.push_back(std::move(server));
   }
--- a/libs/node/src/entry_fleet.h
+++ b/libs/node/src/entry_fleet.h
@@ -60,6 +60,10 @@
   // No VM offers it, and the VM list has been known long enough that none is
   // about to. An item for such a model can never be done.
   bool KnownMissing(TimePoint now, const std::string& target) const;
+  // The policy that metrics name for output of this server: the one that bound
+  // the traffic, else the one in force on the server.
+  const std::string& PolicyOf(const std::string& route_policy,
+                              BackendServerId server) const;
   // Models with a backend server in.
   std::vector<std::string> Models() const;
   // Knows the fleet and has a configuration from a sound source.
@@ -79,6 +83,7 @@
   // What is known of one backend server besides its membership.
   struct Server {
     std::vector<std::string> pools;
+    std::string policy;  // in force on it
     pb::Load load;
   };
   struct PeerClock {
--- a/libs/node/src/entry_node.cc
+++ b/libs/node/src/entry_node.cc
@@ -58,7 +58,7 @@
              [this](TimePoint at, const std::vector<std::string>& entries) {
                shards_.SetEntries(at, entries);
              }),
-      online_(ports_, metrics_),
+      online_(ports_, metrics_, fleet_),
       services_(ports_, metrics_, runner_, platform_, seed,
                 [this](RequestId id) { EndExchange(id); }),
       shards_(ShardOwnerSettingsOf(settings), settings.shard_count,
--- a/libs/node/src/online_calls.cc
+++ b/libs/node/src/online_calls.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "base/clock.h"
+#include "entry_fleet.h"
 #include "entry_ports.h"
 #include "error_response.h"
 #include "http/server_command.h"
@@ -31,8 +32,9 @@
 
 }  // namespace
 
-OnlineCalls::OnlineCalls(EntryPorts& ports, observe::Metrics& metrics)
-    : ports_(ports), metrics_(metrics) {
+OnlineCalls::OnlineCalls(EntryPorts& ports, observe::Metrics& metrics,
+                         const EntryFleet& fleet)
+    : ports_(ports), metrics_(metrics), fleet_(fleet) {
   metrics_.DeclareCounter("knap_online_calls_total",
                           "Online completions by policy and how they ended.",
                           {"policy", "end"});
@@ -113,6 +115,7 @@
   // Output without tokens is the body of an error answer of the engine.
   if (event.tokens > 0) {
     const bool first = call.last_output_at == TimePoint();
+    if (first) call.policy = fleet_.PolicyOf(call.policy, event.server);
     metrics_.Observe(
         first ? "knap_ttft_seconds" : "knap_inter_token_seconds",
         ToSeconds(now - (first ? call.received_at : call.last_output_at)),
--- a/libs/node/src/online_calls.h
+++ b/libs/node/src/online_calls.h
@@ -20,13 +20,15 @@
 namespace knapweedstile::node {
 
 struct EntryPorts;
+class EntryFleet;
 struct TrafficRoute;
 
 // The completions that callers wait for: from the parsed request to the answer,
 // whole or streamed. Every call gets exactly one final answer.
 class OnlineCalls {
  public:
-  OnlineCalls(EntryPorts& ports, observe::Metrics& metrics);
+  OnlineCalls(EntryPorts& ports, observe::Metrics& metrics,
+              const EntryFleet& fleet);
 
   // Commands.
   PreparedRequest Begin(RequestId id, const http::RequestEvent& request,
@@ -50,6 +52,7 @@
 
   EntryPorts& ports_;
   observe::Metrics& metrics_;
+  const EntryFleet& fleet_;
   std::unordered_map<RequestId, OnlineCall> calls_;
 };
 
--- a/libs/node/src/policy_view.cc
+++ b/libs/node/src/policy_view.cc
@@ -9,8 +9,6 @@
 namespace knapweedstile::node {
 namespace {
 
-constexpr std::string_view kNoPolicy = "default";
-
 std::string PoolName(std::string_view target, std::string_view policy) {
   std::string name(target);
   name += '@';
@@ -32,7 +30,7 @@
   const std::string_view name = policy == nullptr ? "" : policy->name;
   TrafficRoute route;
   route.target = target;
-  route.policy = policy == nullptr ? kNoPolicy : name;
+  route.policy = policy == nullptr ? kNoTrafficPolicy : name;
   route.pool = PoolName(target, name);
   const auto object = catalog_.workspaces().find(workspace);
   if (object != catalog_.workspaces().end()) {
--- a/libs/node/src/request_event.h
+++ b/libs/node/src/request_event.h
@@ -17,6 +17,7 @@
 
 struct RequestOutputEvent {
   RequestId request;
+  BackendServerId server;
   std::string data;
   uint32_t tokens = 0;
 };
--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -59,7 +59,8 @@
       Record("attempt_started", request, id, "");
       break;
     case pb::RunEvent::kOutput:
-      OnOutput(now, id, request, std::move(*event.event.mutable_output()));
+      OnOutput(now, id, request, server,
+               std::move(*event.event.mutable_output()));
       break;
     case pb::RunEvent::kFinished:
       OnFinished(now, id, std::move(*event.event.mutable_finished()));
@@ -196,7 +197,7 @@
 }
 
 void RequestRunner::OnOutput(TimePoint now, AttemptId id, RequestId request,
-                             pb::Output&& output) {
+                             BackendServerId server, pb::Output&& output) {
   const auto found = requests_.find(request);
   if (found == requests_.end()) return;
   if (!found->second.winner) {
@@ -208,7 +209,7 @@
   // A hedge that lost the race may still have output on its way.
   if (found->second.winner != id) return;
   events_.push_back(RequestOutputEvent{
-      request, std::move(*output.mutable_data()), output.tokens()});
+      request, server, std::move(*output.mutable_data()), output.tokens()});
 }
 
 void RequestRunner::EndAttempt(TimePoint now, AttemptId id,
--- a/libs/node/src/request_runner.h
+++ b/libs/node/src/request_runner.h
@@ -79,7 +79,7 @@
   void Refuse(const decide::RefuseAction& action);
   void FailRequest(const decide::FailAction& action);
   void OnOutput(TimePoint now, AttemptId id, RequestId request,
-                pb::Output&& output);
+                BackendServerId server, pb::Output&& output);
   void EndAttempt(TimePoint now, AttemptId id, decide::AttemptOutcome outcome,
                   TimePoint come_back_at = {});
   void OnFinished(TimePoint now, AttemptId id, pb::Finished&& finished);
--- a/libs/node/src/sidecar_node.cc
+++ b/libs/node/src/sidecar_node.cc
@@ -147,7 +147,7 @@
             } else if constexpr (std::is_same_v<Action, decide::ParkAction>) {
               Park(typed.request);
             } else if constexpr (std::is_same_v<Action, decide::YieldAction>) {
-              Yield(typed.request);
+              Yield(now, typed.request);
             } else {
               Refuse(now, typed.request, typed.refusal);
             }
@@ -217,14 +217,14 @@
   StopRun(request);
 }
 
-void SidecarNode::Yield(RequestId id) {
+void SidecarNode::Yield(TimePoint now, RequestId id) {
   SidecarRequest& request = requests_.at(id);
   StopRun(request);
   Record("sidecar_yielded", request.message.request_id(),
          std::to_string(request.tokens));
   pb::RunEvent event;
   event.mutable_yielded();
-  Last(MonotonicNow(), id, std::move(event));
+  Last(now, id, std::move(event));
 }
 
 void SidecarNode::Refuse(TimePoint now, RequestId id,
--- a/libs/node/src/sidecar_node.h
+++ b/libs/node/src/sidecar_node.h
@@ -59,7 +59,7 @@
   void Perform(TimePoint now);
   void Start(TimePoint now, RequestId id);
   void Park(RequestId id);
-  void Yield(RequestId id);
+  void Yield(TimePoint now, RequestId id);
   void Refuse(TimePoint now, RequestId id, const decide::Refusal& refusal);
   void StopRun(SidecarRequest& request);
 
--- a/libs/node/src/traffic_route.h
+++ b/libs/node/src/traffic_route.h
@@ -3,9 +3,13 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace knapweedstile::node {
 
+// The policy's name of traffic that no policy binds.
+inline constexpr std::string_view kNoTrafficPolicy = "default";
+
 // Where a request goes: the policy that took it, and the pool of backend
 // servers that this policy picks for the request's model or service.
 struct TrafficRoute {
