--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -177,17 +177,19 @@
 }
 
 void RequestRunner::Refuse(const decide::RefuseAction& action) {
-  if (requests_.erase(action.request) == 0) return;
+  if (!requests_.contains(action.request)) return;
   Record("request_refused", action.request, {},
          std::string(NameOf(action.refusal.reason)));
+  requests_.erase(action.request);
   failure_messages_.erase(action.request);
   events_.push_back(RequestRefusedEvent{action.request, action.refusal});
 }
 
 void RequestRunner::FailRequest(const decide::FailAction& action) {
-  if (requests_.erase(action.request) == 0) return;
+  if (!requests_.contains(action.request)) return;
   Record("request_failed", action.request, {},
          std::string(NameOf(action.outcome)));
+  requests_.erase(action.request);
   std::string message;
   if (auto node = failure_messages_.extract(action.request)) {
     message = std::move(node.mapped());
@@ -233,9 +235,10 @@
   const bool counts = found != requests_.end() &&
                       (!found->second.winner || found->second.winner == id);
   EndAttempt(now, id, AttemptOutcome::kDone);
-  if (!counts || requests_.erase(request) == 0) return;
-  failure_messages_.erase(request);
+  if (!counts || !requests_.contains(request)) return;
   Record("request_finished", request, id, std::to_string(finished.status()));
+  requests_.erase(request);
+  failure_messages_.erase(request);
   events_.push_back(RequestFinishedEvent{request, std::move(finished)});
 }
 
