--- a/apps/knapweedstile/main.cc
+++ b/apps/knapweedstile/main.cc
@@ -6,13 +6,15 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/gateway_process.h"
+#include "gateway/gateway_settings.h"
 #include "node/entry_node_settings.h"
 #include "node/entry_process.h"
 #include "node/sidecar_node_settings.h"
 #include "node/sidecar_process.h"
 #include "settings/schema.h"
 
-// The node of the system: `knapweedstile entry|sidecar --config FILE`.
+// The node of the system: `knapweedstile ROLE --config FILE`.
 namespace knapweedstile {
 namespace {
 
@@ -32,11 +34,13 @@
       "knapweedstile",
       "One node of the serving system.\n\n"
       "  entry    takes callers' requests, routes them, runs batch jobs\n"
-      "  sidecar  stands beside one backend server, the only way to it\n\n"
+      "  sidecar  stands beside one backend server, the only way to it\n"
+      "  gateway  the entry on the users' platform: both of the above in one\n"
+      "  store    on a VM with a disk; reports it as empty when asked\n\n"
       "Exit codes: 0 stopped gracefully, 2 wrong usage, 3 cannot listen, "
       "4 wrong settings.\n");
-  options.positional_help("entry|sidecar");
-  options.add_options()("role", "entry or sidecar",
+  options.positional_help("entry|sidecar|gateway|store");
+  options.add_options()("role", "entry, sidecar, gateway or store",
                         cxxopts::value<std::string>())(
       "config", "settings file (TOML; every key: docs/settings.md)",
       cxxopts::value<std::string>(),
@@ -88,7 +92,15 @@
     return RunRole<node::SidecarNodeSettings>(
         arguments, node::BindSidecarNodeSettings, node::RunSidecar);
   }
-  fmt::print(stderr, "the role must be entry or sidecar; see --help\n");
+  if (arguments.role == "gateway") {
+    return RunRole<gateway::GatewaySettings>(
+        arguments, gateway::BindGatewaySettings, gateway::RunGateway);
+  }
+  if (arguments.role == "store") {
+    return RunRole<gateway::GatewaySettings>(
+        arguments, gateway::BindGatewaySettings, gateway::RunStore);
+  }
+  fmt::print(stderr, "unknown role '{}'; see --help\n", arguments.role);
   return kExitUsage;
 }
 
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -29,12 +29,20 @@
   std::string value;
 };
 
+// Where lines are written.
+enum class LogStream { kStandardError, kStandardOutput };
+
 // Sets the least level that is written and the name of this process, which
 // stands in every line. Call once, before threads start.
-void ConfigureLog(LogLevel least, std::string node);
+void ConfigureLog(LogLevel least, std::string node,
+                  LogStream stream = LogStream::kStandardError);
 
-// Writes one line `time=... level=... node=... event=NAME key=value...` to
-// standard error with a single write, so lines of threads never mix.
+// Writes one line `time=... level=... node=... event=NAME key=value...` with a
+// single write, so lines of threads never mix.
+//
+// Failure guarded against: a reader of the log that stalls would stop the
+// process in its next line. A line that cannot be written at once is dropped;
+// the next one that can be says how many were (`log_dropped`).
 void Log(LogLevel level, std::string_view event,
          std::initializer_list<LogField> fields = {});
 
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -1,8 +1,10 @@
 #include "base/log.h"
 
 #include <fmt/chrono.h>
+#include <poll.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <iterator>
 
@@ -11,6 +13,14 @@
 
 LogLevel g_least = LogLevel::kInfo;
 std::string g_node = "-";  // NOLINT(runtime/string)
+int g_descriptor = STDERR_FILENO;
+std::atomic<uint64_t> g_dropped{0};
+
+// Whether the descriptor takes bytes without blocking.
+bool Writable() {
+  pollfd descriptor{.fd = g_descriptor, .events = POLLOUT, .revents = 0};
+  return ::poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
+}
 
 bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
@@ -38,9 +48,11 @@
 
 }  // namespace
 
-void ConfigureLog(LogLevel least, std::string node) {
+void ConfigureLog(LogLevel least, std::string node, LogStream stream) {
   g_least = least;
   g_node = std::move(node);
+  g_descriptor =
+      stream == LogStream::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO;
 }
 
 void Log(LogLevel level, std::string_view event,
@@ -60,10 +72,18 @@
     line.push_back('=');
     AppendValue(line, field.value);
   }
+  if (g_descriptor == STDOUT_FILENO && !Writable()) {
+    g_dropped.fetch_add(1, std::memory_order_relaxed);
+    return;
+  }
+  const uint64_t dropped = g_dropped.exchange(0, std::memory_order_relaxed);
+  if (dropped > 0) {
+    fmt::format_to(std::back_inserter(line), " log_dropped={}", dropped);
+  }
   line.push_back('\n');
   // A log line that cannot be written has nowhere else to go.
   [[maybe_unused]] const auto written =
-      ::write(STDERR_FILENO, line.data(), line.size());
+      ::write(g_descriptor, line.data(), line.size());
 }
 
 }  // namespace knapweedstile
--- /dev/null
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -0,0 +1,31 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_GATEWAY_SETTINGS_H_
+#define KNAPWEEDSTILE_GATEWAY_GATEWAY_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "base/log.h"
+#include "settings/schema.h"
+
+namespace knapweedstile::gateway {
+
+// Settings of the roles that run on the users' platform.
+struct GatewaySettings {
+  std::string name;
+  std::string ip;
+  std::string availability_zone;
+  std::string callers_address;    // empty: this VM takes no callers
+  std::string readiness_address;  // readiness and metrics
+  uint32_t peer_port = 0;
+  std::string store_address;
+  // Between the signal to stop and the kill that follows it.
+  std::chrono::milliseconds stop_grace{8000};
+  LogLevel log_level = LogLevel::kInfo;
+};
+
+void BindGatewaySettings(settings::Schema& schema, GatewaySettings* settings);
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/libs/gateway/src/batch_runner.cc
@@ -0,0 +1,324 @@
+#include "batch_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "upstream_settings.h"
+#include "users_platform/request_headers.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+using serving::ItemRef;
+using serving::ItemState;
+using users_platform::DecodeAnswer;
+using users_platform::ServerAnswer;
+
+constexpr unsigned kUnprocessable = 422;
+constexpr unsigned kServerError = 500;
+
+// A displaced item waits this long: the burst that took its slot goes on, and
+// each resumption reads its prompt again (33 ms of a backend server's time).
+constexpr std::chrono::milliseconds kDisplacedPause{150};
+constexpr std::chrono::milliseconds kNotRunPause{50};
+constexpr std::chrono::milliseconds kFailedPause{100};
+constexpr std::chrono::milliseconds kFirstBrokenPause{50};
+constexpr std::chrono::milliseconds kLongestBrokenPause{4000};
+// Time to the first event: a queue of online requests may be ahead, and the
+// backend server may read other prompts first. Then events come every 30 ms.
+constexpr std::chrono::milliseconds kFirstEventPatience{4000};
+constexpr std::chrono::milliseconds kNextEventPatience{2000};
+// Longest run of one item; a longest item takes about ten seconds.
+constexpr std::chrono::seconds kLongestRun{30};
+
+}  // namespace
+
+BatchRunner::BatchRunner(boost::asio::io_context& io, serving::SlotBoard& board,
+                         serving::JobBook& book,
+                         const serving::RouteTable& routes,
+                         observe::Metrics& metrics, Ports ports)
+    : board_(board),
+      book_(book),
+      routes_(routes),
+      metrics_(metrics),
+      ports_(std::move(ports)),
+      client_(io, UpstreamClientSettings(), [this](http::ClientEvent&& event) {
+        OnUpstream(std::move(event));
+      }) {}
+
+void BatchRunner::Run(TimePoint now) {
+  EndUnwanted();
+  EndStalled(now);
+  GiveUpExpired(now);
+  std::set<std::string, std::less<>> full;  // routes without room
+  const auto mine = [&](const serving::BatchJob& job) {
+    return !full.contains(job.route) && ports_.owns(job);
+  };
+  const auto free = [&](const serving::BatchItem& item) {
+    return !ports_.runs_elsewhere(Hash64(item.id));
+  };
+  while (const auto item = book_.NextItem(now, mine, free)) {
+    if (Start(*item, now) == StartResult::kNoRoom) {
+      full.insert(book_.Find(item->job)->route);
+    }
+  }
+}
+
+BatchRunner::StartResult BatchRunner::Start(const ItemRef& item,
+                                            TimePoint now) {
+  serving::BatchJob& job = *book_.Find(item.job);
+  const serving::BatchItem& work = job.items[item.index];
+  const serving::Route* route = routes_.Find(job.host, work.target);
+  if (!route) {
+    // Its route was removed: no backend server may run it any more.
+    LogWarning("item_given_up",
+               {{"job", item.job}, {"item", work.id}, {"cause", "no_route"}});
+    book_.SetFinished(item, ItemState::kFailed);
+    ports_.finished(item.job);
+    return StartResult::kStarted;
+  }
+  const std::string& service = route->services.front().service;
+  const BackendServerId server = board_.PlaceBatch(service, now);
+  if (!server) return StartResult::kNoRoom;
+  const serving::ItemProgress& progress = job.progress[item.index];
+  ItemRun run{.item = item,
+              .item_id = work.id,
+              .route = route->name,
+              .hash = Hash64(work.id),
+              .server = server,
+              .upstream = ExchangeId(++last_upstream_),
+              .started_at = now,
+              .stalls_at = now + kFirstEventPatience};
+  const serving::ServerRecord& record = *board_.Record(server);
+  http::ClientRequest request;
+  request.exchange = run.upstream;
+  request.address = record.address;
+  request.method = "POST";
+  request.target = work.target;
+  request.headers =
+      users_platform::ItemHeaders(work.headers, work.id, job.host,
+                                  {.instance = record.instance,
+                                   .budget = kLongestRun,
+                                   .after_event = progress.last_event});
+  request.body = work.body;
+  request.deadline = now + kLongestRun;
+  request.stream_body = true;
+  book_.SetRunning(item);
+  board_.Started(server, TrafficClass::kBatch);
+  runs_.emplace(run.upstream, std::move(run));
+  ports_.usage_changed();
+  client_.Send(std::move(request));
+  return StartResult::kStarted;
+}
+
+serving::ItemProgress& BatchRunner::Progress(const ItemRun& run) {
+  return book_.Find(run.item.job)->progress[run.item.index];
+}
+
+void BatchRunner::OnUpstream(http::ClientEvent&& event) {
+  const ExchangeId upstream =
+      std::visit([](const auto& e) { return e.exchange; }, event);
+  const auto found = runs_.find(upstream);
+  if (found == runs_.end()) return;
+  ItemRun& run = found->second;
+  if (auto* head = std::get_if<http::HeadEvent>(&event)) {
+    OnHead(run, std::move(*head));
+  } else if (const auto* body = std::get_if<http::BodyEvent>(&event)) {
+    OnBody(run, body->data);
+  } else {
+    OnEnd(run, std::get<http::EndEvent>(event));
+  }
+}
+
+void BatchRunner::OnHead(ItemRun& run, http::HeadEvent&& event) {
+  run.status = event.status;
+  run.head = std::move(event.headers);
+  const ServerAnswer answer = DecodeAnswer(run.status, run.head);
+  if (answer.ok() &&
+      (answer.request_id != run.item_id || !answer.signed_answer)) {
+    client_.Cancel(run.upstream);
+    OnBroken(run, "foreign_answer");
+  }
+}
+
+void BatchRunner::OnBody(ItemRun& run, std::string_view data) {
+  if (run.status / 100 != 2) return;
+  run.reader.Append(data);
+  if (TakeEvents(run)) return;
+  client_.Cancel(run.upstream);
+  OnBroken(run, "event_out_of_order");
+}
+
+bool BatchRunner::TakeEvents(ItemRun& run) {
+  serving::ItemProgress& progress = Progress(run);
+  while (auto event = run.reader.Next()) {
+    if (!event->id) continue;
+    if (progress.last_event && *event->id != *progress.last_event + 1) {
+      return false;
+    }
+    if (progress.last_event) progress.output += '\n';
+    progress.output += event->data;
+    progress.last_event = event->id;
+    progress.breaks = 0;
+    run.any_event = true;
+    run.stalls_at = MonotonicNow() + kNextEventPatience;
+  }
+  return true;
+}
+
+void BatchRunner::OnEnd(ItemRun& run, const http::EndEvent& event) {
+  if (event.outcome == http::ClientOutcome::kNotSent) {
+    board_.ReportUnreachable(run.server, MonotonicNow());
+    return Requeue(run, kNotRunPause, "unreachable");
+  }
+  if (event.outcome != http::ClientOutcome::kComplete) {
+    return OnBroken(run, NameOf(event.outcome));
+  }
+  OnAnswered(run);
+}
+
+void BatchRunner::OnAnswered(ItemRun& run) {
+  const ServerAnswer answer = DecodeAnswer(run.status, run.head);
+  if (answer.not_executed) {
+    if (answer.wrong_instance) {
+      board_.ReportUnreachable(run.server, MonotonicNow());
+    } else {
+      board_.ReportFull(run.server, MonotonicNow());
+    }
+    return Requeue(run, kNotRunPause, "not_executed");
+  }
+  if (answer.request_id != run.item_id) return OnBroken(run, "foreign_answer");
+  if (!answer.ok()) return OnFailedAnswer(run);
+  if (run.reader.HasPartial()) return OnBroken(run, "partial_event");
+  board_.ReportGood(run.server);
+  Finish(run, ItemState::kCompleted);
+}
+
+void BatchRunner::OnFailedAnswer(ItemRun& run) {
+  serving::ItemProgress& progress = Progress(run);
+  LogWarning("item_failed", {{"job", run.item.job},
+                             {"item", run.item_id},
+                             {"status", run.status},
+                             {"failures", progress.failures}});
+  if (run.status == kUnprocessable) return Finish(run, ItemState::kFailed);
+  if (run.status == kServerError) ++progress.failures;
+  const serving::Route* route = routes_.FindByName(run.route);
+  const uint32_t attempts = route ? route->max_attempts : 1;
+  if (progress.failures >= attempts) return Finish(run, ItemState::kFailed);
+  Requeue(run, kFailedPause, "server_error");
+}
+
+// Failure guarded against: an item that crashes each backend server that begins
+// to run it would take the fleet down. It shows as runs that break before any
+// event; the pause doubles with each of them.
+void BatchRunner::OnBroken(ItemRun& run, std::string_view reason) {
+  serving::ItemProgress& progress = Progress(run);
+  const uint32_t doublings = std::min(progress.breaks, 7U);
+  if (!run.any_event) ++progress.breaks;
+  const Duration pause = kFirstBrokenPause * (1U << doublings);
+  Requeue(run, std::min<Duration>(pause, kLongestBrokenPause), reason);
+}
+
+void BatchRunner::Finish(ItemRun& run, ItemState state) {
+  const ItemRef item = run.item;
+  const Duration age = MonotonicNow() - run.started_at;
+  LogInfo("item_done", {{"job", item.job},
+                        {"item", run.item_id},
+                        {"state", NameOf(state)},
+                        {"age_ms", ToMillis(age)}});
+  metrics_.Add("knap_items_total", {std::string(NameOf(state))});
+  Leave(run);
+  book_.SetFinished(item, state);
+  ports_.finished(item.job);
+}
+
+void BatchRunner::Requeue(ItemRun& run, Duration pause,
+                          std::string_view reason) {
+  const ItemRef item = run.item;
+  const serving::ServerRecord* record = board_.Record(run.server);
+  LogInfo("item_requeued",
+          {{"job", item.job},
+           {"item", run.item_id},
+           {"reason", reason},
+           {"server", record ? record->address : "-"},
+           {"after_event", Progress(run).last_event.value_or(0)},
+           {"pause_ms", ToMillis(pause)}});
+  metrics_.Add("knap_items_requeued_total", {std::string(reason)});
+  Leave(run);
+  book_.SetWaiting(item, MonotonicNow() + pause);
+}
+
+void BatchRunner::Leave(ItemRun& run) {
+  board_.Ended(run.server, TrafficClass::kBatch);
+  runs_.erase(run.upstream);
+  ports_.usage_changed();
+}
+
+void BatchRunner::EndStalled(TimePoint now) {
+  std::vector<ExchangeId> stalled;
+  for (const auto& [upstream, run] : runs_) {
+    if (run.stalls_at <= now) stalled.push_back(upstream);
+  }
+  for (const ExchangeId upstream : stalled) {
+    ItemRun& run = runs_.at(upstream);
+    client_.Cancel(upstream);
+    board_.ReportUnreachable(run.server, now);
+    OnBroken(run, "stalled");
+  }
+}
+
+void BatchRunner::EndUnwanted() {
+  std::vector<ExchangeId> unwanted;
+  for (const auto& [upstream, run] : runs_) {
+    const serving::BatchJob* job = book_.Find(run.item.job);
+    const bool listed = job && job->progress[run.item.index].phase ==
+                                   serving::ItemPhase::kListed;
+    if (!job || job->ended || listed) unwanted.push_back(upstream);
+  }
+  for (const ExchangeId upstream : unwanted) {
+    client_.Cancel(upstream);
+    Leave(runs_.at(upstream));
+  }
+}
+
+void BatchRunner::GiveUpExpired(TimePoint now) {
+  for (const auto& [id, job] : book_.jobs()) {
+    if (!job.open() || job.expires_at > now || !ports_.owns(job)) continue;
+    for (uint32_t i = 0; i < job.items.size(); ++i) {
+      if (job.progress[i].phase != serving::ItemPhase::kWaiting) continue;
+      LogWarning(
+          "item_given_up",
+          {{"job", id}, {"item", job.items[i].id}, {"cause", "expired"}});
+      book_.SetFinished({id, i}, ItemState::kFailed);
+      ports_.finished(id);
+    }
+  }
+}
+
+void BatchRunner::Yield(BackendServerId server) {
+  ItemRun* chosen = nullptr;
+  TimePoint latest{};
+  for (auto& [upstream, run] : runs_) {
+    if (run.server != server) continue;
+    const serving::BatchJob* job = book_.Find(run.item.job);
+    const TimePoint due = job ? job->due_at : kNever;
+    if (chosen && due <= latest) continue;
+    chosen = &run;
+    latest = due;
+  }
+  if (!chosen) return;
+  client_.Cancel(chosen->upstream);
+  Requeue(*chosen, kDisplacedPause, "displaced");
+}
+
+std::vector<uint64_t> BatchRunner::RunningItems() const {
+  std::vector<uint64_t> items;
+  items.reserve(runs_.size());
+  for (const auto& [upstream, run] : runs_) items.push_back(run.hash);
+  return items;
+}
+
+}  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/batch_runner.h
@@ -0,0 +1,96 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_BATCH_RUNNER_H_
+#define KNAPWEEDSTILE_GATEWAY_BATCH_RUNNER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "http/client.h"
+#include "observe/metrics.h"
+#include "serving/event_stream_reader.h"
+#include "serving/item_ref.h"
+#include "serving/item_result.h"
+#include "serving/job_book.h"
+#include "serving/route_table.h"
+#include "serving/slot_board.h"
+
+namespace knapweedstile::gateway {
+
+// Runs the items of batch jobs on slots that online requests leave free.
+class BatchRunner {
+ public:
+  struct Ports {
+    // Whether this entry starts items of the job.
+    std::function<bool(const serving::BatchJob&)> owns;
+    // Whether another entry runs the item now.
+    std::function<bool(uint64_t item_hash)> runs_elsewhere;
+    std::function<void(const std::string& job)> finished;
+    std::function<void()> usage_changed;
+  };
+
+  BatchRunner(boost::asio::io_context& io, serving::SlotBoard& board,
+              serving::JobBook& book, const serving::RouteTable& routes,
+              observe::Metrics& metrics, Ports ports);
+
+  // Starts what has room, and ends runs that have stalled or are not wanted
+  // any more.
+  void Run(TimePoint now);
+  // Gives up the slot of one item on the backend server.
+  void Yield(BackendServerId server);
+
+  // Hashes of the running items' ids.
+  std::vector<uint64_t> RunningItems() const;
+  size_t running() const noexcept { return runs_.size(); }
+
+ private:
+  struct ItemRun {
+    serving::ItemRef item;
+    std::string item_id;
+    std::string route;
+    uint64_t hash = 0;
+    BackendServerId server;
+    ExchangeId upstream;
+    TimePoint started_at;
+    TimePoint stalls_at;  // without an event until then, the run has stalled
+    unsigned status = 0;
+    http::HeaderList head;
+    bool any_event = false;
+    serving::EventStreamReader reader;
+  };
+  enum class StartResult { kStarted, kNoRoom };
+
+  StartResult Start(const serving::ItemRef& item, TimePoint now);
+  void OnUpstream(http::ClientEvent&& event);
+  void OnHead(ItemRun& run, http::HeadEvent&& event);
+  void OnBody(ItemRun& run, std::string_view data);
+  bool TakeEvents(ItemRun& run);
+  void OnEnd(ItemRun& run, const http::EndEvent& event);
+  void OnAnswered(ItemRun& run);
+  void OnFailedAnswer(ItemRun& run);
+  void OnBroken(ItemRun& run, std::string_view reason);
+  void EndStalled(TimePoint now);
+  void EndUnwanted();
+  void GiveUpExpired(TimePoint now);
+  void Finish(ItemRun& run, serving::ItemState state);
+  void Requeue(ItemRun& run, Duration pause, std::string_view reason);
+  void Leave(ItemRun& run);
+  serving::ItemProgress& Progress(const ItemRun& run);
+
+  serving::SlotBoard& board_;
+  serving::JobBook& book_;
+  const serving::RouteTable& routes_;
+  observe::Metrics& metrics_;
+  Ports ports_;
+  uint64_t last_upstream_ = 0;
+  std::unordered_map<ExchangeId, ItemRun> runs_;
+  http::Client client_;
+};
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_BATCH_RUNNER_H_
--- /dev/null
+++ b/libs/gateway/src/gateway.cc
@@ -0,0 +1,456 @@
+#include "gateway.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "job_records.h"
+#include "platform/store_request.h"
+#include "users_platform/batch_calls.h"
+#include "users_platform/configuration.h"
+#include "users_platform/request_headers.h"
+#include "users_platform/store_names.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+using users_platform::BatchOperation;
+
+// Housekeeping: deadlines of reads, starts of items, shared usage.
+constexpr std::chrono::milliseconds kTick{20};
+// Usage is told at once when it changed, but not more often than this for each
+// other entry, so that the messages of a large fleet stay bounded.
+constexpr std::chrono::milliseconds kLeastSharePause{20};
+constexpr std::chrono::milliseconds kSharePausePerEntry{5};
+// Without a change, often enough that silence is noticed soon.
+constexpr std::chrono::milliseconds kHeartbeat{250};
+// Before jobs of other entries are taken over, those have time to be heard.
+constexpr std::chrono::milliseconds kTakeoverAfterStart{1600};
+// Items end one after the other; readers ask twice a second.
+constexpr std::chrono::milliseconds kOwnMirrorPause{150};
+constexpr std::chrono::milliseconds kRegisterTimeout{2000};
+// The balancer takes an entry out after two probes, a second apart; until then
+// callers still come.
+constexpr std::chrono::milliseconds kAcceptAfterStop{2800};
+// Left of the time before the kill for the last answers to be written.
+constexpr std::chrono::milliseconds kLastWrites{400};
+// A configuration's limit holds for what a caller sends before its body; the
+// server's own limit leaves room for it.
+constexpr std::chrono::milliseconds kBodyTimeout{10000};
+
+http::ServerSettings CallerServerSettings() {
+  http::ServerSettings settings;
+  settings.max_connections = 3500;
+  settings.body_timeout = kBodyTimeout;
+  settings.max_total_body_bytes = 64ULL << 20;
+  return settings;
+}
+
+void DeclareMetrics(observe::Metrics& metrics) {
+  metrics.DeclareCounter("knap_requests_total",
+                         "online requests by route and outcome",
+                         {"route", "outcome"});
+  metrics.DeclareHistogram("knap_request_seconds",
+                           "from arrival to the last answer byte", {"route"});
+  metrics.DeclareHistogram("knap_first_event_seconds",
+                           "from arrival to a stream's first event", {"route"});
+  metrics.DeclareCounter("knap_jobs_total", "submissions by outcome",
+                         {"outcome"});
+  metrics.DeclareCounter("knap_items_total", "finished items by state",
+                         {"state"});
+  metrics.DeclareCounter("knap_items_requeued_total",
+                         "runs that ended without a result, by reason",
+                         {"reason"});
+  metrics.DeclareGauge("knap_configuration_version", "version in force");
+  metrics.DeclareGauge("knap_servers", "backend servers known");
+  metrics.DeclareGauge("knap_store_available", "1 while the store answers");
+  metrics.DeclareGauge("knap_store_calls", "calls to the store so far");
+  metrics.DeclareGauge("knap_online_open", "online requests in progress");
+  metrics.DeclareGauge("knap_items_running", "batch items in progress");
+  metrics.DeclareGauge("knap_entries_heard", "other entries heard of lately");
+}
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& io, const GatewaySettings& settings,
+                 uint64_t seed)
+    : io_(io),
+      settings_(settings),
+      started_at_(MonotonicNow()),
+      board_({}, settings.availability_zone, seed),
+      store_(io, settings.store_address),
+      servers_(board_),
+      peers_(
+          io, settings.name, static_cast<uint64_t>(WallClockNanos()),
+          {.state =
+               [this](const PeerState& state) {
+                 board_.ReportEntry(state.entry, state.usage, MonotonicNow());
+               },
+           .yield =
+               [this](const std::string& instance) {
+                 runner_.Yield(board_.Find(instance));
+               },
+           .lost =
+               [this](const std::string& entry) { board_.DropEntry(entry); }}),
+      online_(io, board_, metrics_, seed + 1,
+              {.to_caller =
+                   [this](http::ServerCommand&& command) {
+                     callers_.Execute(std::move(command));
+                   },
+               .displace =
+                   [this](BackendServerId server, const std::string& entry) {
+                     Displace(server, entry);
+                   },
+               .usage_changed = [this] { usage_changed_ = true; }}),
+      runner_(
+          io, board_, book_, routes_, metrics_,
+          {.owns = [this](const serving::BatchJob& job) { return Owns(job); },
+           .runs_elsewhere =
+               [this](uint64_t item) { return peers_.RunsElsewhere(item); },
+           .finished =
+               [this](const std::string& job) {
+                 committer_.Note(job, MonotonicNow());
+               },
+           .usage_changed = [this] { usage_changed_ = true; }}),
+      committer_(store_, book_,
+                 [this](const std::string& job) { batch_.OnProgress(job); }),
+      batch_(store_, book_, metrics_, settings.name,
+             {.to_caller =
+                  [this](http::ServerCommand&& command) {
+                    callers_.Execute(std::move(command));
+                  },
+              .book_changed = [this] { RunBatch(); }}),
+      callers_(io, CallerServerSettings(),
+               [this](http::ServerEvent&& event) {
+                 return OnCallerEvent(std::move(event));
+               }),
+      readiness_(io, {},
+                 [this](http::ServerEvent&& event) {
+                   return OnReadinessEvent(std::move(event));
+                 }),
+      configuration_mirror_(
+          io, store_, {.kind = users_platform::kConfigurationKind},
+          {.listed =
+               [this](std::vector<platform::StoredObject>&& objects) {
+                 for (const auto& object : objects) OnConfiguration(object);
+               },
+           .changed =
+               [this](platform::StoredObject&& object) {
+                 if (!object.deleted) OnConfiguration(object);
+               }}),
+      server_mirror_(
+          io, store_, {.kind = users_platform::kServerKind},
+          {.listed =
+               [this](std::vector<platform::StoredObject>&& objects) {
+                 servers_.OnListed(std::move(objects), MonotonicNow(),
+                                   store_.available_since());
+               },
+           .changed =
+               [this](platform::StoredObject&& object) {
+                 servers_.OnChanged(std::move(object), MonotonicNow(),
+                                    store_.available_since());
+               }}),
+      own_mirror_(io, store_, {.kind = kOwnKind, .pause = kOwnMirrorPause},
+                  {.listed =
+                       [this](std::vector<platform::StoredObject>&& objects) {
+                         OnOwnListed(std::move(objects));
+                       },
+                   .changed =
+                       [this](platform::StoredObject&& object) {
+                         OnOwnObject(std::move(object));
+                         RunBatch();
+                       }}),
+      tick_(io) {
+  DeclareMetrics(metrics_);
+}
+
+Result<bool> Gateway::Start() {
+  BOOST_LEAF_CHECK(readiness_.Listen(settings_.readiness_address));
+  BOOST_LEAF_CHECK(peers_.Listen(settings_.ip, settings_.peer_port));
+  BOOST_LEAF_CHECK(callers_.Listen(settings_.callers_address));
+  configuration_mirror_.Start();
+  server_mirror_.Start();
+  own_mirror_.Start();
+  ArmTick();
+  return true;
+}
+
+bool Gateway::OnCallerEvent(http::ServerEvent&& event) {
+  if (const auto* gone = std::get_if<http::DisconnectEvent>(&event)) {
+    online_.OnCallerGone(gone->exchange);
+    batch_.OnCallerGone(gone->exchange);
+    return true;
+  }
+  OnRequest(std::get<http::RequestEvent>(std::move(event)));
+  return true;
+}
+
+void Gateway::OnRequest(http::RequestEvent&& request) {
+  const ExchangeId caller = request.exchange;
+  const auto respond = [&](unsigned status) {
+    callers_.Execute(
+        http::RespondCommand{.exchange = caller, .status = status});
+  };
+  const auto call = users_platform::DecodeBatchCall(
+      request.method, request.target, request.headers);
+  if (call.operation != BatchOperation::kNone) {
+    return batch_.Call(std::move(request), call);
+  }
+  const serving::Route* route =
+      routes_.Find(request.headers.Find("Host"), request.target);
+  if (!route) {
+    // Without a configuration nothing is known of any route.
+    const unsigned status = routes_.version == 0 ? 503 : 404;
+    LogInfo("no_route", {{"host", request.headers.Find("Host")},
+                         {"target", request.target},
+                         {"status", status},
+                         {"configuration", routes_.version}});
+    return respond(status);
+  }
+  if (route->kind == serving::RouteKind::kBatch) {
+    return batch_.Submit(std::move(request), *route);
+  }
+  online_.Begin(std::move(request), *route);
+}
+
+bool Gateway::OnReadinessEvent(http::ServerEvent&& event) {
+  const auto* request = std::get_if<http::RequestEvent>(&event);
+  if (!request) return true;
+  http::RespondCommand answer{.exchange = request->exchange, .status = 404};
+  if (users_platform::IsReadinessProbe(request->method, request->target)) {
+    const bool ready = routes_.version != 0 && server_mirror_.listed() &&
+                       stop_began_at_ == kNever;
+    answer.status = ready ? 200 : 503;
+  } else if (request->target == "/metrics") {
+    answer.status = 200;
+    answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    answer.body = RenderMetrics();
+  }
+  readiness_.Execute(std::move(answer));
+  return true;
+}
+
+void Gateway::OnConfiguration(const platform::StoredObject& object) {
+  if (object.name != users_platform::kConfigurationName) return;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(table,
+                        users_platform::ParseConfiguration(object.value));
+        // Versions only rise: an older one never comes back into force.
+        if (table.version <= routes_.version) return {};
+        LogInfo("configuration_in_force", {{"version", table.version},
+                                           {"before", routes_.version},
+                                           {"routes", table.routes.size()},
+                                           {"revision", object.version}});
+        routes_ = std::move(table);
+        callers_.SetLimits(
+            routes_.limits.max_header_bytes, routes_.limits.max_body_bytes,
+            routes_.limits.header_timeout, routes_.limits.idle_timeout);
+        return {};
+      },
+      [&](const Error& error) {
+        LogError("configuration_refused", {{"revision", object.version},
+                                           {"in_force", routes_.version},
+                                           {"reason", error.message}});
+      },
+      [] {});
+}
+
+void Gateway::OnOwnListed(std::vector<platform::StoredObject>&& objects) {
+  uint64_t own_version = 0;
+  const std::string own_name = NodeName(settings_.name);
+  for (platform::StoredObject& object : objects) {
+    if (object.name == own_name) own_version = object.version;
+    OnOwnObject(std::move(object));
+  }
+  if (!registered_) Register(own_version);
+  RunBatch();
+}
+
+void Gateway::OnOwnObject(platform::StoredObject&& object) {
+  const RecordName name = ParseRecordName(object.name);
+  switch (name.type) {
+    case RecordType::kJob:
+      return object.deleted ? book_.Forget(name.id) : AddJob(name.id, object);
+    case RecordType::kSegment:
+      if (!object.deleted) AddSegment(name, object);
+      return;
+    case RecordType::kEnd:
+      if (object.deleted) return;
+      book_.EndJob(name.id);
+      return batch_.OnProgress(name.id);
+    case RecordType::kNode:
+      if (object.deleted) return peers_.RemoveAddress(name.id);
+      return peers_.SetAddress(name.id, DecodeNode(object.value));
+    case RecordType::kUnknown:
+      return LogWarning("record_unknown", {{"name", object.name}});
+  }
+}
+
+void Gateway::AddJob(const std::string& id,
+                     const platform::StoredObject& object) {
+  if (book_.Find(id)) return;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(job, DecodeJob(id, object.value, MonotonicNow()));
+        book_.AddJob(std::move(job));
+        return {};
+      },
+      [&](const Error& error) {
+        LogError("job_undecodable", {{"job", id}, {"reason", error.message}});
+      },
+      [] {});
+}
+
+void Gateway::AddSegment(const RecordName& name,
+                         const platform::StoredObject& object) {
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(results, DecodeSegment(object.value));
+        book_.AddSegment(name.id, name.segment, std::move(results));
+        batch_.OnProgress(name.id);
+        return {};
+      },
+      [&](const Error& error) {
+        LogError("segment_invalid",
+                 {{"name", object.name}, {"reason", error.message}});
+      },
+      [] {});
+}
+
+// Tells the other entries where this one takes datagrams.
+void Gateway::Register(uint64_t version) {
+  if (std::exchange(registering_, true)) return;
+  const std::string address =
+      fmt::format("{}:{}", settings_.ip, settings_.peer_port);
+  store_.Call(platform::WriteRequest{.kind = kOwnKind,
+                                     .name = NodeName(settings_.name),
+                                     .if_version = version,
+                                     .value = EncodeNode(address)},
+              MonotonicNow() + kRegisterTimeout,
+              [this, version](platform::StoreAnswer&& answer) {
+                registering_ = false;
+                if (answer.outcome == platform::StoreOutcome::kOk) {
+                  registered_ = true;
+                  return;
+                }
+                LogWarning("registration_failed",
+                           {{"outcome", NameOf(answer.outcome)}});
+                const uint64_t present =
+                    answer.version != 0 ? answer.version : version;
+                auto timer = std::make_shared<boost::asio::steady_timer>(
+                    io_, kRegisterTimeout / 4);
+                timer->async_wait([this, timer, present](const auto& ec) {
+                  if (!ec) Register(present);
+                });
+              });
+}
+
+// The entry that accepted a job runs it while it lives; then, by a hash that
+// all agree on, one of those that live. Two views may differ for a moment: an
+// item may then run twice, but its result is committed once.
+bool Gateway::Owns(const serving::BatchJob& job) const {
+  if (stop_began_at_ != kNever) return false;
+  if (job.creator == settings_.name) return true;
+  if (MonotonicNow() < started_at_ + kTakeoverAfterStart) return false;
+  std::vector<std::string> entries = peers_.WorkingEntries();
+  if (std::find(entries.begin(), entries.end(), job.creator) != entries.end()) {
+    return false;
+  }
+  entries.push_back(settings_.name);
+  const uint64_t seed = Hash64(job.id);
+  const auto best =
+      std::max_element(entries.begin(), entries.end(),
+                       [seed](const std::string& a, const std::string& b) {
+                         return Hash64(a, seed) < Hash64(b, seed);
+                       });
+  return *best == settings_.name;
+}
+
+void Gateway::Displace(BackendServerId server, const std::string& entry) {
+  if (entry.empty()) return runner_.Yield(server);
+  const serving::ServerRecord* record = board_.Record(server);
+  if (record) peers_.AskToYield(entry, record->instance);
+}
+
+void Gateway::RunBatch() { runner_.Run(MonotonicNow()); }
+
+void Gateway::ArmTick() {
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec) Tick();
+  });
+}
+
+void Gateway::Tick() {
+  const TimePoint now = MonotonicNow();
+  servers_.Expire(now);
+  peers_.Expire(now);
+  board_.ExpireReports(now);
+  runner_.Run(now);
+  committer_.Run(now);
+  batch_.Expire(now);
+  ShareUsage(now);
+  if (stop_began_at_ != kNever) CheckStopped(now);
+  ArmTick();
+}
+
+void Gateway::ShareUsage(TimePoint now) {
+  const Duration pause = std::max<Duration>(
+      kLeastSharePause, kSharePausePerEntry * peers_.address_count());
+  const bool due = usage_changed_ && now - shared_at_ >= pause;
+  if (!due && now - shared_at_ < kHeartbeat) return;
+  usage_changed_ = false;
+  shared_at_ = now;
+  peers_.Broadcast({.draining = stop_began_at_ != kNever,
+                    .usage = board_.OwnUsage(),
+                    .running_items = runner_.RunningItems()});
+}
+
+void Gateway::BeginStop() {
+  if (stop_began_at_ != kNever) return;
+  stop_began_at_ = MonotonicNow();
+  LogInfo("stopping", {{"online", online_.open()},
+                       {"items", runner_.running()},
+                       {"grace_ms", settings_.stop_grace.count()}});
+  batch_.BeginDraining();
+  callers_.BeginDraining();
+  shared_at_ = {};
+  ShareUsage(stop_began_at_);
+}
+
+void Gateway::CheckStopped(TimePoint now) {
+  const TimePoint kill_at = stop_began_at_ + settings_.stop_grace;
+  if (accepting_ && now >= stop_began_at_ + kAcceptAfterStop) {
+    accepting_ = false;
+    callers_.StopAccepting();
+  }
+  const bool idle = !accepting_ && callers_.open_exchanges() == 0 &&
+                    callers_.open_connections() == 0 &&
+                    runner_.running() == 0 && committer_.idle();
+  if (!idle && now < kill_at - kLastWrites) return;
+  LogInfo("stopped", {{"online", online_.open()},
+                      {"items", runner_.running()},
+                      {"connections", callers_.open_connections()}});
+  io_.stop();
+}
+
+std::string Gateway::RenderMetrics() {
+  metrics_.Set("knap_configuration_version",
+               static_cast<double>(routes_.version));
+  metrics_.Set("knap_servers", static_cast<double>(board_.server_count()));
+  metrics_.Set("knap_store_available", store_.available() ? 1 : 0);
+  metrics_.Set("knap_store_calls", static_cast<double>(store_.calls()));
+  metrics_.Set("knap_online_open", static_cast<double>(online_.open()));
+  metrics_.Set("knap_items_running", static_cast<double>(runner_.running()));
+  metrics_.Set("knap_entries_heard",
+               static_cast<double>(peers_.WorkingEntries().size()));
+  return metrics_.Render();
+}
+
+}  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway.h
@@ -0,0 +1,94 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_GATEWAY_H_
+#define KNAPWEEDSTILE_GATEWAY_GATEWAY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "batch_api.h"
+#include "batch_runner.h"
+#include "gateway/gateway_settings.h"
+#include "http/server.h"
+#include "kind_mirror.h"
+#include "observe/metrics.h"
+#include "online_calls.h"
+#include "peer_link.h"
+#include "result_committer.h"
+#include "server_directory.h"
+#include "serving/job_book.h"
+#include "serving/route_table.h"
+#include "serving/slot_board.h"
+#include "store_calls.h"
+
+namespace knapweedstile::gateway {
+
+// One entry on the users' platform: the parts and the paths between them. All
+// on one thread: at a fifth of a core each hand-over between threads would cost
+// more than the work that it hands over.
+class Gateway {
+ public:
+  Gateway(boost::asio::io_context& io, const GatewaySettings& settings,
+          uint64_t seed);
+
+  Result<bool> Start();
+  // Graceful shutdown: not ready at once; requests that still come are served
+  // until callers know; batch items end or are left to the other entries.
+  void BeginStop();
+
+ private:
+  http::Server::EventSink CallerSink();
+  bool OnCallerEvent(http::ServerEvent&& event);
+  void OnRequest(http::RequestEvent&& request);
+  bool OnReadinessEvent(http::ServerEvent&& event);
+
+  void OnConfiguration(const platform::StoredObject& object);
+  void OnOwnObject(platform::StoredObject&& object);
+  void OnOwnListed(std::vector<platform::StoredObject>&& objects);
+  void AddJob(const std::string& id, const platform::StoredObject& object);
+  void AddSegment(const RecordName& name, const platform::StoredObject& object);
+  void Register(uint64_t version);
+
+  bool Owns(const serving::BatchJob& job) const;
+  void Displace(BackendServerId server, const std::string& entry);
+  void RunBatch();
+
+  void ArmTick();
+  void Tick();
+  void ShareUsage(TimePoint now);
+  void CheckStopped(TimePoint now);
+  std::string RenderMetrics();
+
+  boost::asio::io_context& io_;
+  GatewaySettings settings_;
+  TimePoint started_at_;
+  observe::Metrics metrics_;
+  serving::SlotBoard board_;
+  serving::JobBook book_;
+  serving::RouteTable routes_;
+  StoreCalls store_;
+  ServerDirectory servers_;
+  PeerLink peers_;
+  OnlineCalls online_;
+  BatchRunner runner_;
+  ResultCommitter committer_;
+  BatchApi batch_;
+  http::Server callers_;
+  http::Server readiness_;
+  KindMirror configuration_mirror_;
+  KindMirror server_mirror_;
+  KindMirror own_mirror_;
+  boost::asio::steady_timer tick_;
+
+  bool usage_changed_ = false;
+  TimePoint shared_at_{};
+  bool registering_ = false;
+  bool registered_ = false;
+  TimePoint stop_began_at_ = kNever;
+  bool accepting_ = true;
+};
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/libs/gateway/src/gateway_settings.cc
@@ -0,0 +1,29 @@
+#include "gateway/gateway_settings.h"
+
+namespace knapweedstile::gateway {
+
+using settings::Presence;
+
+void BindGatewaySettings(settings::Schema& schema, GatewaySettings* settings) {
+  schema.Text("node.name", "name of this VM, unique in the fleet",
+              &settings->name, Presence::kRequired);
+  schema.Text("node.ip", "address that the other entries reach", &settings->ip,
+              Presence::kRequired);
+  schema.Text("node.availability_zone", "availability zone of this VM",
+              &settings->availability_zone, Presence::kRequired);
+  schema.Address("listen.callers", "where callers connect",
+                 &settings->callers_address);
+  schema.Address("listen.readiness", "readiness probe and /metrics",
+                 &settings->readiness_address);
+  schema.Integer("listen.peer_port", "port",
+                 "UDP port for messages between entries", &settings->peer_port,
+                 0, 65535);
+  schema.Address("store.address", "the platform's object store",
+                 &settings->store_address, Presence::kRequired);
+  schema.Seconds("stop.grace", "from the signal to stop to the kill",
+                 &settings->stop_grace);
+  schema.Choice("log.level", "least level that is logged",
+                &settings->log_level);
+}
+
+}  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/job_records.cc
@@ -0,0 +1,143 @@
+#include "job_records.h"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <charconv>
+
+#include "users_platform/batch_calls.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+namespace json = boost::json;
+using serving::ItemResult;
+using serving::ItemState;
+
+constexpr std::string_view kJobPrefix = "job.";
+constexpr std::string_view kSegmentPrefix = "segment.";
+constexpr std::string_view kEndPrefix = "end.";
+constexpr std::string_view kNodePrefix = "node.";
+
+std::string Text(const json::object& object, std::string_view name) {
+  const json::value* field = object.if_contains(name);
+  if (!field || !field->is_string()) return {};
+  return std::string(field->get_string());
+}
+
+int64_t Number(const json::object& object, std::string_view name) {
+  const json::value* field = object.if_contains(name);
+  return field && field->is_int64() ? field->get_int64() : 0;
+}
+
+std::optional<json::object> ParseObject(std::string_view text) {
+  json::error_code ec;
+  json::value parsed = json::parse({text.data(), text.size()}, ec);
+  if (ec || !parsed.is_object()) return std::nullopt;
+  return std::move(parsed.get_object());
+}
+
+}  // namespace
+
+RecordName ParseRecordName(std::string_view name) {
+  const auto rest = [name](std::string_view prefix) {
+    return std::string(name.substr(prefix.size()));
+  };
+  if (name.starts_with(kJobPrefix)) return {RecordType::kJob, rest(kJobPrefix)};
+  if (name.starts_with(kEndPrefix)) return {RecordType::kEnd, rest(kEndPrefix)};
+  if (name.starts_with(kNodePrefix)) {
+    return {RecordType::kNode, rest(kNodePrefix)};
+  }
+  const size_t dot = name.rfind('.');
+  if (!name.starts_with(kSegmentPrefix) || dot < kSegmentPrefix.size()) {
+    return {};
+  }
+  RecordName record{RecordType::kSegment};
+  record.id = name.substr(kSegmentPrefix.size(), dot - kSegmentPrefix.size());
+  std::from_chars(name.data() + dot + 1, name.data() + name.size(),
+                  record.segment);
+  return record;
+}
+
+std::string JobName(std::string_view job) {
+  return fmt::format("{}{}", kJobPrefix, job);
+}
+
+std::string SegmentName(std::string_view job, uint32_t number) {
+  return fmt::format("{}{}.{:06}", kSegmentPrefix, job, number);
+}
+
+std::string EndName(std::string_view job) {
+  return fmt::format("{}{}", kEndPrefix, job);
+}
+
+std::string NodeName(std::string_view node) {
+  return fmt::format("{}{}", kNodePrefix, node);
+}
+
+std::string EncodeJob(const JobRecord& record) {
+  const json::object object = {{"creator", record.creator},
+                               {"host", record.host},
+                               {"route", record.route},
+                               {"completion_ms", record.completion_millis},
+                               {"ttl_ms", record.ttl_millis},
+                               {"submission", record.submission}};
+  return json::serialize(object);
+}
+
+Result<serving::BatchJob> DecodeJob(std::string_view id, std::string_view value,
+                                    TimePoint now) {
+  const auto object = ParseObject(value);
+  if (!object) return Fail(ErrorCode::kInvalid, "the job is not an object");
+  BOOST_LEAF_AUTO(items,
+                  users_platform::ParseSubmission(Text(*object, "submission")));
+  serving::BatchJob job;
+  job.id = id;
+  job.creator = Text(*object, "creator");
+  job.host = Text(*object, "host");
+  job.route = Text(*object, "route");
+  job.items = std::move(items);
+  job.learned_at = now;
+  job.due_at =
+      now + std::chrono::milliseconds(Number(*object, "completion_ms"));
+  job.expires_at = now + std::chrono::milliseconds(Number(*object, "ttl_ms"));
+  return job;
+}
+
+std::string EncodeSegment(const std::vector<ItemResult>& results) {
+  json::array list;
+  for (const ItemResult& result : results) {
+    list.push_back(json::object{{"item", result.item},
+                                {"state", NameOf(result.state)},
+                                {"output", result.output}});
+  }
+  return json::serialize(json::object{{"results", std::move(list)}});
+}
+
+Result<std::vector<ItemResult>> DecodeSegment(std::string_view value) {
+  const auto object = ParseObject(value);
+  const json::value* field = object ? object->if_contains("results") : nullptr;
+  if (!field || !field->is_array()) {
+    return Fail(ErrorCode::kInvalid, "the segment has no results");
+  }
+  std::vector<ItemResult> results;
+  for (const json::value& entry : field->get_array()) {
+    if (!entry.is_object()) continue;
+    const json::object& result = entry.get_object();
+    const auto state = ParseEnum<ItemState>(Text(result, "state"));
+    if (!state) return Fail(ErrorCode::kInvalid, "a result has no known state");
+    results.push_back({Text(result, "item"), *state, Text(result, "output")});
+  }
+  return results;
+}
+
+std::string EncodeNode(std::string_view address) {
+  return json::serialize(json::object{{"address", address}});
+}
+
+std::string DecodeNode(std::string_view value) {
+  const auto object = ParseObject(value);
+  return object ? Text(*object, "address") : std::string();
+}
+
+}  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/job_records.h
@@ -0,0 +1,61 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_JOB_RECORDS_H_
+#define KNAPWEEDSTILE_GATEWAY_JOB_RECORDS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "serving/batch_job.h"
+#include "serving/item_result.h"
+
+namespace knapweedstile::gateway {
+
+// The system's own objects in the platform's store, all of one kind so that one
+// watch follows them:
+//
+//   job.ID          an accepted job, written before its acceptance is answered
+//   segment.ID.N    results of a job; created once, so a position never changes
+//   end.ID          its caller wants no more of it
+//   node.NAME       where an entry takes datagrams of other entries
+inline constexpr char kOwnKind[] = "knapweedstile";
+
+enum class RecordType { kJob, kSegment, kEnd, kNode, kUnknown };
+
+struct RecordName {
+  RecordType type = RecordType::kUnknown;
+  std::string id;        // of the job or the node
+  uint32_t segment = 0;  // kSegment
+};
+RecordName ParseRecordName(std::string_view name);
+std::string JobName(std::string_view job);
+std::string SegmentName(std::string_view job, uint32_t number);
+std::string EndName(std::string_view job);
+std::string NodeName(std::string_view node);
+
+// An accepted job: its submission as the caller sent it and where it came in.
+struct JobRecord {
+  std::string creator;
+  std::string host;
+  std::string route;
+  int64_t completion_millis = 0;  // objective, from the acceptance on
+  int64_t ttl_millis = 0;
+  std::string submission;
+};
+std::string EncodeJob(const JobRecord& record);
+// The job with its times counted from `now`; kInvalid when it is not one.
+Result<serving::BatchJob> DecodeJob(std::string_view id, std::string_view value,
+                                    TimePoint now);
+
+std::string EncodeSegment(const std::vector<serving::ItemResult>& results);
+Result<std::vector<serving::ItemResult>> DecodeSegment(std::string_view value);
+
+std::string EncodeNode(std::string_view address);
+std::string DecodeNode(std::string_view value);  // empty when it is not one
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_JOB_RECORDS_H_
--- /dev/null
+++ b/libs/gateway/src/online_call.h
@@ -0,0 +1,47 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_ONLINE_CALL_H_
+#define KNAPWEEDSTILE_GATEWAY_ONLINE_CALL_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "http/header_list.h"
+#include "http/server_event.h"
+#include "serving/event_stream_reader.h"
+#include "serving/route.h"
+
+namespace knapweedstile::gateway {
+
+// One online request of a caller, until its last answer byte.
+struct OnlineCall {
+  ExchangeId caller;  // the caller's exchange
+  http::RequestEvent request;
+  std::string request_id;
+  serving::Route route;  // as it was when the request came
+  std::string service;   // picked among the route's services
+  TimePoint deadline;    // of the caller or the route, whichever is first
+
+  // The attempt in progress.
+  ExchangeId upstream;
+  BackendServerId server;
+  TimePoint sent_at;
+  unsigned status = 0;  // of the attempt's head; zero: none yet
+  http::HeaderList head;
+  std::string body;  // collected unless it is passed on at once
+
+  // Over all attempts.
+  uint32_t runs = 0;     // attempts that may have run
+  uint32_t not_run = 0;  // attempts that certainly did not
+  std::vector<BackendServerId> excluded;
+  bool passing = false;  // the caller has got the head of its answer
+  TimePoint first_byte_at{};
+  serving::EventStreamReader reader;
+  std::optional<uint64_t> last_event;  // passed on to the caller
+};
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_ONLINE_CALL_H_
--- /dev/null
+++ b/libs/gateway/src/online_calls.cc
@@ -0,0 +1,368 @@
+#include "online_calls.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "upstream_settings.h"
+#include "users_platform/request_headers.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+using serving::RouteKind;
+using users_platform::DecodeAnswer;
+using users_platform::ServerAnswer;
+
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+constexpr unsigned kServerError = 500;
+
+// Attempts that certainly did not run, for one request: enough to step past a
+// server that has just died or filled up, few enough that a fleet that is down
+// is not asked a hundred times.
+constexpr uint32_t kMaxNotRun = 4;
+// A repeatable request that has no answer after this multiple of its latency
+// objective is tried elsewhere: a backend server that went dark shows in no
+// other way.
+constexpr double kRepeatAfterObjectives = 1.5;
+constexpr std::chrono::milliseconds kLeastAttemptTime{150};
+constexpr std::chrono::milliseconds kRetryAfterBroken{100};
+
+const std::string& PickService(const serving::Route& route, Rng& rng) {
+  uint64_t total = 0;
+  for (const auto& share : route.services) total += share.weight;
+  uint64_t at = total == 0 ? 0 : UniformBelow(rng, total);
+  for (const auto& share : route.services) {
+    if (at < share.weight) return share.service;
+    at -= share.weight;
+  }
+  return route.services.front().service;
+}
+
+std::string SecondsText(Duration time) {
+  return fmt::format("{:.3f}", ToSeconds(time));
+}
+
+}  // namespace
+
+OnlineCalls::OnlineCalls(boost::asio::io_context& io, serving::SlotBoard& board,
+                         observe::Metrics& metrics, uint64_t seed, Ports ports)
+    : board_(board),
+      metrics_(metrics),
+      rng_(seed),
+      ports_(std::move(ports)),
+      client_(io, UpstreamClientSettings(), [this](http::ClientEvent&& event) {
+        OnUpstream(std::move(event));
+      }) {}
+
+void OnlineCalls::Begin(http::RequestEvent&& request,
+                        const serving::Route& route) {
+  const auto caller = users_platform::DecodeCaller(request.headers);
+  const ExchangeId id = request.exchange;
+  OnlineCall& call = calls_[id];
+  call.caller = id;
+  call.request_id = caller.request_id;
+  call.route = route;
+  call.service = PickService(route, rng_);
+  call.deadline = request.received_at + route.timeout;
+  if (caller.budget) {
+    call.deadline =
+        std::min(call.deadline, request.received_at + *caller.budget);
+  }
+  call.request = std::move(request);
+  Dispatch(call);
+}
+
+void OnlineCalls::Dispatch(OnlineCall& call) {
+  const TimePoint now = MonotonicNow();
+  if (now >= call.deadline) {
+    if (call.runs > 0) return Fail(call, kGatewayTimeout, "deadline");
+    return Refuse(call, kRetryAfterBroken, "deadline");
+  }
+  const auto placement = board_.PlaceOnline(
+      call.service, call.route.latency_objective, call.excluded, now);
+  // A stream that goes on elsewhere has been begun: it is never refused for a
+  // queue.
+  const bool must_go_on = call.passing && placement.server;
+  if (placement.outcome != serving::PlacementOutcome::kPlaced && !must_go_on) {
+    if (call.runs > 0) return Fail(call, kBadGateway, "no_server_to_repeat");
+    return Refuse(call, placement.retry_after, NameOf(placement.outcome));
+  }
+  SendTo(call, placement.server);
+  if (placement.displaces_batch) {
+    ports_.displace(placement.server, placement.displaced_entry);
+  }
+}
+
+void OnlineCalls::SendTo(OnlineCall& call, BackendServerId server) {
+  const TimePoint now = MonotonicNow();
+  const serving::ServerRecord& record = *board_.Record(server);
+  call.server = server;
+  call.sent_at = now;
+  call.status = 0;
+  call.body.clear();
+  call.reader.Reset();
+  call.upstream = ExchangeId(++last_upstream_);
+  upstreams_[call.upstream] = call.caller;
+  users_platform::ForwardedFields fields{.instance = record.instance};
+  fields.budget = Remaining(call.deadline, now);
+  if (call.passing) fields.after_event = call.last_event;
+  http::ClientRequest request;
+  request.exchange = call.upstream;
+  request.address = record.address;
+  request.method = call.request.method;
+  request.target = call.request.target;
+  request.headers =
+      users_platform::ForwardedHeaders(call.request.headers, fields);
+  request.body = call.request.body;
+  request.deadline = call.deadline;
+  if (call.route.MayRunAgain() && call.runs + 1 < call.route.max_attempts) {
+    const Duration patience = std::max<Duration>(
+        kLeastAttemptTime, FromSeconds(ToSeconds(call.route.latency_objective) *
+                                       kRepeatAfterObjectives));
+    request.deadline = std::min(request.deadline, now + patience);
+  }
+  request.stream_body = call.route.kind == RouteKind::kStream;
+  board_.Started(server, TrafficClass::kOnline);
+  ports_.usage_changed();
+  client_.Send(std::move(request));
+}
+
+void OnlineCalls::LeaveServer(OnlineCall& call) {
+  if (!call.server) return;
+  upstreams_.erase(call.upstream);
+  board_.Ended(call.server, TrafficClass::kOnline);
+  call.server = BackendServerId();
+  ports_.usage_changed();
+}
+
+OnlineCall* OnlineCalls::FindUpstream(ExchangeId upstream) {
+  const auto found = upstreams_.find(upstream);
+  if (found == upstreams_.end()) return nullptr;
+  const auto call = calls_.find(found->second);
+  return call == calls_.end() ? nullptr : &call->second;
+}
+
+void OnlineCalls::OnUpstream(http::ClientEvent&& event) {
+  const ExchangeId upstream =
+      std::visit([](const auto& e) { return e.exchange; }, event);
+  OnlineCall* call = FindUpstream(upstream);
+  if (!call) return;
+  if (auto* head = std::get_if<http::HeadEvent>(&event)) {
+    OnHead(*call, std::move(*head));
+  } else if (auto* body = std::get_if<http::BodyEvent>(&event)) {
+    OnBody(*call, std::move(*body));
+  } else {
+    OnEnd(*call, std::get<http::EndEvent>(std::move(event)));
+  }
+}
+
+void OnlineCalls::OnHead(OnlineCall& call, http::HeadEvent&& event) {
+  call.status = event.status;
+  call.head = std::move(event.headers);
+  const ServerAnswer answer = DecodeAnswer(call.status, call.head);
+  if (!answer.ok() || answer.not_executed) return;
+  if (answer.request_id != call.request_id || !answer.signed_answer) {
+    client_.Cancel(call.upstream);
+    return OnBroken(call, "foreign_answer");
+  }
+  board_.ReportGood(call.server);
+  StartPassing(call);
+}
+
+bool OnlineCalls::StartPassing(OnlineCall& call) {
+  if (call.passing) return false;
+  call.passing = true;
+  ports_.to_caller(http::BeginStreamCommand{
+      .exchange = call.caller,
+      .status = call.status,
+      .headers = users_platform::ReturnedHeaders(call.head)});
+  return true;
+}
+
+void OnlineCalls::OnBody(OnlineCall& call, http::BodyEvent&& event) {
+  if (!call.passing || call.status / 100 != 2) {
+    call.body += event.data;
+    return;
+  }
+  call.reader.Append(event.data);
+  if (PassEvents(call)) return;
+  client_.Cancel(call.upstream);
+  OnBroken(call, "event_out_of_order");
+}
+
+// Passes on the whole events that have arrived. False when one is missing or
+// comes twice: the caller must not take the stream for whole.
+bool OnlineCalls::PassEvents(OnlineCall& call) {
+  std::string data;
+  bool in_order = true;
+  while (auto event = call.reader.Next()) {
+    if (event->id && call.last_event && *event->id != *call.last_event + 1) {
+      in_order = false;
+      break;
+    }
+    if (event->id) call.last_event = event->id;
+    data += event->raw;
+  }
+  if (data.empty()) return in_order;
+  if (call.first_byte_at == TimePoint{}) {
+    call.first_byte_at = MonotonicNow();
+    metrics_.Observe("knap_first_event_seconds",
+                     ToSeconds(call.first_byte_at - call.request.received_at),
+                     {call.route.name});
+  }
+  ports_.to_caller(http::StreamChunkCommand{.exchange = call.caller,
+                                            .data = std::move(data)});
+  return in_order;
+}
+
+void OnlineCalls::OnEnd(OnlineCall& call, http::EndEvent&& event) {
+  const TimePoint now = MonotonicNow();
+  if (event.outcome == http::ClientOutcome::kNotSent) {
+    board_.ReportUnreachable(call.server, now);
+    LogWarning("server_unreachable",
+               {{"request", call.request_id},
+                {"server", board_.Record(call.server)->address},
+                {"reason", event.message}});
+    return RetryNotRun(call);
+  }
+  if (event.outcome != http::ClientOutcome::kComplete) {
+    return OnBroken(call, NameOf(event.outcome));
+  }
+  if (!call.passing || call.status == 0) {
+    call.status = event.status;
+    call.head = std::move(event.headers);
+    if (call.body.empty()) call.body = std::move(event.body);
+  }
+  OnComplete(call);
+}
+
+void OnlineCalls::OnComplete(OnlineCall& call) {
+  const ServerAnswer answer = DecodeAnswer(call.status, call.head);
+  if (answer.not_executed) {
+    if (answer.wrong_instance) {
+      board_.ReportUnreachable(call.server, MonotonicNow());
+    } else {
+      board_.ReportFull(call.server, MonotonicNow());
+    }
+    return RetryNotRun(call);
+  }
+  if (call.passing && answer.ok()) {
+    if (call.reader.HasPartial()) return OnBroken(call, "partial_event");
+    board_.ObserveDuration(call.server, MonotonicNow() - call.sent_at);
+    ports_.to_caller(
+        http::StreamChunkCommand{.exchange = call.caller, .last = true});
+    return Finish(call, call.status, "answered");
+  }
+  if (answer.request_id != call.request_id || !answer.signed_answer) {
+    return OnBroken(call, "foreign_answer");
+  }
+  const bool failed = call.status >= kServerError;
+  if (failed && (call.passing || MayRunElsewhere(call))) {
+    return OnBroken(call, "server_error");
+  }
+  if (!failed) {
+    board_.ReportGood(call.server);
+    board_.ObserveDuration(call.server, MonotonicNow() - call.sent_at);
+  }
+  ports_.to_caller(http::RespondCommand{
+      .exchange = call.caller,
+      .status = call.status,
+      .headers = users_platform::ReturnedHeaders(call.head),
+      .body = std::move(call.body)});
+  Finish(call, call.status, "answered");
+}
+
+bool OnlineCalls::MayRunElsewhere(const OnlineCall& call) const {
+  const bool repeatable =
+      call.route.MayRunAgain() ||
+      (call.route.kind == RouteKind::kStream && call.route.resumable);
+  return repeatable && call.runs + 1 < call.route.max_attempts &&
+         MonotonicNow() < call.deadline;
+}
+
+// The attempt may have run and gave no whole answer.
+void OnlineCalls::OnBroken(OnlineCall& call, std::string_view reason) {
+  const bool again = MayRunElsewhere(call);
+  LogWarning("attempt_broken",
+             {{"request", call.request_id},
+              {"server", board_.Record(call.server)->address},
+              {"reason", reason},
+              {"age_ms", ToMillis(MonotonicNow() - call.sent_at)},
+              {"passing", call.passing},
+              {"again", again}});
+  call.excluded.push_back(call.server);
+  LeaveServer(call);
+  ++call.runs;
+  if (again) return Dispatch(call);
+  const bool timeout = MonotonicNow() >= call.deadline;
+  Fail(call, timeout ? kGatewayTimeout : kBadGateway, reason);
+}
+
+void OnlineCalls::RetryNotRun(OnlineCall& call) {
+  call.excluded.push_back(call.server);
+  LeaveServer(call);
+  ++call.not_run;
+  if (call.not_run < kMaxNotRun) return Dispatch(call);
+  if (call.runs > 0) return Fail(call, kBadGateway, "not_run_too_often");
+  Refuse(call, kRetryAfterBroken, "not_run_too_often");
+}
+
+// Only for requests no attempt of which may have run.
+void OnlineCalls::Refuse(OnlineCall& call, Duration retry_after,
+                         std::string_view cause) {
+  http::HeaderList headers;
+  headers.Add("Retry-After", SecondsText(retry_after));
+  ports_.to_caller(http::RespondCommand{.exchange = call.caller,
+                                        .status = kUnavailable,
+                                        .headers = std::move(headers)});
+  Finish(call, kUnavailable, cause);
+}
+
+void OnlineCalls::Fail(OnlineCall& call, unsigned status,
+                       std::string_view cause) {
+  if (call.passing) {
+    ports_.to_caller(http::AbortCommand{call.caller});
+  } else {
+    ports_.to_caller(
+        http::RespondCommand{.exchange = call.caller, .status = status});
+  }
+  Finish(call, status, cause);
+}
+
+void OnlineCalls::Finish(OnlineCall& call, unsigned status,
+                         std::string_view outcome) {
+  const Duration age = MonotonicNow() - call.request.received_at;
+  const bool answered = outcome == "answered";
+  metrics_.Add("knap_requests_total", {call.route.name, std::string(outcome)});
+  metrics_.Observe("knap_request_seconds", ToSeconds(age), {call.route.name});
+  const serving::ServerRecord* record = board_.Record(call.server);
+  const auto usage = board_.UsageOf(call.server);
+  Log(answered ? LogLevel::kInfo : LogLevel::kWarning, "request_done",
+      {{"request", call.request_id},
+       {"route", call.route.name},
+       {"status", status},
+       {"outcome", outcome},
+       {"age_ms", ToMillis(age)},
+       {"server", record ? record->address : "-"},
+       {"online", usage.online},
+       {"batch", usage.batch},
+       {"runs", call.runs},
+       {"not_run", call.not_run}});
+  LeaveServer(call);
+  calls_.erase(call.caller);
+}
+
+void OnlineCalls::OnCallerGone(ExchangeId caller) {
+  const auto found = calls_.find(caller);
+  if (found == calls_.end()) return;
+  client_.Cancel(found->second.upstream);
+  Finish(found->second, 0, "caller_gone");
+}
+
+}  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/online_calls.h
@@ -0,0 +1,84 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_ONLINE_CALLS_H_
+#define KNAPWEEDSTILE_GATEWAY_ONLINE_CALLS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "base/rng.h"
+#include "base/time.h"
+#include "http/client.h"
+#include "http/server_command.h"
+#include "http/server_event.h"
+#include "observe/metrics.h"
+#include "online_call.h"
+#include "serving/placement.h"
+#include "serving/route.h"
+#include "serving/slot_board.h"
+
+namespace knapweedstile::gateway {
+
+// Carries online requests to backend servers and their answers back.
+//
+// At most one run: a request that may not be repeated is sent again only when
+// it provably did not run, that is when no connection came about or the
+// backend server said so. After anything else its caller is told 502 or 504,
+// which promise nothing.
+class OnlineCalls {
+ public:
+  struct Ports {
+    std::function<void(http::ServerCommand&&)> to_caller;
+    // Frees the slot of one batch item on a backend server, of this entry when
+    // `entry` is empty.
+    std::function<void(BackendServerId server, const std::string& entry)>
+        displace;
+    // Counts on the slot board have changed.
+    std::function<void()> usage_changed;
+  };
+
+  OnlineCalls(boost::asio::io_context& io, serving::SlotBoard& board,
+              observe::Metrics& metrics, uint64_t seed, Ports ports);
+
+  void Begin(http::RequestEvent&& request, const serving::Route& route);
+  void OnCallerGone(ExchangeId caller);
+  size_t open() const noexcept { return calls_.size(); }
+
+ private:
+  void OnUpstream(http::ClientEvent&& event);
+  void OnHead(OnlineCall& call, http::HeadEvent&& event);
+  void OnBody(OnlineCall& call, http::BodyEvent&& event);
+  void OnEnd(OnlineCall& call, http::EndEvent&& event);
+  void OnComplete(OnlineCall& call);
+  void OnBroken(OnlineCall& call, std::string_view reason);
+
+  void Dispatch(OnlineCall& call);
+  void SendTo(OnlineCall& call, BackendServerId server);
+  // Ends the attempt on the board; the call has no server afterwards.
+  void LeaveServer(OnlineCall& call);
+  // After an attempt that certainly did not run.
+  void RetryNotRun(OnlineCall& call);
+  bool MayRunElsewhere(const OnlineCall& call) const;
+  bool StartPassing(OnlineCall& call);
+  bool PassEvents(OnlineCall& call);
+
+  void Refuse(OnlineCall& call, Duration retry_after, std::string_view cause);
+  void Fail(OnlineCall& call, unsigned status, std::string_view cause);
+  void Finish(OnlineCall& call, unsigned status, std::string_view outcome);
+
+  OnlineCall* FindUpstream(ExchangeId upstream);
+
+  serving::SlotBoard& board_;
+  observe::Metrics& metrics_;
+  Rng rng_;
+  Ports ports_;
+  uint64_t last_upstream_ = 0;
+  std::unordered_map<ExchangeId, OnlineCall> calls_;  // by caller
+  std::unordered_map<ExchangeId, ExchangeId> upstreams_;
+  http::Client client_;
+};
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_ONLINE_CALLS_H_
--- /dev/null
+++ b/libs/gateway/src/peer_link.cc
@@ -0,0 +1,159 @@
+#include "peer_link.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+// Six messages at the slowest pace: fewer would take a few lost datagrams for
+// the end of an entry.
+constexpr std::chrono::milliseconds kSilenceUntilLost{1500};
+constexpr size_t kMaxDatagram = 60000;
+
+std::optional<udp::endpoint> ParseUdp(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  error_code ec;
+  const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+  uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+  if (ec || parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  return udp::endpoint(ip, port);
+}
+
+}  // namespace
+
+PeerLink::PeerLink(asio::io_context& io, std::string name, uint64_t start,
+                   Handlers handlers)
+    : name_(std::move(name)),
+      start_(start),
+      handlers_(std::move(handlers)),
+      socket_(io) {}
+
+Result<bool> PeerLink::Listen(const std::string& ip, uint32_t port) {
+  const auto endpoint = ParseUdp(ip + ":" + std::to_string(port));
+  if (!endpoint) return Fail(ErrorCode::kInvalid, "not an address: " + ip);
+  error_code ec;
+  socket_.open(endpoint->protocol(), ec);
+  if (!ec) socket_.bind(*endpoint, ec);
+  if (!ec) socket_.non_blocking(true, ec);
+  if (ec) return Fail(ErrorCode::kUnavailable, ec.message());
+  Receive();
+  return true;
+}
+
+void PeerLink::SetAddress(const std::string& entry,
+                          const std::string& address) {
+  if (entry == name_) return;
+  const auto endpoint = ParseUdp(address);
+  if (!endpoint) {
+    LogWarning("peer_address_invalid",
+               {{"entry", entry}, {"address", address}});
+    return;
+  }
+  addresses_[entry] = *endpoint;
+}
+
+void PeerLink::RemoveAddress(const std::string& entry) {
+  addresses_.erase(entry);
+}
+
+void PeerLink::Receive() {
+  socket_.async_wait(udp::socket::wait_read, [this](const error_code& ec) {
+    if (ec) return;
+    std::array<char, kMaxDatagram> buffer;
+    while (true) {
+      error_code failed;
+      const size_t count = socket_.receive(asio::buffer(buffer), 0, failed);
+      if (failed == asio::error::would_block) break;
+      // An unreachable peer's refusal shows here as an error of the socket.
+      if (failed) continue;
+      OnDatagram({buffer.data(), count});
+    }
+    Receive();
+  });
+}
+
+void PeerLink::OnDatagram(std::string_view datagram) {
+  const auto state = DecodePeerState(datagram);
+  if (!state || state->entry == name_) return;
+  if (!state->yield_instance.empty()) {
+    return handlers_.yield(state->yield_instance);
+  }
+  const auto [known, is_new] = peers_.try_emplace(state->entry);
+  Peer& peer = known->second;
+  const bool older = std::pair(state->start, state->sequence) <=
+                     std::pair(peer.state.start, peer.state.sequence);
+  if (!is_new && older) return;
+  if (is_new) LogInfo("peer_found", {{"entry", state->entry}});
+  peer.state = *state;
+  peer.expires_at = MonotonicNow() + kSilenceUntilLost;
+  handlers_.state(peer.state);
+}
+
+void PeerLink::SendTo(const udp::endpoint& to, const std::string& datagram) {
+  error_code ec;
+  // Soft state: what is not sent now is in the next message.
+  socket_.send_to(asio::buffer(datagram), to, 0, ec);
+}
+
+void PeerLink::Broadcast(PeerState state) {
+  if (addresses_.empty()) return;
+  state.entry = name_;
+  state.start = start_;
+  state.sequence = ++sequence_;
+  const std::string datagram = EncodePeerState(state);
+  for (const auto& [entry, address] : addresses_) SendTo(address, datagram);
+}
+
+void PeerLink::AskToYield(const std::string& entry,
+                          const std::string& instance) {
+  const auto address = addresses_.find(entry);
+  if (address == addresses_.end()) return;
+  PeerState state;
+  state.entry = name_;
+  state.start = start_;
+  state.sequence = ++sequence_;
+  state.yield_instance = instance;
+  SendTo(address->second, EncodePeerState(state));
+}
+
+void PeerLink::Expire(TimePoint now) {
+  std::vector<std::string> lost;
+  std::erase_if(peers_, [&](const auto& peer) {
+    if (peer.second.expires_at > now) return false;
+    lost.push_back(peer.first);
+    return true;
+  });
+  for (const std::string& entry : lost) {
+    LogInfo("peer_lost", {{"entry", entry}});
+    handlers_.lost(entry);
+  }
+}
+
+std::vector<std::string> PeerLink::WorkingEntries() const {
+  std::vector<std::string> entries;
+  for (const auto& [entry, peer] : peers_) {
+    if (!peer.state.draining) entries.push_back(entry);
+  }
+  return entries;
+}
+
+bool PeerLink::RunsElsewhere(uint64_t item) const {
+  return std::any_of(peers_.begin(), peers_.end(), [item](const auto& peer) {
+    const auto& items = peer.second.state.running_items;
+    return std::find(items.begin(), items.end(), item) != items.end();
+  });
+}
+
+}  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/peer_link.h
@@ -0,0 +1,70 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_PEER_LINK_H_
+#define KNAPWEEDSTILE_GATEWAY_PEER_LINK_H_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "peer_state.h"
+
+namespace knapweedstile::gateway {
+
+// Datagrams between entries: who uses which slots, who runs which batch items,
+// who is alive. Soft state that expires; nothing is agreed on by it.
+class PeerLink {
+ public:
+  struct Handlers {
+    std::function<void(const PeerState&)> state;
+    std::function<void(const std::string& instance)> yield;
+    std::function<void(const std::string& entry)> lost;
+  };
+
+  PeerLink(boost::asio::io_context& io, std::string name, uint64_t start,
+           Handlers handlers);
+
+  Result<bool> Listen(const std::string& ip, uint32_t port);
+  // The other entries as they registered themselves: name to "IP:PORT".
+  void SetAddress(const std::string& entry, const std::string& address);
+  void RemoveAddress(const std::string& entry);
+
+  // Sends the own state to every entry. `state` needs no name and number.
+  void Broadcast(PeerState state);
+  void AskToYield(const std::string& entry, const std::string& instance);
+  // Forgets entries that fell silent.
+  void Expire(TimePoint now);
+
+  // Entries heard of lately that take new batch work, without the own one.
+  std::vector<std::string> WorkingEntries() const;
+  // Whether another live entry runs the item.
+  bool RunsElsewhere(uint64_t item) const;
+  size_t address_count() const noexcept { return addresses_.size(); }
+
+ private:
+  struct Peer {
+    PeerState state;
+    TimePoint expires_at{};
+  };
+
+  void Receive();
+  void OnDatagram(std::string_view datagram);
+  void SendTo(const boost::asio::ip::udp::endpoint& to,
+              const std::string& datagram);
+
+  std::string name_;
+  uint64_t start_;
+  Handlers handlers_;
+  uint64_t sequence_ = 0;
+  boost::asio::ip::udp::socket socket_;
+  std::map<std::string, boost::asio::ip::udp::endpoint> addresses_;
+  std::map<std::string, Peer> peers_;
+};
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_PEER_LINK_H_
--- /dev/null
+++ b/libs/gateway/src/peer_state.h
@@ -0,0 +1,36 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_PEER_STATE_H_
+#define KNAPWEEDSTILE_GATEWAY_PEER_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "serving/server_usage.h"
+
+namespace knapweedstile::gateway {
+
+// What one entry tells the others, whole in each message: a lost datagram is
+// made good by the next.
+struct PeerState {
+  std::string entry;
+  uint64_t start = 0;     // a later start of the same entry has a higher one
+  uint64_t sequence = 0;  // of this message, within one start
+  bool draining = false;  // starts no new batch items
+  // Requests outstanding, by backend server instance.
+  std::map<std::string, serving::ServerUsage> usage;
+  // Batch items that this entry runs, as hashes of their ids.
+  std::vector<uint64_t> running_items;
+  // Not empty: the receiver is asked to give up the slot of one batch item on
+  // this backend server.
+  std::string yield_instance;
+};
+
+std::string EncodePeerState(const PeerState& state);
+std::optional<PeerState> DecodePeerState(std::string_view datagram);
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_PEER_STATE_H_
--- /dev/null
+++ b/libs/gateway/src/result_committer.cc
@@ -0,0 +1,148 @@
+#include "result_committer.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "job_records.h"
+#include "platform/store_request.h"
+#include "store_calls.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+using platform::StoreAnswer;
+using platform::StoreOutcome;
+using serving::ItemResult;
+
+// Items of a job end a few a second; a write for each would cost more calls
+// than readers, who ask twice a second, could notice.
+constexpr std::chrono::milliseconds kGatherTime{250};
+constexpr std::chrono::milliseconds kRetryPause{250};
+// A slow store takes a quarter of a second.
+constexpr std::chrono::milliseconds kWriteTimeout{1500};
+// Below the store's limit on a value, with room for escapes.
+constexpr size_t kMaxSegmentBytes = 600 << 10;
+
+// As many results as one segment holds; at least one.
+std::vector<ItemResult> Fitting(std::vector<ItemResult>&& results) {
+  size_t bytes = 0;
+  size_t count = 0;
+  while (count < results.size()) {
+    bytes += results[count].output.size() + results[count].item.size();
+    if (count > 0 && bytes > kMaxSegmentBytes) break;
+    ++count;
+  }
+  results.resize(count);
+  return std::move(results);
+}
+
+}  // namespace
+
+ResultCommitter::ResultCommitter(
+    StoreCalls& store, serving::JobBook& book,
+    std::function<void(const std::string&)> committed)
+    : store_(store), book_(book), committed_(std::move(committed)) {}
+
+void ResultCommitter::Note(const std::string& job, TimePoint now) {
+  const auto [pending, is_new] = pending_.try_emplace(job);
+  if (is_new) pending->second.write_at = now + kGatherTime;
+}
+
+void ResultCommitter::Run(TimePoint now) {
+  for (auto at = pending_.begin(); at != pending_.end();) {
+    Pending& pending = at->second;
+    const std::string& job = at->first;
+    if (pending.in_flight || pending.write_at > now) {
+      ++at;
+      continue;
+    }
+    const serving::BatchJob* known = book_.Find(job);
+    if (!known || known->ended || book_.Uncommitted(job).empty()) {
+      at = pending_.erase(at);
+      continue;
+    }
+    Write(job, pending);
+    ++at;
+  }
+}
+
+void ResultCommitter::Write(const std::string& job, Pending& pending) {
+  pending.in_flight = true;
+  pending.number = book_.Find(job)->segments;
+  pending.results = Fitting(book_.Uncommitted(job));
+  store_.Call(
+      platform::WriteRequest{.kind = kOwnKind,
+                             .name = SegmentName(job, pending.number),
+                             .if_version = 0,
+                             .value = EncodeSegment(pending.results)},
+      MonotonicNow() + kWriteTimeout,
+      [this, job](StoreAnswer&& answer) { OnWritten(job, std::move(answer)); });
+}
+
+void ResultCommitter::OnWritten(const std::string& job, StoreAnswer&& answer) {
+  Pending& pending = pending_[job];
+  switch (answer.outcome) {
+    case StoreOutcome::kOk:
+      return Adopt(job, pending.number, std::move(pending.results));
+    case StoreOutcome::kConflict:
+    case StoreOutcome::kUnknown:
+      return ReadBack(job, pending.number);
+    default:
+      LogWarning("commit_postponed", {{"job", job},
+                                      {"segment", pending.number},
+                                      {"outcome", NameOf(answer.outcome)},
+                                      {"reason", answer.message}});
+      return TryLater(job);
+  }
+}
+
+void ResultCommitter::ReadBack(const std::string& job, uint32_t number) {
+  store_.Call(
+      platform::ReadRequest{.kind = kOwnKind, .name = SegmentName(job, number)},
+      MonotonicNow() + kWriteTimeout,
+      [this, job, number](StoreAnswer&& answer) {
+        OnReadBack(job, number, std::move(answer));
+      });
+}
+
+void ResultCommitter::OnReadBack(const std::string& job, uint32_t number,
+                                 StoreAnswer&& answer) {
+  if (answer.outcome != StoreOutcome::kOk || answer.objects.empty()) {
+    return TryLater(job);
+  }
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(results, DecodeSegment(answer.objects.front().value));
+        Adopt(job, number, std::move(results));
+        return {};
+      },
+      [&](const Error& error) {
+        LogError(
+            "segment_invalid",
+            {{"job", job}, {"segment", number}, {"reason", error.message}});
+        TryLater(job);
+      },
+      [&] { TryLater(job); });
+}
+
+void ResultCommitter::Adopt(const std::string& job, uint32_t number,
+                            std::vector<ItemResult>&& results) {
+  LogInfo("segment_committed",
+          {{"job", job}, {"segment", number}, {"results", results.size()}});
+  book_.AddSegment(job, number, std::move(results));
+  Pending& pending = pending_[job];
+  pending.in_flight = false;
+  pending.results.clear();
+  pending.write_at = MonotonicNow() + kGatherTime;
+  committed_(job);
+}
+
+void ResultCommitter::TryLater(const std::string& job) {
+  Pending& pending = pending_[job];
+  pending.in_flight = false;
+  pending.write_at = MonotonicNow() + kRetryPause;
+}
+
+}  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/result_committer.h
@@ -0,0 +1,61 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_RESULT_COMMITTER_H_
+#define KNAPWEEDSTILE_GATEWAY_RESULT_COMMITTER_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "platform/store_answer.h"
+#include "serving/item_result.h"
+#include "serving/job_book.h"
+
+namespace knapweedstile::gateway {
+
+class StoreCalls;
+
+// Writes finished items' results to the store as numbered segments.
+//
+// A segment is created only if its number is free, and only by a process that
+// knows all earlier ones, so of two processes that ran the same item one
+// commits it and the other sees it listed. A write whose answer was lost is
+// read back before anything else is decided.
+class ResultCommitter {
+ public:
+  ResultCommitter(StoreCalls& store, serving::JobBook& book,
+                  std::function<void(const std::string& job)> committed);
+
+  // An item of the job has finished.
+  void Note(const std::string& job, TimePoint now);
+  // Starts the writes that are due.
+  void Run(TimePoint now);
+  // Results that are not in the store yet.
+  bool idle() const noexcept { return pending_.empty(); }
+
+ private:
+  struct Pending {
+    TimePoint write_at{};
+    bool in_flight = false;
+    uint32_t number = 0;  // of the segment in flight
+    std::vector<serving::ItemResult> results;
+  };
+
+  void Write(const std::string& job, Pending& pending);
+  void OnWritten(const std::string& job, platform::StoreAnswer&& answer);
+  void ReadBack(const std::string& job, uint32_t number);
+  void OnReadBack(const std::string& job, uint32_t number,
+                  platform::StoreAnswer&& answer);
+  void Adopt(const std::string& job, uint32_t number,
+             std::vector<serving::ItemResult>&& results);
+  void TryLater(const std::string& job);
+
+  StoreCalls& store_;
+  serving::JobBook& book_;
+  std::function<void(const std::string&)> committed_;
+  std::map<std::string, Pending> pending_;  // by job
+};
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_RESULT_COMMITTER_H_
--- /dev/null
+++ b/libs/gateway/src/server_directory.cc
@@ -0,0 +1,89 @@
+#include "server_directory.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <set>
+#include <utility>
+
+#include "base/log.h"
+#include "users_platform/configuration.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+// Live servers are back within two seconds of the store's return.
+constexpr std::chrono::milliseconds kReturnTime{2100};
+
+bool SameRecord(const serving::ServerRecord& a,
+                const serving::ServerRecord& b) {
+  return a.service == b.service && a.address == b.address &&
+         a.draining == b.draining && a.slots == b.slots;
+}
+
+}  // namespace
+
+void ServerDirectory::Adopt(const platform::StoredObject& object) {
+  missing_.erase(object.name);
+  serving::ServerRecord record;
+  const bool valid = boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_AUTO(parsed,
+                        users_platform::ParseServer(object.name, object.value));
+        record = std::move(parsed);
+        return true;
+      },
+      [&](const Error& error) {
+        LogWarning("server_entry_invalid",
+                   {{"instance", object.name}, {"reason", error.message}});
+        return false;
+      },
+      [] { return false; });
+  if (!valid) return;
+  const auto known = known_.find(object.name);
+  if (known != known_.end() && SameRecord(known->second, record)) return;
+  LogInfo("server_changed", {{"instance", record.instance},
+                             {"service", record.service},
+                             {"address", record.address},
+                             {"draining", record.draining},
+                             {"revision", object.version}});
+  board_.Upsert(record);
+  known_[object.name] = std::move(record);
+}
+
+void ServerDirectory::Drop(const std::string& instance, TimePoint now,
+                           TimePoint store_regained) {
+  if (!known_.contains(instance) || missing_.contains(instance)) return;
+  missing_[instance] = std::max(now, store_regained + kReturnTime);
+  Expire(now);
+}
+
+void ServerDirectory::OnListed(std::vector<platform::StoredObject>&& objects,
+                               TimePoint now, TimePoint store_regained) {
+  std::set<std::string> present;
+  for (const platform::StoredObject& object : objects) {
+    present.insert(object.name);
+    Adopt(object);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [instance, record] : known_) {
+    if (!present.contains(instance)) gone.push_back(instance);
+  }
+  for (const std::string& instance : gone) Drop(instance, now, store_regained);
+}
+
+void ServerDirectory::OnChanged(platform::StoredObject&& object, TimePoint now,
+                                TimePoint store_regained) {
+  if (object.deleted) return Drop(object.name, now, store_regained);
+  Adopt(object);
+}
+
+void ServerDirectory::Expire(TimePoint now) {
+  std::erase_if(missing_, [&](const auto& entry) {
+    if (entry.second > now) return false;
+    LogInfo("server_gone", {{"instance", entry.first}});
+    board_.Remove(entry.first);
+    known_.erase(entry.first);
+    return true;
+  });
+}
+
+}  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/server_directory.h
@@ -0,0 +1,46 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_SERVER_DIRECTORY_H_
+#define KNAPWEEDSTILE_GATEWAY_SERVER_DIRECTORY_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "platform/store_answer.h"
+#include "serving/server_record.h"
+#include "serving/slot_board.h"
+
+namespace knapweedstile::gateway {
+
+// Brings the backend servers' own entries onto the slot board.
+//
+// Failure guarded against: entries lapse while the store is away, though their
+// servers live; dropping them at its return would leave the fleet without
+// servers until they are written again. An entry that is missing just after an
+// outage is therefore kept until the time in which a live server is back.
+class ServerDirectory {
+ public:
+  explicit ServerDirectory(serving::SlotBoard& board) : board_(board) {}
+
+  void OnListed(std::vector<platform::StoredObject>&& objects, TimePoint now,
+                TimePoint store_regained);
+  void OnChanged(platform::StoredObject&& object, TimePoint now,
+                 TimePoint store_regained);
+  // Removes what is still missing once its time has come.
+  void Expire(TimePoint now);
+
+  size_t size() const noexcept { return known_.size(); }
+
+ private:
+  void Adopt(const platform::StoredObject& object);
+  void Drop(const std::string& instance, TimePoint now,
+            TimePoint store_regained);
+
+  serving::SlotBoard& board_;
+  std::map<std::string, serving::ServerRecord> known_;
+  std::map<std::string, TimePoint> missing_;  // removed from then on
+};
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_SERVER_DIRECTORY_H_
--- /dev/null
+++ b/libs/gateway/src/store_calls.cc
@@ -0,0 +1,54 @@
+#include "store_calls.h"
+
+#include <utility>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+namespace knapweedstile::gateway {
+
+using platform::StoreAnswer;
+using platform::StoreOutcome;
+
+StoreCalls::StoreCalls(boost::asio::io_context& io, const std::string& address)
+    : available_since_(MonotonicNow()),
+      client_(io, address,
+              [this](StoreAnswer&& answer) { OnAnswer(std::move(answer)); }) {}
+
+void StoreCalls::Call(platform::StoreCall&& call, TimePoint deadline,
+                      Callback callback) {
+  const uint64_t token = ++last_token_;
+  callbacks_.emplace(token, std::move(callback));
+  client_.Call({.token = token, .call = std::move(call), .deadline = deadline});
+}
+
+void StoreCalls::WriteStatus(const std::string& kind, const std::string& name,
+                             uint64_t if_version, const std::string& value,
+                             TimePoint deadline, Callback callback) {
+  const uint64_t token = ++last_token_;
+  callbacks_.emplace(token, std::move(callback));
+  client_.WriteStatus(token, kind, name, if_version, value, deadline);
+}
+
+void StoreCalls::OnAnswer(StoreAnswer&& answer) {
+  Learn(answer);
+  auto found = callbacks_.extract(answer.token);
+  if (!found.empty()) found.mapped()(std::move(answer));
+}
+
+void StoreCalls::Learn(const StoreAnswer& answer) {
+  const bool failed = answer.outcome == StoreOutcome::kNotSent ||
+                      answer.outcome == StoreOutcome::kUnknown ||
+                      answer.outcome == StoreOutcome::kThrottled;
+  if (available_ != failed) return;
+  available_ = !failed;
+  if (failed) {
+    LogWarning("store_lost", {{"outcome", NameOf(answer.outcome)},
+                              {"reason", answer.message}});
+  } else {
+    available_since_ = MonotonicNow();
+    LogInfo("store_regained");
+  }
+}
+
+}  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/store_role.h
@@ -0,0 +1,34 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_STORE_ROLE_H_
+#define KNAPWEEDSTILE_GATEWAY_STORE_ROLE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+
+#include "gateway/gateway_settings.h"
+#include "kind_mirror.h"
+#include "platform/store_answer.h"
+#include "store_calls.h"
+
+namespace knapweedstile::gateway {
+
+// The process on a VM with a disk: it keeps nothing there, so a VM that is to
+// be emptied is reported empty as soon as the operators ask.
+class StoreRole {
+ public:
+  StoreRole(boost::asio::io_context& io, const GatewaySettings& settings);
+  void Start() { mirror_.Start(); }
+
+ private:
+  void OnRequest(const platform::StoredObject& object);
+  void Report(uint64_t version);
+
+  boost::asio::io_context& io_;
+  std::string name_;
+  StoreCalls store_;
+  KindMirror mirror_;
+  bool reported_ = false;
+};
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_STORE_ROLE_H_
--- a/libs/http/include/http/client_settings.h
+++ b/libs/http/include/http/client_settings.h
@@ -9,6 +9,10 @@
 struct ClientSettings {
   std::chrono::milliseconds connect_timeout{1000};
   std::chrono::milliseconds idle_timeout{20000};
+  // A connection whose other end acknowledges nothing for about this long is
+  // cut; zero leaves it to the kernel, which takes minutes. Guards against
+  // connections that go silent without a reset: nothing else shows it.
+  std::chrono::milliseconds silence_timeout{0};
   uint32_t max_idle_per_address = 64;
   uint64_t max_response_bytes = 64 << 20;
 };
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDSTILE_HTTP_SERVER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -33,6 +34,13 @@
   // Listens on `address` ("IP:PORT", port 0 picks one); the port bound.
   Result<uint16_t> Listen(const std::string& address);
   void Execute(ServerCommand&& command);
+  // Limits for requests that begin from now on.
+  void SetLimits(uint32_t max_header_bytes, uint64_t max_body_bytes,
+                 std::chrono::milliseconds header_timeout,
+                 std::chrono::milliseconds idle_timeout);
+  // From now on every response asks its caller to leave: `Connection: close`.
+  // New connections are still taken, for callers that do not know yet.
+  void BeginDraining();
   // Graceful shutdown: stops listening, answers what is in flight with
   // `Connection: close`, closes idle connections.
   void StopAccepting();
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -40,6 +40,7 @@
   ClientPhase phase = ClientPhase::kConnecting;
   std::string address;
   TimePoint deadline = kNever;  // of the phase
+  Duration idle_limit{};        // how long it may wait in the pool
   bool read_waiting = false;
   bool write_waiting = false;
 
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -1,8 +1,13 @@
 #include "client_impl.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
+#include <charconv>
 #include <utility>
 
 #include "base/clock.h"
@@ -21,6 +26,36 @@
 
 bool IsInterim(unsigned status) noexcept { return status / 100 == 1; }
 
+// Keep-alive probes and TCP_USER_TIMEOUT: the first finds silence on a
+// connection that waits, the second on one that has unacknowledged bytes.
+void CutWhenSilent(asio::ip::tcp::socket& socket,
+                   std::chrono::milliseconds silence) {
+  if (silence.count() == 0) return;
+  constexpr int kProbes = 2;
+  const int seconds = std::max<int>(
+      1, static_cast<int>(silence.count() / 1000 / (kProbes + 1)));
+  const int millis = static_cast<int>(silence.count());
+  const int fd = socket.native_handle();
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof(millis));
+}
+
+// How long the server says that it keeps an idle connection, halved: a request
+// that crosses the server's close would be lost.
+Duration AnnouncedIdleTime(const beast_http::fields& fields) {
+  const auto field = fields[beast_http::field::keep_alive];
+  const std::string_view text(field.data(), field.size());
+  constexpr std::string_view kTimeout = "timeout=";
+  const size_t at = text.find(kTimeout);
+  if (at == std::string_view::npos) return Duration::max();
+  uint32_t seconds = 0;
+  std::from_chars(text.data() + at + kTimeout.size(), text.data() + text.size(),
+                  seconds);
+  return std::chrono::milliseconds(500) * seconds;
+}
+
 }  // namespace
 
 Client::Impl::Impl(asio::io_context& io, const ClientSettings& settings,
@@ -143,6 +178,7 @@
   connection.socket.non_blocking(true, ec);
   connection.socket.set_option(asio::ip::tcp::no_delay(true), ec);
   connection.socket.set_option(asio::socket_base::keep_alive(true), ec);
+  CutWhenSilent(connection.socket, settings_.silence_timeout);
   BeginExchange(connection);
 }
 
@@ -271,6 +307,8 @@
                  .body = std::move(message.body())};
   const bool reusable = message.keep_alive() && connection.out.empty() &&
                         connection.unparsed.empty();
+  connection.idle_limit =
+      std::min<Duration>(settings_.idle_timeout, AnnouncedIdleTime(message));
   exchanges_.erase(connection.exchange);
   if (reusable) {
     Release(connection);
@@ -290,7 +328,7 @@
   connection.parser.reset();
   connection.phase = ClientPhase::kIdle;
   pool.push_back(connection.id);
-  SetDeadline(connection, MonotonicNow() + settings_.idle_timeout);
+  SetDeadline(connection, MonotonicNow() + connection.idle_limit);
 }
 
 void Client::Impl::Fail(Connection& connection, std::string message,
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -18,6 +18,15 @@
   impl_->Execute(std::move(command));
 }
 
+void Server::SetLimits(uint32_t max_header_bytes, uint64_t max_body_bytes,
+                       std::chrono::milliseconds header_timeout,
+                       std::chrono::milliseconds idle_timeout) {
+  impl_->SetLimits(max_header_bytes, max_body_bytes, header_timeout,
+                   idle_timeout);
+}
+
+void Server::BeginDraining() { impl_->BeginDraining(); }
+
 void Server::StopAccepting() { impl_->StopAccepting(); }
 
 void Server::Close() { impl_->Close(); }
--- a/libs/http/src/server_impl.cc
+++ b/libs/http/src/server_impl.cc
@@ -295,7 +295,7 @@
 void Server::Impl::Run(RespondCommand&& command) {
   Connection* connection = FindExchange(command.exchange);
   if (!connection || connection->phase != ServerPhase::kPending) return;
-  if (stopping_) connection->keep_alive = false;
+  if (draining_) connection->keep_alive = false;
   const bool no_body = HasNoBody(command.status);
   connection->out += ResponseHead(command.status, command.headers,
                                   {.version = connection->version,
@@ -312,7 +312,7 @@
   if (!connection || connection->phase != ServerPhase::kPending) return;
   connection->chunked = connection->version >= 11;
   // An HTTP/1.0 caller sees the end of a stream only by the connection's end.
-  if (stopping_ || !connection->chunked) connection->keep_alive = false;
+  if (draining_ || !connection->chunked) connection->keep_alive = false;
   connection->out += ResponseHead(command.status, command.headers,
                                   {.version = connection->version,
                                    .keep_alive = connection->keep_alive,
@@ -499,10 +499,20 @@
   if (!connections_.empty()) ArmSweep();
 }
 
+void Server::Impl::SetLimits(uint32_t max_header_bytes, uint64_t max_body_bytes,
+                             std::chrono::milliseconds header_timeout,
+                             std::chrono::milliseconds idle_timeout) {
+  settings_.max_header_bytes = max_header_bytes;
+  settings_.max_body_bytes = max_body_bytes;
+  settings_.header_timeout = header_timeout;
+  settings_.idle_timeout = idle_timeout;
+}
+
 void Server::Impl::StopAccepting() {
   if (stopping_) return;
   // Connections that the kernel has already accepted would be reset.
   AcceptWaiting();
+  draining_ = true;
   stopping_ = true;
   error_code ec;
   acceptor_.close(ec);
--- a/libs/http/src/server_impl.h
+++ b/libs/http/src/server_impl.h
@@ -26,6 +26,10 @@
 
   Result<uint16_t> Listen(const std::string& address);
   void Execute(ServerCommand&& command);
+  void SetLimits(uint32_t max_header_bytes, uint64_t max_body_bytes,
+                 std::chrono::milliseconds header_timeout,
+                 std::chrono::milliseconds idle_timeout);
+  void BeginDraining() noexcept { draining_ = true; }
   void StopAccepting();
   void Close();
 
@@ -84,6 +88,7 @@
   boost::asio::steady_timer sweep_timer_;
   bool sweep_armed_ = false;
   bool accept_failed_ = false;
+  bool draining_ = false;
   bool stopping_ = false;
   uint64_t last_connection_ = 0;
   uint64_t last_exchange_ = 0;
--- a/libs/platform/include/platform/store_answer.h
+++ b/libs/platform/include/platform/store_answer.h
@@ -20,6 +20,7 @@
   kThrottled,  // over the quota: it did not take effect; come back later
   kRejected,   // the platform refuses it for good (too large, malformed)
   kUnknown,    // the answer is missing: it may have taken effect
+  kCompacted,  // watch: the history asked for is gone; list again
 };
 
 enum class VmState { kLive, kLeaving };
@@ -58,10 +59,10 @@
 namespace knapweedstile {
 
 template <>
-inline constexpr std::array<std::string_view, 7>
+inline constexpr std::array<std::string_view, 8>
     kEnumNames<platform::StoreOutcome> = {"ok",       "conflict",  "not_found",
                                           "not_sent", "throttled", "rejected",
-                                          "unknown"};
+                                          "unknown",  "compacted"};
 template <>
 inline constexpr std::array<std::string_view, 2> kEnumNames<platform::VmState> =
     {"live", "leaving"};
--- /dev/null
+++ b/libs/serving/include/serving/item_progress.h
@@ -0,0 +1,34 @@
+#ifndef KNAPWEEDSTILE_SERVING_ITEM_PROGRESS_H_
+#define KNAPWEEDSTILE_SERVING_ITEM_PROGRESS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+
+namespace knapweedstile::serving {
+
+enum class ItemPhase {
+  kWaiting,   // may be started from `not_before` on
+  kRunning,   // at a backend server, for this entry
+  kFinished,  // its result waits to be committed
+  kListed,    // its result is committed
+};
+
+// What one entry has done for one item. Lost with the entry's process: the item
+// then runs again, and the first commit of its result counts.
+struct ItemProgress {
+  ItemPhase phase = ItemPhase::kWaiting;
+  TimePoint not_before{};
+  uint32_t failures = 0;  // answers that count against its attempts
+  uint32_t breaks = 0;    // runs that ended without an answer or progress
+  // Output so far and the id of its last event: a displaced or broken run goes
+  // on after it.
+  std::string output;
+  std::optional<uint64_t> last_event;
+};
+
+}  // namespace knapweedstile::serving
+
+#endif  // KNAPWEEDSTILE_SERVING_ITEM_PROGRESS_H_
--- /dev/null
+++ b/libs/serving/include/serving/job_book.h
@@ -0,0 +1,75 @@
+#ifndef KNAPWEEDSTILE_SERVING_JOB_BOOK_H_
+#define KNAPWEEDSTILE_SERVING_JOB_BOOK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "serving/batch_job.h"
+#include "serving/item_ref.h"
+
+namespace knapweedstile::serving {
+
+// All batch jobs as one entry knows them: what the platform's store holds, and
+// the progress of this entry's own runs. No network, clock or thread.
+//
+// Results are kept as numbered segments of a job. Segment n may be added only
+// after segments 0 to n - 1, and each segment is created once in the store, so
+// a position of a job never changes and no item is listed twice, whoever ran
+// it. Load pattern: jobs of some ten items that are due in seconds, beside jobs
+// that can wait; without the order by due time a late job's items hold the
+// slots that an earlier one needs.
+class JobBook {
+ public:
+  // Commands: what the store holds.
+  // A job that is known already stays as it is.
+  void AddJob(BatchJob&& job);
+  // False when an earlier segment is missing; the segment is then kept until
+  // it can be added.
+  bool AddSegment(const std::string& job, uint32_t number,
+                  std::vector<ItemResult>&& results);
+  void EndJob(const std::string& job);
+  void Forget(const std::string& job);
+
+  // Commands: this entry's runs.
+  void SetRunning(const ItemRef& item);
+  // The run ended without a result; it may start again from `not_before` on.
+  void SetWaiting(const ItemRef& item, TimePoint not_before);
+  // The item's outcome is known and waits to be committed.
+  void SetFinished(const ItemRef& item, ItemState state);
+
+  // Queries.
+  const BatchJob* Find(std::string_view job) const;
+  BatchJob* Find(std::string_view job);
+  // Tokens of the open jobs' items on a route that have no result yet.
+  uint64_t WaitingTokens(std::string_view route) const;
+  // The item to start next: of the earliest due open job for which `mine` is
+  // true, the first waiting item that `free` allows.
+  std::optional<ItemRef> NextItem(
+      TimePoint now, const std::function<bool(const BatchJob&)>& mine,
+      const std::function<bool(const BatchItem&)>& free) const;
+  // Finished items of a job that are not committed yet.
+  std::vector<ItemResult> Uncommitted(const std::string& job) const;
+  const std::map<std::string, BatchJob, std::less<>>& jobs() const noexcept {
+    return jobs_;
+  }
+
+ private:
+  void Apply(BatchJob& job, std::vector<ItemResult>&& results);
+
+  std::map<std::string, BatchJob, std::less<>> jobs_;
+  // Segments and ends that came before their job or an earlier segment.
+  std::map<std::string, std::map<uint32_t, std::vector<ItemResult>>> early_;
+  std::map<std::string, bool> early_ends_;
+  // States of finished items that wait for their commit.
+  std::map<std::string, std::map<uint32_t, ItemState>> finished_;
+};
+
+}  // namespace knapweedstile::serving
+
+#endif  // KNAPWEEDSTILE_SERVING_JOB_BOOK_H_
--- /dev/null
+++ b/libs/serving/include/serving/route.h
@@ -0,0 +1,62 @@
+#ifndef KNAPWEEDSTILE_SERVING_ROUTE_H_
+#define KNAPWEEDSTILE_SERVING_ROUTE_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/enum_names.h"
+#include "serving/service_share.h"
+
+namespace knapweedstile::serving {
+
+// What may be repeated on a route, and what form its answers have.
+enum class RouteKind {
+  kIdempotent,     // may run any number of times
+  kNonIdempotent,  // at most one run for each request
+  kStream,         // answered by server-sent events
+  kBatch,          // jobs of many items, run later
+};
+
+// One line of the operators' routing table.
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  // begins and ends with a slash
+  RouteKind kind = RouteKind::kNonIdempotent;
+  std::vector<ServiceShare> services;  // at least one
+  // Longest time that a request may be kept waiting.
+  std::chrono::milliseconds timeout{5000};
+  // An answer within this time is on time (streams: the first event; batch:
+  // the acceptance).
+  std::chrono::milliseconds latency_objective{1000};
+  uint32_t max_attempts = 1;  // backend servers that may run one request
+  uint32_t priority = 0;      // zero is the most urgent
+  // A broken stream may go on at another backend server.
+  bool resumable = false;
+  // Batch: all results are due this long after the job was first sent.
+  std::chrono::milliseconds completion_objective{60000};
+  // Batch: an item may be given up this long after the job was first sent.
+  std::chrono::milliseconds item_ttl{60000};
+  // Batch: tokens of unfinished items over the whole fleet; zero: no limit.
+  uint64_t max_waiting_tokens = 0;
+
+  // Whether a request may be sent again after it may have run.
+  bool MayRunAgain() const noexcept { return kind == RouteKind::kIdempotent; }
+};
+
+}  // namespace knapweedstile::serving
+
+namespace knapweedstile {
+
+template <>
+inline constexpr std::array<std::string_view, 4>
+    kEnumNames<serving::RouteKind> = {"idempotent", "non_idempotent", "stream",
+                                      "batch"};
+
+}  // namespace knapweedstile
+
+#endif  // KNAPWEEDSTILE_SERVING_ROUTE_H_
--- /dev/null
+++ b/libs/serving/include/serving/server_record.h
@@ -0,0 +1,22 @@
+#ifndef KNAPWEEDSTILE_SERVING_SERVER_RECORD_H_
+#define KNAPWEEDSTILE_SERVING_SERVER_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+namespace knapweedstile::serving {
+
+// A backend server as it registers itself. Each start of it has a new
+// `instance`; an address may later belong to another service.
+struct ServerRecord {
+  std::string instance;
+  std::string service;
+  std::string address;  // "IP:PORT"
+  std::string availability_zone;
+  uint32_t slots = 1;     // requests that run at once
+  bool draining = false;  // leaving: must get no new work
+};
+
+}  // namespace knapweedstile::serving
+
+#endif  // KNAPWEEDSTILE_SERVING_SERVER_RECORD_H_
--- /dev/null
+++ b/libs/serving/include/serving/slot_board.h
@@ -0,0 +1,123 @@
+#ifndef KNAPWEEDSTILE_SERVING_SLOT_BOARD_H_
+#define KNAPWEEDSTILE_SERVING_SLOT_BOARD_H_
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/id.h"
+#include "base/rng.h"
+#include "base/time.h"
+#include "base/traffic_class.h"
+#include "serving/placement.h"
+#include "serving/server_record.h"
+#include "serving/server_usage.h"
+#include "serving/slot_board_settings.h"
+
+namespace knapweedstile::serving {
+
+// Who uses which backend server's slots, over all entries, and where the next
+// request goes. No network, clock or thread: events and the time come in.
+//
+// Load pattern: online traffic that steps within milliseconds from a third to
+// twice its mean, beside batch items that hold a slot for seconds, on backend
+// servers that admit in order of arrival. Without the board an online request
+// joins a queue behind batch items: seconds instead of milliseconds to its
+// first token.
+//
+// - Online takes the least used backend server with a free slot; ties go to the
+//   own availability zone, then by lot, so that entries do not herd.
+// - With no free slot it takes a batch item's slot. With none of those either
+//   it queues only as long as its latency objective allows, and is refused at
+//   once beyond that, with the time at which the queue will have moved.
+// - Batch starts only where a reserve of free slots remains.
+class SlotBoard {
+ public:
+  SlotBoard(SlotBoardSettings settings, std::string own_zone, uint64_t seed);
+
+  // Commands: what is known of the backend servers.
+  void Upsert(const ServerRecord& record);
+  void Remove(std::string_view instance);
+  // Keeps only the given instances.
+  void Retain(std::span<const ServerRecord> records);
+
+  // Commands: requests of this entry.
+  void Started(BackendServerId server, TrafficClass traffic);
+  void Ended(BackendServerId server, TrafficClass traffic);
+  void ObserveDuration(BackendServerId server, Duration duration);
+  void ReportUnreachable(BackendServerId server, TimePoint now);
+  void ReportFull(BackendServerId server, TimePoint now);
+  void ReportGood(BackendServerId server);
+
+  // Commands: what other entries have outstanding, by instance.
+  void ReportEntry(const std::string& entry,
+                   const std::map<std::string, ServerUsage>& usage,
+                   TimePoint now);
+  void DropEntry(const std::string& entry);
+  void ExpireReports(TimePoint now);
+
+  // Decisions. PlaceOnline counts a displaced item of another entry as gone.
+  Placement PlaceOnline(std::string_view service, Duration objective,
+                        std::span<const BackendServerId> excluded,
+                        TimePoint now);
+  // Zero when no backend server has room beyond the reserve.
+  BackendServerId PlaceBatch(std::string_view service, TimePoint now);
+
+  // Queries.
+  const ServerRecord* Record(BackendServerId server) const;
+  BackendServerId Find(std::string_view instance) const;
+  // What this entry has outstanding, by instance; idle ones are left out.
+  std::map<std::string, ServerUsage> OwnUsage() const;
+  ServerUsage UsageOf(BackendServerId server) const;
+  size_t server_count() const noexcept { return servers_.size(); }
+
+ private:
+  struct Server {
+    BackendServerId id;
+    ServerRecord record;
+    ServerUsage own;
+    ServerUsage others;  // sum of the live reports
+    TimePoint avoid_until{};
+    uint32_t failures = 0;
+    bool gone = false;  // no longer registered; kept while requests run
+
+    uint32_t online() const noexcept { return own.online + others.online; }
+    uint32_t batch() const noexcept { return own.batch + others.batch; }
+    uint32_t total() const noexcept { return online() + batch(); }
+  };
+  struct Report {
+    std::map<std::string, ServerUsage> usage;
+    TimePoint expires_at{};
+  };
+
+  bool Usable(const Server& server, std::string_view service,
+              std::span<const BackendServerId> excluded) const;
+  // Least used first, then the own zone, then by lot.
+  bool Better(const Server& a, uint32_t use_a, const Server& b, uint32_t use_b);
+  Server* LeastUsed(std::string_view service,
+                    std::span<const BackendServerId> excluded, TimePoint now);
+  Server* MostBatch(std::string_view service,
+                    std::span<const BackendServerId> excluded, TimePoint now);
+  Placement Displace(Server& server);
+  Placement Queue(Server& server, Duration objective);
+  void SumReports();
+  void Avoid(Server& server, Duration time, TimePoint now);
+  Server* FindServer(BackendServerId id);
+
+  SlotBoardSettings settings_;
+  std::string own_zone_;
+  Rng rng_;
+  uint64_t last_id_ = 0;
+  std::map<BackendServerId, Server> servers_;
+  std::unordered_map<std::string, BackendServerId> by_instance_;
+  std::map<std::string, Report> reports_;
+  std::unordered_map<std::string, double> mean_seconds_;  // by service
+};
+
+}  // namespace knapweedstile::serving
+
+#endif  // KNAPWEEDSTILE_SERVING_SLOT_BOARD_H_
--- /dev/null
+++ b/libs/serving/include/serving/slot_board_settings.h
@@ -0,0 +1,33 @@
+#ifndef KNAPWEEDSTILE_SERVING_SLOT_BOARD_SETTINGS_H_
+#define KNAPWEEDSTILE_SERVING_SLOT_BOARD_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace knapweedstile::serving {
+
+struct SlotBoardSettings {
+  // Slots of each backend server that batch leaves free, so that an online
+  // request that finds the fleet quiet starts at once.
+  uint32_t batch_reserve = 1;
+  // Share of the latency objective that may be spent waiting in a backend
+  // server's queue; the rest is for the network and the first token.
+  double queue_share_of_objective = 0.5;
+  // Most requests over its slots that a backend server is sent: it refuses
+  // beyond 24, and a longer queue hides a dead server for longer.
+  uint32_t max_queued = 12;
+  // A backend server that could not be reached is left alone for this long,
+  // doubled with each further failure up to the longest.
+  std::chrono::milliseconds shortest_avoidance{300};
+  std::chrono::milliseconds longest_avoidance{4000};
+  // One that said it is full: about one request's end on eight slots.
+  std::chrono::milliseconds full_avoidance{60};
+  // Assumed duration of an online request before one has ended.
+  std::chrono::milliseconds assumed_duration{500};
+  // Counts of an entry that has been silent for this long are dropped.
+  std::chrono::milliseconds report_lifetime{1500};
+};
+
+}  // namespace knapweedstile::serving
+
+#endif  // KNAPWEEDSTILE_SERVING_SLOT_BOARD_SETTINGS_H_
--- /dev/null
+++ b/libs/serving/src/event_stream_reader.cc
@@ -0,0 +1,79 @@
+#include "serving/event_stream_reader.h"
+
+#include <charconv>
+
+namespace knapweedstile::serving {
+namespace {
+
+std::string_view WithoutCarriageReturn(std::string_view line) {
+  if (line.ends_with('\r')) line.remove_suffix(1);
+  return line;
+}
+
+// The value of `field: value`, without the one optional space.
+std::optional<std::string_view> ValueOf(std::string_view line,
+                                        std::string_view field) {
+  if (!line.starts_with(field)) return std::nullopt;
+  line.remove_prefix(field.size());
+  if (!line.starts_with(':')) return std::nullopt;
+  line.remove_prefix(1);
+  if (line.starts_with(' ')) line.remove_prefix(1);
+  return line;
+}
+
+void ReadLine(std::string_view line, StreamEvent& event, bool& has_data) {
+  if (const auto id = ValueOf(line, "id")) {
+    uint64_t number = 0;
+    const auto parsed =
+        std::from_chars(id->data(), id->data() + id->size(), number);
+    if (parsed.ec == std::errc() && parsed.ptr == id->data() + id->size()) {
+      event.id = number;
+    }
+  } else if (const auto data = ValueOf(line, "data")) {
+    if (has_data) event.data += '\n';
+    event.data += *data;
+    has_data = true;
+  }
+}
+
+}  // namespace
+
+size_t EventStreamReader::WholeEventLength() const {
+  size_t at = offset_;
+  while (true) {
+    const size_t end = buffer_.find('\n', at);
+    if (end == std::string::npos) return 0;
+    const std::string_view line =
+        WithoutCarriageReturn(std::string_view(buffer_).substr(at, end - at));
+    at = end + 1;
+    if (line.empty()) return at - offset_;
+  }
+}
+
+std::optional<StreamEvent> EventStreamReader::Next() {
+  const size_t length = WholeEventLength();
+  if (length == 0) {
+    buffer_.erase(0, offset_);
+    offset_ = 0;
+    return std::nullopt;
+  }
+  StreamEvent event;
+  event.raw = std::string_view(buffer_).substr(offset_, length);
+  offset_ += length;
+  bool has_data = false;
+  size_t at = 0;
+  while (at < event.raw.size()) {
+    const size_t end = event.raw.find('\n', at);
+    ReadLine(WithoutCarriageReturn(event.raw.substr(at, end - at)), event,
+             has_data);
+    at = end + 1;
+  }
+  return event;
+}
+
+void EventStreamReader::Reset() {
+  buffer_.clear();
+  offset_ = 0;
+}
+
+}  // namespace knapweedstile::serving
--- /dev/null
+++ b/libs/serving/src/slot_board.cc
@@ -0,0 +1,295 @@
+#include "serving/slot_board.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace knapweedstile::serving {
+namespace {
+
+// Weight of one request in the running mean of durations: some twenty requests
+// of memory, a fraction of a second at the usual rates.
+constexpr double kDurationWeight = 0.05;
+
+uint32_t& CountOf(ServerUsage& usage, TrafficClass traffic) {
+  return traffic == TrafficClass::kOnline ? usage.online : usage.batch;
+}
+
+}  // namespace
+
+SlotBoard::SlotBoard(SlotBoardSettings settings, std::string own_zone,
+                     uint64_t seed)
+    : settings_(settings), own_zone_(std::move(own_zone)), rng_(seed) {}
+
+void SlotBoard::Upsert(const ServerRecord& record) {
+  auto [known, is_new] = by_instance_.try_emplace(record.instance);
+  if (is_new) known->second = BackendServerId(++last_id_);
+  Server& server = servers_[known->second];
+  server.id = known->second;
+  server.record = record;
+  server.gone = false;
+  if (is_new) SumReports();
+}
+
+void SlotBoard::Remove(std::string_view instance) {
+  const auto known = by_instance_.find(std::string(instance));
+  if (known == by_instance_.end()) return;
+  Server& server = servers_[known->second];
+  server.gone = true;
+  if (server.own.total() > 0) return;
+  servers_.erase(known->second);
+  by_instance_.erase(known);
+}
+
+void SlotBoard::Retain(std::span<const ServerRecord> records) {
+  std::set<std::string> kept;
+  for (const ServerRecord& record : records) kept.insert(record.instance);
+  std::vector<std::string> removed;
+  for (const auto& [instance, id] : by_instance_) {
+    if (!kept.contains(instance)) removed.push_back(instance);
+  }
+  for (const std::string& instance : removed) Remove(instance);
+}
+
+SlotBoard::Server* SlotBoard::FindServer(BackendServerId id) {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : &found->second;
+}
+
+void SlotBoard::Started(BackendServerId id, TrafficClass traffic) {
+  if (Server* server = FindServer(id)) ++CountOf(server->own, traffic);
+}
+
+void SlotBoard::Ended(BackendServerId id, TrafficClass traffic) {
+  Server* server = FindServer(id);
+  if (!server) return;
+  uint32_t& count = CountOf(server->own, traffic);
+  if (count > 0) --count;
+  if (server->gone && server->own.total() == 0) {
+    by_instance_.erase(server->record.instance);
+    servers_.erase(id);
+  }
+}
+
+void SlotBoard::ObserveDuration(BackendServerId id, Duration duration) {
+  const Server* server = FindServer(id);
+  if (!server) return;
+  const double seconds = ToSeconds(duration);
+  auto [mean, is_new] =
+      mean_seconds_.try_emplace(server->record.service, seconds);
+  if (!is_new) mean->second += kDurationWeight * (seconds - mean->second);
+}
+
+void SlotBoard::Avoid(Server& server, Duration time, TimePoint now) {
+  server.avoid_until = std::max(server.avoid_until, now + time);
+}
+
+void SlotBoard::ReportUnreachable(BackendServerId id, TimePoint now) {
+  Server* server = FindServer(id);
+  if (!server) return;
+  constexpr uint32_t kMostDoublings = 6;
+  const Duration time = settings_.shortest_avoidance *
+                        (1U << std::min(server->failures, kMostDoublings));
+  ++server->failures;
+  Avoid(*server, std::min<Duration>(time, settings_.longest_avoidance), now);
+}
+
+void SlotBoard::ReportFull(BackendServerId id, TimePoint now) {
+  if (Server* server = FindServer(id)) {
+    Avoid(*server, settings_.full_avoidance, now);
+  }
+}
+
+void SlotBoard::ReportGood(BackendServerId id) {
+  Server* server = FindServer(id);
+  if (!server) return;
+  server->failures = 0;
+  server->avoid_until = TimePoint{};
+}
+
+void SlotBoard::ReportEntry(const std::string& entry,
+                            const std::map<std::string, ServerUsage>& usage,
+                            TimePoint now) {
+  Report& report = reports_[entry];
+  report.expires_at = now + settings_.report_lifetime;
+  if (report.usage == usage) return;
+  report.usage = usage;
+  SumReports();
+}
+
+void SlotBoard::DropEntry(const std::string& entry) {
+  if (reports_.erase(entry) > 0) SumReports();
+}
+
+// Failure guarded against: an entry that died keeps its slots counted as taken
+// for ever, so the fleet looks fuller than it is. Its silence drops them.
+void SlotBoard::ExpireReports(TimePoint now) {
+  const size_t dropped = std::erase_if(
+      reports_, [now](const auto& r) { return r.second.expires_at <= now; });
+  if (dropped > 0) SumReports();
+}
+
+void SlotBoard::SumReports() {
+  for (auto& [id, server] : servers_) server.others = {};
+  for (const auto& [entry, report] : reports_) {
+    for (const auto& [instance, usage] : report.usage) {
+      const auto known = by_instance_.find(instance);
+      if (known == by_instance_.end()) continue;
+      ServerUsage& others = servers_[known->second].others;
+      others.online += usage.online;
+      others.batch += usage.batch;
+    }
+  }
+}
+
+bool SlotBoard::Usable(const Server& server, std::string_view service,
+                       std::span<const BackendServerId> excluded) const {
+  return !server.gone && !server.record.draining &&
+         server.record.service == service &&
+         std::find(excluded.begin(), excluded.end(), server.id) ==
+             excluded.end();
+}
+
+bool SlotBoard::Better(const Server& a, uint32_t use_a, const Server& b,
+                       uint32_t use_b) {
+  if (use_a != use_b) return use_a < use_b;
+  const bool near_a = a.record.availability_zone == own_zone_;
+  const bool near_b = b.record.availability_zone == own_zone_;
+  if (near_a != near_b) return near_a;
+  return UniformBelow(rng_, 2) == 0;
+}
+
+// Avoided servers come last: they are tried only when there is no other.
+SlotBoard::Server* SlotBoard::LeastUsed(
+    std::string_view service, std::span<const BackendServerId> excluded,
+    TimePoint now) {
+  Server* best = nullptr;
+  bool best_avoided = false;
+  for (auto& [id, server] : servers_) {
+    if (!Usable(server, service, excluded)) continue;
+    const bool avoided = server.avoid_until > now;
+    const bool better = !best || (best_avoided && !avoided) ||
+                        (best_avoided == avoided &&
+                         Better(server, server.total(), *best, best->total()));
+    if (!better) continue;
+    best = &server;
+    best_avoided = avoided;
+  }
+  return best;
+}
+
+SlotBoard::Server* SlotBoard::MostBatch(
+    std::string_view service, std::span<const BackendServerId> excluded,
+    TimePoint now) {
+  Server* best = nullptr;
+  for (auto& [id, server] : servers_) {
+    if (!Usable(server, service, excluded) || server.avoid_until > now) {
+      continue;
+    }
+    if (server.batch() == 0 || server.online() >= server.record.slots) continue;
+    if (!best || Better(server, server.total() * 64 - server.batch(), *best,
+                        best->total() * 64 - best->batch())) {
+      best = &server;
+    }
+  }
+  return best;
+}
+
+Placement SlotBoard::Displace(Server& server) {
+  Placement placement{.outcome = PlacementOutcome::kPlaced,
+                      .server = server.id,
+                      .displaces_batch = true};
+  if (server.own.batch > 0) return placement;
+  for (auto& [entry, report] : reports_) {
+    const auto usage = report.usage.find(server.record.instance);
+    if (usage == report.usage.end() || usage->second.batch == 0) continue;
+    --usage->second.batch;
+    --server.others.batch;
+    placement.displaced_entry = entry;
+    return placement;
+  }
+  return placement;
+}
+
+Placement SlotBoard::Queue(Server& server, Duration objective) {
+  const auto mean = mean_seconds_.find(server.record.service);
+  const double seconds = mean == mean_seconds_.end()
+                             ? ToSeconds(settings_.assumed_duration)
+                             : mean->second;
+  const uint32_t slots = std::max(server.record.slots, 1U);
+  const double position_seconds = seconds / slots;
+  const uint32_t ahead =
+      server.total() >= slots ? server.total() - slots + 1 : 0;
+  const double allowed =
+      ToSeconds(objective) * settings_.queue_share_of_objective;
+  Placement placement{.outcome = PlacementOutcome::kPlaced,
+                      .server = server.id};
+  if (ahead <= settings_.max_queued && ahead * position_seconds <= allowed) {
+    return placement;
+  }
+  placement.outcome = PlacementOutcome::kSaturated;
+  // Spread over the time that the backlog needs, so that those refused in one
+  // moment do not come back in one moment.
+  const double backlog = std::max(ahead * position_seconds, 2 * allowed);
+  placement.retry_after = FromSeconds(backlog * (0.5 + UniformUnit(rng_)));
+  return placement;
+}
+
+Placement SlotBoard::PlaceOnline(std::string_view service, Duration objective,
+                                 std::span<const BackendServerId> excluded,
+                                 TimePoint now) {
+  Server* least = LeastUsed(service, excluded, now);
+  if (!least) {
+    return {.outcome = PlacementOutcome::kNoServer,
+            .retry_after = settings_.shortest_avoidance};
+  }
+  if (least->avoid_until <= now && least->total() < least->record.slots) {
+    return {.outcome = PlacementOutcome::kPlaced, .server = least->id};
+  }
+  if (Server* with_batch = MostBatch(service, excluded, now)) {
+    return Displace(*with_batch);
+  }
+  return Queue(*least, objective);
+}
+
+BackendServerId SlotBoard::PlaceBatch(std::string_view service, TimePoint now) {
+  Server* best = nullptr;
+  for (auto& [id, server] : servers_) {
+    if (!Usable(server, service, {}) || server.avoid_until > now) continue;
+    if (server.total() + settings_.batch_reserve >= server.record.slots) {
+      continue;
+    }
+    if (!best || Better(server, server.total(), *best, best->total())) {
+      best = &server;
+    }
+  }
+  return best ? best->id : BackendServerId();
+}
+
+const ServerRecord* SlotBoard::Record(BackendServerId id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : &found->second.record;
+}
+
+BackendServerId SlotBoard::Find(std::string_view instance) const {
+  const auto known = by_instance_.find(std::string(instance));
+  return known == by_instance_.end() ? BackendServerId() : known->second;
+}
+
+ServerUsage SlotBoard::UsageOf(BackendServerId id) const {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return {};
+  return {found->second.online(), found->second.batch()};
+}
+
+std::map<std::string, ServerUsage> SlotBoard::OwnUsage() const {
+  std::map<std::string, ServerUsage> usage;
+  for (const auto& [id, server] : servers_) {
+    if (server.own.total() > 0) {
+      usage.emplace(server.record.instance, server.own);
+    }
+  }
+  return usage;
+}
+
+}  // namespace knapweedstile::serving
--- a/libs/settings/include/settings/schema.h
+++ b/libs/settings/include/settings/schema.h
@@ -34,6 +34,9 @@
                    Presence presence = Presence::kOptional);
   void Millis(std::string path, std::string doc,
               std::chrono::milliseconds* field, int64_t least, int64_t most);
+  // A time in seconds; the file may hold a whole number or a fraction.
+  void Seconds(std::string path, std::string doc,
+               std::chrono::milliseconds* field);
   void Flag(std::string path, std::string doc, bool* field);
 
   template <typename T>
--- a/libs/settings/src/schema.cc
+++ b/libs/settings/src/schema.cc
@@ -95,6 +95,28 @@
       [field](int64_t value) { *field = std::chrono::milliseconds(value); });
 }
 
+void Schema::Seconds(std::string path, std::string doc,
+                     std::chrono::milliseconds* field) {
+  constexpr double kMostSeconds = 86400;
+  keys_.push_back(
+      {std::move(path), "s", "a number from 0 to 86400",
+       fmt::format("{}", static_cast<double>(field->count()) / 1000),
+       std::move(doc), Presence::kOptional, [field](const SettingValue& value) {
+         double seconds = 0;
+         if (value.kind == SettingValue::Kind::kInteger) {
+           seconds = static_cast<double>(value.integer);
+         } else if (value.kind == SettingValue::Kind::kFraction) {
+           seconds = value.fraction;
+         } else {
+           return false;
+         }
+         if (!(seconds >= 0 && seconds <= kMostSeconds)) return false;
+         *field =
+             std::chrono::milliseconds(static_cast<int64_t>(seconds * 1000));
+         return true;
+       }});
+}
+
 void Schema::Flag(std::string path, std::string doc, bool* field) {
   keys_.push_back({std::move(path), "flag", "true or false",
                    *field ? "true" : "false", std::move(doc),
--- a/libs/settings/src/toml_reader.cc
+++ b/libs/settings/src/toml_reader.cc
@@ -21,6 +21,9 @@
   } else if (const auto* integer = node.as_integer()) {
     value.kind = Kind::kInteger;
     value.integer = integer->get();
+  } else if (const auto* fraction = node.as_floating_point()) {
+    value.kind = Kind::kFraction;
+    value.fraction = fraction->get();
   } else if (const auto* flag = node.as_boolean()) {
     value.kind = Kind::kFlag;
     value.flag = flag->get();
