Batch: an item without a route waits instead of being listed as failed

Ruled out: wrong bytes from servers (no foreign answer in the log), the final fault (it happens 25 s later). Change: without a configuration items wait; under one, only a route that is missing for 4 s is taken for removed.

--- a/libs/gateway/src/batch_runner.cc
+++ b/libs/gateway/src/batch_runner.cc
@@ -31,6 +31,10 @@
 // backend server may read other prompts first. Then events come every 30 ms.
 constexpr std::chrono::milliseconds kFirstEventPatience{4000};
 constexpr std::chrono::milliseconds kNextEventPatience{2000};
+// A configuration is in force everywhere within two seconds, and within seven
+// while the store is disturbed.
+constexpr std::chrono::milliseconds kUnroutedPause{500};
+constexpr std::chrono::milliseconds kUnroutedPatience{4000};
 // Longest run of one item; a longest item takes about ten seconds.
 constexpr std::chrono::seconds kLongestRun{30};
 
@@ -73,17 +77,14 @@
   const serving::BatchItem& work = job.items[item.index];
   const serving::Route* route = routes_.Find(job.host, work.target);
   if (!route) {
-    // Its route was removed: no backend server may run it any more.
-    LogWarning("item_given_up",
-               {{"job", item.job}, {"item", work.id}, {"cause", "no_route"}});
-    book_.SetFinished(item, ItemState::kFailed);
-    ports_.finished(item.job);
+    WaitForRoute(item, now);
     return StartResult::kStarted;
   }
   const std::string& service = route->services.front().service;
   const BackendServerId server = board_.PlaceBatch(service, now);
   if (!server) return StartResult::kNoRoom;
-  const serving::ItemProgress& progress = job.progress[item.index];
+  serving::ItemProgress& progress = job.progress[item.index];
+  progress.unrouted_since.reset();
   ItemRun run{.item = item,
               .item_id = work.id,
               .route = route->name,
@@ -114,6 +115,25 @@
   return StartResult::kStarted;
 }
 
+// Failure guarded against: an entry that has just started, or whose watch lags,
+// does not know the route that the job was accepted under; giving the item up
+// at once would list it as failed for good. Only a route that stays away under
+// a known configuration was removed.
+void BatchRunner::WaitForRoute(const ItemRef& item, TimePoint now) {
+  book_.SetWaiting(item, now + kUnroutedPause);
+  if (routes_.version == 0) return;
+  serving::BatchJob& job = *book_.Find(item.job);
+  serving::ItemProgress& progress = job.progress[item.index];
+  if (!progress.unrouted_since) progress.unrouted_since = now;
+  if (now - *progress.unrouted_since < kUnroutedPatience) return;
+  LogWarning("item_given_up", {{"job", item.job},
+                               {"item", job.items[item.index].id},
+                               {"cause", "no_route"},
+                               {"configuration", routes_.version}});
+  book_.SetFinished(item, ItemState::kFailed);
+  ports_.finished(item.job);
+}
+
 serving::ItemProgress& BatchRunner::Progress(const ItemRun& run) {
   return book_.Find(run.item.job)->progress[run.item.index];
 }
--- a/libs/gateway/src/batch_runner.h
+++ b/libs/gateway/src/batch_runner.h
@@ -65,6 +65,7 @@
   enum class StartResult { kStarted, kNoRoom };
 
   StartResult Start(const serving::ItemRef& item, TimePoint now);
+  void WaitForRoute(const serving::ItemRef& item, TimePoint now);
   void OnUpstream(http::ClientEvent&& event);
   void OnHead(ItemRun& run, http::HeadEvent&& event);
   void OnBody(ItemRun& run, std::string_view data);
--- a/libs/serving/include/serving/item_progress.h
+++ b/libs/serving/include/serving/item_progress.h
@@ -23,6 +23,8 @@
   TimePoint not_before{};
   uint32_t failures = 0;  // answers that count against its attempts
   uint32_t breaks = 0;    // runs that ended without an answer or progress
+  // Since when no route leads to its backend servers; unset while one does.
+  std::optional<TimePoint> unrouted_since;
   // Output so far and the id of its last event: a displaced or broken run goes
   // on after it.
   std::string output;
