Tests: the deployed path against stand-ins of the platform; faults that they found mended

Cause and change, each with its test, failing before: - A job that came again at another entry was run by both: the second one made itself its creator. It now takes the stored record (gateway_batch: a job that comes again is accepted once; 6 runs, now 3). - A new entry was heard by the others only after their next read of the store, 5 s later, took their jobs over and ran them again. Addresses are learnt from datagrams too (gateway_batch: an ended job stops; 6 runs, now 3). - Live servers were dropped after an outage that no call had noticed, because a watch waited through it; the watch of servers now ends before an entry can lapse (gateway_online: servers whose entries lapsed; 503, now 200). - A registered entry that was never heard counts as silent; a pause that ended twice started two watches. Stand-ins: tests/users_platform (store, servers, site), gateways as real processes from the deployment's own template.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -19,6 +19,9 @@
   std::string readiness_address;  // readiness and metrics
   uint32_t peer_port = 0;
   std::string store_address;
+  // Backend servers renew their entries this often; one that misses three times
+  // is removed.
+  std::chrono::milliseconds server_heartbeat{1200};
   // Between the signal to stop and the kill that follows it.
   std::chrono::milliseconds stop_grace{8000};
   LogLevel log_level = LogLevel::kInfo;
--- a/libs/gateway/src/batch_api.cc
+++ b/libs/gateway/src/batch_api.cc
@@ -160,8 +160,8 @@
   Submission& submission = submissions_.at(id);
   switch (answer.outcome) {
     case StoreOutcome::kOk:
-    case StoreOutcome::kConflict:  // written before, by whichever entry
-      return Accept(id);
+      return Accept(id, EncodeJob(submission.record));
+    case StoreOutcome::kConflict:
     case StoreOutcome::kUnknown:
       submission.maybe_written = true;
       return ReadBack(id);
@@ -172,13 +172,18 @@
   RefuseSubmission(id, NameOf(answer.outcome));
 }
 
+// The record may be another entry's, to which the job came first: that one runs
+// the job, so its record counts, not the one that was to be written here.
 void BatchApi::ReadBack(SubmissionId id) {
-  store_.Call(platform::ReadRequest{.kind = kOwnKind,
-                                    .name = JobName(submissions_.at(id).job)},
-              MonotonicNow() + kReadTimeout, [this, id](StoreAnswer&& answer) {
-                if (answer.outcome == StoreOutcome::kOk) return Accept(id);
-                WriteAgain(id);
-              });
+  store_.Call(
+      platform::ReadRequest{.kind = kOwnKind,
+                            .name = JobName(submissions_.at(id).job)},
+      MonotonicNow() + kReadTimeout, [this, id](StoreAnswer&& answer) {
+        if (answer.outcome != StoreOutcome::kOk || answer.objects.empty()) {
+          return WriteAgain(id);
+        }
+        Accept(id, answer.objects.front().value);
+      });
 }
 
 // Writing again is harmless: the record is created once, whichever write is the
@@ -191,7 +196,7 @@
   Write(id);
 }
 
-void BatchApi::Accept(SubmissionId id) {
+void BatchApi::Accept(SubmissionId id, const std::string& value) {
   auto taken = submissions_.extract(id);
   Submission& submission = taken.mapped();
   const TimePoint now = MonotonicNow();
@@ -199,7 +204,6 @@
                            {"tokens", submission.tokens},
                            {"age_ms", ToMillis(now - submission.arrived_at)}});
   metrics_.Add("knap_jobs_total", {"accepted"});
-  const std::string value = EncodeJob(submission.record);
   if (!book_.Find(submission.job)) {
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
--- a/libs/gateway/src/batch_api.h
+++ b/libs/gateway/src/batch_api.h
@@ -78,7 +78,8 @@
   void OnWritten(SubmissionId id, platform::StoreAnswer&& answer);
   void ReadBack(SubmissionId id);
   void WriteAgain(SubmissionId id);
-  void Accept(SubmissionId id);
+  // The job is in the store with this record, by whichever entry.
+  void Accept(SubmissionId id, const std::string& value);
   void RefuseSubmission(SubmissionId id, std::string_view cause);
   void GiveUpSubmission(SubmissionId id);
   bool FitsQuota(const serving::Route& route, uint64_t tokens) const;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -44,6 +44,19 @@
 // server's own limit leaves room for it.
 constexpr std::chrono::milliseconds kBodyTimeout{10000};
 
+// Failure guarded against: a store that goes silent and comes back while a
+// watch waits. The watch then brings the removal of live servers whose entries
+// lapsed meanwhile, and nothing else tells that there was an outage. An entry
+// lapses after three heartbeats, so a watch that is over before then has
+// failed.
+std::chrono::milliseconds ServerWatchWait(std::chrono::milliseconds heartbeat) {
+  constexpr int kHeartbeatsToLapse = 3;
+  constexpr std::chrono::milliseconds kTimeoutAndMargin{1000};
+  constexpr std::chrono::milliseconds kLeastWait{300};
+  return std::max(kLeastWait,
+                  heartbeat * kHeartbeatsToLapse - kTimeoutAndMargin);
+}
+
 http::ServerSettings CallerServerSettings() {
   http::ServerSettings settings;
   settings.max_connections = 3500;
@@ -163,7 +176,9 @@
                  if (!object.deleted) OnConfiguration(object);
                }}),
       server_mirror_(
-          io, store_, {.kind = users_platform::kServerKind},
+          io, store_,
+          {.kind = users_platform::kServerKind,
+           .watch_wait = ServerWatchWait(settings.server_heartbeat)},
           {.listed =
                [this](std::vector<platform::StoredObject>&& objects) {
                  servers_.OnListed(std::move(objects), MonotonicNow(),
@@ -309,13 +324,19 @@
       book_.EndJob(name.id);
       return batch_.OnProgress(name.id);
     case RecordType::kNode:
-      if (object.deleted) return peers_.RemoveAddress(name.id);
+      if (object.deleted) return ForgetEntry(name.id);
+      if (name.id != settings_.name) sync_.Expect(name.id, MonotonicNow());
       return peers_.SetAddress(name.id, DecodeNode(object.value));
     case RecordType::kUnknown:
       return LogWarning("record_unknown", {{"name", object.name}});
   }
 }
 
+void Gateway::ForgetEntry(const std::string& entry) {
+  peers_.RemoveAddress(entry);
+  sync_.Forget(entry);
+}
+
 void Gateway::AddJob(const std::string& id,
                      const platform::StoredObject& object) {
   if (book_.Find(id)) return;
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -51,6 +51,7 @@
   void OnOwnListed(std::vector<platform::StoredObject>&& objects);
   void AddJob(const std::string& id, const platform::StoredObject& object);
   void AddSegment(const RecordName& name, const platform::StoredObject& object);
+  void ForgetEntry(const std::string& entry);
   void Register(uint64_t version);
   void PushRecord(const OwnRecord& record);
   void OnPeerState(const PeerState& state);
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -20,6 +20,9 @@
                  0, 65535);
   schema.Address("store.address", "the platform's object store",
                  &settings->store_address, Presence::kRequired);
+  schema.Millis("servers.heartbeat_ms",
+                "how often backend servers renew their entries",
+                &settings->server_heartbeat, 10, 60000);
   schema.Seconds("stop.grace", "from the signal to stop to the kill",
                  &settings->stop_grace);
   schema.Choice("log.level", "least level that is logged",
--- a/libs/gateway/src/kind_mirror.cc
+++ b/libs/gateway/src/kind_mirror.cc
@@ -32,8 +32,10 @@
 
 void KindMirror::After(Duration pause, void (KindMirror::*next)()) {
   timer_.expires_after(pause);
-  timer_.async_wait([this, next](const boost::system::error_code& ec) {
-    if (ec) return;
+  timer_.async_wait([this, next, pause_number = ++pause_number_](
+                        const boost::system::error_code& ec) {
+    // A pause that was ended while its timer had already fired.
+    if (ec || pause_number != pause_number_) return;
     pausing_ = false;
     (this->*next)();
   });
@@ -58,10 +60,15 @@
   };
 }
 
-void KindMirror::Poke() {
-  if (!pausing_) return;
+void KindMirror::EndPause() {
+  ++pause_number_;
   timer_.cancel();
   pausing_ = false;
+}
+
+void KindMirror::Poke() {
+  if (!pausing_) return;
+  EndPause();
   Watch();
 }
 
@@ -72,8 +79,7 @@
   LogInfo("mirror_refreshed",
           {{"kind", settings_.kind}, {"newest_change", newest_change_}});
   ++generation_;
-  timer_.cancel();
-  pausing_ = false;
+  EndPause();
   List();
 }
 
@@ -124,6 +130,13 @@
   }
   failures_ = 0;
   following_ = true;
+  if (!answer.objects.empty()) {
+    LogInfo("mirror_read", {{"kind", settings_.kind},
+                            {"after", revision_},
+                            {"as_of", answer.revision},
+                            {"objects", answer.objects.size()},
+                            {"last", answer.objects.back().version}});
+  }
   revision_ = std::max(revision_, answer.revision);
   for (platform::StoredObject& object : answer.objects) {
     revision_ = std::max(revision_, object.version);
--- a/libs/gateway/src/kind_mirror.h
+++ b/libs/gateway/src/kind_mirror.h
@@ -68,6 +68,7 @@
   void OnWatched(platform::StoreAnswer&& answer);
   // Whether the answer belongs to a call that Refresh() has overtaken.
   auto Current(void (KindMirror::*handler)(platform::StoreAnswer&&));
+  void EndPause();
   void After(Duration pause, void (KindMirror::*next)());
   void Retry(void (KindMirror::*next)(), const platform::StoreAnswer& answer);
 
@@ -79,6 +80,7 @@
   uint64_t newest_change_ = 0;
   uint64_t generation_ = 0;  // of Refresh()
   bool pausing_ = false;
+  uint64_t pause_number_ = 0;
   TimePoint call_began_{};
   TimePoint refreshed_at_{};
   bool following_ = false;
--- a/libs/gateway/src/peer_link.cc
+++ b/libs/gateway/src/peer_link.cc
@@ -74,19 +74,25 @@
     std::array<char, kMaxDatagram> buffer;
     while (true) {
       error_code failed;
-      const size_t count = socket_.receive(asio::buffer(buffer), 0, failed);
+      udp::endpoint sender;
+      const size_t count =
+          socket_.receive_from(asio::buffer(buffer), sender, 0, failed);
       if (failed == asio::error::would_block) break;
       // An unreachable peer's refusal shows here as an error of the socket.
       if (failed) continue;
-      OnDatagram({buffer.data(), count});
+      OnDatagram({buffer.data(), count}, sender);
     }
     Receive();
   });
 }
 
-void PeerLink::OnDatagram(std::string_view datagram) {
+void PeerLink::OnDatagram(std::string_view datagram,
+                          const udp::endpoint& sender) {
   const auto state = DecodePeerState(datagram);
   if (!state || state->entry == name_) return;
+  // Who has just started knows the others from the store before they know it.
+  // Not answering it would let it take this entry for dead and its jobs over.
+  addresses_.insert_or_assign(state->entry, sender);
   if (!state->yield_instance.empty()) {
     return handlers_.yield(state->yield_instance);
   }
--- a/libs/gateway/src/peer_link.h
+++ b/libs/gateway/src/peer_link.h
@@ -55,7 +55,8 @@
   };
 
   void Receive();
-  void OnDatagram(std::string_view datagram);
+  void OnDatagram(std::string_view datagram,
+                  const boost::asio::ip::udp::endpoint& sender);
   void SendTo(const boost::asio::ip::udp::endpoint& to,
               const std::string& datagram);
 
--- a/libs/gateway/src/sync_tracker.cc
+++ b/libs/gateway/src/sync_tracker.cc
@@ -35,6 +35,10 @@
   entry.told_at = now;
 }
 
+void SyncTracker::Expect(const std::string& name, TimePoint now) {
+  entries_.try_emplace(name, Entry{.heard_at = now});
+}
+
 void SyncTracker::OnCount(const std::string& name, uint64_t start,
                           uint64_t count, TimePoint now) {
   Entry& entry = Known(name, start);
--- a/libs/gateway/src/sync_tracker.h
+++ b/libs/gateway/src/sync_tracker.h
@@ -19,6 +19,8 @@
 class SyncTracker {
  public:
   // Commands: what was heard of another entry's records.
+  // An entry is registered that may not have been heard yet.
+  void Expect(const std::string& entry, TimePoint now);
   void OnCount(const std::string& entry, uint64_t start, uint64_t count,
                TimePoint now);
   void OnReceived(const std::string& entry, uint64_t start, uint64_t before,
--- a/libs/gateway/tests/sync_tracker_test.cc
+++ b/libs/gateway/tests/sync_tracker_test.cc
@@ -84,6 +84,16 @@
   CHECK(sync.Current(At(220)));
 }
 
+// An entry is known from the store but has never been heard: it may be cut off
+// from this one and serve callers.
+TEST_CASE("an entry that was never heard makes this one ask the store") {
+  SyncTracker sync;
+  sync.OnStoreRead(At(0));
+  sync.Expect("entry-2", At(0));
+  CHECK_FALSE(sync.MustAskStore(At(400)));
+  CHECK(sync.MustAskStore(At(700)));
+}
+
 TEST_CASE("an entry that left in an orderly way hides nothing") {
   SyncTracker sync;
   sync.OnCount("entry-2", 1, 0, At(0));
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -24,6 +24,8 @@
  public:
   explicit Caller(http::ClientSettings settings = {});
 
+  // Stand-ins of a test may live on it: they then work while the test waits.
+  boost::asio::io_context& io() noexcept { return io_; }
   // Sends at once; `request.exchange` is set here.
   ExchangeId Begin(http::ClientRequest&& request);
   // Closes the request's connection.
--- /dev/null
+++ b/tests/users_platform/model_server.cc
@@ -0,0 +1,161 @@
+#include "users_platform/model_server.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+namespace knapweedstile::users_site {
+namespace {
+
+constexpr char kListen[] = "127.0.0.1:0";
+
+bool Take(int& count) {
+  if (count == 0) return false;
+  --count;
+  return true;
+}
+
+}  // namespace
+
+ModelServer::ModelServer(boost::asio::io_context& io, std::string instance)
+    : io_(io),
+      server_(io, {},
+              [this](http::ServerEvent&& event) {
+                return OnEvent(std::move(event));
+              }),
+      instance_(std::move(instance)) {
+  const uint16_t port = boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<uint16_t> {
+        return server_.Listen(kListen);
+      },
+      [] { return uint16_t{0}; });
+  address_ = "127.0.0.1:" + std::to_string(port);
+}
+
+bool ModelServer::OnEvent(http::ServerEvent&& event) {
+  if (const auto* gone = std::get_if<http::DisconnectEvent>(&event)) {
+    const auto stream = streams_.find(gone->exchange);
+    if (stream != streams_.end()) {
+      runs_[stream->second.run].cancelled = true;
+      streams_.erase(stream);
+    }
+    return true;
+  }
+  OnRequest(std::get<http::RequestEvent>(event));
+  return true;
+}
+
+http::HeaderList ModelServer::AnswerHeaders(
+    const std::string& request_id) const {
+  http::HeaderList headers;
+  headers.Add("Request-Id", request_id);
+  headers.Add("Response-Signature", "signed-by-" + instance_);
+  return headers;
+}
+
+bool ModelServer::Misbehave(const http::RequestEvent& request) {
+  const std::string id(request.headers.Find("Request-Id"));
+  const auto respond = [&](unsigned status, http::HeaderList headers) {
+    server_.Execute(http::RespondCommand{.exchange = request.exchange,
+                                         .status = status,
+                                         .headers = std::move(headers),
+                                         .body = "body"});
+    return true;
+  };
+  const std::string_view expected = request.headers.Find("Expect-Instance");
+  if (other_instance || (!expected.empty() && expected != instance_)) {
+    return respond(421, {});
+  }
+  if (Take(refuse_next)) {
+    http::HeaderList headers;
+    headers.Add("Not-Executed", "1");
+    return respond(503, std::move(headers));
+  }
+  runs_.push_back({.request_id = id,
+                   .target = request.target,
+                   .body = request.body,
+                   .headers = request.headers});
+  if (Take(fail_next)) return respond(500, AnswerHeaders(id));
+  if (Take(reject_next)) return respond(422, AnswerHeaders(id));
+  if (Take(foreign_next)) return respond(200, AnswerHeaders("another"));
+  if (Take(unsigned_next)) {
+    http::HeaderList headers;
+    headers.Add("Request-Id", id);
+    return respond(200, std::move(headers));
+  }
+  return false;
+}
+
+void ModelServer::OnRequest(const http::RequestEvent& request) {
+  if (Misbehave(request)) return;
+  if (request.method == "GET") {
+    server_.Execute(http::RespondCommand{
+        .exchange = request.exchange,
+        .status = 200,
+        .headers =
+            AnswerHeaders(std::string(request.headers.Find("Request-Id"))),
+        .body = "plain answer"});
+    return;
+  }
+  Begin(request);
+}
+
+void ModelServer::Begin(const http::RequestEvent& request) {
+  const std::string_view after = request.headers.Find("Last-Event-Id");
+  Run& run = runs_.back();
+  if (!after.empty()) run.first_event = std::stoull(std::string(after)) + 1;
+  Stream& stream = streams_[request.exchange];
+  stream.run = runs_.size() - 1;
+  stream.next = run.first_event;
+  stream.timer = std::make_unique<boost::asio::steady_timer>(io_, first_pause);
+  stream.timer->async_wait(
+      [this, exchange = request.exchange](const boost::system::error_code& ec) {
+        if (!ec) StartStream(exchange);
+      });
+}
+
+void ModelServer::StartStream(ExchangeId exchange) {
+  const auto stream = streams_.find(exchange);
+  if (stream == streams_.end()) return;
+  http::HeaderList headers =
+      AnswerHeaders(runs_[stream->second.run].request_id);
+  headers.Add("Content-Type", "text/event-stream");
+  server_.Execute(http::BeginStreamCommand{
+      .exchange = exchange, .status = 200, .headers = std::move(headers)});
+  SendEvent(exchange);
+}
+
+void ModelServer::SendEvent(ExchangeId exchange) {
+  const auto found = streams_.find(exchange);
+  if (found == streams_.end()) return;
+  Stream& stream = found->second;
+  Run& run = runs_[stream.run];
+  if (stream.next > static_cast<uint64_t>(events)) {
+    run.complete = true;
+    streams_.erase(found);
+    server_.Execute(
+        http::StreamChunkCommand{.exchange = exchange, .last = true});
+    return;
+  }
+  const std::string number = std::to_string(stream.next);
+  server_.Execute(http::StreamChunkCommand{
+      .exchange = exchange,
+      .data = "id: " + number + "\ndata: word " + number + "\n\n"});
+  ++stream.next;
+  if (break_after > 0 &&
+      stream.next == static_cast<uint64_t>(break_after) + 1) {
+    break_after = 0;
+    // Half of the next event, then the end of the connection.
+    server_.Execute(http::StreamChunkCommand{.exchange = exchange,
+                                             .data = "id: " + number});
+    streams_.erase(found);
+    server_.Execute(http::AbortCommand{exchange});
+    return;
+  }
+  stream.timer->expires_after(event_pause);
+  stream.timer->async_wait(
+      [this, exchange](const boost::system::error_code& ec) {
+        if (!ec) SendEvent(exchange);
+      });
+}
+
+}  // namespace knapweedstile::users_site
--- /dev/null
+++ b/tests/users_platform/model_server.h
@@ -0,0 +1,77 @@
+#ifndef KNAPWEEDSTILE_USERS_SITE_MODEL_SERVER_H_
+#define KNAPWEEDSTILE_USERS_SITE_MODEL_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/server.h"
+
+namespace knapweedstile::users_site {
+
+// Stand-in of a backend server of the users: streams numbered events to POST,
+// answers GET at once, checks whom a request is meant for, and misbehaves on
+// order. Lives on the test's io_context.
+class ModelServer {
+ public:
+  struct Run {
+    std::string request_id;
+    std::string target;
+    std::string body;
+    http::HeaderList headers;
+    uint64_t first_event = 1;
+    bool cancelled = false;  // the connection was closed before the end
+    bool complete = false;
+  };
+
+  ModelServer(boost::asio::io_context& io, std::string instance);
+
+  const std::string& address() const noexcept { return address_; }
+  const std::string& instance() const noexcept { return instance_; }
+  const std::vector<Run>& runs() const noexcept { return runs_; }
+
+  // Events of one stream and the time between two.
+  int events = 5;
+  std::chrono::milliseconds event_pause{2};
+  // Before the first byte of an answer.
+  std::chrono::milliseconds first_pause{0};
+
+  // Faults for the next requests, counted down.
+  int refuse_next = 0;          // 503 with the statement that it did not run
+  int fail_next = 0;            // 500 after it ran
+  int reject_next = 0;          // 422: can never be done
+  int break_after = 0;          // the stream is cut after so many events, once
+  int unsigned_next = 0;        // an answer without a signature
+  int foreign_next = 0;         // an answer to another request
+  bool other_instance = false;  // 421: another server has the address
+
+ private:
+  struct Stream {
+    size_t run = 0;
+    uint64_t next = 1;
+    std::unique_ptr<boost::asio::steady_timer> timer;
+  };
+
+  bool OnEvent(http::ServerEvent&& event);
+  void OnRequest(const http::RequestEvent& request);
+  bool Misbehave(const http::RequestEvent& request);
+  void Begin(const http::RequestEvent& request);
+  void StartStream(ExchangeId exchange);
+  void SendEvent(ExchangeId exchange);
+  http::HeaderList AnswerHeaders(const std::string& request_id) const;
+
+  boost::asio::io_context& io_;
+  http::Server server_;
+  std::string address_;
+  std::string instance_;
+  std::vector<Run> runs_;
+  std::map<ExchangeId, Stream> streams_;
+};
+
+}  // namespace knapweedstile::users_site
+
+#endif  // KNAPWEEDSTILE_USERS_SITE_MODEL_SERVER_H_
--- /dev/null
+++ b/tests/users_platform/object_store.cc
@@ -0,0 +1,253 @@
+#include "users_platform/object_store.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/url.hpp>
+#include <utility>
+
+namespace knapweedstile::users_site {
+namespace {
+
+namespace json = boost::json;
+
+constexpr char kListen[] = "127.0.0.1:0";
+// Objects on one page: small, so that tests see more than one.
+constexpr size_t kPage = 5;
+
+uint64_t Number(const std::string& text) {
+  return text.empty() ? 0 : std::stoull(text);
+}
+
+}  // namespace
+
+ObjectStore::ObjectStore(boost::asio::io_context& io)
+    : io_(io), server_(io, {}, [this](http::ServerEvent&& event) {
+        return OnEvent(std::move(event));
+      }) {
+  const uint16_t port = boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<uint16_t> {
+        return server_.Listen(kListen);
+      },
+      [] { return uint16_t{0}; });
+  address_ = "127.0.0.1:" + std::to_string(port);
+}
+
+void ObjectStore::Put(const std::string& kind, const std::string& name,
+                      const json::value& spec) {
+  Object& object = kinds_[kind][name];
+  object.spec = spec;
+  Changed(kind, name, false);
+  if (object.created == 0) object.created = object.revision;
+}
+
+void ObjectStore::Remove(const std::string& kind, const std::string& name) {
+  if (kinds_[kind].erase(name) > 0) Changed(kind, name, true);
+}
+
+void ObjectStore::SetHealth(Health health) {
+  health_ = health;
+  if (health_ == Health::kGood) WakeWatches();
+}
+
+void ObjectStore::ForgetHistory() {
+  history_.clear();
+  oldest_ = revision_ + 1;
+  watches_silent_ = false;
+  for (const Watch& watch : std::exchange(watches_, {})) {
+    server_.Execute(http::AbortCommand{watch.exchange});
+  }
+}
+
+size_t ObjectStore::Count(const std::string& kind,
+                          const std::string& prefix) const {
+  const auto objects = kinds_.find(kind);
+  if (objects == kinds_.end()) return 0;
+  size_t count = 0;
+  for (const auto& [name, object] : objects->second) {
+    if (name.starts_with(prefix)) ++count;
+  }
+  return count;
+}
+
+json::value ObjectStore::Status(const std::string& kind,
+                                const std::string& name) const {
+  const auto objects = kinds_.find(kind);
+  if (objects == kinds_.end()) return nullptr;
+  const auto object = objects->second.find(name);
+  return object == objects->second.end() ? json::value()
+                                         : object->second.status;
+}
+
+void ObjectStore::Changed(const std::string& kind, const std::string& name,
+                          bool deleted) {
+  ++revision_;
+  if (!deleted) kinds_[kind][name].revision = revision_;
+  history_.push_back({revision_, kind, name, deleted});
+  WakeWatches();
+}
+
+bool ObjectStore::OnEvent(http::ServerEvent&& event) {
+  if (const auto* gone = std::get_if<http::DisconnectEvent>(&event)) {
+    watches_.remove_if(
+        [&](const Watch& watch) { return watch.exchange == gone->exchange; });
+    return true;
+  }
+  OnRequest(std::get<http::RequestEvent>(event));
+  return true;
+}
+
+void ObjectStore::OnRequest(const http::RequestEvent& request) {
+  if (health_ == Health::kSilent) return;
+  if (health_ == Health::kBusy) return Answer(request.exchange, 503, {});
+  const auto url = boost::urls::parse_origin_form(request.target).value();
+  std::vector<std::string> path;
+  for (const auto& segment : url.segments()) path.push_back(segment);
+  std::map<std::string, std::string> query;
+  for (const auto& parameter : url.params()) {
+    query[parameter.key] = parameter.value;
+  }
+  if (path.size() < 3 || path[1] != "objects") {
+    return Answer(request.exchange, 404, {});
+  }
+  const std::string name = path.size() > 3 ? path[3] : "";
+  const bool status = path.size() > 4;
+  if (request.method != "GET") return Write(request, path[2], name, status);
+  if (!name.empty()) return Read(request.exchange, path[2], name);
+  if (query.contains("watch")) {
+    return BeginWatch(request.exchange, path[2], Number(query["watch"]),
+                      static_cast<int64_t>(Number(query["wait_ms"])));
+  }
+  List(request.exchange, path[2], query["after"]);
+}
+
+json::object ObjectStore::ToJson(const std::string& name,
+                                 const Object& object) const {
+  return {{"metadata", json::object{{"name", name},
+                                    {"revision", object.revision},
+                                    {"create_rev", object.created},
+                                    {"finalizers", json::array{}},
+                                    {"deleting", false}}},
+          {"spec", object.spec},
+          {"status", object.status}};
+}
+
+void ObjectStore::Answer(ExchangeId exchange, unsigned status,
+                         const json::value& body) {
+  http::HeaderList headers;
+  headers.Add("Content-Type", "application/json");
+  server_.Execute(http::RespondCommand{.exchange = exchange,
+                                       .status = status,
+                                       .headers = std::move(headers),
+                                       .body = json::serialize(body)});
+}
+
+void ObjectStore::Read(ExchangeId exchange, const std::string& kind,
+                       const std::string& name) {
+  const auto found = kinds_[kind].find(name);
+  if (found == kinds_[kind].end()) return Answer(exchange, 404, {});
+  Answer(exchange, 200, ToJson(name, found->second));
+}
+
+void ObjectStore::List(ExchangeId exchange, const std::string& kind,
+                       const std::string& after) {
+  json::array items;
+  bool more = false;
+  const auto& objects = kinds_[kind];
+  for (auto at = objects.upper_bound(after); at != objects.end(); ++at) {
+    if (items.size() == kPage) {
+      more = true;
+      break;
+    }
+    items.push_back(ToJson(at->first, at->second));
+  }
+  Answer(exchange, 200,
+         json::object{{"items", std::move(items)},
+                      {"more_pages", more},
+                      {"as_of", revision_}});
+}
+
+void ObjectStore::BeginWatch(ExchangeId exchange, const std::string& kind,
+                             uint64_t after, int64_t wait_ms) {
+  if (after + 1 < oldest_) return Answer(exchange, 410, {});
+  auto timer = std::make_unique<boost::asio::steady_timer>(
+      io_, std::chrono::milliseconds(wait_ms));
+  timer->async_wait([this, exchange](const boost::system::error_code& ec) {
+    if (ec || health_ != Health::kGood || watches_silent_) return;
+    for (auto at = watches_.begin(); at != watches_.end(); ++at) {
+      if (at->exchange != exchange) continue;
+      AnswerWatch(*at, true);
+      watches_.erase(at);
+      return;
+    }
+  });
+  watches_.push_back({exchange, kind, after, std::move(timer)});
+  WakeWatches();
+}
+
+void ObjectStore::WakeWatches() {
+  if (watches_silent_ || health_ != Health::kGood) return;
+  watches_.remove_if(
+      [this](const Watch& watch) { return AnswerWatch(watch, false); });
+}
+
+bool ObjectStore::AnswerWatch(const Watch& watch, bool even_empty) {
+  json::array events;
+  for (const Change& change : history_) {
+    if (change.revision <= watch.after || change.kind != watch.kind) continue;
+    const auto found = kinds_[change.kind].find(change.name);
+    const bool exists = !change.deleted && found != kinds_[change.kind].end();
+    const Object gone{.revision = change.revision};
+    events.push_back(json::object{
+        {"deleted", !exists},
+        {"object", ToJson(change.name, exists ? found->second : gone)}});
+  }
+  if (events.empty() && !even_empty) return false;
+  Answer(watch.exchange, 200,
+         json::object{{"events", std::move(events)}, {"as_of", revision_}});
+  return true;
+}
+
+void ObjectStore::Write(const http::RequestEvent& request,
+                        const std::string& kind, std::string name,
+                        bool status) {
+  ++writes_;
+  if (request.method == "DELETE") {
+    Remove(kind, name);
+    return AnswerWrite(request.exchange, kind, name, 200);
+  }
+  const json::value body = json::parse(request.body);
+  const json::object& metadata = body.as_object().at("metadata").as_object();
+  const bool create = request.method == "POST";
+  if (create) name = std::string(metadata.at("name").as_string());
+  const auto found = kinds_[kind].find(name);
+  const bool exists = found != kinds_[kind].end();
+  if (create ? exists : !exists) {
+    return AnswerWrite(request.exchange, kind, name, create ? 409 : 404);
+  }
+  const json::value* revision = metadata.if_contains("revision");
+  if (exists && revision &&
+      revision->to_number<uint64_t>() != found->second.revision) {
+    return AnswerWrite(request.exchange, kind, name, 409);
+  }
+  Object& object = kinds_[kind][name];
+  if (status) {
+    object.status = body.as_object().at("status");
+  } else {
+    object.spec = body.as_object().at("spec");
+  }
+  Changed(kind, name, false);
+  if (create) object.created = object.revision;
+  AnswerWrite(request.exchange, kind, name, 200);
+}
+
+void ObjectStore::AnswerWrite(ExchangeId exchange, const std::string& kind,
+                              const std::string& name, unsigned status) {
+  if (lose_answers_ > 0) {
+    --lose_answers_;
+    return server_.Execute(http::AbortCommand{exchange});
+  }
+  const auto found = kinds_[kind].find(name);
+  if (found == kinds_[kind].end()) return Answer(exchange, status, {});
+  Answer(exchange, status, ToJson(name, found->second));
+}
+
+}  // namespace knapweedstile::users_site
--- /dev/null
+++ b/tests/users_platform/site.cc
@@ -0,0 +1,252 @@
+#include "users_platform/site.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <regex>
+#include <stdexcept>
+
+#include "base/clock.h"
+
+namespace knapweedstile::users_site {
+namespace {
+
+namespace json = boost::json;
+
+constexpr char kAddress[] = "127.0.0.1:";
+
+std::string ReadTemplate() { return harness::ReadFile(KNAP_SETTINGS_TEMPLATE); }
+
+std::string Replace(std::string text, const std::string& field,
+                    const std::string& value) {
+  const std::string placeholder = "{{" + field + "}}";
+  for (size_t at = text.find(placeholder); at != std::string::npos;
+       at = text.find(placeholder, at)) {
+    text.replace(at, placeholder.size(), value);
+  }
+  return text;
+}
+
+json::object StreamRoute(const std::string& name, const std::string& prefix,
+                         bool resumable, int attempts) {
+  return {{"name", name},
+          {"host", kHost},
+          {"path_prefix", prefix},
+          {"kind", "stream"},
+          {"timeout_ms", 3000},
+          {"target_latency_ms", 300},
+          {"priority", 0},
+          {"service", "llm"},
+          {"max_attempts", attempts},
+          {"resumable", resumable},
+          {"gap_aim_ms", 400}};
+}
+
+json::object PlainRoute(const std::string& name, const std::string& prefix,
+                        const std::string& kind, int attempts) {
+  return {{"name", name},  {"host", kHost},      {"path_prefix", prefix},
+          {"kind", kind},  {"timeout_ms", 2000}, {"target_latency_ms", 100},
+          {"priority", 1}, {"service", "app"},   {"max_attempts", attempts}};
+}
+
+}  // namespace
+
+Site::Site() : store_(caller_.io()) {}
+
+uint16_t Site::FreePort() {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = ::inet_addr("127.0.0.1");
+  socklen_t length = sizeof(address);
+  ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+  ::close(fd);
+  return ntohs(address.sin_port);
+}
+
+void Site::PutServer(const ModelServer& server, const std::string& service,
+                     int slots, const std::string& state) {
+  store_.Put("servers", server.instance(),
+             json::object{{"service", service},
+                          {"address", server.address()},
+                          {"zone", "zone-a"},
+                          {"version", "v1"},
+                          {"slots", slots},
+                          {"state", state},
+                          {"sequence", 1}});
+}
+
+ModelServer& Site::AddServer(const std::string& service,
+                             const std::string& instance, int slots) {
+  servers_.push_back(std::make_unique<ModelServer>(caller_.io(), instance));
+  registered_[instance] = {service, slots};
+  PutServer(*servers_.back(), service, slots, "ready");
+  return *servers_.back();
+}
+
+void Site::MarkDraining(const ModelServer& server) {
+  const Registered& known = registered_.at(server.instance());
+  PutServer(server, known.service, known.slots, "draining");
+}
+
+void Site::RemoveServer(const ModelServer& server) {
+  store_.Remove("servers", server.instance());
+}
+
+void Site::Configure(int version, const json::object& changes) {
+  json::object batch = {{"name", "summaries"},
+                        {"host", kHost},
+                        {"path_prefix", "/summaries/"},
+                        {"kind", "batch"},
+                        {"timeout_ms", 15000},
+                        {"target_latency_ms", 400},
+                        {"service", "llm"},
+                        {"max_attempts", 2},
+                        {"completion_target_ms", 18000},
+                        {"queue_ttl_s", 60},
+                        {"max_count", 100000}};
+  for (const auto& [name, value] : changes) batch[name] = value;
+  store_.Put("config", "main",
+             json::object{
+                 {"version", version},
+                 {"routes",
+                  json::array{StreamRoute("query", "/query/", false, 1),
+                              StreamRoute("reply", "/reply/", true, 2),
+                              PlainRoute("ping", "/ping/", "idempotent", 2),
+                              PlainRoute("book", "/book/", "non_idempotent", 2),
+                              batch}},
+                 {"services", json::array{json::object{{"name", "llm"}},
+                                          json::object{{"name", "app"}}}},
+                 {"limits", json::object{{"max_header_bytes", 4096},
+                                         {"max_body_bytes", 100000},
+                                         {"header_timeout_ms", 1000},
+                                         {"idle_timeout_ms", 5000}}}});
+}
+
+std::string Site::WriteSettings(const std::string& name) {
+  callers_[name] = kAddress + std::to_string(FreePort());
+  readiness_[name] = kAddress + std::to_string(FreePort());
+  std::string text = ReadTemplate();
+  text =
+      std::regex_replace(text, std::regex(R"(\{\{[#/]listen\.\w+\}\}\n)"), "");
+  text = Replace(text, "node_name", name);
+  text = Replace(text, "ip", "127.0.0.1");
+  text = Replace(text, "zone", "zone-a");
+  text = Replace(text, "listen.front", callers_[name]);
+  text = Replace(text, "listen.ready", readiness_[name]);
+  text = Replace(text, "port_range.0", std::to_string(FreePort()));
+  text = Replace(text, "provider.address", store_.address());
+  text = Replace(text, "heartbeat_ms", "400");
+  text = Replace(text, "bounds.grace_s", "4.5");
+  const std::string file = folder_.File(name + ".toml");
+  std::ofstream(file) << text;
+  return file;
+}
+
+void Site::StartGateway(const std::string& name) {
+  processes_.erase(name);
+  processes_[name] = std::make_unique<harness::Process>(
+      folder_, name, harness::Program::kNode,
+      std::vector<std::string>{"gateway", "--config", WriteSettings(name)});
+}
+
+void Site::StartStore(const std::string& name) {
+  processes_[name] = std::make_unique<harness::Process>(
+      folder_, name, harness::Program::kNode,
+      std::vector<std::string>{"store", "--config", WriteSettings(name)});
+}
+
+void Site::AddGateway(const std::string& name) {
+  StartGateway(name);
+  if (!caller_.GetUntil(
+          readiness_[name], "/-/readiness",
+          [](const http::EndEvent& end) { return end.status == 200; })) {
+    throw std::runtime_error(
+        "gateway " + name + " did not become ready: " + process(name).output());
+  }
+}
+
+bool Site::Ready(const std::string& gateway) {
+  return caller_.Get(readiness_.at(gateway), "/-/readiness").status == 200;
+}
+
+std::string Site::Metrics(const std::string& gateway) {
+  return caller_.Get(readiness_.at(gateway), "/metrics").body;
+}
+
+http::ClientRequest Site::Online(const std::string& gateway,
+                                 const std::string& method,
+                                 const std::string& target,
+                                 const std::string& id,
+                                 int64_t budget_ms) const {
+  http::ClientRequest request;
+  request.address = callers_.at(gateway);
+  request.method = method;
+  request.target = target;
+  request.headers.Add("Host", kHost);
+  request.headers.Add("Request-Id", id);
+  request.headers.Add("Request-Deadline", std::to_string(budget_ms));
+  request.headers.Add("Model", "m");
+  if (method == "POST") request.body = "prompt of " + id;
+  return request;
+}
+
+http::ClientRequest Site::Job(const std::string& gateway, const std::string& id,
+                              int items, int tokens) const {
+  json::array list;
+  for (int i = 0; i < items; ++i) {
+    const std::string item = id + "-" + std::to_string(i);
+    list.push_back(json::object{{"id", item},
+                                {"path", "/summaries/" + item},
+                                {"headers", json::object{{"Model", "m"}}},
+                                {"body", "aGVsbG8="},  // hello
+                                {"tokens", tokens}});
+  }
+  http::ClientRequest request = Online(gateway, "POST", "/summaries/new", id);
+  request.body = json::serialize(json::object{{"items", std::move(list)}});
+  return request;
+}
+
+http::EndEvent Site::Call(http::ClientRequest&& request) {
+  return caller_.Call(std::move(request));
+}
+
+http::EndEvent Site::Results(const std::string& gateway, const std::string& job,
+                             int after, int wait_ms) {
+  http::ClientRequest request;
+  request.address = callers_.at(gateway);
+  request.target = "/-/lots/" + job + "?after=" + std::to_string(after);
+  request.headers.Add("Host", kHost);
+  if (wait_ms > 0) request.headers.Add("Poll-Wait", std::to_string(wait_ms));
+  return caller_.Call(std::move(request));
+}
+
+http::EndEvent Site::End(const std::string& gateway, const std::string& job) {
+  http::ClientRequest request;
+  request.address = callers_.at(gateway);
+  request.method = "DELETE";
+  request.target = "/-/lots/" + job;
+  request.headers.Add("Host", kHost);
+  return caller_.Call(std::move(request));
+}
+
+json::object Site::WaitForResults(const std::string& gateway,
+                                  const std::string& job, size_t count) {
+  constexpr std::chrono::seconds kLimit{30};
+  const TimePoint limit = MonotonicNow() + kLimit;
+  json::object page;
+  while (MonotonicNow() < limit) {
+    const http::EndEvent end = Results(gateway, job, 0, 0);
+    if (end.status == 200) {
+      page = json::parse(end.body).as_object();
+      if (page.at("results").as_array().size() >= count) return page;
+    }
+    caller_.RunFor(std::chrono::milliseconds(30));
+  }
+  return page;
+}
+
+}  // namespace knapweedstile::users_site
--- /dev/null
+++ b/tests/users_platform/site.h
@@ -0,0 +1,91 @@
+#ifndef KNAPWEEDSTILE_USERS_SITE_SITE_H_
+#define KNAPWEEDSTILE_USERS_SITE_SITE_H_
+
+#include <boost/json.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "harness/caller.h"
+#include "harness/process.h"
+#include "harness/scratch_folder.h"
+#include "users_platform/model_server.h"
+#include "users_platform/object_store.h"
+
+namespace knapweedstile::users_site {
+
+inline constexpr char kHost[] = "pets.example";
+
+// A small deployment on loopback: the store and the backend servers live in the
+// test, gateways are real processes that read the settings of the deployment's
+// own template.
+class Site {
+ public:
+  Site();
+
+  // Commands.
+  ModelServer& AddServer(const std::string& service,
+                         const std::string& instance, int slots = 4);
+  void MarkDraining(const ModelServer& server);
+  void RemoveServer(const ModelServer& server);
+  // Writes the configuration with all routes; versions must rise.
+  void Configure(int version, const boost::json::object& changes = {});
+  // Starts the gateway without waiting for it.
+  void StartGateway(const std::string& name);
+  // Starts it and waits until it is ready.
+  void AddGateway(const std::string& name);
+  void StartStore(const std::string& name);
+
+  // Queries.
+  ObjectStore& store() noexcept { return store_; }
+  harness::Caller& caller() noexcept { return caller_; }
+  harness::Process& process(const std::string& name) {
+    return *processes_.at(name);
+  }
+  bool Ready(const std::string& gateway);
+  const std::string& callers(const std::string& gateway) const {
+    return callers_.at(gateway);
+  }
+  std::string Metrics(const std::string& gateway);
+
+  // Requests, as a caller sends them.
+  http::ClientRequest Online(const std::string& gateway,
+                             const std::string& method,
+                             const std::string& target, const std::string& id,
+                             int64_t budget_ms = 5000) const;
+  http::ClientRequest Job(const std::string& gateway, const std::string& id,
+                          int items, int tokens = 100) const;
+  // Sends and waits; a streamed answer's events are in `body`.
+  http::EndEvent Call(http::ClientRequest&& request);
+  http::EndEvent Results(const std::string& gateway, const std::string& job,
+                         int after = 0, int wait_ms = 0);
+  http::EndEvent End(const std::string& gateway, const std::string& job);
+  // Reads until the job has `count` results; what was read last.
+  boost::json::object WaitForResults(const std::string& gateway,
+                                     const std::string& job, size_t count);
+
+ private:
+  uint16_t FreePort();
+  std::string WriteSettings(const std::string& name);
+  void PutServer(const ModelServer& server, const std::string& service,
+                 int slots, const std::string& state);
+
+  harness::ScratchFolder folder_;
+  harness::Caller caller_;
+  ObjectStore store_;
+  std::vector<std::unique_ptr<ModelServer>> servers_;
+  struct Registered {
+    std::string service;
+    int slots = 0;
+  };
+  std::map<std::string, Registered> registered_;
+  std::map<std::string, std::unique_ptr<harness::Process>> processes_;
+  std::map<std::string, std::string> callers_;
+  std::map<std::string, std::string> readiness_;
+};
+
+}  // namespace knapweedstile::users_site
+
+#endif  // KNAPWEEDSTILE_USERS_SITE_SITE_H_
