Gateway: a restarted entry makes the others ask the store once

Change: a new start of a known entry counts as unknown records until a read of the store; a stopping entry stays 200 ms after its last record and tells its last count. Test: sync_tracker_test, after an entry's restart the store is asked.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -38,6 +38,8 @@
 // The balancer takes an entry out after two probes, a second apart; until then
 // callers still come.
 constexpr std::chrono::milliseconds kAcceptAfterStop{2800};
+// For the last records to reach the other entries.
+constexpr std::chrono::milliseconds kLastPushes{200};
 // Left of the time before the kill for the last answers to be written.
 constexpr std::chrono::milliseconds kLastWrites{400};
 // A configuration's limit holds for what a caller sends before its body; the
@@ -539,7 +541,9 @@
   const bool idle = !accepting_ && callers_.open_exchanges() == 0 &&
                     callers_.open_connections() == 0 &&
                     runner_.running() == 0 && committer_.idle();
-  if (!idle && now < kill_at - kLastWrites) return;
+  if (!idle) idle_since_ = now;
+  if (now - idle_since_ < kLastPushes && now < kill_at - kLastWrites) return;
+  ShareState(now);
   LogInfo("stopped", {{"online", online_.open()},
                       {"items", runner_.running()},
                       {"connections", callers_.open_connections()}});
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -106,6 +106,7 @@
   bool registered_ = false;
   TimePoint stop_began_at_ = kNever;
   bool accepting_ = true;
+  TimePoint idle_since_{};  // stopping: since when nothing is left to do
 };
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/sync_tracker.cc
+++ b/libs/gateway/src/sync_tracker.cc
@@ -21,10 +21,14 @@
 
 }  // namespace
 
-SyncTracker::Entry& SyncTracker::Known(const std::string& name,
-                                       uint64_t start) {
+SyncTracker::Entry& SyncTracker::Known(const std::string& name, uint64_t start,
+                                       TimePoint now) {
   Entry& entry = entries_[name];
-  if (entry.start != start) entry = {.start = start};
+  if (entry.start == start) return entry;
+  const bool restarted = entry.start != 0;
+  entry = {.start = start, .unread_start = restarted};
+  entry.behind_since = now;
+  entry.told_at = now;
   return entry;
 }
 
@@ -41,14 +45,14 @@
 
 void SyncTracker::OnCount(const std::string& name, uint64_t start,
                           uint64_t count, TimePoint now) {
-  Entry& entry = Known(name, start);
+  Entry& entry = Known(name, start, now);
   entry.heard_at = now;
   Raise(entry, count, now);
 }
 
 void SyncTracker::OnReceived(const std::string& name, uint64_t start,
                              uint64_t before, uint64_t count, TimePoint now) {
-  Entry& entry = Known(name, start);
+  Entry& entry = Known(name, start, now);
   entry.heard_at = now;
   Raise(entry, count, now);
   // With a gap before it, what was received does not make up for it.
@@ -60,14 +64,17 @@
 void SyncTracker::OnStoreRead(TimePoint began) {
   read_began_ = std::max(read_began_, began);
   for (auto& [name, entry] : entries_) {
-    if (entry.told_at <= began) entry.received = entry.told;
+    if (entry.told_at > began) continue;
+    entry.received = entry.told;
+    entry.unread_start = false;
   }
 }
 
 void SyncTracker::Forget(const std::string& name) { entries_.erase(name); }
 
 bool SyncTracker::MayBeBehind(const Entry& entry, TimePoint now) {
-  if (entry.received < entry.told && now - entry.behind_since >= kPushTime) {
+  const bool behind = entry.received < entry.told || entry.unread_start;
+  if (behind && now - entry.behind_since >= kPushTime) {
     return true;
   }
   const Duration silence = now - entry.heard_at;
@@ -88,7 +95,8 @@
   return std::none_of(entries_.begin(), entries_.end(), [&](const auto& e) {
     const Entry& entry = e.second;
     if (!MayBeBehind(entry, now)) return false;
-    return entry.received < entry.told || now - read_began_ > kReadLifetime;
+    return entry.received < entry.told || entry.unread_start ||
+           now - read_began_ > kReadLifetime;
   });
 }
 
--- a/libs/gateway/src/sync_tracker.h
+++ b/libs/gateway/src/sync_tracker.h
@@ -45,11 +45,13 @@
     TimePoint told_at{};       // when `told` last rose
     TimePoint behind_since{};  // since when `received` is below it
     TimePoint heard_at{};
+    // It has started again: what it wrote last before may be unknown here.
+    bool unread_start = false;
   };
 
   static void Raise(Entry& entry, uint64_t count, TimePoint now);
   static bool MayBeBehind(const Entry& entry, TimePoint now);
-  Entry& Known(const std::string& entry, uint64_t start);
+  Entry& Known(const std::string& entry, uint64_t start, TimePoint now);
 
   std::map<std::string, Entry> entries_;
   TimePoint read_began_{};
--- a/libs/gateway/tests/sync_tracker_test.cc
+++ b/libs/gateway/tests/sync_tracker_test.cc
@@ -109,6 +109,19 @@
   CHECK(sync.MustAskStore(At(700)));
 }
 
+// An entry commits a result, is stopped before its push is sent, and is back
+// half a second later. Its new count says nothing of the old process's record.
+TEST_CASE("after an entry's restart the store is asked") {
+  SyncTracker sync;
+  sync.OnCount("entry-2", 1, 0, At(0));
+  sync.OnStoreRead(At(10));
+  sync.OnCount("entry-2", 2, 0, At(500));
+  CHECK(sync.MustAskStore(At(700)));
+  CHECK_FALSE(sync.Current(At(700)));
+  sync.OnStoreRead(At(700));
+  CHECK(sync.Current(At(750)));
+}
+
 // The watch's connection is silent: this entry stays on the old version while
 // the others tell the new one.
 TEST_CASE("a version that stays behind for longer than a change takes") {
