Batch: started step by step, withdrawn from queues, in-time jobs first

Change: an entry starts at most its share of half the room in 25 ms, and nothing for 0.6 s after its start; items that wait at a server with more requests than slots are withdrawn; jobs that can still be in time go before overdue ones; the time of acceptance outlives restarts.

--- a/libs/gateway/src/batch_api.cc
+++ b/libs/gateway/src/batch_api.cc
@@ -35,6 +35,8 @@
 // Largest record: the store's limit on a value, with room for escapes.
 constexpr size_t kMaxRecordBytes = 1000000;
 
+constexpr int64_t kNanosPerMilli = 1000000;
+
 constexpr char kJson[] = "application/json";
 constexpr char kBytes[] = "application/octet-stream";
 
@@ -130,12 +132,14 @@
   submission.caller = caller;
   submission.arrived_at = request.received_at;
   submission.give_up_at = request.received_at + kSubmitTimeout;
-  submission.record = {.creator = own_name_,
-                       .host = fields.host,
-                       .route = route.name,
-                       .completion_millis = route.completion_objective.count(),
-                       .ttl_millis = route.item_ttl.count(),
-                       .submission = std::move(request.body)};
+  submission.record = {
+      .creator = own_name_,
+      .host = fields.host,
+      .route = route.name,
+      .accepted_wall_millis = WallClockNanos() / kNanosPerMilli,
+      .completion_millis = route.completion_objective.count(),
+      .ttl_millis = route.item_ttl.count(),
+      .submission = std::move(request.body)};
   Write(id);
 }
 
@@ -207,7 +211,8 @@
   if (!book_.Find(submission.job)) {
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
-          BOOST_LEAF_AUTO(job, DecodeJob(submission.job, value, now));
+          BOOST_LEAF_AUTO(job, DecodeJob(submission.job, value, now,
+                                         WallClockNanos() / kNanosPerMilli));
           book_.AddJob(std::move(job));
           return {};
         },
--- a/libs/gateway/src/batch_runner.cc
+++ b/libs/gateway/src/batch_runner.cc
@@ -24,6 +24,10 @@
 // each resumption reads its prompt again (33 ms of a backend server's time).
 constexpr std::chrono::milliseconds kDisplacedPause{150};
 constexpr std::chrono::milliseconds kNotRunPause{50};
+// Others hear of a start within some milliseconds.
+constexpr std::chrono::milliseconds kStartWindow{25};
+// First events of runs that need not wait come within 70 ms.
+constexpr std::chrono::milliseconds kQueuedAfter{150};
 constexpr std::chrono::milliseconds kFailedPause{100};
 constexpr std::chrono::milliseconds kFirstBrokenPause{50};
 constexpr std::chrono::milliseconds kLongestBrokenPause{4000};
@@ -35,6 +39,8 @@
 // while the store is disturbed.
 constexpr std::chrono::milliseconds kUnroutedPause{500};
 constexpr std::chrono::milliseconds kUnroutedPatience{4000};
+// An item's run on a busy backend server, at the median.
+constexpr std::chrono::milliseconds kUsualRun{4500};
 // Longest run of one item; a longest item takes about ten seconds.
 constexpr std::chrono::seconds kLongestRun{30};
 
@@ -57,6 +63,7 @@
   EndUnwanted();
   EndStalled(now);
   GiveUpExpired(now);
+  WithdrawQueued(now);
   std::set<std::string, std::less<>> full;  // routes without room
   const auto mine = [&](const serving::BatchJob& job) {
     return !full.contains(job.route) && ports_.owns(job);
@@ -64,7 +71,8 @@
   const auto free = [&](const serving::BatchItem& item) {
     return !ports_.runs_elsewhere(Hash64(item.id));
   };
-  while (const auto item = book_.NextItem(now, mine, free)) {
+  const TimePoint in_time = now + kUsualRun;
+  while (const auto item = book_.NextItem(now, in_time, mine, free)) {
     if (Start(*item, now) == StartResult::kNoRoom) {
       full.insert(book_.Find(item->job)->route);
     }
@@ -81,6 +89,7 @@
     return StartResult::kStarted;
   }
   const std::string& service = route->services.front().service;
+  if (!TakeFromBudget(service, now)) return StartResult::kNoRoom;
   const BackendServerId server = board_.PlaceBatch(service, now);
   if (!server) return StartResult::kNoRoom;
   serving::ItemProgress& progress = job.progress[item.index];
@@ -277,6 +286,36 @@
   ports_.usage_changed();
 }
 
+bool BatchRunner::TakeFromBudget(const std::string& service, TimePoint now) {
+  if (now >= window_ends_at_) {
+    budget_.clear();
+    window_ends_at_ = now + kStartWindow;
+  }
+  const auto [budget, is_new] = budget_.try_emplace(service);
+  if (is_new) {
+    budget->second = board_.BatchBudget(service, ports_.entries(), now);
+  }
+  if (budget->second == 0) return false;
+  --budget->second;
+  return true;
+}
+
+// Failure guarded against: entries that took the same room leave more items
+// than slots at a server. Those that wait there hold back the online requests
+// behind them, for seconds; it shows as an excess and as runs without any
+// event.
+void BatchRunner::WithdrawQueued(TimePoint now) {
+  std::map<BackendServerId, ExchangeId> queued;
+  for (const auto& [upstream, run] : runs_) {
+    if (run.any_event || now - run.started_at < kQueuedAfter) continue;
+    if (board_.Excess(run.server) > 0) queued.emplace(run.server, upstream);
+  }
+  for (const auto& [server, upstream] : queued) {
+    client_.Cancel(upstream);
+    Requeue(runs_.at(upstream), kDisplacedPause, "queued");
+  }
+}
+
 void BatchRunner::EndStalled(TimePoint now) {
   std::vector<ExchangeId> stalled;
   for (const auto& [upstream, run] : runs_) {
--- a/libs/gateway/src/batch_runner.h
+++ b/libs/gateway/src/batch_runner.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -27,6 +28,8 @@
   struct Ports {
     // Whether this entry starts items of the job.
     std::function<bool(const serving::BatchJob&)> owns;
+    // Entries that take batch work, this one included.
+    std::function<size_t()> entries;
     // Whether another entry runs the item now.
     std::function<bool(uint64_t item_hash)> runs_elsewhere;
     std::function<void(const std::string& job)> finished;
@@ -63,6 +66,8 @@
     serving::EventStreamReader reader;
   };
   enum class StartResult { kStarted, kNoRoom };
+  // Items that may still be started in the present window, by service.
+  using Budget = std::map<std::string, uint32_t, std::less<>>;
 
   StartResult Start(const serving::ItemRef& item, TimePoint now);
   void WaitForRoute(const serving::ItemRef& item, TimePoint now);
@@ -74,6 +79,8 @@
   void OnAnswered(ItemRun& run);
   void OnFailedAnswer(ItemRun& run);
   void OnBroken(ItemRun& run, std::string_view reason);
+  bool TakeFromBudget(const std::string& service, TimePoint now);
+  void WithdrawQueued(TimePoint now);
   void EndStalled(TimePoint now);
   void EndUnwanted();
   void GiveUpExpired(TimePoint now);
@@ -87,6 +94,8 @@
   const serving::RouteTable& routes_;
   observe::Metrics& metrics_;
   Ports ports_;
+  Budget budget_;
+  TimePoint window_ends_at_{};
   uint64_t last_upstream_ = 0;
   std::unordered_map<ExchangeId, ItemRun> runs_;
   http::Client client_;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds kSharePausePerEntry{1};
 // Without a change, often enough that silence is noticed soon.
 constexpr std::chrono::milliseconds kHeartbeat{250};
+// After a start, for the other entries' usage to arrive.
+constexpr std::chrono::milliseconds kLearnUsage{600};
 // Before jobs of other entries are taken over, those have time to be heard.
 constexpr std::chrono::milliseconds kTakeoverAfterStart{1600};
 // Records of other entries are pushed by them; the store is asked again only to
@@ -59,6 +61,8 @@
                   heartbeat * kHeartbeatsToLapse - kTimeoutAndMargin);
 }
 
+constexpr int64_t kNanosPerMilli = 1000000;
+
 http::ServerSettings CallerServerSettings() {
   http::ServerSettings settings;
   settings.max_connections = 3500;
@@ -139,6 +143,7 @@
       runner_(
           io, board_, book_, routes_, metrics_,
           {.owns = [this](const serving::BatchJob& job) { return Owns(job); },
+           .entries = [this] { return peers_.WorkingEntries().size() + 1; },
            .runs_elsewhere =
                [this](uint64_t item) { return peers_.RunsElsewhere(item); },
            .finished =
@@ -349,7 +354,8 @@
   if (book_.Find(id)) return;
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_AUTO(job, DecodeJob(id, object.value, MonotonicNow()));
+        BOOST_LEAF_AUTO(job, DecodeJob(id, object.value, MonotonicNow(),
+                                       WallClockNanos() / kNanosPerMilli));
         book_.AddJob(std::move(job));
         return {};
       },
@@ -435,6 +441,8 @@
 // item may then run twice, but its result is committed once.
 bool Gateway::Owns(const serving::BatchJob& job) const {
   if (stop_began_at_ != kNever) return false;
+  // Until the others have told what they use, every slot looks free.
+  if (MonotonicNow() < started_at_ + kLearnUsage) return false;
   if (job.creator == settings_.name) return true;
   if (MonotonicNow() < started_at_ + kTakeoverAfterStart) return false;
   std::vector<std::string> entries = peers_.WorkingEntries();
--- a/libs/gateway/src/job_records.cc
+++ b/libs/gateway/src/job_records.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
 
@@ -14,6 +15,9 @@
 using serving::ItemResult;
 using serving::ItemState;
 
+// A wall clock that jumped makes a job look this much too old at most.
+constexpr int64_t kMostAgeObjectives = 3;
+
 constexpr std::string_view kJobPrefix = "job.";
 constexpr std::string_view kSegmentPrefix = "segment.";
 constexpr std::string_view kEndPrefix = "end.";
@@ -79,6 +83,7 @@
   const json::object object = {{"creator", record.creator},
                                {"host", record.host},
                                {"route", record.route},
+                               {"accepted_ms", record.accepted_wall_millis},
                                {"completion_ms", record.completion_millis},
                                {"ttl_ms", record.ttl_millis},
                                {"submission", record.submission}};
@@ -86,7 +91,7 @@
 }
 
 Result<serving::BatchJob> DecodeJob(std::string_view id, std::string_view value,
-                                    TimePoint now) {
+                                    TimePoint now, int64_t wall_millis) {
   const auto object = ParseObject(value);
   if (!object) return Fail(ErrorCode::kInvalid, "the job is not an object");
   BOOST_LEAF_AUTO(items,
@@ -98,8 +103,11 @@
   job.route = Text(*object, "route");
   job.items = std::move(items);
   job.learned_at = now;
-  job.due_at =
-      now + std::chrono::milliseconds(Number(*object, "completion_ms"));
+  const int64_t completion = Number(*object, "completion_ms");
+  const int64_t age =
+      std::clamp<int64_t>(wall_millis - Number(*object, "accepted_ms"), 0,
+                          kMostAgeObjectives * completion);
+  job.due_at = now + std::chrono::milliseconds(completion - age);
   job.expires_at = now + std::chrono::milliseconds(Number(*object, "ttl_ms"));
   return job;
 }
--- a/libs/gateway/src/job_records.h
+++ b/libs/gateway/src/job_records.h
@@ -41,14 +41,18 @@
   std::string creator;
   std::string host;
   std::string route;
+  // When it came, on the wall clock of its entry. Clocks differ and jump, so
+  // this only orders jobs; nothing is given up by it.
+  int64_t accepted_wall_millis = 0;
   int64_t completion_millis = 0;  // objective, from the acceptance on
   int64_t ttl_millis = 0;
   std::string submission;
 };
 std::string EncodeJob(const JobRecord& record);
-// The job with its times counted from `now`; kInvalid when it is not one.
+// The job as it is known from `now` (`wall_millis` on the wall clock) on;
+// kInvalid when it is not one.
 Result<serving::BatchJob> DecodeJob(std::string_view id, std::string_view value,
-                                    TimePoint now);
+                                    TimePoint now, int64_t wall_millis);
 
 std::string EncodeSegment(const std::vector<serving::ItemResult>& results);
 Result<std::vector<serving::ItemResult>> DecodeSegment(std::string_view value);
--- a/libs/gateway/tests/batch_runner_test.cc
+++ b/libs/gateway/tests/batch_runner_test.cc
@@ -47,6 +47,7 @@
                      routes,
                      metrics,
                      {.owns = [](const serving::BatchJob&) { return true; },
+                      .entries = [] { return size_t{1}; },
                       .runs_elsewhere = [](uint64_t) { return false; },
                       .finished = [](const std::string&) {},
                       .usage_changed = [] {}}};
--- a/libs/serving/include/serving/job_book.h
+++ b/libs/serving/include/serving/job_book.h
@@ -21,9 +21,12 @@
 // Results are kept as numbered segments of a job. Segment n may be added only
 // after segments 0 to n - 1, and each segment is created once in the store, so
 // a position of a job never changes and no item is listed twice, whoever ran
-// it. Load pattern: jobs of some ten items that are due in seconds, beside jobs
-// that can wait; without the order by due time a late job's items hold the
-// slots that an earlier one needs.
+// it.
+//
+// Load pattern: jobs of some ten items that are due in seconds, more of them
+// for a while than there is room. Of the jobs that can still be in time the one
+// that is due first goes first; those that cannot any more come after them, or
+// each overdue job would make the next one late as well.
 class JobBook {
  public:
   // Commands: what the store holds.
@@ -48,10 +51,12 @@
   BatchJob* Find(std::string_view job);
   // Tokens of the open jobs' items on a route that have no result yet.
   uint64_t WaitingTokens(std::string_view route) const;
-  // The item to start next: of the earliest due open job for which `mine` is
-  // true, the first waiting item that `free` allows.
+  // The item to start next: of the open jobs for which `mine` is true, the
+  // first waiting item that `free` allows. Jobs that are due after `in_time`
+  // can still be in time.
   std::optional<ItemRef> NextItem(
-      TimePoint now, const std::function<bool(const BatchJob&)>& mine,
+      TimePoint now, TimePoint in_time,
+      const std::function<bool(const BatchJob&)>& mine,
       const std::function<bool(const BatchItem&)>& free) const;
   // Finished items of a job that are not committed yet.
   std::vector<ItemResult> Uncommitted(const std::string& job) const;
--- a/libs/serving/include/serving/slot_board.h
+++ b/libs/serving/include/serving/slot_board.h
@@ -38,7 +38,10 @@
 // those either
 //   it queues only as long as its latency objective allows, and is refused at
 //   once beyond that, with the time at which the queue will have moved.
-// - Batch starts only where a reserve of free slots remains.
+// - Batch starts only where a reserve of free slots remains, and each entry
+//   takes its share of the room step by step: entries that start at the same
+//   moment see the whole fleet free. (Four entries after a common restart put
+//   24 items on servers of 8 slots, and online requests waited for 3 s behind.)
 class SlotBoard {
  public:
   SlotBoard(SlotBoardSettings settings, std::string own_zone, uint64_t seed);
@@ -73,6 +76,12 @@
   Placement PlaceOnline(std::string_view service, Duration objective,
                         std::span<const BackendServerId> excluded,
                         TimePoint now);
+  // Batch items that one of `entries` entries may start until the others know
+  // of it: at least one, together at most half of the room there is.
+  uint32_t BatchBudget(std::string_view service, size_t entries,
+                       TimePoint now) const;
+  // Requests outstanding over the slots of a backend server.
+  uint32_t Excess(BackendServerId server) const;
   // Zero when no backend server has room beyond the reserve.
   BackendServerId PlaceBatch(std::string_view service, TimePoint now);
 
--- a/libs/serving/src/job_book.cc
+++ b/libs/serving/src/job_book.cc
@@ -116,12 +116,18 @@
 }
 
 std::optional<ItemRef> JobBook::NextItem(
-    TimePoint now, const std::function<bool(const BatchJob&)>& mine,
+    TimePoint now, TimePoint in_time,
+    const std::function<bool(const BatchJob&)>& mine,
     const std::function<bool(const BatchItem&)>& free) const {
+  const auto comes_before = [in_time](const BatchJob& a, const BatchJob& b) {
+    const bool late_a = a.due_at < in_time;
+    const bool late_b = b.due_at < in_time;
+    return late_a != late_b ? late_b : a.due_at < b.due_at;
+  };
   const BatchJob* best = nullptr;
   uint32_t best_index = 0;
   for (const auto& [id, job] : jobs_) {
-    if (!job.open() || (best && best->due_at <= job.due_at) || !mine(job)) {
+    if (!job.open() || (best && !comes_before(job, *best)) || !mine(job)) {
       continue;
     }
     for (uint32_t i = 0; i < job.items.size(); ++i) {
--- a/libs/serving/src/slot_board.cc
+++ b/libs/serving/src/slot_board.cc
@@ -335,6 +335,26 @@
   return server ? server->id : BackendServerId();
 }
 
+uint32_t SlotBoard::BatchBudget(std::string_view service, size_t entries,
+                                TimePoint now) const {
+  uint32_t room = 0;
+  for (const auto& [id, server] : servers_) {
+    if (!Usable(server, service, {}) || server.avoid_until > now) continue;
+    const uint32_t taken = server.total() + settings_.batch_reserve;
+    if (taken < server.record.slots) room += server.record.slots - taken;
+  }
+  return 1 + room / static_cast<uint32_t>(2 * std::max<size_t>(entries, 1));
+}
+
+uint32_t SlotBoard::Excess(BackendServerId id) const {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return 0;
+  const Server& server = found->second;
+  return server.total() > server.record.slots
+             ? server.total() - server.record.slots
+             : 0;
+}
+
 const ServerRecord* SlotBoard::Record(BackendServerId id) const {
   const auto found = servers_.find(id);
   return found == servers_.end() ? nullptr : &found->second.record;
