Gateway: requests that crash servers are turned away; records of old jobs are deleted

Cause: a request that crashes each server that runs it had no bound over gateways, nor had such an item; nothing deleted the records of jobs, so the store and every gateway's memory grew for ever. Change: breaks are counted by fingerprint over all gateways (CrashLedger, told in whole datagrams), the third quarantines for 60 s; items that break before any event wait 6, 15, 40 s from the third time on; RecordCollector deletes a job's records after twice the promised time, its own record first, and orphans. Request lines name the service's slots, those free and the server.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -22,6 +22,8 @@
   // Backend servers renew their entries this often; one that misses three times
   // is removed.
   std::chrono::milliseconds server_heartbeat{1200};
+  // How long a job's results stay readable after its acceptance, at least.
+  std::chrono::milliseconds result_retention{120000};
   // Between the signal to stop and the kill that follows it.
   std::chrono::milliseconds stop_grace{8000};
   LogLevel log_level = LogLevel::kInfo;
--- a/libs/gateway/src/batch_runner.cc
+++ b/libs/gateway/src/batch_runner.cc
@@ -1,6 +1,7 @@
 #include "batch_runner.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "base/clock.h"
@@ -29,8 +30,13 @@
 // First events of runs that need not wait come within 70 ms.
 constexpr std::chrono::milliseconds kQueuedAfter{90};
 constexpr std::chrono::milliseconds kFailedPause{100};
-constexpr std::chrono::milliseconds kFirstBrokenPause{50};
-constexpr std::chrono::milliseconds kLongestBrokenPause{4000};
+// By the number of runs in a row that broke before any event. An innocent item
+// seldom breaks three times; one that crashes servers costs three of them, and
+// two or three more until it expires.
+constexpr std::array<std::chrono::milliseconds, 6> kBrokenPauses = {
+    std::chrono::milliseconds(50),    std::chrono::milliseconds(100),
+    std::chrono::milliseconds(400),   std::chrono::milliseconds(6000),
+    std::chrono::milliseconds(15000), std::chrono::milliseconds(40000)};
 // Time to the first event: a queue of online requests may be ahead, and the
 // backend server may read other prompts first. Then events come every 30 ms.
 constexpr std::chrono::milliseconds kFirstEventPatience{4000};
@@ -242,13 +248,13 @@
 
 // Failure guarded against: an item that crashes each backend server that begins
 // to run it would take the fleet down. It shows as runs that break before any
-// event; the pause doubles with each of them.
+// event; after the third the pauses are long.
 void BatchRunner::OnBroken(ItemRun& run, std::string_view reason) {
   serving::ItemProgress& progress = Progress(run);
-  const uint32_t doublings = std::min(progress.breaks, 7U);
   if (!run.any_event) ++progress.breaks;
-  const Duration pause = kFirstBrokenPause * (1U << doublings);
-  Requeue(run, std::min<Duration>(pause, kLongestBrokenPause), reason);
+  const size_t step =
+      std::min<size_t>(progress.breaks, kBrokenPauses.size() - 1);
+  Requeue(run, kBrokenPauses[step], reason);
 }
 
 void BatchRunner::Finish(ItemRun& run, ItemState state) {
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -61,6 +61,10 @@
                   heartbeat * kHeartbeatsToLapse - kTimeoutAndMargin);
 }
 
+// Results are kept for longer than is promised: an entry counts from when it
+// learned of a job, and readers come late.
+constexpr int kRetentionFactor = 2;
+
 constexpr int64_t kNanosPerMilli = 1000000;
 
 http::ServerSettings CallerServerSettings() {
@@ -115,6 +119,7 @@
               .lost =
                   [this](const std::string& entry, bool draining) {
                     board_.DropEntry(entry);
+                    crashes_.Forget(entry);
                     if (draining) sync_.Forget(entry);
                   }}),
       push_(io, settings.name, start_,
@@ -130,7 +135,7 @@
                    }
                    RunBatch();
                  }}),
-      online_(io, board_, metrics_, seed + 1,
+      online_(io, board_, crashes_, metrics_, seed + 1,
               {.to_caller =
                    [this](http::ServerCommand&& command) {
                      callers_.Execute(std::move(command));
@@ -164,6 +169,9 @@
            .book_changed = [this] { RunBatch(); },
            .written = [this](const OwnRecord& record) { PushRecord(record); },
            .current = [this] { return sync_.Current(MonotonicNow()); }}),
+      collector_(store_, book_,
+                 {.keep = settings.result_retention * kRetentionFactor},
+                 [this](const std::string& job) { return Collects(job); }),
       callers_(io, CallerServerSettings(),
                [this](http::ServerEvent&& event) {
                  return OnCallerEvent(std::move(event));
@@ -391,6 +399,7 @@
     board_.UpdateEntry(state.entry, state.usage, now);
   } else {
     board_.ReportEntry(state.entry, state.usage, now);
+    crashes_.Learn(state.entry, state.crashes);
   }
   sync_.OnCount(state.entry, state.start, state.records, now);
   configuration_lag_.OnTold(state.configuration, routes_.version, now);
@@ -445,18 +454,26 @@
   if (MonotonicNow() < started_at_ + kLearnUsage) return false;
   if (job.creator == settings_.name) return true;
   if (MonotonicNow() < started_at_ + kTakeoverAfterStart) return false;
-  std::vector<std::string> entries = peers_.WorkingEntries();
+  const std::vector<std::string> entries = peers_.WorkingEntries();
   if (std::find(entries.begin(), entries.end(), job.creator) != entries.end()) {
     return false;
   }
+  return ChosenOf(job.id) == settings_.name;
+}
+
+std::string Gateway::ChosenOf(const std::string& job) const {
+  std::vector<std::string> entries = peers_.WorkingEntries();
   entries.push_back(settings_.name);
-  const uint64_t seed = Hash64(job.id);
-  const auto best =
-      std::max_element(entries.begin(), entries.end(),
-                       [seed](const std::string& a, const std::string& b) {
-                         return Hash64(a, seed) < Hash64(b, seed);
-                       });
-  return *best == settings_.name;
+  const uint64_t seed = Hash64(job);
+  return *std::max_element(entries.begin(), entries.end(),
+                           [seed](const std::string& a, const std::string& b) {
+                             return Hash64(a, seed) < Hash64(b, seed);
+                           });
+}
+
+bool Gateway::Collects(const std::string& job) const {
+  if (stop_began_at_ != kNever) return false;
+  return ChosenOf(job) == settings_.name;
 }
 
 void Gateway::Displace(BackendServerId server, const std::string& entry) {
@@ -479,8 +496,10 @@
   servers_.Expire(now);
   peers_.Expire(now);
   board_.ExpireReports(now);
+  crashes_.Expire(now);
   runner_.Run(now);
   committer_.Run(now);
+  collector_.Run(now);
   batch_.Expire(now);
   if (now - shared_whole_at_ >= kHeartbeat) ShareState(now);
   RefreshLaggingMirrors(now);
@@ -530,6 +549,7 @@
   PeerState state = OwnState();
   state.usage = board_.OwnUsage();
   state.running_items = runner_.RunningItems();
+  state.crashes = crashes_.Own();
   told_usage_ = state.usage;
   peers_.Broadcast(std::move(state));
 }
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -16,9 +16,11 @@
 #include "observe/metrics.h"
 #include "online_calls.h"
 #include "peer_link.h"
+#include "record_collector.h"
 #include "record_push.h"
 #include "result_committer.h"
 #include "server_directory.h"
+#include "serving/crash_ledger.h"
 #include "serving/job_book.h"
 #include "serving/route_table.h"
 #include "serving/slot_board.h"
@@ -56,6 +58,10 @@
   void PushRecord(const OwnRecord& record);
   void OnPeerState(const PeerState& state);
 
+  // One of the live entries, by a hash that all agree on.
+  std::string ChosenOf(const std::string& job) const;
+  // Whether this entry deletes the records of a job that has expired.
+  bool Collects(const std::string& job) const;
   bool Owns(const serving::BatchJob& job) const;
   void Displace(BackendServerId server, const std::string& entry);
   void RunBatch();
@@ -76,6 +82,7 @@
   TimePoint started_at_;
   observe::Metrics metrics_;
   serving::SlotBoard board_;
+  serving::CrashLedger crashes_;
   serving::JobBook book_;
   serving::RouteTable routes_;
   StoreCalls store_;
@@ -90,6 +97,7 @@
   BatchRunner runner_;
   ResultCommitter committer_;
   BatchApi batch_;
+  RecordCollector collector_;
   http::Server callers_;
   http::Server readiness_;
   KindMirror configuration_mirror_;
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -23,6 +23,9 @@
   schema.Millis("servers.heartbeat_ms",
                 "how often backend servers renew their entries",
                 &settings->server_heartbeat, 10, 60000);
+  schema.Seconds("batch.result_retention",
+                 "how long results stay readable after a job's acceptance",
+                 &settings->result_retention);
   schema.Seconds("stop.grace", "from the signal to stop to the kill",
                  &settings->stop_grace);
   schema.Choice("log.level", "least level that is logged",
--- a/libs/gateway/src/online_call.h
+++ b/libs/gateway/src/online_call.h
@@ -21,13 +21,15 @@
   ExchangeId caller;  // the caller's exchange
   http::RequestEvent request;
   std::string request_id;
-  serving::Route route;  // as it was when the request came
-  std::string service;   // picked among the route's services
-  TimePoint deadline;    // of the caller or the route, whichever is first
+  uint64_t fingerprint = 0;  // the same when the request comes again
+  serving::Route route;      // as it was when the request came
+  std::string service;       // picked among the route's services
+  TimePoint deadline;        // of the caller or the route, whichever is first
 
   // The attempt in progress.
   ExchangeId upstream;
   BackendServerId server;
+  std::string address;  // of the last server that it was sent to
   TimePoint sent_at;
   serving::ServerUsage usage_at_send;  // of the server, before this request
   bool displaced_batch = false;
--- a/libs/gateway/src/online_calls.cc
+++ b/libs/gateway/src/online_calls.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "upstream_settings.h"
 #include "users_platform/request_headers.h"
@@ -32,6 +33,8 @@
 constexpr double kRepeatAfterObjectives = 1.5;
 constexpr std::chrono::milliseconds kLeastAttemptTime{150};
 constexpr std::chrono::milliseconds kRetryAfterBroken{100};
+// A request that crashes servers is not served before its quarantine ends.
+constexpr std::chrono::seconds kQuarantineRetry{60};
 
 const std::string& PickService(const serving::Route& route, Rng& rng) {
   uint64_t total = 0;
@@ -51,8 +54,10 @@
 }  // namespace
 
 OnlineCalls::OnlineCalls(boost::asio::io_context& io, serving::SlotBoard& board,
+                         serving::CrashLedger& crashes,
                          observe::Metrics& metrics, uint64_t seed, Ports ports)
     : board_(board),
+      crashes_(crashes),
       metrics_(metrics),
       rng_(seed),
       ports_(std::move(ports)),
@@ -74,7 +79,13 @@
     call.deadline =
         std::min(call.deadline, request.received_at + *caller.budget);
   }
+  call.fingerprint =
+      HashCombine(HashCombine(Hash64(caller.host), Hash64(request.target)),
+                  Hash64(request.body));
   call.request = std::move(request);
+  if (crashes_.IsQuarantined(call.fingerprint)) {
+    return Refuse(call, kQuarantineRetry, "crashes_servers");
+  }
   Dispatch(call);
 }
 
@@ -104,6 +115,7 @@
   const TimePoint now = MonotonicNow();
   const serving::ServerRecord& record = *board_.Record(server);
   call.server = server;
+  call.address = record.address;
   call.usage_at_send = board_.UsageOf(server);
   call.sent_at = now;
   call.status = 0;
@@ -227,10 +239,9 @@
   const TimePoint now = MonotonicNow();
   if (event.outcome == http::ClientOutcome::kNotSent) {
     board_.ReportUnreachable(call.server, now);
-    LogWarning("server_unreachable",
-               {{"request", call.request_id},
-                {"server", board_.Record(call.server)->address},
-                {"reason", event.message}});
+    LogWarning("server_unreachable", {{"request", call.request_id},
+                                      {"server", call.address},
+                                      {"reason", event.message}});
     return RetryNotRun(call);
   }
   if (event.outcome != http::ClientOutcome::kComplete) {
@@ -293,14 +304,21 @@
   const bool again = MayRunElsewhere(call);
   LogWarning("attempt_broken",
              {{"request", call.request_id},
-              {"server", board_.Record(call.server)->address},
+              {"server", call.address},
               {"reason", reason},
               {"age_ms", ToMillis(MonotonicNow() - call.sent_at)},
               {"passing", call.passing},
               {"again", again}});
+  // Only an end without an answer may be a crash.
+  if (reason == NameOf(http::ClientOutcome::kLost)) {
+    crashes_.OnBroken(call.fingerprint, MonotonicNow());
+  }
   call.excluded.push_back(call.server);
   LeaveServer(call);
   ++call.runs;
+  if (again && crashes_.IsQuarantined(call.fingerprint)) {
+    return Fail(call, kBadGateway, "crashes_servers");
+  }
   if (again) return Dispatch(call);
   const bool timeout = MonotonicNow() >= call.deadline;
   Fail(call, timeout ? kGatewayTimeout : kBadGateway, reason);
@@ -341,9 +359,10 @@
                          std::string_view outcome) {
   const Duration age = MonotonicNow() - call.request.received_at;
   const bool answered = outcome == "answered";
+  if (answered) crashes_.OnAnswered(call.fingerprint);
   metrics_.Add("knap_requests_total", {call.route.name, std::string(outcome)});
   metrics_.Observe("knap_request_seconds", ToSeconds(age), {call.route.name});
-  const serving::ServerRecord* record = board_.Record(call.server);
+  const auto slots = board_.CountSlots(call.service, MonotonicNow());
   const bool begun = call.first_byte_at != TimePoint{};
   const Duration first_byte =
       begun ? call.first_byte_at - call.request.received_at : age;
@@ -353,7 +372,9 @@
        {"status", status},
        {"outcome", outcome},
        {"age_ms", ToMillis(age)},
-       {"server", record ? record->address : "-"},
+       {"server", call.address.empty() ? "-" : call.address},
+       {"slots", slots.all},
+       {"free", slots.free},
        {"online", call.usage_at_send.online},
        {"batch", call.usage_at_send.batch},
        {"displaced", call.displaced_batch},
--- a/libs/gateway/src/online_calls.h
+++ b/libs/gateway/src/online_calls.h
@@ -14,6 +14,7 @@
 #include "http/server_event.h"
 #include "observe/metrics.h"
 #include "online_call.h"
+#include "serving/crash_ledger.h"
 #include "serving/placement.h"
 #include "serving/route.h"
 #include "serving/slot_board.h"
@@ -39,7 +40,8 @@
   };
 
   OnlineCalls(boost::asio::io_context& io, serving::SlotBoard& board,
-              observe::Metrics& metrics, uint64_t seed, Ports ports);
+              serving::CrashLedger& crashes, observe::Metrics& metrics,
+              uint64_t seed, Ports ports);
 
   void Begin(http::RequestEvent&& request, const serving::Route& route);
   void OnCallerGone(ExchangeId caller);
@@ -70,6 +72,7 @@
   OnlineCall* FindUpstream(ExchangeId upstream);
 
   serving::SlotBoard& board_;
+  serving::CrashLedger& crashes_;
   observe::Metrics& metrics_;
   Rng rng_;
   Ports ports_;
--- a/libs/gateway/src/peer_state.cc
+++ b/libs/gateway/src/peer_state.cc
@@ -36,6 +36,11 @@
   for (const json::value& item : object.at("items").as_array()) {
     state.running_items.push_back(item.to_number<uint64_t>());
   }
+  for (const json::value& entry : object.at("crashes").as_array()) {
+    const json::array& pair = entry.as_array();
+    state.crashes.push_back(
+        {pair.at(0).to_number<uint64_t>(), pair.at(1).to_number<uint32_t>()});
+  }
   return state;
 }
 
@@ -48,7 +53,12 @@
   }
   json::array items;
   for (const uint64_t item : state.running_items) items.push_back(item);
+  json::array crashes;
+  for (const serving::CrashCount& count : state.crashes) {
+    crashes.push_back(json::array{count.fingerprint, count.breaks});
+  }
   json::object object = {{"entry", state.entry},
+                         {"crashes", std::move(crashes)},
                          {"start", state.start},
                          {"sequence", state.sequence},
                          {"draining", state.draining},
--- a/libs/gateway/src/peer_state.h
+++ b/libs/gateway/src/peer_state.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "serving/crash_count.h"
 #include "serving/server_usage.h"
 
 namespace knapweedstile::gateway {
@@ -30,6 +31,8 @@
   std::map<std::string, serving::ServerUsage> usage;
   // Batch items that this entry runs, as hashes of their ids.
   std::vector<uint64_t> running_items;
+  // Requests that broke servers; whole messages only.
+  std::vector<serving::CrashCount> crashes;
   // Not empty: the receiver is asked to give up the slot of one batch item on
   // this backend server.
   std::string yield_instance;
--- /dev/null
+++ b/libs/gateway/src/record_collector.cc
@@ -0,0 +1,97 @@
+#include "record_collector.h"
+
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "job_records.h"
+#include "platform/store_request.h"
+#include "store_calls.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+constexpr std::chrono::seconds kSearchPause{1};
+constexpr std::chrono::milliseconds kDeleteTimeout{1500};
+// A segment may be read before its job while a list is being made; much later
+// its job is gone.
+constexpr std::chrono::seconds kOrphanPatience{60};
+
+}  // namespace
+
+RecordCollector::RecordCollector(
+    StoreCalls& store, serving::JobBook& book, Settings settings,
+    std::function<bool(const std::string&)> collects)
+    : store_(store),
+      book_(book),
+      settings_(settings),
+      collects_(std::move(collects)) {}
+
+void RecordCollector::Run(TimePoint now) {
+  if (now >= next_search_ && names_.empty()) {
+    next_search_ = now + kSearchPause;
+    FindExpired(now);
+    FindOrphans(now);
+  }
+  if (!in_flight_ && !names_.empty() && store_.available()) DeleteNext();
+}
+
+void RecordCollector::FindExpired(TimePoint now) {
+  std::vector<std::string> expired;
+  for (const auto& [id, job] : book_.jobs()) {
+    if (!job.open() && job.learned_at + settings_.keep <= now) {
+      expired.push_back(id);
+    }
+  }
+  for (const std::string& id : expired) {
+    const serving::BatchJob& job = *book_.Find(id);
+    if (collects_(id)) {
+      LogInfo("job_collected", {{"job", id}, {"results", job.results.size()}});
+      names_.push_back(JobName(id));
+      for (uint32_t number = 0; number < job.segments; ++number) {
+        names_.push_back(SegmentName(id, number));
+      }
+      if (job.ended) names_.push_back(EndName(id));
+      book_.Forget(id);
+    }
+  }
+}
+
+void RecordCollector::FindOrphans(TimePoint now) {
+  const std::map<std::string, std::vector<uint32_t>> found = book_.Orphans();
+  std::erase_if(orphans_, [&](const auto& known) {
+    return !found.contains(known.first);
+  });
+  for (const auto& [id, segments] : found) {
+    const TimePoint since = orphans_.try_emplace(id, now).first->second;
+    if (now - since < kOrphanPatience || !collects_(id)) continue;
+    for (const uint32_t number : segments) {
+      names_.push_back(SegmentName(id, number));
+    }
+    names_.push_back(EndName(id));
+    book_.Forget(id);
+  }
+}
+
+void RecordCollector::DeleteNext() {
+  in_flight_ = true;
+  const std::string name = names_.front();
+  names_.pop_front();
+  store_.Call(platform::DeleteRequest{.kind = kOwnKind, .name = name},
+              MonotonicNow() + kDeleteTimeout,
+              [this, name](platform::StoreAnswer&& answer) {
+                OnDeleted(name, answer);
+              });
+}
+
+void RecordCollector::OnDeleted(const std::string& name,
+                                const platform::StoreAnswer& answer) {
+  in_flight_ = false;
+  const bool gone = answer.outcome == platform::StoreOutcome::kOk ||
+                    answer.outcome == platform::StoreOutcome::kNotFound;
+  // In its place, so that the job's own record still goes first.
+  if (!gone) names_.push_front(name);
+}
+
+}  // namespace knapweedstile::gateway
--- a/libs/serving/include/serving/job_book.h
+++ b/libs/serving/include/serving/job_book.h
@@ -58,6 +58,8 @@
       TimePoint now, TimePoint in_time,
       const std::function<bool(const BatchJob&)>& mine,
       const std::function<bool(const BatchItem&)>& free) const;
+  // Segments and ends whose job is not known, by the job's id.
+  std::map<std::string, std::vector<uint32_t>> Orphans() const;
   // Finished items of a job that are not committed yet.
   std::vector<ItemResult> Uncommitted(const std::string& job) const;
   const std::map<std::string, BatchJob, std::less<>>& jobs() const noexcept {
--- a/libs/serving/include/serving/slot_board.h
+++ b/libs/serving/include/serving/slot_board.h
@@ -17,6 +17,7 @@
 #include "serving/server_record.h"
 #include "serving/server_usage.h"
 #include "serving/slot_board_settings.h"
+#include "serving/slot_count.h"
 
 namespace knapweedstile::serving {
 
@@ -88,6 +89,8 @@
   // Queries.
   const ServerRecord* Record(BackendServerId server) const;
   BackendServerId Find(std::string_view instance) const;
+  // Slots of the service's usable servers, and those that are free.
+  SlotCount CountSlots(std::string_view service, TimePoint now) const;
   // What this entry has outstanding, by instance; idle ones are left out.
   std::map<std::string, ServerUsage> OwnUsage() const;
   ServerUsage UsageOf(BackendServerId server) const;
--- /dev/null
+++ b/libs/serving/src/crash_ledger.cc
@@ -0,0 +1,72 @@
+#include "serving/crash_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedstile::serving {
+namespace {
+
+// Two breaks happen to an innocent request when servers crash one after the
+// other; a third is taken as proof.
+constexpr uint32_t kBreaksToQuarantine = 3;
+// How long a fingerprint is remembered after its last break.
+constexpr std::chrono::seconds kMemory{60};
+// Fingerprints told to the other entries: those that broke something twice are
+// few, and a crash of one server adds some eight that did so once.
+constexpr size_t kMostTold = 32;
+
+}  // namespace
+
+void CrashLedger::OnBroken(uint64_t fingerprint, TimePoint now) {
+  Record& record = own_[fingerprint];
+  ++record.breaks;
+  record.forget_at = now + kMemory;
+}
+
+void CrashLedger::OnAnswered(uint64_t fingerprint) { own_.erase(fingerprint); }
+
+void CrashLedger::Learn(const std::string& entry,
+                        const std::vector<CrashCount>& counts) {
+  auto& known = others_[entry];
+  known.clear();
+  for (const CrashCount& count : counts) {
+    known[count.fingerprint] = count.breaks;
+  }
+}
+
+void CrashLedger::Forget(const std::string& entry) { others_.erase(entry); }
+
+void CrashLedger::Expire(TimePoint now) {
+  std::erase_if(own_,
+                [now](const auto& r) { return r.second.forget_at <= now; });
+}
+
+bool CrashLedger::IsQuarantined(uint64_t fingerprint) const {
+  uint32_t breaks = 0;
+  const auto own = own_.find(fingerprint);
+  if (own != own_.end()) breaks += own->second.breaks;
+  for (const auto& [entry, counts] : others_) {
+    const auto other = counts.find(fingerprint);
+    if (other != counts.end()) breaks += other->second;
+  }
+  return breaks >= kBreaksToQuarantine;
+}
+
+std::vector<CrashCount> CrashLedger::Own() const {
+  std::vector<std::pair<TimePoint, CrashCount>> all;
+  all.reserve(own_.size());
+  for (const auto& [fingerprint, record] : own_) {
+    all.push_back({record.forget_at, {fingerprint, record.breaks}});
+  }
+  std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.second.breaks, a.first) >
+           std::pair(b.second.breaks, b.first);
+  });
+  if (all.size() > kMostTold) all.resize(kMostTold);
+  std::vector<CrashCount> told;
+  told.reserve(all.size());
+  for (const auto& [at, count] : all) told.push_back(count);
+  return told;
+}
+
+}  // namespace knapweedstile::serving
--- a/libs/serving/src/job_book.cc
+++ b/libs/serving/src/job_book.cc
@@ -145,6 +145,20 @@
   return ItemRef{best->id, best_index};
 }
 
+std::map<std::string, std::vector<uint32_t>> JobBook::Orphans() const {
+  std::map<std::string, std::vector<uint32_t>> orphans;
+  for (const auto& [id, segments] : early_) {
+    if (jobs_.contains(id)) continue;
+    for (const auto& [number, results] : segments) {
+      orphans[id].push_back(number);
+    }
+  }
+  for (const auto& [id, ended] : early_ends_) {
+    if (!jobs_.contains(id)) orphans.try_emplace(id);
+  }
+  return orphans;
+}
+
 std::vector<ItemResult> JobBook::Uncommitted(const std::string& id) const {
   std::vector<ItemResult> results;
   const BatchJob* job = Find(id);
--- a/libs/serving/src/slot_board.cc
+++ b/libs/serving/src/slot_board.cc
@@ -278,16 +278,20 @@
 // before their word arrives, and of two requests one waits for a whole run. A
 // slot that this entry itself holds for a batch item is certain.
 bool SlotBoard::Scarce(std::string_view service, TimePoint now) const {
-  uint32_t slots = 0;
-  uint32_t free = 0;
+  const SlotCount slots = CountSlots(service, now);
+  return slots.free < settings_.scarce_share * slots.all;
+}
+
+SlotCount SlotBoard::CountSlots(std::string_view service, TimePoint now) const {
+  SlotCount count;
   for (const auto& [id, server] : servers_) {
     if (!Usable(server, service, {}) || server.avoid_until > now) continue;
-    slots += server.record.slots;
+    count.all += server.record.slots;
     if (server.total() < server.record.slots) {
-      free += server.record.slots - server.total();
+      count.free += server.record.slots - server.total();
     }
   }
-  return free < settings_.scarce_share * slots;
+  return count;
 }
 
 Placement SlotBoard::PlaceOnline(std::string_view service, Duration objective,
--- a/libs/serving/tests/event_stream_reader_test.cc
+++ b/libs/serving/tests/event_stream_reader_test.cc
@@ -41,7 +41,8 @@
     uint64_t last = 0;
     for (size_t at = 0; at < stream.size();) {
       const size_t length = 1 + UniformBelow(rng, 40);
-      reader.Append(std::string_view(stream).substr(at, length));
+      const std::string_view text = stream;
+      reader.Append(text.substr(at, length));
       at += length;
       while (auto event = reader.Next()) {
         CHECK(*event->id == last + 1);
--- a/libs/serving/tests/job_book_test.cc
+++ b/libs/serving/tests/job_book_test.cc
@@ -102,7 +102,7 @@
       if (unread[who].empty()) return;
       const size_t at = UniformBelow(rng, unread[who].size());
       const uint32_t number = unread[who][at];
-      unread[who].erase(unread[who].begin() + static_cast<long>(at));
+      unread[who].erase(unread[who].begin() + static_cast<ptrdiff_t>(at));
       auto copy = store.at(number);
       books[who].AddSegment("a", number, std::move(copy));
     };
--- a/tests/users_platform/gateway_batch_test.cc
+++ b/tests/users_platform/gateway_batch_test.cc
@@ -239,6 +239,28 @@
   }));
 }
 
+// Jobs come all day. What nobody may read any more must not fill the store, and
+// what is still open or young must stay.
+TEST_CASE("records of old jobs are deleted") {
+  Site site;
+  site.AddServer("llm", "i-1");
+  site.Configure(2);
+  site.retention_s = 1;
+  site.AddGateway("entry-1");
+  site.AddGateway("entry-2");
+  REQUIRE(site.Call(site.Job("entry-1", "job-a", 2)).status == 202);
+  site.WaitForResults("entry-2", "job-a", 2);
+  CHECK(site.store().Count("knapweedstile", "job.") == 1);
+  CHECK(site.store().Count("knapweedstile", "segment.") >= 1);
+  CHECK(site.caller().RunUntil([&] {
+    return site.store().Count("knapweedstile", "job.") == 0 &&
+           site.store().Count("knapweedstile", "segment.") == 0;
+  }));
+  CHECK(site.caller().RunUntil(
+      [&] { return site.Results("entry-2", "job-a").status == 404; }));
+  CHECK(site.store().Count("knapweedstile", "node.") == 2);
+}
+
 TEST_CASE("malformed jobs are refused for good") {
   TwoGateways fleet;
   for (const std::string body :
--- a/tests/users_platform/gateway_online_test.cc
+++ b/tests/users_platform/gateway_online_test.cc
@@ -286,6 +286,24 @@
         std::string::npos);
 }
 
+// A request crashes each server that begins to run it, and its caller sends it
+// again under a new id. After the third crash it must reach no server any more.
+TEST_CASE("a request that crashes servers is turned away") {
+  OneGateway fleet;
+  fleet.site.AddGateway("entry-2");
+  fleet.plain.crash_body = "poison";
+  for (int i = 0; i < 8; ++i) {
+    auto request = fleet.site.Online(i % 2 == 0 ? "entry-1" : "entry-2", "POST",
+                                     "/book/1", "r" + std::to_string(i));
+    request.body = "poison";
+    CHECK(fleet.site.Call(std::move(request)).status / 100 == 5);
+    fleet.site.caller().RunFor(std::chrono::milliseconds(400));
+  }
+  CHECK(fleet.plain.runs().size() == 3);
+  CHECK(fleet.site.Call(fleet.site.Online("entry-1", "GET", "/book/1", "ok"))
+            .status == 200);
+}
+
 TEST_CASE("a store VM that is to be emptied is reported empty") {
   Site site;
   site.StartStore("store-1");
--- a/tests/users_platform/model_server.cc
+++ b/tests/users_platform/model_server.cc
@@ -74,6 +74,10 @@
                    .target = request.target,
                    .body = request.body,
                    .headers = request.headers});
+  if (!crash_body.empty() && request.body == crash_body) {
+    server_.Execute(http::AbortCommand{request.exchange});
+    return true;
+  }
   if (Take(fail_next)) return respond(500, AnswerHeaders(id));
   if (Take(reject_next)) return respond(422, AnswerHeaders(id));
   if (Take(foreign_next)) return respond(200, AnswerHeaders("another"));
--- a/tests/users_platform/model_server.h
+++ b/tests/users_platform/model_server.h
@@ -47,6 +47,7 @@
   int break_after = 0;          // the stream is cut after so many events, once
   int unsigned_next = 0;        // an answer without a signature
   int foreign_next = 0;         // an answer to another request
+  std::string crash_body;       // a request with this body ends the connection
   bool other_instance = false;  // 421: another server has the address
 
  private:
--- a/tests/users_platform/site.cc
+++ b/tests/users_platform/site.cc
@@ -142,6 +142,7 @@
   text = Replace(text, "port_range.0", std::to_string(FreePort()));
   text = Replace(text, "provider.address", store_.address());
   text = Replace(text, "heartbeat_ms", "400");
+  text = Replace(text, "bounds.status_s", std::to_string(retention_s));
   text = Replace(text, "bounds.grace_s", "4.5");
   std::string file = folder_.File(name + ".toml");
   std::ofstream(file) << text;
--- a/tests/users_platform/site.h
+++ b/tests/users_platform/site.h
@@ -25,6 +25,9 @@
  public:
   Site();
 
+  // How long gateways that are started from now on keep results.
+  int retention_s = 120;
+
   // Commands.
   ModelServer& AddServer(const std::string& service,
                          const std::string& instance, int slots = 4);
