Gateway: the store through another entry; a stopping entry accepts jobs

Cause: while the store turned some gateways away, their callers had all jobs refused for its 9 s, and finished items waited; stopping gateways refused jobs for 2.8 s though any other could run them. Change: creating and reading a record go through a live gateway that the store answers (StoreRelay); jobs are accepted until the listener closes. Tests: gateway_batch: an entry that the store turns away works through another one; a stopping entry still accepts jobs.

--- a/libs/gateway/src/batch_api.cc
+++ b/libs/gateway/src/batch_api.cc
@@ -32,6 +32,7 @@
 // While the store is away, about as long as an outage's rest.
 constexpr std::chrono::milliseconds kOutageRetry{1000};
 constexpr std::chrono::milliseconds kQuotaRetry{1000};
+constexpr uint32_t kMostRefusedWrites = 3;
 // Largest record: the store's limit on a value, with room for escapes.
 constexpr size_t kMaxRecordBytes = 1000000;
 
@@ -109,10 +110,8 @@
       },
       [] { return std::optional<uint64_t>(); });
   if (!tokens) return Respond(caller, 400);
-  if (draining_ || !store_.available()) {
-    LogWarning("job_refused",
-               {{"job", job},
-                {"cause", draining_ ? "draining" : "store_unavailable"}});
+  if (!store_.reachable()) {
+    LogWarning("job_refused", {{"job", job}, {"cause", "store_unavailable"}});
     metrics_.Add("knap_jobs_total", {"refused"});
     return RespondRetry(caller, 503, kOutageRetry);
   }
@@ -151,13 +150,13 @@
     submissions_.erase(id);
     return;
   }
-  store_.Call(platform::WriteRequest{.kind = kOwnKind,
-                                     .name = JobName(submission.job),
-                                     .if_version = 0,
-                                     .value = std::move(value)},
-              MonotonicNow() + kWriteTimeout, [this, id](StoreAnswer&& answer) {
-                OnWritten(id, std::move(answer));
-              });
+  store_.CallAnyWay(
+      platform::WriteRequest{.kind = kOwnKind,
+                             .name = JobName(submission.job),
+                             .if_version = 0,
+                             .value = std::move(value)},
+      MonotonicNow() + kWriteTimeout,
+      [this, id](StoreAnswer&& answer) { OnWritten(id, std::move(answer)); });
 }
 
 void BatchApi::OnWritten(SubmissionId id, StoreAnswer&& answer) {
@@ -173,13 +172,18 @@
       break;
   }
   if (submission.maybe_written) return WriteAgain(id);
+  // The first call that the store turns away shows that it does; another entry
+  // may still reach it.
+  if (++submission.refused_writes < kMostRefusedWrites && store_.reachable()) {
+    return Write(id);
+  }
   RefuseSubmission(id, NameOf(answer.outcome));
 }
 
 // The record may be another entry's, to which the job came first: that one runs
 // the job, so its record counts, not the one that was to be written here.
 void BatchApi::ReadBack(SubmissionId id) {
-  store_.Call(
+  store_.CallAnyWay(
       platform::ReadRequest{.kind = kOwnKind,
                             .name = JobName(submissions_.at(id).job)},
       MonotonicNow() + kReadTimeout, [this, id](StoreAnswer&& answer) {
@@ -194,7 +198,7 @@
 // first to take effect.
 void BatchApi::WriteAgain(SubmissionId id) {
   const Submission& submission = submissions_.at(id);
-  if (MonotonicNow() >= submission.give_up_at || !store_.available()) {
+  if (MonotonicNow() >= submission.give_up_at || !store_.reachable()) {
     return GiveUpSubmission(id);
   }
   Write(id);
@@ -290,7 +294,7 @@
 }
 
 void BatchApi::Fetch(ExchangeId caller, const BatchCall& call) {
-  store_.Call(
+  store_.CallAnyWay(
       platform::ReadRequest{.kind = kOwnKind, .name = JobName(call.job)},
       MonotonicNow() + kReadTimeout,
       [this, caller, call](StoreAnswer&& answer) {
@@ -309,29 +313,30 @@
     return Fetch(caller, {.operation = BatchOperation::kEnd, .job = job});
   }
   if (known->ended) return Respond(caller, 200);
-  store_.Call(platform::WriteRequest{.kind = kOwnKind,
-                                     .name = EndName(job),
-                                     .if_version = 0,
-                                     .value = "{}"},
-              std::min(give_up_at, MonotonicNow() + kWriteTimeout),
-              [this, caller, job, give_up_at](StoreAnswer&& answer) {
-                const bool written = answer.outcome == StoreOutcome::kOk ||
-                                     answer.outcome == StoreOutcome::kConflict;
-                if (written) {
-                  LogInfo("job_ended", {{"job", job}});
-                  ports_.written({EndName(job), "{}"});
-                  book_.EndJob(job);
-                  Respond(caller, 200);
-                  OnProgress(job);
-                  return ports_.book_changed();
-                }
-                const bool again = answer.outcome == StoreOutcome::kUnknown &&
-                                   MonotonicNow() < give_up_at;
-                if (again) return End(caller, job, give_up_at);
-                LogWarning("job_end_failed",
-                           {{"job", job}, {"outcome", NameOf(answer.outcome)}});
-                RespondRetry(caller, 503, std::chrono::milliseconds(300));
-              });
+  store_.CallAnyWay(
+      platform::WriteRequest{.kind = kOwnKind,
+                             .name = EndName(job),
+                             .if_version = 0,
+                             .value = "{}"},
+      std::min(give_up_at, MonotonicNow() + kWriteTimeout),
+      [this, caller, job, give_up_at](StoreAnswer&& answer) {
+        const bool written = answer.outcome == StoreOutcome::kOk ||
+                             answer.outcome == StoreOutcome::kConflict;
+        if (written) {
+          LogInfo("job_ended", {{"job", job}});
+          ports_.written({EndName(job), "{}"});
+          book_.EndJob(job);
+          Respond(caller, 200);
+          OnProgress(job);
+          return ports_.book_changed();
+        }
+        const bool again = answer.outcome == StoreOutcome::kUnknown &&
+                           MonotonicNow() < give_up_at;
+        if (again) return End(caller, job, give_up_at);
+        LogWarning("job_end_failed",
+                   {{"job", job}, {"outcome", NameOf(answer.outcome)}});
+        RespondRetry(caller, 503, std::chrono::milliseconds(300));
+      });
 }
 
 void BatchApi::OnProgress(const std::string& id) {
--- a/libs/gateway/src/batch_api.h
+++ b/libs/gateway/src/batch_api.h
@@ -50,8 +50,6 @@
   void Call(http::RequestEvent&& request,
             const users_platform::BatchCall& call);
   void OnCallerGone(ExchangeId caller);
-  // From now on no job is accepted.
-  void BeginDraining() noexcept { draining_ = true; }
   // Records of the job came from the store or were committed here.
   void OnProgress(const std::string& job);
   // Ends reads whose time to wait is over.
@@ -66,6 +64,7 @@
     TimePoint arrived_at;
     TimePoint give_up_at;
     bool maybe_written = false;  // a write went unanswered
+    uint32_t refused_writes = 0;
   };
   struct Read {
     ExchangeId caller;
@@ -102,7 +101,6 @@
   observe::Metrics& metrics_;
   std::string own_name_;
   Ports ports_;
-  bool draining_ = false;
   uint64_t last_submission_ = 0;
   std::unordered_map<SubmissionId, Submission> submissions_;
   std::multimap<std::string, Read> reads_;  // by job
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -135,6 +135,17 @@
                    }
                    RunBatch();
                  }}),
+      relay_(io, {.helper = [this] { return peers_.EntryWithStore(); },
+                  .perform =
+                      [this](platform::StoreCall&& call, TimePoint deadline,
+                             StoreRelay::Callback callback) {
+                        store_.Call(std::move(call), deadline,
+                                    std::move(callback));
+                      },
+                  .respond =
+                      [this](ExchangeId exchange, std::string body) {
+                        push_.Respond(exchange, std::move(body));
+                      }}),
       online_(io, board_, crashes_, metrics_, seed + 1,
               {.to_caller =
                    [this](http::ServerCommand&& command) {
@@ -227,6 +238,9 @@
   BOOST_LEAF_CHECK(
       push_.Listen(fmt::format("{}:{}", settings_.ip, settings_.peer_port)));
   BOOST_LEAF_CHECK(callers_.Listen(settings_.callers_address));
+  store_.SetRelay(&relay_);
+  push_.SetOtherHandler(
+      [this](const http::RequestEvent& request) { relay_.OnRequest(request); });
   store_.SetRegainedHandler([this] {
     configuration_mirror_.OnStoreRegained();
     server_mirror_.OnStoreRegained();
@@ -520,6 +534,7 @@
 
 PeerState Gateway::OwnState() const {
   return {.draining = stop_began_at_ != kNever,
+          .store_available = store_.available(),
           .records = push_.count(),
           .configuration = routes_.version,
           .servers_revision = server_mirror_.newest_change()};
@@ -560,7 +575,6 @@
   LogInfo("stopping", {{"online", online_.open()},
                        {"items", runner_.running()},
                        {"grace_ms", settings_.stop_grace.count()}});
-  batch_.BeginDraining();
   callers_.BeginDraining();
   ShareState(stop_began_at_);
 }
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -25,6 +25,7 @@
 #include "serving/route_table.h"
 #include "serving/slot_board.h"
 #include "store_calls.h"
+#include "store_relay.h"
 #include "sync_tracker.h"
 
 namespace knapweedstile::gateway {
@@ -90,6 +91,7 @@
   uint64_t start_;  // of this process: later starts have higher ones
   PeerLink peers_;
   RecordPush push_;
+  StoreRelay relay_;
   SyncTracker sync_;
   LagDetector configuration_lag_;
   LagDetector server_lag_;
--- a/libs/gateway/src/peer_link.cc
+++ b/libs/gateway/src/peer_link.cc
@@ -167,6 +167,16 @@
   return live;
 }
 
+std::string PeerLink::EntryWithStore() const {
+  for (const auto& [entry, peer] : peers_) {
+    const auto address = addresses_.find(entry);
+    if (!peer.state.store_available || address == addresses_.end()) continue;
+    return address->second.address().to_string() + ":" +
+           std::to_string(address->second.port());
+  }
+  return {};
+}
+
 bool PeerLink::RunsElsewhere(uint64_t item) const {
   return std::any_of(peers_.begin(), peers_.end(), [item](const auto& peer) {
     const auto& items = peer.second.state.running_items;
--- a/libs/gateway/src/peer_link.h
+++ b/libs/gateway/src/peer_link.h
@@ -44,6 +44,9 @@
   std::vector<std::string> WorkingEntries() const;
   // Addresses ("IP:PORT") of all entries heard of lately.
   std::map<std::string, std::string> LiveAddresses() const;
+  // Address of a live entry whose calls the store answers; empty if there is
+  // none.
+  std::string EntryWithStore() const;
   // Whether another live entry runs the item.
   bool RunsElsewhere(uint64_t item) const;
   size_t address_count() const noexcept { return addresses_.size(); }
--- a/libs/gateway/src/peer_state.cc
+++ b/libs/gateway/src/peer_state.cc
@@ -25,6 +25,7 @@
   state.start = object.at("start").to_number<uint64_t>();
   state.sequence = object.at("sequence").to_number<uint64_t>();
   state.draining = object.at("draining").as_bool();
+  state.store_available = object.at("store").as_bool();
   state.partial = object.at("partial").as_bool();
   state.records = object.at("records").to_number<uint64_t>();
   state.configuration = object.at("configuration").to_number<uint64_t>();
@@ -62,6 +63,7 @@
                          {"start", state.start},
                          {"sequence", state.sequence},
                          {"draining", state.draining},
+                         {"store", state.store_available},
                          {"partial", state.partial},
                          {"records", state.records},
                          {"configuration", state.configuration},
--- a/libs/gateway/src/peer_state.h
+++ b/libs/gateway/src/peer_state.h
@@ -20,7 +20,8 @@
   uint64_t start = 0;     // a later start of the same entry has a higher one
   uint64_t sequence = 0;  // of this message, within one start
   bool draining = false;  // starts no new batch items
-  uint64_t records = 0;   // records written to the store since `start`
+  bool store_available = false;   // the store answers its calls
+  uint64_t records = 0;           // records written to the store since `start`
   uint64_t configuration = 0;     // version in force
   uint64_t servers_revision = 0;  // newest change of a backend server's entry
   // True: `usage` holds only what changed since the last message, and
--- a/libs/gateway/src/record_push.cc
+++ b/libs/gateway/src/record_push.cc
@@ -65,6 +65,11 @@
   return true;
 }
 
+void RecordPush::Respond(ExchangeId exchange, std::string body) {
+  server_.Execute(http::RespondCommand{
+      .exchange = exchange, .status = 200, .body = std::move(body)});
+}
+
 void RecordPush::Push(const OwnRecord& record,
                       const std::map<std::string, std::string>& addresses) {
   ++count_;
@@ -128,6 +133,10 @@
 bool RecordPush::OnRequest(http::ServerEvent&& event) {
   auto* request = std::get_if<http::RequestEvent>(&event);
   if (!request) return true;
+  if (request->target != kTarget && other_) {
+    other_(*request);
+    return true;
+  }
   http::RespondCommand answer{.exchange = request->exchange, .status = 204};
   json::error_code ec;
   const json::value parsed = json::parse(request->body, ec);
--- a/libs/gateway/src/record_push.h
+++ b/libs/gateway/src/record_push.h
@@ -36,7 +36,13 @@
   RecordPush(boost::asio::io_context& io, std::string name, uint64_t start,
              Handlers handlers);
 
+  // Requests for other targets go to `handler`.
+  void SetOtherHandler(
+      std::function<void(const http::RequestEvent& request)> handler) {
+    other_ = std::move(handler);
+  }
   Result<bool> Listen(const std::string& address);
+  void Respond(ExchangeId exchange, std::string body);
   // Queues a record, just written, for the entries at `addresses`.
   void Push(const OwnRecord& record,
             const std::map<std::string, std::string>& addresses);
@@ -57,6 +63,7 @@
   std::string name_;
   uint64_t start_;
   Handlers handlers_;
+  std::function<void(const http::RequestEvent&)> other_;
   uint64_t count_ = 0;
   uint64_t last_exchange_ = 0;
   std::map<std::string, Outbox> outboxes_;  // by address
--- a/libs/gateway/src/result_committer.cc
+++ b/libs/gateway/src/result_committer.cc
@@ -78,7 +78,7 @@
   pending.results = Fitting(book_.Uncommitted(job));
   pending.record = {SegmentName(job, pending.number),
                     EncodeSegment(pending.results)};
-  store_.Call(
+  store_.CallAnyWay(
       platform::WriteRequest{.kind = kOwnKind,
                              .name = pending.record.name,
                              .if_version = 0,
@@ -106,7 +106,7 @@
 }
 
 void ResultCommitter::ReadBack(const std::string& job, uint32_t number) {
-  store_.Call(
+  store_.CallAnyWay(
       platform::ReadRequest{.kind = kOwnKind, .name = SegmentName(job, number)},
       MonotonicNow() + kWriteTimeout,
       [this, job, number](StoreAnswer&& answer) {
--- a/libs/gateway/src/store_calls.cc
+++ b/libs/gateway/src/store_calls.cc
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "store_relay.h"
 
 namespace knapweedstile::gateway {
 
@@ -22,6 +23,18 @@
   client_.Call({.token = token, .call = std::move(call), .deadline = deadline});
 }
 
+void StoreCalls::CallAnyWay(platform::StoreCall&& call, TimePoint deadline,
+                            Callback callback) {
+  const bool relayed =
+      !available_ && relay_ && relay_->usable() && StoreRelay::MayRelay(call);
+  if (!relayed) return Call(std::move(call), deadline, std::move(callback));
+  relay_->Call(call, deadline, std::move(callback));
+}
+
+bool StoreCalls::reachable() const {
+  return available_ || (relay_ && relay_->usable());
+}
+
 void StoreCalls::WriteStatus(const std::string& kind, const std::string& name,
                              uint64_t if_version, const std::string& value,
                              TimePoint deadline, Callback callback) {
--- a/libs/gateway/src/store_calls.h
+++ b/libs/gateway/src/store_calls.h
@@ -15,6 +15,8 @@
 
 namespace knapweedstile::gateway {
 
+class StoreRelay;
+
 // Calls to the platform's store with a callback each, and what their outcomes
 // say of the store.
 class StoreCalls {
@@ -24,6 +26,10 @@
   StoreCalls(boost::asio::io_context& io, const std::string& address);
 
   void Call(platform::StoreCall&& call, TimePoint deadline, Callback callback);
+  // As Call(), but through another entry while the store does not answer here.
+  void CallAnyWay(platform::StoreCall&& call, TimePoint deadline,
+                  Callback callback);
+  void SetRelay(StoreRelay* relay) noexcept { relay_ = relay; }
   void WriteStatus(const std::string& kind, const std::string& name,
                    uint64_t if_version, const std::string& value,
                    TimePoint deadline, Callback callback);
@@ -33,6 +39,8 @@
     regained_ = std::move(handler);
   }
 
+  // Whether calls get through, here or through another entry.
+  bool reachable() const;
   // False while the last calls went unanswered or were turned away.
   bool available() const noexcept { return available_; }
   // When the store was last regained; the start counts.
@@ -48,6 +56,7 @@
   bool available_ = true;
   TimePoint available_since_{};
   std::function<void()> regained_;
+  StoreRelay* relay_ = nullptr;
   users_platform::StoreClient client_;
 };
 
--- /dev/null
+++ b/libs/gateway/src/store_relay.cc
@@ -0,0 +1,170 @@
+#include "store_relay.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+namespace json = boost::json;
+using platform::ReadRequest;
+using platform::StoreAnswer;
+using platform::StoreCall;
+using platform::StoreOutcome;
+using platform::WriteRequest;
+
+constexpr char kTarget[] = "/store";
+constexpr std::chrono::milliseconds kConnectTimeout{300};
+constexpr std::chrono::milliseconds kSilence{2000};
+// The helper's own call ends this much before the asker stops waiting.
+constexpr std::chrono::milliseconds kWayBack{50};
+constexpr std::chrono::milliseconds kLongestCall{1500};
+
+http::ClientSettings RelayClientSettings() {
+  http::ClientSettings settings;
+  settings.connect_timeout = kConnectTimeout;
+  settings.silence_timeout = kSilence;
+  settings.max_idle_per_address = 2;
+  return settings;
+}
+
+std::string EncodeCall(const StoreCall& call, Duration budget) {
+  json::object object = {{"budget_ms", ToMillis(budget)}};
+  if (const auto* write = std::get_if<WriteRequest>(&call)) {
+    object["kind"] = write->kind;
+    object["name"] = write->name;
+    object["create"] = write->value;
+  } else {
+    const auto& read = std::get<ReadRequest>(call);
+    object["kind"] = read.kind;
+    object["name"] = read.name;
+  }
+  return json::serialize(object);
+}
+
+StoreCall DecodeCall(const json::object& object) {
+  const std::string kind(object.at("kind").as_string());
+  const std::string name(object.at("name").as_string());
+  const json::value* value = object.if_contains("create");
+  if (!value) return ReadRequest{.kind = kind, .name = name};
+  return WriteRequest{.kind = kind,
+                      .name = name,
+                      .if_version = 0,
+                      .value = std::string(value->as_string())};
+}
+
+std::string EncodeAnswer(const StoreAnswer& answer) {
+  json::array objects;
+  for (const platform::StoredObject& object : answer.objects) {
+    objects.push_back(json::object{{"kind", object.kind},
+                                   {"name", object.name},
+                                   {"version", object.version},
+                                   {"value", object.value}});
+  }
+  return json::serialize(json::object{{"outcome", NameOf(answer.outcome)},
+                                      {"version", answer.version},
+                                      {"objects", std::move(objects)}});
+}
+
+StoreAnswer DecodeAnswer(const json::object& object) {
+  StoreAnswer answer;
+  answer.outcome =
+      ParseEnum<StoreOutcome>(std::string(object.at("outcome").as_string()))
+          .value_or(StoreOutcome::kUnknown);
+  answer.version = object.at("version").to_number<uint64_t>();
+  for (const json::value& entry : object.at("objects").as_array()) {
+    const json::object& stored = entry.as_object();
+    answer.objects.push_back(
+        {.kind = std::string(stored.at("kind").as_string()),
+         .name = std::string(stored.at("name").as_string()),
+         .version = stored.at("version").to_number<uint64_t>(),
+         .value = std::string(stored.at("value").as_string())});
+  }
+  return answer;
+}
+
+StoreAnswer AnswerOf(const http::EndEvent& end) {
+  StoreAnswer answer;
+  if (end.outcome == http::ClientOutcome::kNotSent) {
+    answer.outcome = StoreOutcome::kNotSent;
+    return answer;
+  }
+  json::error_code ec;
+  const json::value parsed = json::parse(end.body, ec);
+  // The library reports a missing or mistyped field by an exception.
+  try {
+    if (!ec && end.status == 200) return DecodeAnswer(parsed.as_object());
+  } catch (const std::exception& error) {
+    LogWarning("relay_answer_invalid", {{"reason", error.what()}});
+  }
+  answer.outcome = StoreOutcome::kUnknown;
+  return answer;
+}
+
+}  // namespace
+
+StoreRelay::StoreRelay(boost::asio::io_context& io, Ports ports)
+    : ports_(std::move(ports)),
+      client_(io, RelayClientSettings(), [this](http::ClientEvent&& event) {
+        OnEvent(std::move(event));
+      }) {}
+
+bool StoreRelay::IsRelayTarget(std::string_view target) {
+  return target == kTarget;
+}
+
+bool StoreRelay::MayRelay(const StoreCall& call) {
+  if (std::holds_alternative<ReadRequest>(call)) return true;
+  const auto* write = std::get_if<WriteRequest>(&call);
+  return write && write->if_version == 0;
+}
+
+void StoreRelay::Call(const StoreCall& call, TimePoint deadline,
+                      Callback callback) {
+  const TimePoint now = MonotonicNow();
+  const TimePoint until = std::min(deadline, now + kLongestCall);
+  const std::string address = ports_.helper();
+  const ExchangeId exchange(++last_exchange_);
+  callbacks_.emplace(exchange, std::move(callback));
+  http::ClientRequest request{
+      .exchange = exchange,
+      .address = address,
+      .method = "POST",
+      .target = kTarget,
+      .body = EncodeCall(call, Remaining(until - kWayBack, now)),
+      .deadline = until};
+  request.headers.Add("Host", address);
+  client_.Send(std::move(request));
+}
+
+void StoreRelay::OnEvent(http::ClientEvent&& event) {
+  const auto* end = std::get_if<http::EndEvent>(&event);
+  if (!end) return;
+  auto found = callbacks_.extract(end->exchange);
+  if (!found.empty()) found.mapped()(AnswerOf(*end));
+}
+
+void StoreRelay::OnRequest(const http::RequestEvent& request) {
+  json::error_code ec;
+  const json::value parsed = json::parse(request.body, ec);
+  try {
+    if (ec) throw boost::system::system_error(ec);
+    const json::object& object = parsed.as_object();
+    const TimePoint deadline =
+        MonotonicNow() +
+        std::chrono::milliseconds(object.at("budget_ms").to_number<int64_t>());
+    ports_.perform(DecodeCall(object), deadline,
+                   [this, exchange = request.exchange](StoreAnswer&& answer) {
+                     ports_.respond(exchange, EncodeAnswer(answer));
+                   });
+  } catch (const std::exception& error) {
+    LogWarning("relay_call_invalid", {{"reason", error.what()}});
+    ports_.respond(request.exchange, "{}");
+  }
+}
+
+}  // namespace knapweedstile::gateway
--- a/tests/users_platform/gateway_batch_test.cc
+++ b/tests/users_platform/gateway_batch_test.cc
@@ -239,6 +239,30 @@
   }));
 }
 
+// The store turns one entry away and serves the other. Callers of that entry
+// must not have their jobs refused, nor wait for results that cannot be
+// written.
+TEST_CASE("an entry that the store turns away works through another one") {
+  Site site;
+  site.AddServer("llm", "i-1");
+  site.Configure(2);
+  site.AddGateway("entry-1");
+  site.use_second_store_address = true;
+  site.AddGateway("entry-2");
+  site.caller().RunFor(std::chrono::milliseconds(800));
+  site.store().TurnAwaySecond(true);
+  // Its first call after that may be refused; then it knows.
+  CHECK(site.caller().RunUntil([&] {
+    return site.Call(site.Job("entry-2", "job-a", 2)).status == 202;
+  }));
+  CHECK(site.Call(site.Job("entry-2", "job-b", 2)).status == 202);
+  CHECK(ItemsOf(site.WaitForResults("entry-1", "job-b", 2)).size() == 2);
+  CHECK(ItemsOf(site.WaitForResults("entry-2", "job-b", 2)).size() == 2);
+  CHECK(site.End("entry-2", "job-a").status == 200);
+  CHECK(site.Metrics("entry-2").find("knap_store_available 0") !=
+        std::string::npos);
+}
+
 // Jobs come all day. What nobody may read any more must not fill the store, and
 // what is still open or young must stay.
 TEST_CASE("records of old jobs are deleted") {
@@ -261,6 +285,18 @@
   CHECK(site.store().Count("knapweedstile", "node.") == 2);
 }
 
+// An operator stops an entry while callers still reach it. It starts no items,
+// but a job that it accepts is run by the other entry at once.
+TEST_CASE("a stopping entry still accepts jobs") {
+  TwoGateways fleet;
+  fleet.site.caller().RunFor(std::chrono::milliseconds(700));
+  fleet.site.process("entry-1").Terminate();
+  REQUIRE(fleet.site.caller().RunUntil(
+      [&] { return !fleet.site.Ready("entry-1"); }));
+  CHECK(fleet.site.Call(fleet.site.Job("entry-1", "job-a", 2)).status == 202);
+  CHECK(ItemsOf(fleet.site.WaitForResults("entry-2", "job-a", 2)).size() == 2);
+}
+
 TEST_CASE("malformed jobs are refused for good") {
   TwoGateways fleet;
   for (const std::string body :
--- a/tests/users_platform/gateway_online_test.cc
+++ b/tests/users_platform/gateway_online_test.cc
@@ -296,7 +296,8 @@
     auto request = fleet.site.Online(i % 2 == 0 ? "entry-1" : "entry-2", "POST",
                                      "/book/1", "r" + std::to_string(i));
     request.body = "poison";
-    CHECK(fleet.site.Call(std::move(request)).status / 100 == 5);
+    const auto end = fleet.site.Call(std::move(request));
+    CHECK(end.status / 100 == 5);
     fleet.site.caller().RunFor(std::chrono::milliseconds(400));
   }
   CHECK(fleet.plain.runs().size() == 3);
--- a/tests/users_platform/object_store.cc
+++ b/tests/users_platform/object_store.cc
@@ -13,6 +13,16 @@
 // Objects on one page: small, so that tests see more than one.
 constexpr size_t kPage = 5;
 
+// Added to the exchanges of the second server, whose numbers begin alike.
+constexpr uint64_t kSecondServer = 1ULL << 40;
+
+std::string ListenOn(http::Server& server) {
+  const uint16_t port = boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<uint16_t> { return server.Listen(kListen); },
+      [] { return uint16_t{0}; });
+  return "127.0.0.1:" + std::to_string(port);
+}
+
 uint64_t Number(const std::string& text) {
   return text.empty() ? 0 : std::stoull(text);
 }
@@ -20,15 +30,44 @@
 }  // namespace
 
 ObjectStore::ObjectStore(boost::asio::io_context& io)
-    : io_(io), server_(io, {}, [this](http::ServerEvent&& event) {
-        return OnEvent(std::move(event));
+    : io_(io),
+      server_(io, {},
+              [this](http::ServerEvent&& event) {
+                return OnEvent(std::move(event));
+              }),
+      second_server_(io, {}, [this](http::ServerEvent&& event) {
+        return OnSecondEvent(std::move(event));
       }) {
-  const uint16_t port = boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<uint16_t> {
-        return server_.Listen(kListen);
-      },
-      [] { return uint16_t{0}; });
-  address_ = "127.0.0.1:" + std::to_string(port);
+  address_ = ListenOn(server_);
+  second_address_ = ListenOn(second_server_);
+}
+
+bool ObjectStore::OnSecondEvent(http::ServerEvent&& event) {
+  ExchangeId& exchange =
+      std::visit([](auto& e) -> ExchangeId& { return e.exchange; }, event);
+  if (second_away_ && std::holds_alternative<http::RequestEvent>(event)) {
+    second_server_.Execute(
+        http::RespondCommand{.exchange = exchange, .status = 503});
+    return true;
+  }
+  exchange = ExchangeId(exchange.value() + kSecondServer);
+  return OnEvent(std::move(event));
+}
+
+void ObjectStore::Respond(http::RespondCommand&& command) {
+  if (command.exchange.value() < kSecondServer) {
+    return server_.Execute(std::move(command));
+  }
+  command.exchange = ExchangeId(command.exchange.value() - kSecondServer);
+  second_server_.Execute(std::move(command));
+}
+
+void ObjectStore::Abort(ExchangeId exchange) {
+  if (exchange.value() < kSecondServer) {
+    return server_.Execute(http::AbortCommand{exchange});
+  }
+  second_server_.Execute(
+      http::AbortCommand{ExchangeId(exchange.value() - kSecondServer)});
 }
 
 void ObjectStore::Put(const std::string& kind, const std::string& name,
@@ -53,7 +92,7 @@
   oldest_ = revision_ + 1;
   watches_silent_ = false;
   for (const Watch& watch : std::exchange(watches_, {})) {
-    server_.Execute(http::AbortCommand{watch.exchange});
+    Abort(watch.exchange);
   }
 }
 
@@ -134,10 +173,10 @@
                          const json::value& body) {
   http::HeaderList headers;
   headers.Add("Content-Type", "application/json");
-  server_.Execute(http::RespondCommand{.exchange = exchange,
-                                       .status = status,
-                                       .headers = std::move(headers),
-                                       .body = json::serialize(body)});
+  Respond({.exchange = exchange,
+           .status = status,
+           .headers = std::move(headers),
+           .body = json::serialize(body)});
 }
 
 void ObjectStore::Read(ExchangeId exchange, const std::string& kind,
@@ -243,7 +282,7 @@
                               const std::string& name, unsigned status) {
   if (lose_answers_ > 0) {
     --lose_answers_;
-    return server_.Execute(http::AbortCommand{exchange});
+    return Abort(exchange);
   }
   const auto found = kinds_[kind].find(name);
   if (found == kinds_[kind].end()) return Answer(exchange, status, {});
--- a/tests/users_platform/object_store.h
+++ b/tests/users_platform/object_store.h
@@ -36,6 +36,10 @@
 
   // Faults.
   void SetHealth(Health health);
+  // Turns away calls whose connections come to this address; empty: none.
+  const std::string& second_address() const noexcept { return second_address_; }
+  // Calls at the second address are answered 503 from now on.
+  void TurnAwaySecond(bool away) { second_away_ = away; }
   // The next `count` writes take effect, but their connections are cut.
   void LoseAnswers(int count) { lose_answers_ = count; }
   // Watches hear nothing from now on, and what they miss is not kept.
@@ -70,6 +74,9 @@
   };
 
   bool OnEvent(http::ServerEvent&& event);
+  bool OnSecondEvent(http::ServerEvent&& event);
+  void Respond(http::RespondCommand&& command);
+  void Abort(ExchangeId exchange);
   void OnRequest(const http::RequestEvent& request);
   void Read(ExchangeId exchange, const std::string& kind,
             const std::string& name);
@@ -91,7 +98,11 @@
 
   boost::asio::io_context& io_;
   http::Server server_;
+  // The same store at another address, for the gateways that it turns away.
+  http::Server second_server_;
   std::string address_;
+  std::string second_address_;
+  bool second_away_ = false;
   Health health_ = Health::kGood;
   bool watches_silent_ = false;
   int lose_answers_ = 0;
--- a/tests/users_platform/site.cc
+++ b/tests/users_platform/site.cc
@@ -140,7 +140,9 @@
   text = Replace(text, "listen.front", callers_[name]);
   text = Replace(text, "listen.ready", readiness_[name]);
   text = Replace(text, "port_range.0", std::to_string(FreePort()));
-  text = Replace(text, "provider.address", store_.address());
+  text = Replace(
+      text, "provider.address",
+      use_second_store_address ? store_.second_address() : store_.address());
   text = Replace(text, "heartbeat_ms", "400");
   text = Replace(text, "bounds.status_s", std::to_string(retention_s));
   text = Replace(text, "bounds.grace_s", "4.5");
--- a/tests/users_platform/site.h
+++ b/tests/users_platform/site.h
@@ -35,6 +35,9 @@
   void RemoveServer(const ModelServer& server);
   // Writes the configuration with all routes; versions must rise.
   void Configure(int version, const boost::json::object& changes = {});
+  // Gateways that are started from now on use the store's second address.
+  bool use_second_store_address = false;
+
   // Starts the gateway without waiting for it.
   void StartGateway(const std::string& name);
   // Starts it and waits until it is ready.
