--- a/libs/gateway/src/store_calls.cc
+++ b/libs/gateway/src/store_calls.cc
@@ -12,8 +12,7 @@
 using platform::StoreOutcome;
 
 StoreCalls::StoreCalls(boost::asio::io_context& io, const std::string& address)
-    : available_since_(MonotonicNow()),
-      client_(io, address,
+    : client_(io, address,
               [this](StoreAnswer&& answer) { OnAnswer(std::move(answer)); }) {}
 
 void StoreCalls::Call(platform::StoreCall&& call, TimePoint deadline,
--- a/libs/gateway/src/store_calls.h
+++ b/libs/gateway/src/store_calls.h
@@ -43,7 +43,7 @@
   bool reachable() const;
   // False while the last calls went unanswered or were turned away.
   bool available() const noexcept { return available_; }
-  // When the store was last regained; the start counts.
+  // When the store was last regained; the start does not count.
   TimePoint available_since() const noexcept { return available_since_; }
   uint64_t calls() const noexcept { return last_token_; }
 
