--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -7,10 +7,8 @@
 #include <utility>
 
 #include "base/clock.h"
-#include "base/hash.h"
 #include "base/log.h"
 #include "job_records.h"
-#include "platform/store_request.h"
 #include "users_platform/batch_calls.h"
 #include "users_platform/configuration.h"
 #include "users_platform/request_headers.h"
@@ -23,20 +21,11 @@
 
 // Housekeeping: deadlines of reads, starts of items, shared usage.
 constexpr std::chrono::milliseconds kTick{20};
-// A change of usage is told at once, but messages keep this distance for each
-// other entry, so that an entry of a large fleet sends a thousand a second at
-// most. Each millisecond of it lets entries take the same slot.
-constexpr std::chrono::milliseconds kSharePausePerEntry{1};
 // Without a change, often enough that silence is noticed soon.
 constexpr std::chrono::milliseconds kHeartbeat{250};
-// After a start, for the other entries' usage to arrive.
-constexpr std::chrono::milliseconds kLearnUsage{600};
-// Before jobs of other entries are taken over, those have time to be heard.
-constexpr std::chrono::milliseconds kTakeoverAfterStart{1600};
 // Records of other entries are pushed by them; the store is asked again only to
 // be sure. With a pause of 150 ms this was two thirds of all calls.
 constexpr std::chrono::milliseconds kOwnMirrorPause{5000};
-constexpr std::chrono::milliseconds kRegisterTimeout{2000};
 // The balancer takes an entry out after two probes, a second apart; until then
 // callers still come.
 constexpr std::chrono::milliseconds kAcceptAfterStop{2800};
@@ -65,8 +54,6 @@
 // learned of a job, and readers come late.
 constexpr int kRetentionFactor = 2;
 
-constexpr int64_t kNanosPerMilli = 1000000;
-
 http::ServerSettings CallerServerSettings() {
   http::ServerSettings settings;
   settings.max_connections = 3500;
@@ -334,168 +321,6 @@
       [] {});
 }
 
-void Gateway::OnOwnListed(std::vector<platform::StoredObject>&& objects) {
-  uint64_t own_version = 0;
-  const std::string own_name = NodeName(settings_.name);
-  for (platform::StoredObject& object : objects) {
-    if (object.name == own_name) own_version = object.version;
-    OnOwnObject(std::move(object));
-  }
-  if (!registered_) Register(own_version);
-  RunBatch();
-}
-
-void Gateway::OnOwnObject(platform::StoredObject&& object) {
-  const RecordName name = ParseRecordName(object.name);
-  switch (name.type) {
-    case RecordType::kJob:
-      return object.deleted ? book_.Forget(name.id) : AddJob(name.id, object);
-    case RecordType::kSegment:
-      if (!object.deleted) AddSegment(name, object);
-      return;
-    case RecordType::kEnd:
-      if (object.deleted) return;
-      book_.EndJob(name.id);
-      return batch_.OnProgress(name.id);
-    case RecordType::kNode:
-      if (object.deleted) return ForgetEntry(name.id);
-      if (name.id != settings_.name) sync_.Expect(name.id, MonotonicNow());
-      return peers_.SetAddress(name.id, DecodeNode(object.value));
-    case RecordType::kUnknown:
-      return LogWarning("record_unknown", {{"name", object.name}});
-  }
-}
-
-void Gateway::ForgetEntry(const std::string& entry) {
-  peers_.RemoveAddress(entry);
-  sync_.Forget(entry);
-}
-
-void Gateway::AddJob(const std::string& id,
-                     const platform::StoredObject& object) {
-  if (book_.Find(id)) return;
-  boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_AUTO(job, DecodeJob(id, object.value, MonotonicNow(),
-                                       WallClockNanos() / kNanosPerMilli));
-        book_.AddJob(std::move(job));
-        return {};
-      },
-      [&](const Error& error) {
-        LogError("job_undecodable", {{"job", id}, {"reason", error.message}});
-      },
-      [] {});
-}
-
-void Gateway::AddSegment(const RecordName& name,
-                         const platform::StoredObject& object) {
-  boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_AUTO(results, DecodeSegment(object.value));
-        book_.AddSegment(name.id, name.segment, std::move(results));
-        batch_.OnProgress(name.id);
-        return {};
-      },
-      [&](const Error& error) {
-        LogError("segment_invalid",
-                 {{"name", object.name}, {"reason", error.message}});
-      },
-      [] {});
-}
-
-void Gateway::PushRecord(const OwnRecord& record) {
-  push_.Push(record, peers_.LiveAddresses());
-}
-
-void Gateway::OnPeerState(const PeerState& state) {
-  const TimePoint now = MonotonicNow();
-  if (state.partial) {
-    board_.UpdateEntry(state.entry, state.usage, now);
-  } else {
-    board_.ReportEntry(state.entry, state.usage, now);
-    crashes_.Learn(state.entry, state.crashes);
-  }
-  sync_.OnCount(state.entry, state.start, state.records, now);
-  configuration_lag_.OnTold(state.configuration, routes_.version, now);
-  server_lag_.OnTold(state.servers_revision, server_mirror_.newest_change(),
-                     now);
-}
-
-void Gateway::RefreshLaggingMirrors(TimePoint now) {
-  if (configuration_lag_.Lagging(routes_.version, now)) {
-    configuration_mirror_.Refresh();
-  }
-  if (server_lag_.Lagging(server_mirror_.newest_change(), now)) {
-    server_mirror_.Refresh();
-  }
-  if (sync_.MustAskStore(now)) own_mirror_.Poke();
-}
-
-// Tells the other entries where this one takes datagrams.
-void Gateway::Register(uint64_t version) {
-  if (std::exchange(registering_, true)) return;
-  const std::string address =
-      fmt::format("{}:{}", settings_.ip, settings_.peer_port);
-  store_.Call(platform::WriteRequest{.kind = kOwnKind,
-                                     .name = NodeName(settings_.name),
-                                     .if_version = version,
-                                     .value = EncodeNode(address)},
-              MonotonicNow() + kRegisterTimeout,
-              [this, version](platform::StoreAnswer&& answer) {
-                registering_ = false;
-                if (answer.outcome == platform::StoreOutcome::kOk) {
-                  registered_ = true;
-                  return;
-                }
-                LogWarning("registration_failed",
-                           {{"outcome", NameOf(answer.outcome)}});
-                const uint64_t present =
-                    answer.version != 0 ? answer.version : version;
-                auto timer = std::make_shared<boost::asio::steady_timer>(
-                    io_, kRegisterTimeout / 4);
-                timer->async_wait([this, timer, present](const auto& ec) {
-                  if (!ec) Register(present);
-                });
-              });
-}
-
-// The entry that accepted a job runs it while it lives; then, by a hash that
-// all agree on, one of those that live. Two views may differ for a moment: an
-// item may then run twice, but its result is committed once.
-bool Gateway::Owns(const serving::BatchJob& job) const {
-  if (stop_began_at_ != kNever) return false;
-  // Until the others have told what they use, every slot looks free.
-  if (MonotonicNow() < started_at_ + kLearnUsage) return false;
-  if (job.creator == settings_.name) return true;
-  if (MonotonicNow() < started_at_ + kTakeoverAfterStart) return false;
-  const std::vector<std::string> entries = peers_.WorkingEntries();
-  if (std::find(entries.begin(), entries.end(), job.creator) != entries.end()) {
-    return false;
-  }
-  return ChosenOf(job.id) == settings_.name;
-}
-
-std::string Gateway::ChosenOf(const std::string& job) const {
-  std::vector<std::string> entries = peers_.WorkingEntries();
-  entries.push_back(settings_.name);
-  const uint64_t seed = Hash64(job);
-  return *std::max_element(entries.begin(), entries.end(),
-                           [seed](const std::string& a, const std::string& b) {
-                             return Hash64(a, seed) < Hash64(b, seed);
-                           });
-}
-
-bool Gateway::Collects(const std::string& job) const {
-  if (stop_began_at_ != kNever) return false;
-  return ChosenOf(job) == settings_.name;
-}
-
-void Gateway::Displace(BackendServerId server, const std::string& entry) {
-  if (entry.empty()) return runner_.Yield(server);
-  const serving::ServerRecord* record = board_.Record(server);
-  if (record) peers_.AskToYield(entry, record->instance);
-}
-
 void Gateway::RunBatch() { runner_.Run(MonotonicNow()); }
 
 void Gateway::ArmTick() {
@@ -521,54 +346,6 @@
   ArmTick();
 }
 
-void Gateway::OnUsageChanged() {
-  if (std::exchange(share_armed_, true)) return;
-  const TimePoint now = MonotonicNow();
-  const TimePoint due =
-      shared_at_ + kSharePausePerEntry * peers_.address_count();
-  share_timer_.expires_at(std::max(now, due));
-  share_timer_.async_wait([this](const boost::system::error_code& ec) {
-    if (!ec) ShareChanges(MonotonicNow());
-  });
-}
-
-PeerState Gateway::OwnState() const {
-  return {.draining = stop_began_at_ != kNever,
-          .store_available = store_.available(),
-          .records = push_.count(),
-          .configuration = routes_.version,
-          .servers_revision = server_mirror_.newest_change()};
-}
-
-void Gateway::ShareChanges(TimePoint now) {
-  share_armed_ = false;
-  shared_at_ = now;
-  PeerState state = OwnState();
-  state.partial = true;
-  std::map<std::string, serving::ServerUsage> usage = board_.OwnUsage();
-  for (const auto& [instance, counts] : usage) {
-    const auto told = told_usage_.find(instance);
-    if (told == told_usage_.end() || !(told->second == counts)) {
-      state.usage[instance] = counts;
-    }
-  }
-  for (const auto& [instance, counts] : told_usage_) {
-    if (!usage.contains(instance)) state.usage[instance] = {};
-  }
-  told_usage_ = std::move(usage);
-  if (!state.usage.empty()) peers_.Broadcast(std::move(state));
-}
-
-void Gateway::ShareState(TimePoint now) {
-  shared_whole_at_ = now;
-  PeerState state = OwnState();
-  state.usage = board_.OwnUsage();
-  state.running_items = runner_.RunningItems();
-  state.crashes = crashes_.Own();
-  told_usage_ = state.usage;
-  peers_.Broadcast(std::move(state));
-}
-
 void Gateway::BeginStop() {
   if (stop_began_at_ != kNever) return;
   stop_began_at_ = MonotonicNow();
--- /dev/null
+++ b/libs/gateway/src/gateway_peers.cc
@@ -0,0 +1,97 @@
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "base/clock.h"
+#include "gateway.h"
+
+// What the gateway tells the other entries and learns from them.
+namespace knapweedstile::gateway {
+namespace {
+
+// A change of usage is told at once, but messages keep this distance for each
+// other entry, so that an entry of a large fleet sends a thousand a second at
+// most. Each millisecond of it lets entries take the same slot.
+constexpr std::chrono::milliseconds kSharePausePerEntry{1};
+
+}  // namespace
+
+void Gateway::OnPeerState(const PeerState& state) {
+  const TimePoint now = MonotonicNow();
+  if (state.partial) {
+    board_.UpdateEntry(state.entry, state.usage, now);
+  } else {
+    board_.ReportEntry(state.entry, state.usage, now);
+    crashes_.Learn(state.entry, state.crashes);
+  }
+  sync_.OnCount(state.entry, state.start, state.records, now);
+  configuration_lag_.OnTold(state.configuration, routes_.version, now);
+  server_lag_.OnTold(state.servers_revision, server_mirror_.newest_change(),
+                     now);
+}
+
+void Gateway::RefreshLaggingMirrors(TimePoint now) {
+  if (configuration_lag_.Lagging(routes_.version, now)) {
+    configuration_mirror_.Refresh();
+  }
+  if (server_lag_.Lagging(server_mirror_.newest_change(), now)) {
+    server_mirror_.Refresh();
+  }
+  if (sync_.MustAskStore(now)) own_mirror_.Poke();
+}
+
+void Gateway::Displace(BackendServerId server, const std::string& entry) {
+  if (entry.empty()) return runner_.Yield(server);
+  const serving::ServerRecord* record = board_.Record(server);
+  if (record) peers_.AskToYield(entry, record->instance);
+}
+
+void Gateway::OnUsageChanged() {
+  if (std::exchange(share_armed_, true)) return;
+  const TimePoint now = MonotonicNow();
+  const TimePoint due =
+      shared_at_ + kSharePausePerEntry * peers_.address_count();
+  share_timer_.expires_at(std::max(now, due));
+  share_timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec) ShareChanges(MonotonicNow());
+  });
+}
+
+PeerState Gateway::OwnState() const {
+  return {.draining = stop_began_at_ != kNever,
+          .store_available = store_.available(),
+          .records = push_.count(),
+          .configuration = routes_.version,
+          .servers_revision = server_mirror_.newest_change()};
+}
+
+void Gateway::ShareChanges(TimePoint now) {
+  share_armed_ = false;
+  shared_at_ = now;
+  PeerState state = OwnState();
+  state.partial = true;
+  std::map<std::string, serving::ServerUsage> usage = board_.OwnUsage();
+  for (const auto& [instance, counts] : usage) {
+    const auto told = told_usage_.find(instance);
+    if (told == told_usage_.end() || !(told->second == counts)) {
+      state.usage[instance] = counts;
+    }
+  }
+  for (const auto& [instance, counts] : told_usage_) {
+    if (!usage.contains(instance)) state.usage[instance] = {};
+  }
+  told_usage_ = std::move(usage);
+  if (!state.usage.empty()) peers_.Broadcast(std::move(state));
+}
+
+void Gateway::ShareState(TimePoint now) {
+  shared_whole_at_ = now;
+  PeerState state = OwnState();
+  state.usage = board_.OwnUsage();
+  state.running_items = runner_.RunningItems();
+  state.crashes = crashes_.Own();
+  told_usage_ = state.usage;
+  peers_.Broadcast(std::move(state));
+}
+
+}  // namespace knapweedstile::gateway
