--- a/libs/decide/include/decide/entry_rules.h
+++ b/libs/decide/include/decide/entry_rules.h
@@ -4,8 +4,8 @@
 namespace knapweedstile::decide {
 
 // Switches for single rules of the entry's decisions. All are on in production;
-// they are here for comparison on the bench and so that a test can show that it
-// fails without the rule it is about.
+// they are here for comparison in measurements and so that a test can show that
+// it fails without the rule it is about.
 struct EntryRules {
   bool fair_queue = true;         // off: one first-in-first-out line
   bool cost_fairness = true;      // off: a long request counts as a short one
--- a/libs/decide/include/decide/entry_settings.h
+++ b/libs/decide/include/decide/entry_settings.h
@@ -18,7 +18,7 @@
   // here when it arrives. Lower: short waits and quick recovery under lasting
   // overload; higher: more of a short burst is answered.
   uint32_t longest_wait_percent = 50;
-  EntryRules rules;  // for comparison on the bench
+  EntryRules rules;  // for comparison in measurements
 };
 
 }  // namespace knapweedstile::decide
