Nothing of an ended job starts after a slow list

After the fault that killed all gateways, lists of 600 records took up to 3.0 s at the gateways with the least processor; an end written meanwhile was not in them, its push went to entries that were busy reading, and RunBatch() followed the list at once, before any watch. Ruled out: a watch that had gone silent (all were new), a list's second page (ends sort before jobs, its revision is the first page's). Change: a list that took over 100 ms is followed by a watch that does not wait, and items start after it; a gap in others' counts that stays for 500 ms holds starts back and renews a watch that waits. A poke is answered at once too, where a watch without news waited for 4 s.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -170,7 +170,14 @@
       [] {});
 }
 
-void Gateway::RunBatch() { runner_.Run(MonotonicNow()); }
+// Failure guarded against: an entry that lists its records after a crash, or
+// has missed a push, does not know that a job has ended, and its items reach
+// servers seconds after the caller was told so. What was counted by others or
+// written before now is read first; items that already run go on meanwhile.
+void Gateway::RunBatch(TimePoint now) {
+  knows_ends_ = own_mirror_.caught_up() && !sync_.HasGap(now);
+  runner_.Run(now);
+}
 
 void Gateway::ArmTick() {
   tick_.expires_after(kTick);
@@ -186,7 +193,7 @@
   board_.ExpireReports(now);
   board_.ObserveDemand(now);
   crashes_.Expire(now);
-  runner_.Run(now);
+  RunBatch(now);
   committer_.Run(now);
   collector_.Run(now);
   batch_.Expire(now);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -79,7 +79,7 @@
   bool Collects(const std::string& job) const;
   bool Owns(const serving::BatchJob& job) const;
   void Displace(BackendServerId server, const std::string& entry);
-  void RunBatch();
+  void RunBatch(TimePoint now);
 
   void ArmTick();
   void Tick();
@@ -132,6 +132,8 @@
   boost::asio::steady_timer share_timer_;
 
   uint64_t made_ids_ = 0;  // for requests that name none
+  // Whether the ends of jobs are known as they are in the store.
+  bool knows_ends_ = false;
   bool share_armed_ = false;
   TimePoint shared_at_{};
   TimePoint shared_whole_at_{};
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -44,6 +44,7 @@
     server_mirror_.Refresh();
   }
   if (sync_.MustAskStore(now)) own_mirror_.Poke();
+  if (sync_.HasGap(now)) own_mirror_.RenewWatch();
 }
 
 void Gateway::Displace(BackendServerId server, const std::string& entry) {
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -46,7 +46,7 @@
     OnOwnObject(std::move(object));
   }
   if (!registered_) Register(own_version);
-  RunBatch();
+  RunBatch(MonotonicNow());
 }
 
 void Gateway::OnOwnObject(platform::StoredObject&& object) {
@@ -143,7 +143,7 @@
 // all agree on, one of those that live. Two views may differ for a moment: an
 // item may then run twice, but its result is committed once.
 bool Gateway::Owns(const serving::BatchJob& job) const {
-  if (stop_began_at_ != kNever) return false;
+  if (stop_began_at_ != kNever || !knows_ends_) return false;
   // Until the others have told what they use, every slot looks free.
   if (MonotonicNow() < started_at_ + kLearnUsage) return false;
   if (job.creator == settings_.name) return true;
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -84,7 +84,7 @@
                                   .name = std::move(record.name),
                                   .value = std::move(record.value)});
                    }
-                   RunBatch();
+                   RunBatch(MonotonicNow());
                  }}),
       relay_(io, {.helper = [this] { return peers_.EntryWithStore(); },
                   .perform =
@@ -145,7 +145,7 @@
           {.book_changed =
                [this](const std::string& job) {
                  batch_.OnProgress(job);
-                 RunBatch();
+                 RunBatch(MonotonicNow());
                },
            .written = [this](const OwnRecord& record) { PushRecord(record); },
            .entries = [this] { return peers_.WorkingEntries().size() + 1; }}),
@@ -216,7 +216,7 @@
            .changed =
                [this](platform::StoredObject&& object) {
                  OnOwnObject(std::move(object));
-                 RunBatch();
+                 RunBatch(MonotonicNow());
                },
            .read = [this](TimePoint began) { sync_.OnStoreRead(began); }}),
       object_mirror_(
--- a/libs/gateway/src/kind_mirror.cc
+++ b/libs/gateway/src/kind_mirror.cc
@@ -20,6 +20,13 @@
 // Of a list's first page: a store that is slow takes 0.4 s, and one that is
 // silent is to be asked again soon.
 constexpr std::chrono::milliseconds kListTimeout{1000};
+// A list that took longer is followed by a watch that does not wait, which says
+// what has changed meanwhile.
+constexpr std::chrono::milliseconds kFreshList{100};
+constexpr std::chrono::milliseconds kShortestWait{1};
+// A watch brings a change within milliseconds; one that has waited this long
+// while others tell of a change has gone silent.
+constexpr std::chrono::milliseconds kSilentWatch{500};
 // Refreshes follow hints of other entries, which come several times a second.
 constexpr std::chrono::milliseconds kRefreshPause{1000};
 
@@ -71,7 +78,15 @@
 void KindMirror::Poke() {
   if (!pausing_) return;
   EndPause();
-  Watch();
+  ReadNow();
+}
+
+void KindMirror::RenewWatch() {
+  if (!watching_ || MonotonicNow() - call_began_ < kSilentWatch) return;
+  LogInfo("mirror_watch_renewed",
+          {{"kind", settings_.kind}, {"revision", revision_}});
+  ++generation_;
+  ReadNow();
 }
 
 void KindMirror::OnStoreRegained() {
@@ -93,6 +108,7 @@
 }
 
 void KindMirror::List() {
+  watching_ = false;
   call_began_ = MonotonicNow();
   store_.Call(platform::ListRequest{.kind = settings_.kind},
               MonotonicNow() + kListTimeout, Current(&KindMirror::OnListed));
@@ -111,21 +127,29 @@
   for (const platform::StoredObject& object : answer.objects) {
     newest_change_ = std::max(newest_change_, object.version);
   }
+  caught_up_ = MonotonicNow() - call_began_ <= kFreshList;
   handlers_.listed(std::move(answer.objects));
   if (handlers_.read) handlers_.read(call_began_);
   Watch();
 }
 
 void KindMirror::Watch() {
+  WatchFor(caught_up_ ? settings_.watch_wait : kShortestWait);
+}
+
+void KindMirror::ReadNow() { WatchFor(kShortestWait); }
+
+void KindMirror::WatchFor(Duration wait) {
   call_began_ = MonotonicNow();
+  watching_ = true;
   store_.Call(platform::WatchRequest{.kind = settings_.kind,
                                      .after = revision_,
-                                     .wait_until =
-                                         MonotonicNow() + settings_.watch_wait},
+                                     .wait_until = call_began_ + wait},
               kNever, Current(&KindMirror::OnWatched));
 }
 
 void KindMirror::OnWatched(StoreAnswer&& answer) {
+  watching_ = false;
   if (answer.outcome == StoreOutcome::kCompacted) {
     LogInfo("mirror_history_gone",
             {{"kind", settings_.kind}, {"revision", revision_}});
@@ -154,6 +178,7 @@
   // A part of what has changed: resting now would let this mirror fall further
   // behind with each answer, and what was read is not all there is.
   if (answer.more) return Watch();
+  caught_up_ = true;
   if (handlers_.read) handlers_.read(call_began_);
   if (answer.objects.empty() || settings_.pause.count() == 0) return Watch();
   pausing_ = true;
--- a/libs/gateway/src/kind_mirror.h
+++ b/libs/gateway/src/kind_mirror.h
@@ -49,6 +49,9 @@
   void Start() { List(); }
   // Ends a pause: what has changed is wanted now.
   void Poke();
+  // Another entry has written what has not come here: a watch that has waited
+  // for long has gone silent, and is made again.
+  void RenewWatch();
   // Calls that were made while the store was silent may never be answered, so
   // one in flight is given up and a list made.
   void OnStoreRegained();
@@ -58,6 +61,10 @@
 
   // Whether a list was ever read.
   bool listed() const noexcept { return revision_ != 0; }
+  // Whether what is known is not older than a watch takes. A list of some
+  // hundred records takes seconds at a small VM, and is that old when it is
+  // there.
+  bool caught_up() const noexcept { return caught_up_; }
   // Whether the last call succeeded: what is known is then the present state,
   // but for the time that an event takes.
   bool following() const noexcept { return following_; }
@@ -68,6 +75,9 @@
   void List();
   void OnListed(platform::StoreAnswer&& answer);
   void Watch();
+  // A watch that does not wait: it is answered though nothing has changed.
+  void ReadNow();
+  void WatchFor(Duration wait);
   void OnWatched(platform::StoreAnswer&& answer);
   // Whether the answer belongs to a call that Refresh() has overtaken.
   auto Current(void (KindMirror::*handler)(platform::StoreAnswer&&));
@@ -87,6 +97,8 @@
   TimePoint call_began_{};
   TimePoint refreshed_at_{};
   bool following_ = false;
+  bool caught_up_ = false;
+  bool watching_ = false;
   uint32_t failures_ = 0;
 };
 
--- a/libs/gateway/src/sync_tracker.cc
+++ b/libs/gateway/src/sync_tracker.cc
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kSilence{600};
 // An entry that is silent for longer is taken for gone: callers have left it.
 constexpr std::chrono::seconds kLongestSilence{15};
+// A gap is filled from the store within some ten milliseconds of kPushTime. A
+// job's end must stop its items within three seconds of its acknowledgement.
+constexpr std::chrono::milliseconds kLongestGap{500};
 // The store is asked at most this often.
 constexpr std::chrono::milliseconds kAskPause{250};
 // A result must be seen everywhere within a second of its first reading.
@@ -88,6 +91,13 @@
   });
 }
 
+bool SyncTracker::HasGap(TimePoint now) const {
+  return std::any_of(entries_.begin(), entries_.end(), [now](const auto& e) {
+    return e.second.received < e.second.told &&
+           now - e.second.behind_since >= kLongestGap;
+  });
+}
+
 bool SyncTracker::Current(TimePoint now) const {
   if (read_began_ == TimePoint{}) return false;
   // A silent entry may commit at any time, so only a recent read makes up for
--- a/libs/gateway/src/sync_tracker.h
+++ b/libs/gateway/src/sync_tracker.h
@@ -33,6 +33,9 @@
 
   // Queries. Whether the store must be asked now.
   bool MustAskStore(TimePoint now) const;
+  // Whether records that others count have been missing here for so long that
+  // nothing should be begun that one of them may forbid.
+  bool HasGap(TimePoint now) const;
   // Whether every record that another entry may have shown to a caller is known
   // here. False before the first read of the store.
   bool Current(TimePoint now) const;
--- a/libs/gateway/tests/sync_tracker_test.cc
+++ b/libs/gateway/tests/sync_tracker_test.cc
@@ -135,4 +135,16 @@
   CHECK_FALSE(lag.Lagging(7, At(1350)));
 }
 
+// A job's end is pushed to all entries but this one. For some milliseconds that
+// is usual; when the gap stays, the store cannot have been asked, and an item
+// that starts now may be one that must not.
+TEST_CASE("a gap that stays is known until the store fills it") {
+  SyncTracker sync;
+  sync.OnCount("entry-2", 1, 1, At(0));
+  CHECK_FALSE(sync.HasGap(At(400)));
+  CHECK(sync.HasGap(At(600)));
+  sync.OnStoreRead(At(700));
+  CHECK_FALSE(sync.HasGap(At(1000)));
+}
+
 }  // namespace knapweedstile::gateway
--- a/tests/users_platform/object_store.cc
+++ b/tests/users_platform/object_store.cc
@@ -200,10 +200,13 @@
     }
     items.push_back(ToJson(at->first, at->second));
   }
-  Answer(exchange, 200,
-         json::object{{"items", std::move(items)},
-                      {"more_pages", more},
-                      {"as_of", revision_}});
+  const json::object page = {
+      {"items", std::move(items)}, {"more_pages", more}, {"as_of", revision_}};
+  if (list_delay_.count() == 0) return Answer(exchange, 200, page);
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, list_delay_);
+  timer->async_wait([this, timer, exchange, page](const auto& ec) {
+    if (!ec) Answer(exchange, 200, page);
+  });
 }
 
 void ObjectStore::BeginWatch(ExchangeId exchange, const std::string& kind,
--- a/tests/users_platform/object_store.h
+++ b/tests/users_platform/object_store.h
@@ -48,6 +48,9 @@
     run_late_ = count;
     later_ = later;
   }
+  // Lists hold what there was when they were asked for and are answered this
+  // much later, as pages of a large kind over a slow link are.
+  void DelayLists(std::chrono::milliseconds delay) { list_delay_ = delay; }
   // Watches hear nothing from now on, and what they miss is not kept.
   void SilenceWatches() { watches_silent_ = true; }
   // Ends the silence: watches are cut and the history is gone.
@@ -116,6 +119,7 @@
   int lose_answers_ = 0;
   int run_late_ = 0;
   std::chrono::milliseconds later_{0};
+  std::chrono::milliseconds list_delay_{0};
   int writes_ = 0;
   uint64_t revision_ = 10;
   uint64_t oldest_ = 10;  // history before it is gone
