The quota rests on what others have acknowledged, not on 150 ms

QuotaGuard took it for granted that others hear of a job 150 ms after it was taken; beside load they did not, and each entry gave its share away again. Weighed: shares handed out and taken back (an idle entry's share is lost to the others, and a dead one's cannot be taken back safely), a conditional write a job (one to three more calls of 4 ms, 250 ms each while the store is slow, against an answer due in 400 ms), acknowledgements of the push that is there already. Change: an entry's own jobs count against its share of 8 in 100 of the limit until every live entry has acknowledged their records; a push that was lost is made up for by a note that its receiver has read the store. Jobs beyond the share wait for that, 250 ms at most. An entry that was paused or is behind reads the store before it judges (boot clock, so that a suspended VM notices).

--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -1,7 +1,9 @@
 #ifndef KNAPWEEDSTILE_BASE_CLOCK_H_
 #define KNAPWEEDSTILE_BASE_CLOCK_H_
 
+#include <chrono>
 #include <cstdint>
+#include <ctime>
 
 #include "base/time.h"
 
@@ -13,6 +15,15 @@
   return std::chrono::steady_clock::now();
 }
 
+// As MonotonicNow(), but time in which the VM was suspended counts. Only to
+// notice that: deadlines are on the other clock.
+inline TimePoint BootNow() noexcept {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
+}
+
 // Wall clock in nanoseconds since the Unix epoch, for the time line and for
 // what people read. Never used to decide.
 inline int64_t WallClockNanos() noexcept {
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -179,6 +179,18 @@
   runner_.Run(now);
 }
 
+void Gateway::NoticePause() {
+  if (!pauses_.Passed(BootNow())) return;
+  LogWarning("paused");
+  sync_.OnPaused(MonotonicNow());
+  own_mirror_.ReadAnew();
+}
+
+bool Gateway::Current() {
+  NoticePause();
+  return sync_.Current(MonotonicNow());
+}
+
 void Gateway::ArmTick() {
   tick_.expires_after(kTick);
   tick_.async_wait([this](const boost::system::error_code& ec) {
@@ -187,6 +199,7 @@
 }
 
 void Gateway::Tick() {
+  NoticePause();
   const TimePoint now = MonotonicNow();
   if (servers_.Expire(now)) policies_.Attach();
   peers_.Expire(now);
@@ -197,6 +210,7 @@
   committer_.Run(now);
   collector_.Run(now);
   batch_.Expire(now);
+  OnRecordsHeard();
   if (now - shared_whole_at_ >= kHeartbeat) ShareState(now);
   ShareProgress(now, kProgressStep);
   RefreshLaggingMirrors(now);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -19,6 +19,7 @@
 #include "online_calls.h"
 #include "operators_api.h"
 #include "own_batches.h"
+#include "pause_detector.h"
 #include "peer_link.h"
 #include "policy_view.h"
 #include "progress_link.h"
@@ -68,7 +69,9 @@
   void AddSegment(const RecordName& name, const platform::StoredObject& object);
   void ForgetEntry(const std::string& entry);
   void Register(uint64_t version);
-  void PushRecord(const OwnRecord& record);
+  // Its number among the records of this entry.
+  uint64_t PushRecord(const OwnRecord& record);
+  void OnRecordsHeard();
   void OnPeerState(const PeerState& state);
 
   // One of the live entries, by a hash that all agree on.
@@ -81,6 +84,10 @@
   void Displace(BackendServerId server, const std::string& entry);
   void RunBatch(TimePoint now);
 
+  // Whether every record that a caller may have seen elsewhere is known here.
+  bool Current();
+  // Notices that the process stood still.
+  void NoticePause();
   void ArmTick();
   void Tick();
   // Tells the other entries which slots this one has taken or left, soon.
@@ -90,6 +97,8 @@
   PeerState OwnState() const;
   // Tells the entry that would go on with each item how far it has come.
   void ShareProgress(TimePoint now, uint64_t step);
+  // The entry has read records of this one that it was not pushed.
+  void LearnFilled(const PeerState& state);
   void RefreshLaggingMirrors(TimePoint now);
   void CheckStopped(TimePoint now);
   std::string RenderMetrics();
@@ -134,6 +143,7 @@
   uint64_t made_ids_ = 0;  // for requests that name none
   // Whether the ends of jobs are known as they are in the store.
   bool knows_ends_ = false;
+  PauseDetector pauses_;
   bool share_armed_ = false;
   TimePoint shared_at_{};
   TimePoint shared_whole_at_{};
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -29,6 +29,7 @@
   } else {
     board_.ReportEntry(state.entry, state.usage, now);
     crashes_.Learn(state.entry, state.crashes);
+    LearnFilled(state);
   }
   sync_.OnCount(state.entry, state.start, state.records, now);
   configuration_lag_.OnTold(state.configuration, routes_.version, now);
@@ -36,6 +37,15 @@
                      now);
 }
 
+void Gateway::LearnFilled(const PeerState& state) {
+  const auto own = state.filled.find(settings_.name);
+  if (own == state.filled.end() || own->second.start != start_) return;
+  const auto addresses = peers_.LiveAddresses();
+  const auto address = addresses.find(state.entry);
+  if (address == addresses.end()) return;
+  push_.Confirm(address->second, own->second.count);
+}
+
 void Gateway::RefreshLaggingMirrors(TimePoint now) {
   if (configuration_lag_.Lagging(routes_.version, now)) {
     configuration_mirror_.Refresh();
@@ -97,6 +107,7 @@
   state.usage = board_.OwnUsage();
   state.running_items = runner_.RunningItems();
   state.crashes = crashes_.Own();
+  state.filled = sync_.FilledLately(now);
   told_usage_ = state.usage;
   peers_.Broadcast(std::move(state));
 }
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -107,8 +107,14 @@
       [] {});
 }
 
-void Gateway::PushRecord(const OwnRecord& record) {
+uint64_t Gateway::PushRecord(const OwnRecord& record) {
   push_.Push(record, peers_.LiveAddresses());
+  return push_.count();
+}
+
+void Gateway::OnRecordsHeard() {
+  if (!writer_.awaits_others()) return;
+  writer_.OnHeard(push_.HeardBy(peers_.LiveAddresses()), MonotonicNow());
 }
 
 // Tells the other entries where this one takes datagrams.
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -85,7 +85,8 @@
                                   .value = std::move(record.value)});
                    }
                    RunBatch(MonotonicNow());
-                 }}),
+                 },
+             .acknowledged = [this] { OnRecordsHeard(); }}),
       relay_(io, {.helper = [this] { return peers_.EntryWithStore(); },
                   .perform =
                       [this](platform::StoreCall&& call, TimePoint deadline,
@@ -147,21 +148,23 @@
                  batch_.OnProgress(job);
                  RunBatch(MonotonicNow());
                },
-           .written = [this](const OwnRecord& record) { PushRecord(record); },
-           .entries = [this] { return peers_.WorkingEntries().size() + 1; }}),
+           .written =
+               [this](const OwnRecord& record) { return PushRecord(record); },
+           .entries = [this] { return peers_.LiveAddresses().size() + 1; },
+           .current = [this] { return Current(); }}),
       batch_(store_, book_, writer_, settings.name,
              {.to_caller =
                   [this](http::ServerCommand&& command) {
                     callers_.Execute(std::move(command));
                   },
-              .current = [this] { return sync_.Current(MonotonicNow()); }}),
+              .current = [this] { return Current(); }}),
       own_batches_(
           routes_, book_, writer_, settings.name,
           {.to_caller =
                [this](http::ServerCommand&& command) {
                  callers_.Execute(std::move(command));
                },
-           .current = [this] { return sync_.Current(MonotonicNow()); },
+           .current = [this] { return Current(); },
            .may_ask =
                [this](std::string_view body, const CallerIdentity& caller) {
                  return MayAskModel(body, caller, policies_.catalog());
@@ -207,18 +210,20 @@
                                     store_.available_since());
                  policies_.Attach();
                }}),
-      own_mirror_(
-          io, store_, {.kind = kOwnKind, .pause = kOwnMirrorPause},
-          {.listed =
-               [this](std::vector<platform::StoredObject>&& objects) {
-                 OnOwnListed(std::move(objects));
-               },
-           .changed =
-               [this](platform::StoredObject&& object) {
-                 OnOwnObject(std::move(object));
-                 RunBatch(MonotonicNow());
-               },
-           .read = [this](TimePoint began) { sync_.OnStoreRead(began); }}),
+      own_mirror_(io, store_, {.kind = kOwnKind, .pause = kOwnMirrorPause},
+                  {.listed =
+                       [this](std::vector<platform::StoredObject>&& objects) {
+                         OnOwnListed(std::move(objects));
+                       },
+                   .changed =
+                       [this](platform::StoredObject&& object) {
+                         OnOwnObject(std::move(object));
+                         RunBatch(MonotonicNow());
+                       },
+                   .read =
+                       [this](TimePoint began) {
+                         sync_.OnStoreRead(began, MonotonicNow());
+                       }}),
       object_mirror_(
           io, store_,
           {.kind = kOperatorObjects, .watch_wait = kObjectWatchWait},
--- a/libs/gateway/src/job_writer.cc
+++ b/libs/gateway/src/job_writer.cc
@@ -21,6 +21,12 @@
 // Callers wait four seconds; after that nobody hears the answer.
 constexpr std::chrono::milliseconds kSubmitTimeout{3000};
 constexpr std::chrono::milliseconds kReadTimeout{800};
+// Others acknowledge records within some 20 ms. A job that would go beyond this
+// entry's share waits for that, shorter than callers expect their answer in.
+constexpr std::chrono::milliseconds kLongestHold{250};
+// Every entry reads the store at least this often (the pause of the records'
+// mirror, a watch's wait and its grace).
+constexpr std::chrono::seconds kKnownEverywhere{10};
 constexpr uint32_t kMostRefusedWrites = 3;
 // Largest record: the store's limit on a value, with room for escapes.
 constexpr size_t kMaxRecordBytes = 1000000;
@@ -32,8 +38,8 @@
                      observe::Metrics& metrics, Ports ports)
     : store_(store), book_(book), metrics_(metrics), ports_(std::move(ports)) {}
 
-bool JobWriter::TakeFromQuota(const Request& request) {
-  if (request.most_waiting_tokens == 0) return true;
+serving::QuotaVerdict JobWriter::Judge(const Request& request) const {
+  if (request.most_waiting_tokens == 0) return serving::QuotaVerdict::kFits;
   const std::string& route = request.record.route;
   uint64_t waiting = book_.WaitingTokens(route);
   for (const auto& [id, submission] : submissions_) {
@@ -41,13 +47,14 @@
       waiting += submission.request.tokens;
     }
   }
-  const TimePoint now = MonotonicNow();
-  if (!quota_.Fits(route, waiting, request.tokens, request.most_waiting_tokens,
-                   ports_.entries(), now)) {
-    return false;
-  }
-  quota_.Take(route, request.tokens, now);
-  return true;
+  const auto verdict =
+      quota_.Judge(route, waiting, request.tokens, request.most_waiting_tokens,
+                   ports_.entries());
+  // Failure guarded against: an entry that wakes from a pause, or was cut off,
+  // knows less than what waits, and would give away what others have taken.
+  const bool known = ports_.current();
+  const bool may_fit = verdict != serving::QuotaVerdict::kOver;
+  return may_fit && !known ? serving::QuotaVerdict::kUnheard : verdict;
 }
 
 void JobWriter::Refuse(const Request& request, SubmitOutcome outcome,
@@ -73,9 +80,40 @@
     Refuse(request, SubmitOutcome::kUnavailable, "store_unavailable");
     return done(SubmitOutcome::kUnavailable);
   }
-  if (!TakeFromQuota(request)) {
-    Refuse(request, SubmitOutcome::kOverQuota, "quota");
-    return done(SubmitOutcome::kOverQuota);
+  switch (Judge(request)) {
+    case serving::QuotaVerdict::kFits:
+      return Begin(std::move(request), std::move(done));
+    case serving::QuotaVerdict::kUnheard: {
+      const TimePoint give_up_at = MonotonicNow() + kLongestHold;
+      return held_.push_back({std::move(request), std::move(done), give_up_at});
+    }
+    case serving::QuotaVerdict::kOver:
+      Refuse(request, SubmitOutcome::kOverQuota, "quota");
+      return done(SubmitOutcome::kOverQuota);
+  }
+}
+
+void JobWriter::OnHeard(uint64_t number, TimePoint now) {
+  quota_.Heard(number, now);
+  for (auto waiting = std::exchange(held_, {}); !waiting.empty();
+       waiting.pop_front()) {
+    Held& held = waiting.front();
+    const auto verdict = Judge(held.request);
+    if (verdict == serving::QuotaVerdict::kFits) {
+      Begin(std::move(held.request), std::move(held.done));
+    } else if (verdict == serving::QuotaVerdict::kUnheard &&
+               now < held.give_up_at) {
+      held_.push_back(std::move(held));
+    } else {
+      Refuse(held.request, SubmitOutcome::kOverQuota, "quota_unheard");
+      held.done(SubmitOutcome::kOverQuota);
+    }
+  }
+}
+
+void JobWriter::Begin(Request&& request, Submitted done) {
+  if (request.most_waiting_tokens != 0) {
+    quota_.Take(request.job, request.record.route, request.tokens);
   }
   const SubmissionId id = ++last_submission_;
   Submission& submission = submissions_[id];
@@ -165,13 +203,19 @@
         [] {});
   }
   taken.mapped().done(SubmitOutcome::kAccepted);
-  ports_.written({JobName(request.job), value});
+  quota_.Written(request.job, ports_.written({JobName(request.job), value}));
   ports_.book_changed(request.job);
 }
 
 void JobWriter::Finish(SubmissionId id, SubmitOutcome outcome,
                        std::string_view cause) {
   auto taken = submissions_.extract(id);
+  const std::string& job = taken.mapped().request.job;
+  if (outcome == SubmitOutcome::kUnknown) {
+    quota_.Unsure(job, MonotonicNow() + kKnownEverywhere);
+  } else {
+    quota_.Drop(job);
+  }
   Refuse(taken.mapped().request, outcome, cause);
   taken.mapped().done(outcome);
 }
--- a/libs/gateway/src/job_writer.h
+++ b/libs/gateway/src/job_writer.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -45,10 +46,12 @@
   struct Ports {
     // A job or its end is new in the book.
     std::function<void(const std::string& job)> book_changed;
-    // A record is now in the store.
-    std::function<void(const OwnRecord& record)> written;
+    // A record is now in the store; its number among this entry's own.
+    std::function<uint64_t(const OwnRecord& record)> written;
     // Entries that accept jobs, this one included.
     std::function<size_t()> entries;
+    // Whether all records that others have written are known here.
+    std::function<bool()> current;
   };
   struct Request {
     std::string job;
@@ -63,6 +66,13 @@
 
   void Submit(Request&& request, Submitted done);
   void End(const std::string& job, TimePoint give_up_at, Ended done);
+  // Every live entry has this entry's records up to `number`. Jobs that waited
+  // for that are judged again.
+  void OnHeard(uint64_t number, TimePoint now);
+  // Whether jobs wait for others to hear of them or of those before them.
+  bool awaits_others() const noexcept {
+    return !quota_.empty() || !held_.empty();
+  }
 
  private:
   struct Submission {
@@ -74,7 +84,16 @@
   };
   using SubmissionId = uint64_t;
 
-  bool TakeFromQuota(const Request& request);
+  // Waits until others have heard of the jobs before it.
+  struct Held {
+    Request request;
+    Submitted done;
+    TimePoint give_up_at;
+  };
+
+  serving::QuotaVerdict Judge(const Request& request) const;
+  // Counts against the limit from now on; its record is written.
+  void Begin(Request&& request, Submitted done);
   void Write(SubmissionId id);
   void OnWritten(SubmissionId id, platform::StoreAnswer&& answer);
   void ReadBack(SubmissionId id);
@@ -94,6 +113,7 @@
   serving::QuotaGuard quota_;
   uint64_t last_submission_ = 0;
   std::unordered_map<SubmissionId, Submission> submissions_;
+  std::deque<Held> held_;  // in the order of their arrival
 };
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/kind_mirror.cc
+++ b/libs/gateway/src/kind_mirror.cc
@@ -81,12 +81,18 @@
   ReadNow();
 }
 
+void KindMirror::ReadAnew() {
+  if (pausing_) return Poke();
+  if (!watching_) return;
+  ++generation_;
+  ReadNow();
+}
+
 void KindMirror::RenewWatch() {
   if (!watching_ || MonotonicNow() - call_began_ < kSilentWatch) return;
   LogInfo("mirror_watch_renewed",
           {{"kind", settings_.kind}, {"revision", revision_}});
-  ++generation_;
-  ReadNow();
+  ReadAnew();
 }
 
 void KindMirror::OnStoreRegained() {
--- a/libs/gateway/src/kind_mirror.h
+++ b/libs/gateway/src/kind_mirror.h
@@ -52,6 +52,8 @@
   // Another entry has written what has not come here: a watch that has waited
   // for long has gone silent, and is made again.
   void RenewWatch();
+  // Reads once more what has changed, from now on.
+  void ReadAnew();
   // Calls that were made while the store was silent may never be answered, so
   // one in flight is given up and a list made.
   void OnStoreRegained();
--- a/libs/gateway/src/peer_state.cc
+++ b/libs/gateway/src/peer_state.cc
@@ -42,6 +42,11 @@
     state.crashes.push_back(
         {pair.at(0).to_number<uint64_t>(), pair.at(1).to_number<uint32_t>()});
   }
+  for (const auto& [entry, count] : object.at("filled").as_object()) {
+    const json::array& pair = count.as_array();
+    state.filled[std::string(entry)] = {pair.at(0).to_number<uint64_t>(),
+                                        pair.at(1).to_number<uint64_t>()};
+  }
   return state;
 }
 
@@ -58,7 +63,12 @@
   for (const serving::CrashCount& count : state.crashes) {
     crashes.push_back(json::array{count.fingerprint, count.breaks});
   }
+  json::object filled;
+  for (const auto& [entry, count] : state.filled) {
+    filled[entry] = json::array{count.start, count.count};
+  }
   json::object object = {{"entry", state.entry},
+                         {"filled", std::move(filled)},
                          {"crashes", std::move(crashes)},
                          {"start", state.start},
                          {"sequence", state.sequence},
--- a/libs/gateway/src/peer_state.h
+++ b/libs/gateway/src/peer_state.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "record_count.h"
 #include "serving/crash_count.h"
 #include "serving/server_usage.h"
 
@@ -34,6 +35,9 @@
   std::vector<uint64_t> running_items;
   // Requests that broke servers; whole messages only.
   std::vector<serving::CrashCount> crashes;
+  // Entries whose records the sender has read from the store lately, where a
+  // push was lost; whole messages only.
+  std::map<std::string, RecordCount> filled;
   // Not empty: the receiver is asked to give up the slot of one batch item on
   // this backend server.
   std::string yield_instance;
--- a/libs/gateway/src/record_push.cc
+++ b/libs/gateway/src/record_push.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <utility>
 
@@ -18,6 +19,7 @@
 // An entry that does not take records in this time is cut off or overloaded; it
 // then reads them from the store.
 constexpr std::chrono::milliseconds kPushTimeout{600};
+constexpr unsigned kTaken = 204;
 // One message: below the largest value of the store.
 constexpr size_t kMaxMessageBytes = 900 << 10;
 
@@ -79,20 +81,22 @@
 void RecordPush::SendNext(const std::string& address) {
   Outbox& outbox = outboxes_[address];
   std::string list;
+  uint64_t sent = 0;
   while (!outbox.records.empty()) {
     const std::string& record = *outbox.records.front();
     if (!list.empty() && list.size() + record.size() > kMaxMessageBytes) break;
     if (!list.empty()) list += ',';
     list += record;
+    ++sent;
     outbox.records.pop_front();
   }
-  const uint64_t left = outbox.records.size();
-  std::string message = fmt::format(
-      R"({{"entry":{},"start":{},"count":{},"records":[{}]}})",
-      json::serialize(json::string(name_)), start_, outbox.count - left, list);
+  const uint64_t count = outbox.count - outbox.records.size();
+  std::string message =
+      fmt::format(R"({{"entry":{},"start":{},"count":{},"records":[{}]}})",
+                  json::serialize(json::string(name_)), start_, count, list);
   outbox.in_flight = true;
   const ExchangeId exchange(++last_exchange_);
-  exchanges_[exchange] = address;
+  exchanges_[exchange] = {address, count - sent, count};
   http::ClientRequest request{.exchange = exchange,
                               .address = address,
                               .method = "POST",
@@ -108,10 +112,16 @@
   if (!end) return;
   auto found = exchanges_.extract(end->exchange);
   if (found.empty()) return;
-  const std::string& address = found.mapped();
+  const Message& message = found.mapped();
+  const std::string& address = message.address;
   Outbox& outbox = outboxes_[address];
   outbox.in_flight = false;
-  if (end->outcome != http::ClientOutcome::kComplete) {
+  const bool taken =
+      end->outcome == http::ClientOutcome::kComplete && end->status == kTaken;
+  if (taken) {
+    // With a gap before it, it does not make up for what was lost.
+    if (outbox.heard >= message.before) Confirm(address, message.count);
+  } else {
     // The receiver sees by the count that it lacks records and asks the store.
     LogWarning("push_failed", {{"address", address},
                                {"outcome", NameOf(end->outcome)},
@@ -121,6 +131,24 @@
   if (!outbox.records.empty()) SendNext(address);
 }
 
+void RecordPush::Confirm(const std::string& address, uint64_t count) {
+  Outbox& outbox = outboxes_[address];
+  if (count <= outbox.heard) return;
+  outbox.heard = count;
+  handlers_.acknowledged();
+}
+
+uint64_t RecordPush::HeardBy(
+    const std::map<std::string, std::string>& addresses) const {
+  uint64_t heard = count_;
+  for (const auto& [entry, address] : addresses) {
+    const auto outbox = outboxes_.find(address);
+    if (outbox == outboxes_.end()) return 0;
+    heard = std::min(heard, outbox->second.heard);
+  }
+  return heard;
+}
+
 bool RecordPush::OnRequest(http::ServerEvent&& event) {
   auto* request = std::get_if<http::RequestEvent>(&event);
   if (!request) return true;
@@ -128,7 +156,7 @@
     other_(*request);
     return true;
   }
-  http::RespondCommand answer{.exchange = request->exchange, .status = 204};
+  http::RespondCommand answer{.exchange = request->exchange, .status = kTaken};
   json::error_code ec;
   const json::value parsed = json::parse(request->body, ec);
   // The library reports a missing or mistyped field by an exception.
--- a/libs/gateway/src/record_push.h
+++ b/libs/gateway/src/record_push.h
@@ -31,6 +31,8 @@
     std::function<void(const std::string& entry, uint64_t start, uint64_t count,
                        std::vector<OwnRecord>&& records)>
         received;
+    // Another entry has acknowledged records of this one.
+    std::function<void()> acknowledged;
   };
 
   RecordPush(boost::asio::io_context& io, std::string name, uint64_t start,
@@ -46,6 +48,11 @@
   // Queues a record, just written, for the entries at `addresses`.
   void Push(const OwnRecord& record,
             const std::map<std::string, std::string>& addresses);
+  // The entry at `address` has read the store: it has this entry's records up
+  // to `count`.
+  void Confirm(const std::string& address, uint64_t count);
+  // How many of this entry's records each of the entries at `addresses` has.
+  uint64_t HeardBy(const std::map<std::string, std::string>& addresses) const;
   // Records written by this entry since its start.
   uint64_t count() const noexcept { return count_; }
 
@@ -55,6 +62,12 @@
     std::deque<std::shared_ptr<const std::string>> records;
     uint64_t count = 0;  // written when the last of them was
     bool in_flight = false;
+    uint64_t heard = 0;  // the entry has all records up to this one
+  };
+  struct Message {
+    std::string address;
+    uint64_t before = 0;  // records written before its first
+    uint64_t count = 0;   // and with its last
   };
 
   void SendNext(const std::string& address);
@@ -68,7 +81,7 @@
   uint64_t count_ = 0;
   uint64_t last_exchange_ = 0;
   std::map<std::string, Outbox> outboxes_;  // by address
-  std::unordered_map<ExchangeId, std::string> exchanges_;
+  std::unordered_map<ExchangeId, Message> exchanges_;
   http::Server server_;
   http::Client client_;
 };
--- a/libs/gateway/src/sync_tracker.cc
+++ b/libs/gateway/src/sync_tracker.cc
@@ -17,6 +17,8 @@
 // A gap is filled from the store within some ten milliseconds of kPushTime. A
 // job's end must stop its items within three seconds of its acknowledgement.
 constexpr std::chrono::milliseconds kLongestGap{500};
+// Eight whole messages: all of them are not lost.
+constexpr std::chrono::milliseconds kTellFilled{2000};
 // The store is asked at most this often.
 constexpr std::chrono::milliseconds kAskPause{250};
 // A result must be seen everywhere within a second of its first reading.
@@ -64,15 +66,29 @@
   }
 }
 
-void SyncTracker::OnStoreRead(TimePoint began) {
+void SyncTracker::OnStoreRead(TimePoint began, TimePoint now) {
   read_began_ = std::max(read_began_, began);
   for (auto& [name, entry] : entries_) {
     if (entry.told_at > began) continue;
+    if (entry.received < entry.told) entry.filled_at = now;
     entry.received = entry.told;
     entry.unread_start = false;
   }
 }
 
+void SyncTracker::OnPaused(TimePoint now) { paused_at_ = now; }
+
+std::map<std::string, RecordCount> SyncTracker::FilledLately(
+    TimePoint now) const {
+  std::map<std::string, RecordCount> filled;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.filled_at == TimePoint{}) continue;
+    if (now - entry.filled_at > kTellFilled) continue;
+    filled[name] = {entry.start, entry.received};
+  }
+  return filled;
+}
+
 void SyncTracker::Forget(const std::string& name) { entries_.erase(name); }
 
 bool SyncTracker::MayBeBehind(const Entry& entry, TimePoint now) {
@@ -85,6 +101,7 @@
 }
 
 bool SyncTracker::MustAskStore(TimePoint now) const {
+  if (read_began_ < paused_at_) return true;
   if (now - read_began_ < kAskPause) return false;
   return std::any_of(entries_.begin(), entries_.end(), [now](const auto& e) {
     return MayBeBehind(e.second, now);
@@ -99,7 +116,7 @@
 }
 
 bool SyncTracker::Current(TimePoint now) const {
-  if (read_began_ == TimePoint{}) return false;
+  if (read_began_ == TimePoint{} || read_began_ < paused_at_) return false;
   // A silent entry may commit at any time, so only a recent read makes up for
   // it; one that is behind is made up for by its next read.
   return std::none_of(entries_.begin(), entries_.end(), [&](const auto& e) {
--- a/libs/gateway/src/sync_tracker.h
+++ b/libs/gateway/src/sync_tracker.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "record_count.h"
 
 namespace knapweedstile::gateway {
 
@@ -27,7 +28,10 @@
                   uint64_t count, TimePoint now);
   // A read of the store that began at `began` has ended well: what was counted
   // before then is known.
-  void OnStoreRead(TimePoint began);
+  void OnStoreRead(TimePoint began, TimePoint now);
+  // This process stood still: what it holds for heard just now may be old, so
+  // it counts only after the store has been read.
+  void OnPaused(TimePoint now);
   // The entry said that it leaves: its silence then hides nothing.
   void Forget(const std::string& entry);
 
@@ -36,6 +40,9 @@
   // Whether records that others count have been missing here for so long that
   // nothing should be begun that one of them may forbid.
   bool HasGap(TimePoint now) const;
+  // Entries whose records were read from the store lately instead of being
+  // pushed: what they may take for known here.
+  std::map<std::string, RecordCount> FilledLately(TimePoint now) const;
   // Whether every record that another entry may have shown to a caller is known
   // here. False before the first read of the store.
   bool Current(TimePoint now) const;
@@ -50,6 +57,7 @@
     TimePoint heard_at{};
     // It has started again: what it wrote last before may be unknown here.
     bool unread_start = false;
+    TimePoint filled_at{};  // when a gap was last filled from the store
   };
 
   static void Raise(Entry& entry, uint64_t count, TimePoint now);
@@ -58,6 +66,7 @@
 
   std::map<std::string, Entry> entries_;
   TimePoint read_began_{};
+  TimePoint paused_at_{};
 };
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/tests/sync_tracker_test.cc
+++ b/libs/gateway/tests/sync_tracker_test.cc
@@ -32,7 +32,7 @@
   sync.OnCount("entry-2", 1, 1, At(0));
   CHECK_FALSE(sync.MustAskStore(At(50)));
   CHECK(sync.MustAskStore(At(200)));
-  sync.OnStoreRead(At(200));
+  sync.OnStoreRead(At(200), At(200));
   CHECK_FALSE(sync.MustAskStore(At(500)));
 }
 
@@ -51,7 +51,7 @@
   SyncTracker sync;
   sync.OnCount("entry-2", 1, 1, At(0));
   sync.OnCount("entry-2", 1, 2, At(210));
-  sync.OnStoreRead(At(200));
+  sync.OnStoreRead(At(200), At(200));
   CHECK(sync.MustAskStore(At(500)));
 }
 
@@ -62,7 +62,7 @@
   sync.OnCount("entry-2", 1, 0, At(0));
   CHECK_FALSE(sync.MustAskStore(At(500)));
   CHECK(sync.MustAskStore(At(700)));
-  sync.OnStoreRead(At(700));
+  sync.OnStoreRead(At(700), At(700));
   CHECK_FALSE(sync.MustAskStore(At(800)));
   CHECK(sync.MustAskStore(At(1000)));
   CHECK(sync.Current(At(1000)));
@@ -75,12 +75,12 @@
 TEST_CASE("nothing is current before the first read of the store") {
   SyncTracker sync;
   CHECK_FALSE(sync.Current(At(0)));
-  sync.OnStoreRead(At(0));
+  sync.OnStoreRead(At(0), At(0));
   CHECK(sync.Current(At(10)));
   sync.OnCount("entry-2", 1, 1, At(20));
   CHECK(sync.Current(At(100)));
   CHECK_FALSE(sync.Current(At(200)));
-  sync.OnStoreRead(At(210));
+  sync.OnStoreRead(At(210), At(210));
   CHECK(sync.Current(At(220)));
 }
 
@@ -88,7 +88,7 @@
 // from this one and serve callers.
 TEST_CASE("an entry that was never heard makes this one ask the store") {
   SyncTracker sync;
-  sync.OnStoreRead(At(0));
+  sync.OnStoreRead(At(0), At(0));
   sync.Expect("entry-2", At(0));
   CHECK_FALSE(sync.MustAskStore(At(400)));
   CHECK(sync.MustAskStore(At(700)));
@@ -104,7 +104,7 @@
 TEST_CASE("an entry that started again counts from zero") {
   SyncTracker sync;
   sync.OnCount("entry-2", 1, 9, At(0));
-  sync.OnStoreRead(At(10));
+  sync.OnStoreRead(At(10), At(10));
   sync.OnCount("entry-2", 2, 1, At(500));
   CHECK(sync.MustAskStore(At(700)));
 }
@@ -114,11 +114,11 @@
 TEST_CASE("after an entry's restart the store is asked") {
   SyncTracker sync;
   sync.OnCount("entry-2", 1, 0, At(0));
-  sync.OnStoreRead(At(10));
+  sync.OnStoreRead(At(10), At(10));
   sync.OnCount("entry-2", 2, 0, At(500));
   CHECK(sync.MustAskStore(At(700)));
   CHECK_FALSE(sync.Current(At(700)));
-  sync.OnStoreRead(At(700));
+  sync.OnStoreRead(At(700), At(700));
   CHECK(sync.Current(At(750)));
 }
 
@@ -143,8 +143,38 @@
   sync.OnCount("entry-2", 1, 1, At(0));
   CHECK_FALSE(sync.HasGap(At(400)));
   CHECK(sync.HasGap(At(600)));
-  sync.OnStoreRead(At(700));
+  sync.OnStoreRead(At(700), At(700));
   CHECK_FALSE(sync.HasGap(At(1000)));
 }
 
+// A process is paused for seconds. When it goes on, datagrams from before the
+// pause are still in its socket and look like fresh ones: what it knows from
+// them is not enough to answer by.
+TEST_CASE("after a pause nothing is current before the store was read") {
+  SyncTracker sync;
+  sync.OnStoreRead(At(0), At(0));
+  sync.OnCount("entry-2", 1, 0, At(10));
+  REQUIRE(sync.Current(At(20)));
+  sync.OnPaused(At(5000));
+  sync.OnCount("entry-2", 1, 0, At(5001));
+  CHECK_FALSE(sync.Current(At(5002)));
+  CHECK(sync.MustAskStore(At(5002)));
+  sync.OnStoreRead(At(5003), At(5010));
+  CHECK(sync.Current(At(5010)));
+}
+
+// A record that was not pushed is read from the store. Its writer is told, so
+// that it does not hold the job for unheard.
+TEST_CASE("a gap that was filled is told, for a while") {
+  SyncTracker sync;
+  sync.OnCount("entry-2", 7, 3, At(0));
+  CHECK(sync.FilledLately(At(100)).empty());
+  sync.OnStoreRead(At(200), At(210));
+  const auto filled = sync.FilledLately(At(300));
+  REQUIRE(filled.contains("entry-2"));
+  CHECK(filled.at("entry-2").start == 7);
+  CHECK(filled.at("entry-2").count == 3);
+  CHECK(sync.FilledLately(At(5000)).empty());
+}
+
 }  // namespace knapweedstile::gateway
--- a/libs/serving/include/serving/quota_guard.h
+++ b/libs/serving/include/serving/quota_guard.h
@@ -1,9 +1,7 @@
 #ifndef KNAPWEEDSTILE_SERVING_QUOTA_GUARD_H_
 #define KNAPWEEDSTILE_SERVING_QUOTA_GUARD_H_
 
-#include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 
@@ -11,42 +9,60 @@
 
 namespace knapweedstile::serving {
 
+enum class QuotaVerdict {
+  kFits,
+  kOver,     // by what is known here already
+  kUnheard,  // not before others have heard of the jobs taken before it
+};
+
 // Whether a batch job still fits a limit on waiting tokens that holds over all
 // entries. No network, clock or thread: what is known and the time come in.
 //
 // Load pattern: many jobs that arrive at all entries in the same moment with
-// the limit nearly reached. Each entry learns of the others' jobs some
-// milliseconds late, so by what it knows alone each would give away all of what
-// is left: three entries that take 30 jobs at once went 22% over a limit of
-// which a tenth is allowed.
+// the limit nearly reached, while some entries are slow, paused or cut off.
+// Each learns of the others' jobs some milliseconds late, or much later, so by
+// what it knows alone each would give away all of what is left: three entries
+// that took 30 jobs at once went 22% over a limit of which a tenth is allowed.
 //
-// So the tokens that others may not know of yet are bounded: each entry takes
-// its share of what is left and of kSharedOverage of the limit. A single job is
-// taken whatever its share, or one larger than that would never be: at most one
-// job an entry goes beyond the limit and that overage.
+// So each entry bounds the tokens of its own jobs that another live entry has
+// not acknowledged, by its share of kSharedOverage of the limit. Whatever an
+// entry does not know of is then in those shares, and the sum stays within the
+// limit and that overage however late the others hear. A single job is taken
+// whatever the share, or one larger than that would never be.
 class QuotaGuard {
  public:
   // `waiting`: tokens known to wait here, this entry's own jobs included.
   // `entries`: those that accept jobs, this one included.
-  bool Fits(const std::string& route, uint64_t waiting, uint64_t tokens,
-            uint64_t limit, size_t entries, TimePoint now);
-  // The job was taken on, by Fits' word: others hear of it soon.
-  void Take(const std::string& route, uint64_t tokens, TimePoint now);
+  QuotaVerdict Judge(const std::string& route, uint64_t waiting,
+                     uint64_t tokens, uint64_t limit, size_t entries) const;
+
+  // Whether others have heard of all that was taken.
+  bool empty() const noexcept { return unheard_.empty(); }
+
+  // Commands. The job was taken, by Judge's word.
+  void Take(const std::string& job, const std::string& route, uint64_t tokens);
+  // Its record is written, as this entry's `number`th.
+  void Written(const std::string& job, uint64_t number);
+  // It was not taken in the end.
+  void Drop(const std::string& job);
+  // Whether it was written is not known: it counts until `known_at`, by which
+  // all entries have read the store.
+  void Unsure(const std::string& job, TimePoint known_at);
+  // Every live entry has this entry's records up to `number`.
+  void Heard(uint64_t number, TimePoint now);
 
  private:
-  // Of the allowed tenth; the rest is for entries that join meanwhile.
+  // Of the allowed tenth; the rest is for entries that join or start again.
   static constexpr double kSharedOverage = 0.08;
-  // Records reach the other entries within milliseconds, and within this when
-  // an entry is busy.
-  static constexpr std::chrono::milliseconds kHeardAfter{150};
 
-  struct Recent {
-    TimePoint at{};
+  struct Unheard {
+    std::string route;
     uint64_t tokens = 0;
+    uint64_t number = 0;  // zero: not written yet
+    TimePoint until = kNever;
   };
-  uint64_t Unheard(const std::string& route, TimePoint now);
 
-  std::map<std::string, std::deque<Recent>> recent_;  // by route
+  std::map<std::string, Unheard> unheard_;  // by job
 };
 
 }  // namespace knapweedstile::serving
--- a/libs/serving/src/quota_guard.cc
+++ b/libs/serving/src/quota_guard.cc
@@ -4,32 +4,45 @@
 
 namespace knapweedstile::serving {
 
-uint64_t QuotaGuard::Unheard(const std::string& route, TimePoint now) {
-  std::deque<Recent>& recent = recent_[route];
-  while (!recent.empty() && recent.front().at + kHeardAfter <= now) {
-    recent.pop_front();
+QuotaVerdict QuotaGuard::Judge(const std::string& route, uint64_t waiting,
+                               uint64_t tokens, uint64_t limit,
+                               size_t entries) const {
+  if (waiting + tokens > limit) return QuotaVerdict::kOver;
+  uint64_t unheard = 0;
+  for (const auto& [job, own] : unheard_) {
+    if (own.route == route) unheard += own.tokens;
   }
-  uint64_t tokens = 0;
-  for (const Recent& job : recent) tokens += job.tokens;
-  return tokens;
+  if (unheard == 0 || entries <= 1) return QuotaVerdict::kFits;
+  const double share = kSharedOverage * static_cast<double>(limit) /
+                       static_cast<double>(entries);
+  return static_cast<double>(unheard + tokens) <= share
+             ? QuotaVerdict::kFits
+             : QuotaVerdict::kUnheard;
 }
 
-bool QuotaGuard::Fits(const std::string& route, uint64_t waiting,
-                      uint64_t tokens, uint64_t limit, size_t entries,
-                      TimePoint now) {
-  if (waiting + tokens > limit) return false;
-  const uint64_t unheard = Unheard(route, now);
-  if (unheard == 0) return true;
-  // What was left before this entry took what nobody else knows of.
-  const double left = static_cast<double>(limit - waiting + unheard);
-  const double share = (left + kSharedOverage * static_cast<double>(limit)) /
-                       static_cast<double>(std::max<size_t>(entries, 1));
-  return static_cast<double>(unheard + tokens) <= share;
+void QuotaGuard::Take(const std::string& job, const std::string& route,
+                      uint64_t tokens) {
+  unheard_[job] = {.route = route, .tokens = tokens};
 }
 
-void QuotaGuard::Take(const std::string& route, uint64_t tokens,
-                      TimePoint now) {
-  recent_[route].push_back({now, tokens});
+void QuotaGuard::Written(const std::string& job, uint64_t number) {
+  const auto found = unheard_.find(job);
+  if (found != unheard_.end()) found->second.number = number;
+}
+
+void QuotaGuard::Drop(const std::string& job) { unheard_.erase(job); }
+
+void QuotaGuard::Unsure(const std::string& job, TimePoint known_at) {
+  const auto found = unheard_.find(job);
+  if (found != unheard_.end()) found->second.until = known_at;
+}
+
+void QuotaGuard::Heard(uint64_t number, TimePoint now) {
+  std::erase_if(unheard_, [&](const auto& entry) {
+    const Unheard& own = entry.second;
+    const bool written = own.number != 0;
+    return written ? own.number <= number : own.until <= now;
+  });
 }
 
 }  // namespace knapweedstile::serving
--- a/scripts/guards_off.py
+++ b/scripts/guards_off.py
@@ -96,12 +96,12 @@
     ],
     "quota": [
         ("libs/serving/src/quota_guard.cc",
-         "return static_cast<double>(unheard + tokens) <= share;",
-         "return share >= 0;"),
+         "return static_cast<double>(unheard + tokens) <= share",
+         "return share >= 0"),
     ],
     "quota_at_all": [
-        (GATEWAY + "job_writer.cc", "if (!TakeFromQuota(request)) {",
-         "if (!TakeFromQuota(request) && request.tokens == 0) {"),
+        (GATEWAY + "job_writer.cc", "if (request.most_waiting_tokens == 0) return",
+         "if (request.tokens != 0) return"),
     ],
     "deadline": [
         (GATEWAY + "online_calls.cc", "request.deadline = call.deadline;",
