--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -17,6 +17,7 @@
   std::string availability_zone;
   std::string callers_address;    // empty: this VM takes no callers
   std::string readiness_address;  // readiness and metrics
+  std::string metrics_address;    // metrics alone; empty: nowhere else
   uint32_t peer_port = 0;
   std::string store_address;
   // Backend servers renew their entries this often; one that misses three times
--- a/libs/gateway/src/batch_runner.cc
+++ b/libs/gateway/src/batch_runner.cc
@@ -228,6 +228,19 @@
   Requeue(*chosen, kDisplacedPause, "displaced");
 }
 
+void BatchRunner::OnServerRestarted(BackendServerId former,
+                                    const std::string& address) {
+  client_.CloseIdle(address);
+  std::vector<ExchangeId> cut;
+  for (const auto& [upstream, run] : runs_) {
+    if (run.server == former) cut.push_back(upstream);
+  }
+  for (const ExchangeId upstream : cut) {
+    client_.Cancel(upstream);
+    OnBroken(runs_.at(upstream), "server_restarted");
+  }
+}
+
 void BatchRunner::EndAll() {
   while (!runs_.empty()) {
     ItemRun& run = runs_.begin()->second;
--- a/libs/gateway/src/batch_runner.h
+++ b/libs/gateway/src/batch_runner.h
@@ -51,6 +51,8 @@
   void Run(TimePoint now);
   // Gives up the slot of one item on the backend server.
   void Yield(BackendServerId server);
+  // The server's process is gone with all that it ran.
+  void OnServerRestarted(BackendServerId former, const std::string& address);
   // Ends all runs, for others to go on with; what they produced is kept.
   void EndAll();
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -37,6 +37,9 @@
 
 Result<bool> Gateway::Start() {
   BOOST_LEAF_CHECK(readiness_.Listen(settings_.readiness_address));
+  if (!settings_.metrics_address.empty()) {
+    BOOST_LEAF_CHECK(metrics_page_.Listen(settings_.metrics_address));
+  }
   BOOST_LEAF_CHECK(peers_.Listen(settings_.ip, settings_.peer_port));
   BOOST_LEAF_CHECK(
       push_.Listen(fmt::format("{}:{}", settings_.ip, settings_.peer_port)));
@@ -143,6 +146,12 @@
   return false;
 }
 
+void Gateway::OnServerRestarted(BackendServerId former,
+                                const std::string& address) {
+  online_.OnServerRestarted(former, address);
+  runner_.OnServerRestarted(former, address);
+}
+
 void Gateway::OnConfiguration(const platform::StoredObject& object) {
   if (object.name != users_platform::kConfigurationName) return;
   boost::leaf::try_handle_all(
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -59,9 +59,12 @@
   bool HasModel(const http::RequestEvent& request,
                 const CallerIdentity& identity);
   bool OnReadinessEvent(http::ServerEvent&& event);
+  http::RespondCommand MetricsPage(const http::RequestEvent& request);
   http::RespondCommand OperatorsPage(const http::RequestEvent& request);
   bool ready() const;
 
+  // Ends what a former process of a server had in its hands.
+  void OnServerRestarted(BackendServerId former, const std::string& address);
   void OnConfiguration(const platform::StoredObject& object);
   void OnOwnObject(platform::StoredObject&& object);
   void OnOwnListed(std::vector<platform::StoredObject>&& objects);
@@ -132,6 +135,7 @@
   RecordCollector collector_;
   http::Server callers_;
   http::Server readiness_;
+  http::Server metrics_page_;
   OperatorsApi operators_;
   KindMirror configuration_mirror_;
   KindMirror server_mirror_;
--- a/libs/gateway/src/gateway_pages.cc
+++ b/libs/gateway/src/gateway_pages.cc
@@ -10,6 +10,8 @@
 namespace knapweedstile::gateway {
 namespace {
 
+constexpr std::string_view kMetricsPath = "/metrics";
+
 // The number in `?after=N`; zero without one.
 uint64_t AfterOf(std::string_view target) {
   constexpr std::string_view kAfter = "?after=";
@@ -69,9 +71,8 @@
     answer.status = ready() ? 200 : 503;
   } else if (path == "/healthz") {
     answer.body = "ok";
-  } else if (path == "/metrics") {
-    answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
-    answer.body = RenderMetrics();
+  } else if (path == kMetricsPath) {
+    return MetricsPage(request);
   } else if (path == "/status") {
     answer.headers.Add("Content-Type", "application/json");
     answer.body = RenderStatus(settings_, stop_began_at_ != kNever,
@@ -85,6 +86,18 @@
   return answer;
 }
 
+http::RespondCommand Gateway::MetricsPage(const http::RequestEvent& request) {
+  http::RespondCommand answer{.exchange = request.exchange, .status = 200};
+  const std::string_view target = request.target;
+  if (target.substr(0, target.find('?')) != kMetricsPath) {
+    answer.status = 404;
+    return answer;
+  }
+  answer.headers.Add("Content-Type", "text/plain; version=0.0.4");
+  answer.body = RenderMetrics();
+  return answer;
+}
+
 bool Gateway::ready() const {
   return routes_.version != 0 && server_mirror_.listed() &&
          stop_began_at_ == kNever;
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -15,6 +15,8 @@
                  &settings->callers_address);
   schema.Address("listen.readiness", "readiness probe and /metrics",
                  &settings->readiness_address);
+  schema.Address("listen.metrics", "metrics alone, at an address that stays",
+                 &settings->metrics_address);
   schema.Integer("listen.peer_port", "port",
                  "UDP port for messages between entries", &settings->peer_port,
                  0, 65535);
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -58,7 +58,10 @@
       timeline_(settings.timeline_events),
       board_({}, settings.availability_zone, seed),
       store_(io, settings.store_address),
-      servers_(board_),
+      servers_(board_,
+               [this](BackendServerId former, const std::string& address) {
+                 OnServerRestarted(former, address);
+               }),
       policies_(board_),
       start_(static_cast<uint64_t>(WallClockNanos())),
       peers_(io, settings.name, start_,
@@ -180,6 +183,13 @@
                  [this](http::ServerEvent&& event) {
                    return OnReadinessEvent(std::move(event));
                  }),
+      metrics_page_(io, {},
+                    [this](http::ServerEvent&& event) {
+                      const auto* request =
+                          std::get_if<http::RequestEvent>(&event);
+                      if (request) metrics_page_.Execute(MetricsPage(*request));
+                      return true;
+                    }),
       operators_(store_,
                  [this](http::ServerCommand&& command) {
                    readiness_.Execute(std::move(command));
--- a/libs/gateway/src/online_answers.cc
+++ b/libs/gateway/src/online_answers.cc
@@ -181,7 +181,7 @@
               {"passing", call.passing},
               {"again", again}});
   // Only an end without an answer may be a crash.
-  if (reason == NameOf(http::ClientOutcome::kLost)) {
+  if (reason == NameOf(http::ClientOutcome::kLost) || reason == kRestarted) {
     crashes_.OnBroken(call.fingerprint, MonotonicNow());
   }
   call.excluded.push_back(call.server);
--- a/libs/gateway/src/online_calls.cc
+++ b/libs/gateway/src/online_calls.cc
@@ -209,6 +209,20 @@
   calls_.erase(call.caller);
 }
 
+void OnlineCalls::OnServerRestarted(BackendServerId former,
+                                    const std::string& address) {
+  client_.CloseIdle(address);
+  std::vector<ExchangeId> cut;
+  for (const auto& [caller, call] : calls_) {
+    if (call.server == former) cut.push_back(caller);
+  }
+  for (const ExchangeId caller : cut) {
+    OnlineCall& call = calls_.at(caller);
+    client_.Cancel(call.upstream);
+    OnBroken(call, kRestarted);
+  }
+}
+
 void OnlineCalls::OnCallerGone(ExchangeId caller) {
   const auto found = calls_.find(caller);
   if (found == calls_.end()) return;
--- a/libs/gateway/src/online_calls.h
+++ b/libs/gateway/src/online_calls.h
@@ -54,6 +54,9 @@
   void Begin(http::RequestEvent&& request, const serving::Route& route,
              const CallerIdentity& caller);
   void OnCallerGone(ExchangeId caller);
+  // The server's process is gone with all that it had taken, which may have
+  // run.
+  void OnServerRestarted(BackendServerId former, const std::string& address);
   size_t open() const noexcept { return calls_.size(); }
 
  private:
--- a/libs/gateway/src/online_limits.h
+++ b/libs/gateway/src/online_limits.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDSTILE_GATEWAY_ONLINE_LIMITS_H_
 
 #include <chrono>
+#include <string_view>
 
 namespace knapweedstile::gateway {
 
@@ -10,6 +11,9 @@
 inline constexpr unsigned kUnavailable = 503;
 inline constexpr unsigned kGatewayTimeout = 504;
 
+// Why an attempt is over when its server's process has been replaced.
+inline constexpr std::string_view kRestarted = "server_restarted";
+
 // After a few servers that did not run a request: others may have room at once.
 inline constexpr std::chrono::milliseconds kRetryAfterBroken{100};
 
--- a/libs/gateway/src/server_directory.cc
+++ b/libs/gateway/src/server_directory.cc
@@ -17,7 +17,7 @@
                 const serving::ServerRecord& b) {
   return a.service == b.service && a.address == b.address &&
          a.draining == b.draining && a.slots == b.slots &&
-         a.software == b.software;
+         a.software == b.software && a.start == b.start;
 }
 
 }  // namespace
@@ -38,16 +38,31 @@
         return false;
       },
       [] { return false; });
-  if (!valid) return;
+  if (!valid) return Forget(object.name);
   const auto known = known_.find(object.name);
   if (known != known_.end() && SameRecord(known->second, record)) return;
+  const BackendServerId former = board_.Find(object.name);
+  const std::string address =
+      known == known_.end() ? std::string() : known->second.address;
   LogInfo("server_changed", {{"instance", record.instance},
                              {"service", record.service},
                              {"address", record.address},
+                             {"start", record.start},
                              {"draining", record.draining},
                              {"revision", object.version}});
   board_.Upsert(record);
   known_[object.name] = std::move(record);
+  if (former && former != board_.Find(object.name)) {
+    restarted_(former, address);
+  }
+}
+
+// Failure guarded against: another writer has put something over a server's
+// entry. Going on by the entry before would send requests to a server that may
+// long have left.
+void ServerDirectory::Forget(const std::string& instance) {
+  missing_.erase(instance);
+  if (known_.erase(instance) > 0) board_.Remove(instance);
 }
 
 void ServerDirectory::Drop(const std::string& instance, TimePoint now,
--- a/libs/gateway/src/server_directory.h
+++ b/libs/gateway/src/server_directory.h
@@ -1,10 +1,13 @@
 #ifndef KNAPWEEDSTILE_GATEWAY_SERVER_DIRECTORY_H_
 #define KNAPWEEDSTILE_GATEWAY_SERVER_DIRECTORY_H_
 
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "base/id.h"
 #include "base/time.h"
 #include "platform/store_answer.h"
 #include "serving/server_record.h"
@@ -20,7 +23,13 @@
 // outage is therefore kept until the time in which a live server is back.
 class ServerDirectory {
  public:
-  explicit ServerDirectory(serving::SlotBoard& board) : board_(board) {}
+  // Told the id that a server had before its process started again, and where
+  // that was: what that process held is lost.
+  using Restarted =
+      std::function<void(BackendServerId former, const std::string& address)>;
+
+  ServerDirectory(serving::SlotBoard& board, Restarted restarted)
+      : board_(board), restarted_(std::move(restarted)) {}
 
   void OnListed(std::vector<platform::StoredObject>&& objects, TimePoint now,
                 TimePoint store_regained);
@@ -34,10 +43,12 @@
 
  private:
   void Adopt(const platform::StoredObject& object);
+  void Forget(const std::string& instance);
   void Drop(const std::string& instance, TimePoint now,
             TimePoint store_regained);
 
   serving::SlotBoard& board_;
+  Restarted restarted_;
   std::map<std::string, serving::ServerRecord> known_;
   std::map<std::string, TimePoint> missing_;  // removed from then on
 };
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "base/id.h"
 #include "http/client_event.h"
@@ -32,8 +33,11 @@
   void Send(ClientRequest&& request);
   // Cuts the exchange's connection; no event follows.
   void Cancel(ExchangeId exchange);
-  // Drops idle connections to an address that has been replaced.
+  // Closes all idle connections.
   void Close();
+  // Closes the idle connections to one address: its process has been replaced,
+  // and a request on one of them would be lost.
+  void CloseIdle(const std::string& address);
 
  private:
   class Impl;
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -16,4 +16,8 @@
 
 void Client::Close() { impl_->CloseIdle(); }
 
+void Client::CloseIdle(const std::string& address) {
+  impl_->CloseIdle(address);
+}
+
 }  // namespace knapweedstile::http
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -378,6 +378,12 @@
   idle_.clear();
 }
 
+void Client::Impl::CloseIdle(const std::string& address) {
+  const auto pool = idle_.extract(address);
+  if (pool.empty()) return;
+  for (const ClientConnectionId id : pool.mapped()) connections_.erase(id);
+}
+
 void Client::Impl::SetDeadline(Connection& connection, TimePoint deadline) {
   connection.deadline = deadline;
   // An earlier timer stays: OnTimer sets it again for the rest.
--- a/libs/http/src/client_impl.h
+++ b/libs/http/src/client_impl.h
@@ -23,6 +23,7 @@
   void Send(ClientRequest&& request);
   void Cancel(ExchangeId exchange);
   void CloseIdle();
+  void CloseIdle(const std::string& address);
 
  private:
   using Connection = ClientConnection;
--- a/libs/serving/include/serving/server_record.h
+++ b/libs/serving/include/serving/server_record.h
@@ -6,10 +6,12 @@
 
 namespace knapweedstile::serving {
 
-// A backend server as it registers itself. Each start of it has a new
-// `instance`; an address may later belong to another service.
+// A backend server as it registers itself. A process that starts again may have
+// a new `instance`, or the same one and a new `start`; an address may later
+// belong to another service.
 struct ServerRecord {
   std::string instance;
+  uint64_t start = 0;  // of the process, Unix milliseconds; zero: not told
   std::string service;
   std::string address;  // "IP:PORT"
   std::string availability_zone;
--- a/libs/serving/include/serving/slot_board.h
+++ b/libs/serving/include/serving/slot_board.h
@@ -71,7 +71,7 @@
   // Samples what online holds, for sharing by recent demand.
   void ObserveDemand(TimePoint now);
 
-  // Commands: what other entries have outstanding, by instance.
+  // Commands: what other entries have outstanding, by the server's process.
   // All that an entry has outstanding.
   void ReportEntry(const std::string& entry,
                    const std::map<std::string, ServerUsage>& usage,
@@ -103,7 +103,8 @@
   BackendServerId Find(std::string_view instance) const;
   // Slots of the service's usable servers, and those that are free.
   SlotCount CountSlots(std::string_view service, TimePoint now) const;
-  // What this entry has outstanding, by instance; idle ones are left out.
+  // What this entry has outstanding, by the server's process; idle ones are
+  // left out.
   std::map<std::string, ServerUsage> OwnUsage() const;
   ServerUsage UsageOf(BackendServerId server) const;
   size_t server_count() const noexcept { return servers_.size(); }
@@ -158,8 +159,12 @@
                     std::span<const BackendServerId> excluded, TimePoint now);
   Placement Displace(Server& server);
   Placement Queue(Server& server, Duration objective);
+  // Where the record is of a new process of a known instance.
+  void RetireFormerProcess(const ServerRecord& record);
+  // The present process of that name; null when there is none.
+  Server* FindProcess(const std::string& process);
   void SumReports();
-  void Apply(Report& report, const std::string& instance, ServerUsage usage);
+  void Apply(Report& report, const std::string& process, ServerUsage usage);
   void Avoid(Server& server, Duration time, TimePoint now);
   Server* FindServer(BackendServerId id);
 
--- a/libs/serving/src/slot_board.cc
+++ b/libs/serving/src/slot_board.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "process_name.h"
 #include "slot_draw.h"
 
 namespace knapweedstile::serving {
@@ -27,13 +28,26 @@
                      uint64_t seed)
     : settings_(settings), own_zone_(std::move(own_zone)), rng_(seed) {}
 
+// Failure guarded against: a server that crashed is back under its old name,
+// and the counts, failures and avoidance of its former process would stand for
+// the new one, which holds nothing. The former process stays as a server of its
+// own that is gone, until the requests that it took have ended.
+void SlotBoard::RetireFormerProcess(const ServerRecord& record) {
+  const auto known = by_instance_.find(record.instance);
+  if (known == by_instance_.end()) return;
+  const uint64_t start = servers_[known->second].record.start;
+  const bool restarted =
+      start != 0 && record.start != 0 && record.start != start;
+  if (restarted) Remove(record.instance);
+}
+
 void SlotBoard::Upsert(const ServerRecord& record) {
+  RetireFormerProcess(record);
   auto [known, is_new] = by_instance_.try_emplace(record.instance);
   if (is_new) known->second = BackendServerId(++last_id_);
   Server& server = servers_[known->second];
   server.id = known->second;
   server.record = record;
-  server.gone = false;
   if (is_new) SumReports();
 }
 
@@ -42,8 +56,8 @@
   if (known == by_instance_.end()) return;
   Server& server = servers_[known->second];
   server.gone = true;
-  if (server.own.total() > 0) return;
-  servers_.erase(known->second);
+  server.others = {};
+  if (server.own.total() == 0) servers_.erase(known->second);
   by_instance_.erase(known);
 }
 
@@ -71,10 +85,7 @@
   if (!server) return;
   uint32_t& count = CountOf(server->own, traffic);
   if (count > 0) --count;
-  if (server->gone && server->own.total() == 0) {
-    by_instance_.erase(server->record.instance);
-    servers_.erase(id);
-  }
+  if (server->gone && server->own.total() == 0) servers_.erase(id);
 }
 
 void SlotBoard::ObserveDuration(BackendServerId id, Duration duration) {
@@ -161,7 +172,7 @@
                       .displaces_batch = true};
   if (server.own.batch > 0) return placement;
   for (auto& [entry, report] : reports_) {
-    const auto usage = report.usage.find(server.record.instance);
+    const auto usage = report.usage.find(ProcessName(server.record));
     if (usage == report.usage.end() || usage->second.batch == 0) continue;
     --usage->second.batch;
     --server.others.batch;
@@ -286,7 +297,7 @@
   std::map<std::string, ServerUsage> usage;
   for (const auto& [id, server] : servers_) {
     if (server.own.total() > 0) {
-      usage.emplace(server.record.instance, server.own);
+      usage.emplace(ProcessName(server.record), server.own);
     }
   }
   return usage;
--- a/libs/serving/src/slot_board_reports.cc
+++ b/libs/serving/src/slot_board_reports.cc
@@ -1,6 +1,7 @@
 #include <string>
 #include <vector>
 
+#include "process_name.h"
 #include "serving/slot_board.h"
 
 // What other entries tell of their use of the backend servers.
@@ -12,11 +13,11 @@
   Report& report = reports_[entry];
   report.expires_at = now + settings_.report_lifetime;
   std::vector<std::string> idle;
-  for (const auto& [instance, known] : report.usage) {
-    if (!usage.contains(instance)) idle.push_back(instance);
+  for (const auto& [process, known] : report.usage) {
+    if (!usage.contains(process)) idle.push_back(process);
   }
-  for (const std::string& instance : idle) Apply(report, instance, {});
-  for (const auto& [instance, counts] : usage) Apply(report, instance, counts);
+  for (const std::string& process : idle) Apply(report, process, {});
+  for (const auto& [process, counts] : usage) Apply(report, process, counts);
 }
 
 void SlotBoard::UpdateEntry(const std::string& entry,
@@ -24,22 +25,27 @@
                             TimePoint now) {
   Report& report = reports_[entry];
   report.expires_at = now + settings_.report_lifetime;
-  for (const auto& [instance, counts] : changed) {
-    Apply(report, instance, counts);
+  for (const auto& [process, counts] : changed) {
+    Apply(report, process, counts);
   }
 }
 
-void SlotBoard::Apply(Report& report, const std::string& instance,
+SlotBoard::Server* SlotBoard::FindProcess(const std::string& process) {
+  const auto known = by_instance_.find(InstanceOf(process));
+  if (known == by_instance_.end()) return nullptr;
+  Server& server = servers_[known->second];
+  return ProcessName(server.record) == process ? &server : nullptr;
+}
+
+void SlotBoard::Apply(Report& report, const std::string& process,
                       ServerUsage usage) {
-  ServerUsage& reported = report.usage[instance];
-  const auto known = by_instance_.find(instance);
-  if (known != by_instance_.end()) {
-    ServerUsage& others = servers_[known->second].others;
-    others.online += usage.online - reported.online;
-    others.batch += usage.batch - reported.batch;
+  ServerUsage& reported = report.usage[process];
+  if (Server* server = FindProcess(process)) {
+    server->others.online += usage.online - reported.online;
+    server->others.batch += usage.batch - reported.batch;
   }
   reported = usage;
-  if (usage.total() == 0) report.usage.erase(instance);
+  if (usage.total() == 0) report.usage.erase(process);
 }
 
 void SlotBoard::DropEntry(const std::string& entry) {
@@ -57,12 +63,11 @@
 void SlotBoard::SumReports() {
   for (auto& [id, server] : servers_) server.others = {};
   for (const auto& [entry, report] : reports_) {
-    for (const auto& [instance, usage] : report.usage) {
-      const auto known = by_instance_.find(instance);
-      if (known == by_instance_.end()) continue;
-      ServerUsage& others = servers_[known->second].others;
-      others.online += usage.online;
-      others.batch += usage.batch;
+    for (const auto& [process, usage] : report.usage) {
+      Server* server = FindProcess(process);
+      if (!server) continue;
+      server->others.online += usage.online;
+      server->others.batch += usage.batch;
     }
   }
 }
--- a/libs/serving/tests/slot_board_test.cc
+++ b/libs/serving/tests/slot_board_test.cc
@@ -198,4 +198,30 @@
   CHECK(outcome.mean_wait < 0.2);
 }
 
+// A server that was full crashes and is back under its name within a second,
+// while this entry and another one still count what its former process had. It
+// is empty, and must be used at once.
+TEST_CASE("a server that has started again is taken as empty") {
+  SlotBoard board({}, "zone-a", 7);
+  ServerRecord record = MakeServer("i-1", 2);
+  record.start = 100;
+  board.Upsert(record);
+  const BackendServerId former = board.Find("i-1");
+  board.Started(former, TrafficClass::kOnline);
+  board.ReportEntry("entry-2", {{"i-1@100", {1, 0}}}, kNow);
+  board.ReportUnreachable(former, kNow);
+  record.start = 200;
+  board.Upsert(record);
+  const BackendServerId present = board.Find("i-1");
+  CHECK(present != former);
+  CHECK(board.CountSlots("llm", kNow).free == 2);
+  // Counts of the former process still come, and its requests still end.
+  board.ReportEntry("entry-2", {{"i-1@100", {1, 0}}}, kNow);
+  CHECK(board.UsageOf(present).total() == 0);
+  board.Ended(former, TrafficClass::kOnline);
+  CHECK(board.Record(former) == nullptr);
+  board.ReportEntry("entry-2", {{"i-1@200", {1, 0}}}, kNow);
+  CHECK(board.UsageOf(present).total() == 1);
+}
+
 }  // namespace knapweedstile::serving
--- a/tests/users_platform/gateway_restart_test.cc
+++ b/tests/users_platform/gateway_restart_test.cc
@@ -46,4 +46,58 @@
   CHECK(fleet.Runs() == runs_before);
 }
 
+// A backend server crashes without a word on its connections and is back under
+// the name that it had. Its callers would wait for streams that nobody makes,
+// and its slots would count as taken until then.
+TEST_CASE(
+    "what a server's former process held ends when the new one is known") {
+  Site site;
+  ModelServer& server = site.AddServer("llm", "i-1", 2);
+  server.events = 100000;
+  site.Configure(2);
+  site.AddGateway("entry-1");
+  harness::Caller& caller = site.caller();
+  std::vector<ExchangeId> streams;
+  for (const char* id : {"r1", "r2"}) {
+    auto request = site.Online("entry-1", "POST", "/query/1", id);
+    request.stream_body = true;
+    streams.push_back(caller.Begin(std::move(request)));
+  }
+  REQUIRE(caller.RunUntil([&] {
+    return !caller.answer(streams[0]).streamed.empty() &&
+           !caller.answer(streams[1]).streamed.empty();
+  }));
+  site.RestartUnderSameName(server);
+  for (const ExchangeId stream : streams) {
+    CHECK(caller.RunUntilEnd(stream));
+    // Begun and broken off: neither whole nor "not run".
+    CHECK(caller.answer(stream).end->outcome != http::ClientOutcome::kComplete);
+  }
+  server.events = 3;
+  CHECK(site.Call(site.Online("entry-1", "POST", "/query/1", "r3")).status ==
+        200);
+  CHECK(server.runs().size() == 3);
+}
+
+// Another writer puts something else over a server's entry. The requests must
+// go to the servers whose entries still hold.
+TEST_CASE("a server whose entry was overwritten gets no request") {
+  for (const json::value& entry : std::vector<json::value>{
+           nullptr, "text", json::object{}, json::array{1},
+           json::object{{"service", 5}, {"address", "127.0.0.1:1"}}}) {
+    BusyFleet fleet;
+    fleet.first.events = fleet.second.events = 2;
+    fleet.site.store().Put("servers", "i-1", entry);
+    fleet.site.caller().RunFor(milliseconds(200));
+    for (int i = 0; i < 8; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      CHECK(
+          fleet.site.Call(fleet.site.Online("entry-1", "POST", "/query/1", id))
+              .status == 200);
+    }
+    CHECK(fleet.first.runs().empty());
+    CHECK(fleet.second.runs().size() == 8);
+  }
+}
+
 }  // namespace knapweedstile::users_site
--- a/tests/users_platform/site.cc
+++ b/tests/users_platform/site.cc
@@ -13,6 +13,8 @@
 namespace knapweedstile::users_site {
 namespace {
 
+constexpr uint64_t kFirstStart = 1770000000000;
+
 namespace json = boost::json;
 
 constexpr char kAddress[] = "127.0.0.1:";
@@ -94,13 +96,20 @@
                           {"version", "v1"},
                           {"slots", slots},
                           {"state", state},
+                          {"born", born_[server.instance()]},
                           {"sequence", 1}});
 }
 
+void Site::RestartUnderSameName(const ModelServer& server) {
+  ++born_[server.instance()];
+  MarkReady(server);
+}
+
 ModelServer& Site::AddServer(const std::string& service,
                              const std::string& instance, int slots) {
   servers_.push_back(std::make_unique<ModelServer>(caller_.io(), instance));
   registered_[instance] = {service, slots};
+  born_[instance] = kFirstStart;
   PutServer(*servers_.back(), service, slots, "ready");
   return *servers_.back();
 }
--- a/tests/users_platform/site.h
+++ b/tests/users_platform/site.h
@@ -50,6 +50,8 @@
   // is not registered yet.
   void RestartServer(ModelServer& server, const std::string& instance);
   void MarkReady(const ModelServer& server);
+  // Its entry is that of a new process of the same name at the same address.
+  void RestartUnderSameName(const ModelServer& server);
   // Writes the configuration with all routes; versions must rise.
   void Configure(int version, const boost::json::object& changes = {});
   // Whether configurations hold the routes of the product's own interface.
@@ -119,6 +121,7 @@
     int slots = 0;
   };
   std::map<std::string, Registered> registered_;
+  std::map<std::string, uint64_t> born_;  // by instance, Unix milliseconds
   std::map<std::string, std::unique_ptr<harness::Process>> processes_;
   std::map<std::string, std::string> callers_;  // as callers are given them
   std::map<std::string, std::string> readiness_;
