--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -37,9 +37,7 @@
 
 Result<bool> Gateway::Start() {
   BOOST_LEAF_CHECK(readiness_.Listen(settings_.readiness_address));
-  if (!settings_.metrics_address.empty()) {
-    BOOST_LEAF_CHECK(metrics_page_.Listen(settings_.metrics_address));
-  }
+  ListenForMetrics();
   BOOST_LEAF_CHECK(peers_.Listen(settings_.ip, settings_.peer_port));
   BOOST_LEAF_CHECK(
       push_.Listen(fmt::format("{}:{}", settings_.ip, settings_.peer_port)));
@@ -66,6 +64,23 @@
   return true;
 }
 
+// Callers are served without it as well, so it does not keep the entry from
+// starting; the readiness address has the same page.
+void Gateway::ListenForMetrics() {
+  if (settings_.metrics_address.empty()) return;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_CHECK(metrics_page_.Listen(settings_.metrics_address));
+        return {};
+      },
+      [&](const Error& error) {
+        LogWarning("metrics_address_refused",
+                   {{"address", settings_.metrics_address},
+                    {"reason", error.message}});
+      },
+      [] {});
+}
+
 bool Gateway::OnCallerEvent(http::ServerEvent&& event) {
   if (const auto* gone = std::get_if<http::DisconnectEvent>(&event)) {
     online_.OnCallerGone(gone->exchange);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -51,7 +51,7 @@
   void BeginStop();
 
  private:
-  http::Server::EventSink CallerSink();
+  void ListenForMetrics();
   bool OnCallerEvent(http::ServerEvent&& event);
   void OnRequest(http::RequestEvent&& request);
   bool HasAccess(const http::RequestEvent& request,
@@ -80,7 +80,8 @@
   // One of the live entries, by a hash that all agree on.
   std::string ChosenOf(const std::string& job) const;
   // The one that runs it once this entry is gone; empty without others.
-  std::string StandbyOf(const std::string& job) const;
+  std::string SuccessorOf(const std::string& job) const;
+  void OnPeerStarted(const std::string& entry);
   // Whether this entry deletes the records of a job that has expired.
   bool Collects(const std::string& job) const;
   bool Owns(const serving::BatchJob& job) const;
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -167,8 +167,23 @@
   return HighestOf(job, entries);
 }
 
-std::string Gateway::StandbyOf(const std::string& job) const {
-  return HighestOf(job, peers_.WorkingEntries());
+// The entry that accepted it, if that is another one and lives.
+std::string Gateway::SuccessorOf(const std::string& job) const {
+  const std::vector<std::string> entries = peers_.WorkingEntries();
+  const serving::BatchJob* known = book_.Find(job);
+  const bool creator_lives =
+      known && std::find(entries.begin(), entries.end(), known->creator) !=
+                   entries.end();
+  return creator_lives ? known->creator : HighestOf(job, entries);
+}
+
+// Failure guarded against: an entry that crashes is back within a second and
+// goes on with its own jobs, but how far their items had come stands in other
+// entries' memory; it begins them anew and makes them late. Those others tell
+// it as soon as they hear of its new process.
+void Gateway::OnPeerStarted(const std::string& entry) {
+  book_.Retell(entry);
+  shared_progress_at_ = TimePoint{};
 }
 
 bool Gateway::Collects(const std::string& job) const {
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -70,6 +70,8 @@
                   [this](const std::string& instance) {
                     runner_.Yield(board_.Find(instance));
                   },
+              .started =
+                  [this](const std::string& entry) { OnPeerStarted(entry); },
               .lost =
                   [this](const std::string& entry, bool draining) {
                     board_.DropEntry(entry);
--- a/libs/gateway/src/peer_link.cc
+++ b/libs/gateway/src/peer_link.cc
@@ -102,10 +102,12 @@
                      std::pair(peer.state.start, peer.state.sequence);
   if (!is_new && older) return;
   if (is_new) LogInfo("peer_found", {{"entry", state->entry}});
+  const bool started = is_new || state->start != peer.state.start;
   std::vector<uint64_t> items = std::move(peer.state.running_items);
   peer.state = *state;
   if (state->partial) peer.state.running_items = std::move(items);
   peer.expires_at = MonotonicNow() + kSilenceUntilLost;
+  if (started) handlers_.started(state->entry);
   handlers_.state(*state);
 }
 
--- a/libs/gateway/src/peer_link.h
+++ b/libs/gateway/src/peer_link.h
@@ -22,6 +22,8 @@
   struct Handlers {
     std::function<void(const PeerState&)> state;
     std::function<void(const std::string& instance)> yield;
+    // A new process of an entry, or one that was not heard of for a while.
+    std::function<void(const std::string& entry)> started;
     // `draining`: it had said that it leaves.
     std::function<void(const std::string& entry, bool draining)> lost;
   };
--- a/libs/serving/include/serving/job_book.h
+++ b/libs/serving/include/serving/job_book.h
@@ -51,8 +51,12 @@
   // noted, at most `most_bytes` of them; they count as told from now on.
   std::vector<ProgressNote> TakeNotes(uint64_t step, size_t most_bytes);
   // What another entry tells of an item; taken when it is further than what is
-  // known here and nothing runs it here.
+  // known here and nothing runs it here. A note of a job that is not known yet
+  // is kept until it is.
   void Offer(ProgressNote&& note);
+  // The entry that took these jobs on has lost its memory: what is known here
+  // of its waiting items counts as told to nobody.
+  void Retell(std::string_view creator);
 
   // Queries.
   const BatchJob* Find(std::string_view job) const;
@@ -75,12 +79,15 @@
   }
 
  private:
+  void TakeEarlyNotes(const std::string& job);
   void Apply(BatchJob& job, std::vector<ItemResult>&& results);
 
   std::map<std::string, BatchJob, std::less<>> jobs_;
   // Segments and ends that came before their job or an earlier segment.
   std::map<std::string, std::map<uint32_t, std::vector<ItemResult>>> early_;
   std::map<std::string, bool> early_ends_;
+  std::map<std::string, std::vector<ProgressNote>> early_notes_;  // by job
+  size_t early_note_bytes_ = 0;
   // States of finished items that wait for their commit.
   std::map<std::string, std::map<uint32_t, ItemState>> finished_;
 };
--- a/libs/serving/src/job_book.cc
+++ b/libs/serving/src/job_book.cc
@@ -3,6 +3,13 @@
 #include <utility>
 
 namespace knapweedstile::serving {
+namespace {
+
+// Notes that come while an entry reads its records after a start: those of some
+// hundred running items. Beyond it items are begun anew.
+constexpr size_t kMostEarlyNoteBytes = 4 << 20;
+
+}  // namespace
 
 void JobBook::AddJob(BatchJob&& job) {
   if (jobs_.contains(job.id)) return;
@@ -13,6 +20,7 @@
   }
   job.ended = early_ends_.contains(id);
   BatchJob& added = jobs_.emplace(id, std::move(job)).first->second;
+  TakeEarlyNotes(id);
   auto early = early_.extract(id);
   if (early.empty()) return;
   for (auto& [number, results] : early.mapped()) {
@@ -114,9 +122,30 @@
   return notes;
 }
 
+void JobBook::TakeEarlyNotes(const std::string& id) {
+  auto early = early_notes_.extract(id);
+  if (early.empty()) return;
+  for (ProgressNote& note : early.mapped()) {
+    early_note_bytes_ -= note.output.size();
+    Offer(std::move(note));
+  }
+}
+
+void JobBook::Retell(std::string_view creator) {
+  for (auto& [id, job] : jobs_) {
+    if (job.creator != creator) continue;
+    for (ItemProgress& progress : job.progress) progress.told_event = 0;
+  }
+}
+
 void JobBook::Offer(ProgressNote&& note) {
   BatchJob* job = Find(note.job);
-  if (!job) return;
+  if (!job) {
+    if (early_note_bytes_ >= kMostEarlyNoteBytes) return;
+    early_note_bytes_ += note.output.size();
+    early_notes_[note.job].push_back(std::move(note));
+    return;
+  }
   const auto index = job->item_index.find(note.item);
   if (index == job->item_index.end()) return;
   ItemProgress& progress = job->progress[index->second];
--- a/libs/serving/tests/job_book_test.cc
+++ b/libs/serving/tests/job_book_test.cc
@@ -178,6 +178,27 @@
   second.Offer({.job = "other", .item = "j0", .last_event = 9});
 }
 
+// An entry crashes and is back before its jobs are taken over. What it had told
+// of its items must come back to it, also while it still reads its records.
+TEST_CASE("an entry that has lost its memory is told what it had told") {
+  JobBook standby;
+  BatchJob job = MakeJob("j", 2, seconds(18));
+  job.creator = "entry-1";
+  standby.AddJob(BatchJob(job));
+  standby.Offer({.job = "j", .item = "j1", .last_event = 40, .output = "40"});
+  REQUIRE(standby.TakeNotes(16, 1000).empty());
+  standby.Retell("entry-2");
+  REQUIRE(standby.TakeNotes(16, 1000).empty());
+  standby.Retell("entry-1");
+  auto notes = standby.TakeNotes(16, 1000);
+  REQUIRE(notes.size() == 1);
+  JobBook restarted;
+  restarted.Offer(std::move(notes[0]));
+  restarted.AddJob(std::move(job));
+  CHECK(restarted.Find("j")->progress[1].last_event == 40);
+  CHECK(restarted.Find("j")->progress[1].output == "40");
+}
+
 TEST_CASE("notes are bounded in bytes and come with the next call") {
   JobBook book;
   book.AddJob(MakeJob("j", 3, seconds(18)));
--- a/tests/users_platform/gateway_restart_test.cc
+++ b/tests/users_platform/gateway_restart_test.cc
@@ -46,6 +46,29 @@
   CHECK(fleet.Runs() == runs_before);
 }
 
+// A gateway crashes with items that have run for seconds, and is back at once:
+// it goes on with its own jobs. Begun anew, with the work of seconds lost, they
+// would be late.
+TEST_CASE("items of a gateway that is back at once go on where they were") {
+  BusyFleet fleet;
+  fleet.first.events = fleet.second.events = 240;
+  fleet.first.event_pause = fleet.second.event_pause = milliseconds(25);
+  harness::Caller& caller = fleet.site.caller();
+  fleet.site.AddGateway("entry-2");
+  REQUIRE(fleet.site.Call(fleet.site.Job("entry-1", "job-a", 4)).status == 202);
+  REQUIRE(caller.RunUntil([&] { return fleet.Runs() == 4; }));
+  caller.RunFor(milliseconds(2500));
+  fleet.site.process("entry-1").Kill();
+  fleet.site.RestartGateway("entry-1");
+  const auto page = fleet.site.WaitForResults("entry-2", "job-a", 4);
+  REQUIRE(page.at("results").as_array().size() == 4);
+  int begun_anew = 0;
+  for (const ModelServer* server : {&fleet.first, &fleet.second}) {
+    for (const auto& run : server->runs()) begun_anew += run.first_event == 1;
+  }
+  CHECK(begun_anew == 4);
+}
+
 // A backend server crashes without a word on its connections and is back under
 // the name that it had. Its callers would wait for streams that nobody makes,
 // and its slots would count as taken until then.
