--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -15,7 +15,14 @@
 // Operators' objects change seldom, and a change ends the wait. A watch that
 // has gone silent is found when it is over, so this is how late a change can
 // be.
-constexpr std::chrono::milliseconds kObjectWatchWait{10000};
+constexpr std::chrono::milliseconds kObjectWatchWait{20000};
+// Other entries' datagrams tell of a newer version within 0.3 s, and probes of
+// a connection that has gone silent within 3 s: the wait itself bounds nothing.
+constexpr std::chrono::milliseconds kConfigurationWatchWait{15000};
+// Servers change in groups, when they start, leave or are replaced; each change
+// would wake a watch of every entry: 46 of 100 calls of 24 entries on a quiet
+// minute. A draining server must be left within two seconds.
+constexpr std::chrono::milliseconds kServerMirrorPause{300};
 // Records of other entries are pushed by them; the store is asked again only to
 // be sure. With a pause of 150 ms this was two thirds of all calls.
 constexpr std::chrono::milliseconds kOwnMirrorPause{5000};
@@ -197,7 +204,10 @@
                    readiness_.Execute(std::move(command));
                  }),
       configuration_mirror_(
-          io, store_, {.kind = users_platform::kConfigurationKind},
+          io, store_,
+          {.kind = users_platform::kConfigurationKind,
+           .watch_wait = kConfigurationWatchWait,
+           .probes = true},
           {.listed =
                [this](std::vector<platform::StoredObject>&& objects) {
                  for (const auto& object : objects) OnConfiguration(object);
@@ -209,7 +219,8 @@
       server_mirror_(
           io, store_,
           {.kind = users_platform::kServerKind,
-           .watch_wait = ServerWatchWait(settings.server_heartbeat)},
+           .watch_wait = ServerWatchWait(settings.server_heartbeat),
+           .pause = kServerMirrorPause},
           {.listed =
                [this](std::vector<platform::StoredObject>&& objects) {
                  servers_.OnListed(std::move(objects), MonotonicNow(),
--- a/libs/gateway/src/kind_mirror.cc
+++ b/libs/gateway/src/kind_mirror.cc
@@ -17,6 +17,7 @@
 // well within two seconds of its return.
 constexpr std::chrono::milliseconds kFirstRetry{100};
 constexpr std::chrono::milliseconds kLastRetry{500};
+constexpr std::chrono::milliseconds kSeldomRetry{2000};
 // Of a list's first page: a store that is slow takes 0.4 s, and one that is
 // silent is to be asked again soon.
 constexpr std::chrono::milliseconds kListTimeout{1000};
@@ -51,7 +52,7 @@
                         const boost::system::error_code& ec) {
     // A pause that was ended while its timer had already fired.
     if (ec || pause_number != pause_number_) return;
-    pausing_ = false;
+    pausing_ = retrying_ = false;
     (this->*next)();
   });
 }
@@ -63,9 +64,11 @@
                                {"outcome", NameOf(answer.outcome)},
                                {"reason", answer.message}});
   }
+  const auto longest = settings_.probes ? kLastRetry : kSeldomRetry;
   const auto pause =
-      std::min(kFirstRetry * (1 << std::min(failures_, 3U)), kLastRetry);
+      std::min(kFirstRetry * (1 << std::min(failures_, 5U)), longest);
   ++failures_;
+  retrying_ = true;
   After(std::max<Duration>(pause, answer.retry_after), next);
 }
 
@@ -78,7 +81,7 @@
 void KindMirror::EndPause() {
   ++pause_number_;
   timer_.cancel();
-  pausing_ = false;
+  pausing_ = retrying_ = false;
 }
 
 void KindMirror::Poke() {
@@ -102,14 +105,14 @@
 }
 
 void KindMirror::OnStoreRegained() {
-  if (revision_ == 0 || pausing_) return;
+  if (pausing_ || (revision_ == 0 && !retrying_)) return;
   // Failure guarded against: at VMs whose links were busy, answers came late,
   // the store was taken for lost and regained several times a second, and each
   // time all records were listed once more; no list ever came to its end.
   if (settings_.large && listing_) return;
   ++generation_;
   EndPause();
-  if (settings_.large) return ReadNow();
+  if (settings_.large && revision_ != 0) return ReadNow();
   List();
 }
 
@@ -185,8 +188,8 @@
     // A call that does not wait: it is answered at once when the store is back.
     // A list where that is cheap: what changed meanwhile may be more than the
     // store's history holds.
-    return Retry(settings_.large ? &KindMirror::ReadNow : &KindMirror::List,
-                 answer);
+    const bool go_on = settings_.large && revision_ != 0;
+    return Retry(go_on ? &KindMirror::ReadNow : &KindMirror::List, answer);
   }
   failures_ = 0;
   following_ = true;
--- a/libs/gateway/src/kind_mirror.h
+++ b/libs/gateway/src/kind_mirror.h
@@ -29,6 +29,10 @@
   // seconds: an answer that takes long is not taken for a store that is away,
   // and what is known is not listed again as long as a watch can go on from it.
   bool large = false;
+  // Whether this mirror finds out that a lost store is back. The others are
+  // told and ask seldom by themselves: at three calls each in a second, an
+  // outage of five seconds cost as many calls as half a minute of use.
+  bool probes = false;
 };
 
 // Follows all objects of one kind: a list, then watches from its revision.
@@ -99,6 +103,7 @@
   uint64_t newest_change_ = 0;
   uint64_t generation_ = 0;  // of Refresh()
   bool pausing_ = false;
+  bool retrying_ = false;  // waits to ask again after a failed call
   uint64_t pause_number_ = 0;
   TimePoint call_began_{};
   TimePoint refreshed_at_{};
--- a/tests/users_platform/kind_mirror_test.cc
+++ b/tests/users_platform/kind_mirror_test.cc
@@ -65,13 +65,12 @@
   store.DelayLists(std::chrono::milliseconds(1500));
   StoreCalls calls(caller.io(), store.address());
   size_t listed = 0;
-  KindMirror mirror(
-      caller.io(), calls, {.kind = kKind, .large = true},
-      {.listed =
-           [&](std::vector<platform::StoredObject>&& objects) {
-             listed += objects.size();
-           },
-       .changed = [](platform::StoredObject&& /*object*/) {}});
+  KindMirror mirror(caller.io(), calls, {.kind = kKind, .large = true},
+                    {.listed =
+                         [&](std::vector<platform::StoredObject>&& objects) {
+                           listed += objects.size();
+                         },
+                     .changed = [](platform::StoredObject&& /*object*/) {}});
   store.Put(kKind, "first", {});
   mirror.Start();
   const TimePoint limit = MonotonicNow() + std::chrono::seconds(4);
