--- a/bench/slots_bench.cc
+++ b/bench/slots_bench.cc
@@ -38,7 +38,7 @@
       {"least used server, as seen", [](auto& s) { s.least_used_rule = true; }},
       {"no slot kept for online", [](auto& s) { s.board.batch_reserve = 0; }},
       {"free slot before an own item's",
-       [](auto& s) { s.board.scarce_share = 0; }},
+       [](auto& s) { s.board.scarce_factor = 0; }},
       {"items are not withdrawn from queues",
        [](auto& s) { s.withdraw_seconds = 1e6; }},
       {"the board as it stands", [](auto&) {}}};
--- a/libs/serving/include/serving/slot_board.h
+++ b/libs/serving/include/serving/slot_board.h
@@ -22,6 +22,7 @@
 #include "serving/server_usage.h"
 #include "serving/slot_board_settings.h"
 #include "serving/slot_count.h"
+#include "serving/start_rate.h"
 
 namespace knapweedstile::serving {
 
@@ -164,7 +165,8 @@
   // The present process of that name; null when there is none.
   Server* FindProcess(const std::string& process);
   void SumReports();
-  void Apply(Report& report, const std::string& process, ServerUsage usage);
+  void Apply(Report& report, const std::string& process, ServerUsage usage,
+             TimePoint now);
   void Avoid(Server& server, Duration time, TimePoint now);
   Server* FindServer(BackendServerId id);
 
@@ -176,6 +178,8 @@
   std::unordered_map<std::string, BackendServerId> by_instance_;
   std::map<std::string, Report> reports_;
   std::unordered_map<std::string, double> mean_seconds_;  // by service
+  // Online requests that other entries start, by service.
+  std::unordered_map<std::string, StartRate> others_rate_;
   TimePoint demand_sampled_at_{};
 };
 
--- a/libs/serving/include/serving/slot_board_settings.h
+++ b/libs/serving/include/serving/slot_board_settings.h
@@ -13,9 +13,15 @@
   // Weight of a backend server in the own availability zone against others:
   // bytes between zones cost little, so nearness only tips the scales.
   double own_zone_factor = 1.5;
-  // With a smaller share of a service's slots free, an online request takes the
-  // slot of an own batch item rather than a free one.
-  double scarce_share = 0.1;
+  // How late other entries' words of a start come: from one VM to another and
+  // through both processes, and what each message waits for the one before
+  // (gateway_peers.cc keeps a millisecond for each other entry).
+  std::chrono::milliseconds word_delay{5};
+  std::chrono::milliseconds word_delay_per_entry{1};
+  // Free slots are scarce when they are fewer than this many times what others
+  // start within that delay. An online request then takes the slot of an own
+  // batch item, which is certain, rather than a free one.
+  double scarce_factor = 2.0;
   // Share of the latency objective that may be spent waiting in a backend
   // server's queue; the rest is for the network and the first token.
   double queue_share_of_objective = 0.5;
--- a/libs/serving/src/slot_board.cc
+++ b/libs/serving/src/slot_board.cc
@@ -208,10 +208,17 @@
 
 // Failure guarded against: when few slots are free, others take the same one
 // before their word arrives, and of two requests one waits for a whole run. A
-// slot that this entry itself holds for a batch item is certain.
+// slot that this entry itself holds for a batch item is certain. Few are as
+// many as others take meanwhile, as observed: with a fixed tenth of the slots,
+// which is about what batch leaves free, each online request of four entries
+// cut an item off though slots were free (three runs an item instead of two).
 bool SlotBoard::Scarce(std::string_view service, TimePoint now) const {
-  const SlotCount slots = CountSlots(service, now);
-  return slots.free < settings_.scarce_share * slots.all;
+  const auto rate = others_rate_.find(std::string(service));
+  if (rate == others_rate_.end()) return false;
+  const Duration delay =
+      settings_.word_delay + settings_.word_delay_per_entry * reports_.size();
+  const double taken = rate->second.At(now) * ToSeconds(delay);
+  return CountSlots(service, now).free < settings_.scarce_factor * taken;
 }
 
 SlotCount SlotBoard::CountSlots(std::string_view service, TimePoint now) const {
--- a/libs/serving/src/slot_board_reports.cc
+++ b/libs/serving/src/slot_board_reports.cc
@@ -16,8 +16,9 @@
   for (const auto& [process, known] : report.usage) {
     if (!usage.contains(process)) idle.push_back(process);
   }
-  for (const std::string& process : idle) Apply(report, process, {});
-  for (const auto& [process, counts] : usage) Apply(report, process, counts);
+  for (const std::string& process : idle) Apply(report, process, {}, now);
+  for (const auto& [process, counts] : usage)
+    Apply(report, process, counts, now);
 }
 
 void SlotBoard::UpdateEntry(const std::string& entry,
@@ -26,7 +27,7 @@
   Report& report = reports_[entry];
   report.expires_at = now + settings_.report_lifetime;
   for (const auto& [process, counts] : changed) {
-    Apply(report, process, counts);
+    Apply(report, process, counts, now);
   }
 }
 
@@ -38,9 +39,13 @@
 }
 
 void SlotBoard::Apply(Report& report, const std::string& process,
-                      ServerUsage usage) {
+                      ServerUsage usage, TimePoint now) {
   ServerUsage& reported = report.usage[process];
   if (Server* server = FindProcess(process)) {
+    if (usage.online > reported.online) {
+      others_rate_[server->record.service].Add(usage.online - reported.online,
+                                               now);
+    }
     server->others.online += usage.online - reported.online;
     server->others.batch += usage.batch - reported.batch;
   }
--- a/libs/serving/tests/slot_board_test.cc
+++ b/libs/serving/tests/slot_board_test.cc
@@ -151,7 +151,7 @@
     FleetModel::Settings settings;
     settings.seed = seed;
     Add(by_lot, FleetModel(settings).Run());
-    settings.board.scarce_share = 0;
+    settings.board.scarce_factor = 0;
     Add(free_first, FleetModel(settings).Run());
     settings.least_used_rule = true;
     Add(least_used, FleetModel(settings).Run());
