--- a/libs/gateway/src/online_calls.cc
+++ b/libs/gateway/src/online_calls.cc
@@ -46,6 +46,7 @@
       metrics_(metrics),
       timeline_(timeline),
       rng_(seed),
+      return_time_(seed + 1),
       ports_(std::move(ports)),
       connections_(connections),
       sink_([this](http::ClientEvent&& event) {
@@ -91,7 +92,13 @@
   const bool must_go_on = call.passing && placement.server;
   if (placement.outcome != serving::PlacementOutcome::kPlaced && !must_go_on) {
     if (call.runs > 0) return Fail(call, kBadGateway, "no_server_to_repeat");
-    return Refuse(call, placement.retry_after, NameOf(placement.outcome));
+    const bool saturated =
+        placement.outcome == serving::PlacementOutcome::kSaturated;
+    const Duration after = saturated
+                               ? return_time_.For(Remaining(call.deadline, now),
+                                                  placement.retry_after)
+                               : placement.retry_after;
+    return Refuse(call, after, NameOf(placement.outcome));
   }
   call.displaced_batch = placement.displaces_batch;
   SendTo(call, placement.server);
--- a/libs/gateway/src/online_calls.h
+++ b/libs/gateway/src/online_calls.h
@@ -19,6 +19,7 @@
 #include "server_connections.h"
 #include "serving/crash_ledger.h"
 #include "serving/placement.h"
+#include "serving/return_time.h"
 #include "serving/route.h"
 #include "serving/slot_board.h"
 
@@ -88,6 +89,7 @@
   observe::Metrics& metrics_;
   observe::Timeline& timeline_;
   Rng rng_;
+  serving::ReturnTime return_time_;
   Ports ports_;
   std::unordered_map<ExchangeId, OnlineCall> calls_;  // by caller
   std::unordered_map<ExchangeId, ExchangeId> upstreams_;
