--- a/libs/serving/src/slot_board_batch.cc
+++ b/libs/serving/src/slot_board_batch.cc
@@ -66,12 +66,19 @@
 
 uint32_t SlotBoard::BatchBudget(std::string_view service, size_t entries,
                                 TimePoint now) const {
-  uint32_t room = 0;
+  const uint32_t room = CountBatchRoom(service, now).free;
+  return 1 + room / static_cast<uint32_t>(2 * std::max<size_t>(entries, 1));
+}
+
+SlotCount SlotBoard::CountBatchRoom(std::string_view service,
+                                    TimePoint now) const {
+  SlotCount count;
   for (const auto& [id, server] : servers_) {
     if (!Usable(server, service, {}) || server.avoid_until > now) continue;
-    room += BatchRoom(server);
+    count.all += server.record.slots;
+    count.free += BatchRoom(server);
   }
-  return 1 + room / static_cast<uint32_t>(2 * std::max<size_t>(entries, 1));
+  return count;
 }
 
 std::vector<BackendServerId> SlotBoard::BatchBeyondSharing() const {
