--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -231,7 +231,6 @@
   board_.ExpireReports(now);
   board_.ObserveDemand(now);
   crashes_.Expire(now);
-  online_.Run(now);
   RunBatch(now);
   committer_.Run(now);
   collector_.Run(now);
--- a/libs/gateway/src/gateway_pages.cc
+++ b/libs/gateway/src/gateway_pages.cc
@@ -47,8 +47,6 @@
   metrics.DeclareGauge("knap_store_available", "1 while the store answers");
   metrics.DeclareGauge("knap_store_calls", "calls to the store so far");
   metrics.DeclareGauge("knap_online_open", "online requests in progress");
-  metrics.DeclareGauge("knap_online_waiting",
-                       "online requests that wait for a slot");
   metrics.DeclareGauge("knap_items_running", "batch items in progress");
   metrics.DeclareGauge("knap_entries_heard", "other entries heard of lately");
 }
@@ -112,7 +110,6 @@
   metrics_.Set("knap_store_available", store_.available() ? 1 : 0);
   metrics_.Set("knap_store_calls", static_cast<double>(store_.calls()));
   metrics_.Set("knap_online_open", static_cast<double>(online_.open()));
-  metrics_.Set("knap_online_waiting", static_cast<double>(online_.waiting()));
   metrics_.Set("knap_items_running", static_cast<double>(runner_.running()));
   metrics_.Set("knap_entries_heard",
                static_cast<double>(peers_.WorkingEntries().size()));
--- a/libs/gateway/src/online_call.h
+++ b/libs/gateway/src/online_call.h
@@ -38,10 +38,6 @@
   http::HeaderList head;
   std::string body;  // collected unless it is passed on at once
 
-  // The caller has clearly less time than others: it was turned away before.
-  bool returned = false;
-  Duration waited{};  // for a slot, here
-
   // Over all attempts.
   uint32_t runs = 0;     // attempts that may have run
   uint32_t not_run = 0;  // attempts that certainly did not
--- a/libs/gateway/src/online_calls.cc
+++ b/libs/gateway/src/online_calls.cc
@@ -20,17 +20,6 @@
 // other way.
 constexpr double kRepeatAfterObjectives = 1.5;
 constexpr std::chrono::milliseconds kLeastAttemptTime{150};
-// Of a request that waits here for a slot. Callers of streams leave after some
-// three seconds without an event; half of what a caller has left is for its
-// run.
-constexpr std::chrono::milliseconds kLongestWait{2000};
-constexpr double kWaitShare = 0.5;
-// Requests in line, in times of this entry's share of the slots: with half of
-// the slots free for them and 0.6 s a run they are served within kLongestWait.
-constexpr size_t kTurnsOfLine = 2;
-// Share of the slots that must be free of online requests before one that is
-// late anyway gets one: what arrives within some milliseconds at a peak.
-constexpr double kRoomForLate = 0.05;
 // A request that crashes servers is not served before its quarantine ends.
 constexpr std::chrono::seconds kQuarantineRetry{60};
 
@@ -79,8 +68,6 @@
     call.deadline =
         std::min(call.deadline, request.received_at + *caller.budget);
   }
-  call.returned = patience_.IsShort(
-      call.route.name, Remaining(call.deadline, request.received_at));
   call.fingerprint =
       HashCombine(HashCombine(Hash64(caller.host), Hash64(request.target)),
                   Hash64(request.body));
@@ -107,7 +94,6 @@
     if (call.runs > 0) return Fail(call, kBadGateway, "no_server_to_repeat");
     const bool saturated =
         placement.outcome == serving::PlacementOutcome::kSaturated;
-    if (saturated && JoinLine(call, now)) return;
     const Duration after = saturated
                                ? return_time_.For(Remaining(call.deadline, now),
                                                   placement.retry_after)
@@ -121,43 +107,6 @@
   }
 }
 
-bool OnlineCalls::JoinLine(OnlineCall& call, TimePoint now) {
-  if (!call.returned || call.waited > Duration::zero()) return false;
-  const Duration left = Remaining(call.deadline, now);
-  const Duration longest = std::min<Duration>(
-      kLongestWait, FromSeconds(ToSeconds(left) * kWaitShare));
-  const auto slots = board_.CountSlots(call.service, now);
-  const size_t most = kTurnsOfLine * slots.all / board_.entry_count();
-  return line_.Join(call.service, call.caller, now + longest, most);
-}
-
-// Room that neither the requests which can be in time nor batch items fill: an
-// item that is cut off or put off for a request that is late anyway is late
-// too.
-bool OnlineCalls::HasRoomForLate(const std::string& service,
-                                 TimePoint now) const {
-  const auto room = board_.CountBatchRoom(service, now);
-  return room.free > 0 && room.free >= kRoomForLate * room.all;
-}
-
-void OnlineCalls::Run(TimePoint now) {
-  for (const ExchangeId caller : line_.TakeExpired(now)) {
-    OnlineCall& call = calls_.at(caller);
-    call.waited = now - call.request.received_at;
-    Refuse(call, return_time_.For(Remaining(call.deadline, now), {}),
-           "waited_in_vain");
-  }
-  for (const std::string& service : line_.Services()) {
-    while (HasRoomForLate(service, now)) {
-      const auto caller = line_.TakeNext(service);
-      if (!caller) break;
-      OnlineCall& call = calls_.at(*caller);
-      call.waited = now - call.request.received_at;
-      Dispatch(call);
-    }
-  }
-}
-
 void OnlineCalls::SendTo(OnlineCall& call, BackendServerId server) {
   const TimePoint now = MonotonicNow();
   const serving::ServerRecord& record = *board_.Record(server);
@@ -253,7 +202,6 @@
        {"batch", call.usage_at_send.batch},
        {"displaced", call.displaced_batch},
        {"first_ms", ToMillis(first_byte)},
-       {"waited_ms", ToMillis(call.waited)},
        {"runs", call.runs},
        {"not_run", call.not_run}});
   timeline_.Record(
@@ -266,7 +214,6 @@
                 {"server", call.address},
                 {"first_ms", std::to_string(ToMillis(first_byte))}}});
   LeaveServer(call);
-  line_.Leave(call.caller);
   calls_.erase(call.caller);
 }
 
--- a/libs/gateway/src/online_calls.h
+++ b/libs/gateway/src/online_calls.h
@@ -18,12 +18,10 @@
 #include "online_call.h"
 #include "server_connections.h"
 #include "serving/crash_ledger.h"
-#include "serving/patience.h"
 #include "serving/placement.h"
 #include "serving/return_time.h"
 #include "serving/route.h"
 #include "serving/slot_board.h"
-#include "serving/waiting_line.h"
 
 namespace knapweedstile::gateway {
 
@@ -60,11 +58,7 @@
   // The server's process is gone with all that it had taken, which may have
   // run.
   void OnServerRestarted(BackendServerId former);
-  // Serves those that wait as far as there is room, and turns away those whose
-  // time has come.
-  void Run(TimePoint now);
   size_t open() const noexcept { return calls_.size(); }
-  size_t waiting() const noexcept { return line_.size(); }
 
  private:
   void OnUpstream(http::ClientEvent&& event);
@@ -75,9 +69,6 @@
   void OnBroken(OnlineCall& call, std::string_view reason);
 
   void Dispatch(OnlineCall& call);
-  // False when waiting would be in vain.
-  bool JoinLine(OnlineCall& call, TimePoint now);
-  bool HasRoomForLate(const std::string& service, TimePoint now) const;
   void SendTo(OnlineCall& call, BackendServerId server);
   // Ends the attempt on the board; the call has no server afterwards.
   void LeaveServer(OnlineCall& call);
@@ -99,8 +90,6 @@
   observe::Timeline& timeline_;
   Rng rng_;
   serving::ReturnTime return_time_;
-  serving::Patience patience_;
-  serving::WaitingLine line_;
   Ports ports_;
   std::unordered_map<ExchangeId, OnlineCall> calls_;  // by caller
   std::unordered_map<ExchangeId, ExchangeId> upstreams_;
--- a/libs/serving/include/serving/slot_board.h
+++ b/libs/serving/include/serving/slot_board.h
@@ -92,8 +92,6 @@
   // of it: at least one, together at most half of the room there is.
   uint32_t BatchBudget(std::string_view service, size_t entries,
                        TimePoint now) const;
-  // Slots of the service that batch may take and has not taken.
-  SlotCount CountBatchRoom(std::string_view service, TimePoint now) const;
   // Requests outstanding over the slots of a backend server.
   uint32_t Excess(BackendServerId server) const;
   // Zero when no backend server has room beyond the reserve.
@@ -106,8 +104,6 @@
   BackendServerId Find(std::string_view instance) const;
   // Slots of the service's usable servers, and those that are free.
   SlotCount CountSlots(std::string_view service, TimePoint now) const;
-  // Entries whose requests are counted, this one included.
-  size_t entry_count() const noexcept { return reports_.size() + 1; }
   // What this entry has outstanding, by the server's process; idle ones are
   // left out.
   std::map<std::string, ServerUsage> OwnUsage() const;
--- a/libs/serving/src/slot_board_batch.cc
+++ b/libs/serving/src/slot_board_batch.cc
@@ -66,19 +66,12 @@
 
 uint32_t SlotBoard::BatchBudget(std::string_view service, size_t entries,
                                 TimePoint now) const {
-  const uint32_t room = CountBatchRoom(service, now).free;
-  return 1 + room / static_cast<uint32_t>(2 * std::max<size_t>(entries, 1));
-}
-
-SlotCount SlotBoard::CountBatchRoom(std::string_view service,
-                                    TimePoint now) const {
-  SlotCount count;
+  uint32_t room = 0;
   for (const auto& [id, server] : servers_) {
     if (!Usable(server, service, {}) || server.avoid_until > now) continue;
-    count.all += server.record.slots;
-    count.free += BatchRoom(server);
+    room += BatchRoom(server);
   }
-  return count;
+  return 1 + room / static_cast<uint32_t>(2 * std::max<size_t>(entries, 1));
 }
 
 std::vector<BackendServerId> SlotBoard::BatchBeyondSharing() const {
