Jobs far from the limit do not wait for entries that are silent

A gateway that was removed for good was still expected; since the quota rests on acknowledgements a job waited for a fresh read of the store whenever an entry was silent. Ruled out: outage (the store answered), the limit (a third of it was in use). Change: a fresh read is asked for only in the upper half of the limit, where two sides that do not hear each other could pass it together, and is then made; below it, that no gap stays is enough. A receiver of records answers how many it has, so that an answer that came too late does not leave its sender without an acknowledgement for good (found by reading). A test with gateways does not show the fault without the change; the tracker's does.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -29,6 +29,8 @@
 // The balancer takes an entry out after two probes, a second apart; until then
 // callers still come.
 constexpr std::chrono::milliseconds kAcceptAfterStop{2800};
+// Jobs that wait for news of the store ask for them together.
+constexpr std::chrono::milliseconds kRecordsRefreshPause{100};
 // For the last records to reach the other entries.
 constexpr std::chrono::milliseconds kLastPushes{200};
 // Left of the time before the kill for the last answers to be written.
@@ -216,6 +218,18 @@
   return sync_.Current(MonotonicNow());
 }
 
+bool Gateway::Complete() {
+  NoticePause();
+  return sync_.Complete(MonotonicNow());
+}
+
+void Gateway::RefreshRecords() {
+  const TimePoint now = MonotonicNow();
+  if (now - refreshed_records_at_ < kRecordsRefreshPause) return;
+  refreshed_records_at_ = now;
+  own_mirror_.ReadAnew();
+}
+
 void Gateway::ArmTick() {
   tick_.expires_after(kTick);
   tick_.async_wait([this](const boost::system::error_code& ec) {
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -91,6 +91,9 @@
 
   // Whether every record that a caller may have seen elsewhere is known here.
   bool Current();
+  // Whether what the entries that are heard have written is known here.
+  bool Complete();
+  void RefreshRecords();
   // Notices that the process stood still.
   void NoticePause();
   void ArmTick();
@@ -155,6 +158,7 @@
   TimePoint shared_at_{};
   TimePoint shared_whole_at_{};
   TimePoint shared_progress_at_{};
+  TimePoint refreshed_records_at_{};
   std::map<std::string, serving::ServerUsage> told_usage_;
   bool registering_ = false;
   bool registered_ = false;
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -97,6 +97,7 @@
                                   .value = std::move(record.value)});
                    }
                    RunBatch(MonotonicNow());
+                   return sync_.ReceivedOf(entry);
                  },
              .acknowledged = [this] { OnRecordsHeard(); }}),
       relay_(io, {.helper = [this] { return peers_.EntryWithStore(); },
@@ -164,7 +165,9 @@
            .written =
                [this](const OwnRecord& record) { return PushRecord(record); },
            .entries = [this] { return peers_.LiveAddresses().size() + 1; },
-           .current = [this] { return Current(); }}),
+           .complete = [this] { return Complete(); },
+           .current = [this] { return Current(); },
+           .refresh = [this] { RefreshRecords(); }}),
       batch_(store_, book_, writer_, settings.name,
              {.to_caller =
                   [this](http::ServerCommand&& command) {
--- a/libs/gateway/src/job_writer.cc
+++ b/libs/gateway/src/job_writer.cc
@@ -51,10 +51,16 @@
       quota_.Judge(route, waiting, request.tokens, request.most_waiting_tokens,
                    ports_.entries());
   // Failure guarded against: an entry that wakes from a pause, or was cut off,
-  // knows less than what waits, and would give away what others have taken.
-  const bool known = ports_.current();
-  const bool may_fit = verdict != serving::QuotaVerdict::kOver;
-  return may_fit && !known ? serving::QuotaVerdict::kUnheard : verdict;
+  // knows less than what waits, and would give away what others have taken. An
+  // entry that nobody hears may take jobs as well; that matters only in the
+  // upper half of the limit, since two sides that do not hear each other reach
+  // the limit together there at the earliest.
+  const bool upper_half =
+      2 * (waiting + request.tokens) > request.most_waiting_tokens;
+  const bool known = upper_half ? ports_.current() : ports_.complete();
+  if (known || verdict == serving::QuotaVerdict::kOver) return verdict;
+  ports_.refresh();
+  return serving::QuotaVerdict::kUnheard;
 }
 
 void JobWriter::Refuse(const Request& request, SubmitOutcome outcome,
--- a/libs/gateway/src/job_writer.h
+++ b/libs/gateway/src/job_writer.h
@@ -50,8 +50,12 @@
     std::function<uint64_t(const OwnRecord& record)> written;
     // Entries that accept jobs, this one included.
     std::function<size_t()> entries;
-    // Whether all records that others have written are known here.
+    // Whether what the other live entries have written is known here.
+    std::function<bool()> complete;
+    // The same for all entries: none is silent, or the store was read just now.
     std::function<bool()> current;
+    // Reads the store's records soon.
+    std::function<void()> refresh;
   };
   struct Request {
     std::string job;
--- a/libs/gateway/src/record_push.cc
+++ b/libs/gateway/src/record_push.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <charconv>
 #include <utility>
 
 #include "base/clock.h"
@@ -19,7 +20,7 @@
 // An entry that does not take records in this time is cut off or overloaded; it
 // then reads them from the store.
 constexpr std::chrono::milliseconds kPushTimeout{600};
-constexpr unsigned kTaken = 204;
+constexpr unsigned kTaken = 200;
 // One message: below the largest value of the store.
 constexpr size_t kMaxMessageBytes = 900 << 10;
 
@@ -30,6 +31,13 @@
   return settings;
 }
 
+// Zero where there is no number: nothing is confirmed then.
+uint64_t CountOf(const std::string& text) {
+  uint64_t count = 0;
+  std::from_chars(text.data(), text.data() + text.size(), count);
+  return count;
+}
+
 std::vector<OwnRecord> ReadRecords(const json::array& list) {
   std::vector<OwnRecord> records;
   for (const json::value& entry : list) {
@@ -81,13 +89,11 @@
 void RecordPush::SendNext(const std::string& address) {
   Outbox& outbox = outboxes_[address];
   std::string list;
-  uint64_t sent = 0;
   while (!outbox.records.empty()) {
     const std::string& record = *outbox.records.front();
     if (!list.empty() && list.size() + record.size() > kMaxMessageBytes) break;
     if (!list.empty()) list += ',';
     list += record;
-    ++sent;
     outbox.records.pop_front();
   }
   const uint64_t count = outbox.count - outbox.records.size();
@@ -96,7 +102,7 @@
                   json::serialize(json::string(name_)), start_, count, list);
   outbox.in_flight = true;
   const ExchangeId exchange(++last_exchange_);
-  exchanges_[exchange] = {address, count - sent, count};
+  exchanges_[exchange] = address;
   http::ClientRequest request{.exchange = exchange,
                               .address = address,
                               .method = "POST",
@@ -112,15 +118,15 @@
   if (!end) return;
   auto found = exchanges_.extract(end->exchange);
   if (found.empty()) return;
-  const Message& message = found.mapped();
-  const std::string& address = message.address;
+  const std::string& address = found.mapped();
   Outbox& outbox = outboxes_[address];
   outbox.in_flight = false;
   const bool taken =
       end->outcome == http::ClientOutcome::kComplete && end->status == kTaken;
   if (taken) {
-    // With a gap before it, it does not make up for what was lost.
-    if (outbox.heard >= message.before) Confirm(address, message.count);
+    // What the receiver says, not what was sent: an answer that came too late
+    // is made up for by the next, and a gap before this message is not hidden.
+    Confirm(address, CountOf(end->body));
   } else {
     // The receiver sees by the count that it lacks records and asks the store.
     LogWarning("push_failed", {{"address", address},
@@ -163,10 +169,12 @@
   try {
     if (ec) throw boost::system::system_error(ec);
     const json::object& message = parsed.as_object();
-    handlers_.received(std::string(message.at("entry").as_string()),
-                       message.at("start").to_number<uint64_t>(),
-                       message.at("count").to_number<uint64_t>(),
-                       ReadRecords(message.at("records").as_array()));
+    const uint64_t known =
+        handlers_.received(std::string(message.at("entry").as_string()),
+                           message.at("start").to_number<uint64_t>(),
+                           message.at("count").to_number<uint64_t>(),
+                           ReadRecords(message.at("records").as_array()));
+    answer.body = std::to_string(known);
   } catch (const std::exception& error) {
     LogWarning("push_invalid", {{"reason", error.what()}});
     answer.status = 400;
--- a/libs/gateway/src/record_push.h
+++ b/libs/gateway/src/record_push.h
@@ -28,8 +28,9 @@
  public:
   struct Handlers {
     // Records of another entry; `count` is how many it has written by then.
-    std::function<void(const std::string& entry, uint64_t start, uint64_t count,
-                       std::vector<OwnRecord>&& records)>
+    // Returns how many of them are known here without a gap.
+    std::function<uint64_t(const std::string& entry, uint64_t start,
+                           uint64_t count, std::vector<OwnRecord>&& records)>
         received;
     // Another entry has acknowledged records of this one.
     std::function<void()> acknowledged;
@@ -64,12 +65,6 @@
     bool in_flight = false;
     uint64_t heard = 0;  // the entry has all records up to this one
   };
-  struct Message {
-    std::string address;
-    uint64_t before = 0;  // records written before its first
-    uint64_t count = 0;   // and with its last
-  };
-
   void SendNext(const std::string& address);
   void OnSent(http::ClientEvent&& event);
   bool OnRequest(http::ServerEvent&& event);
@@ -81,7 +76,7 @@
   uint64_t count_ = 0;
   uint64_t last_exchange_ = 0;
   std::map<std::string, Outbox> outboxes_;  // by address
-  std::unordered_map<ExchangeId, Message> exchanges_;
+  std::unordered_map<ExchangeId, std::string> exchanges_;
   http::Server server_;
   http::Client client_;
 };
--- a/libs/gateway/src/sync_tracker.cc
+++ b/libs/gateway/src/sync_tracker.cc
@@ -116,6 +116,16 @@
   });
 }
 
+uint64_t SyncTracker::ReceivedOf(const std::string& name) const {
+  const auto entry = entries_.find(name);
+  return entry == entries_.end() ? 0 : entry->second.received;
+}
+
+bool SyncTracker::Complete(TimePoint now) const {
+  const bool read = read_began_ != TimePoint{} && read_began_ >= paused_at_;
+  return read && !HasGap(now);
+}
+
 bool SyncTracker::Current(TimePoint now) const {
   if (read_began_ == TimePoint{} || read_began_ < paused_at_) return false;
   // A silent entry may commit at any time, so only a recent read makes up for
--- a/libs/gateway/src/sync_tracker.h
+++ b/libs/gateway/src/sync_tracker.h
@@ -43,6 +43,10 @@
   // Entries whose records were read from the store lately instead of being
   // pushed: what they may take for known here.
   std::map<std::string, RecordCount> FilledLately(TimePoint now) const;
+  // The entry's records that are known here without a gap.
+  uint64_t ReceivedOf(const std::string& entry) const;
+  // Whether the store was read, since the last pause as well, and no gap stays.
+  bool Complete(TimePoint now) const;
   // Whether every record that another entry may have shown to a caller is known
   // here. False before the first read of the store.
   bool Current(TimePoint now) const;
--- a/libs/gateway/tests/sync_tracker_test.cc
+++ b/libs/gateway/tests/sync_tracker_test.cc
@@ -177,4 +177,22 @@
   CHECK(sync.FilledLately(At(5000)).empty());
 }
 
+// All entries crash and one stays away for good. Whether it has taken jobs
+// cannot be known for as long as it is expected; the others' own records still
+// can.
+TEST_CASE("a silent entry leaves what the others have written complete") {
+  SyncTracker sync;
+  CHECK_FALSE(sync.Complete(At(0)));
+  sync.OnStoreRead(At(0), At(10));
+  sync.Expect("entry-3", At(10));
+  sync.OnCount("entry-2", 1, 1, At(1500));
+  sync.OnReceived("entry-2", 1, 0, 1, At(1505));
+  CHECK_FALSE(sync.Current(At(1600)));
+  CHECK(sync.Complete(At(1600)));
+  CHECK(sync.ReceivedOf("entry-2") == 1);
+  sync.OnCount("entry-2", 1, 2, At(1700));
+  CHECK_FALSE(sync.Complete(At(2300)));
+  CHECK(sync.ReceivedOf("entry-2") == 1);
+}
+
 }  // namespace knapweedstile::gateway
--- a/tests/users_platform/gateway_restart_test.cc
+++ b/tests/users_platform/gateway_restart_test.cc
@@ -69,6 +69,23 @@
   CHECK(begun_anew == 4);
 }
 
+// A gateway dies while nothing else happens. The other cannot know what it may
+// have taken on; as long as most of the limit on waiting tokens is free that
+// does not matter, and jobs must not be turned away until the dead one is
+// forgotten.
+TEST_CASE("a gateway that is missing does not hold jobs back") {
+  BusyFleet fleet;
+  harness::Caller& caller = fleet.site.caller();
+  fleet.site.AddGateway("entry-2");
+  fleet.site.Configure(3, {{"max_count", 10000}});
+  // The records' mirror has rested and waits for news.
+  caller.RunFor(milliseconds(6500));
+  fleet.site.process("entry-2").Kill();
+  caller.RunFor(milliseconds(1200));
+  CHECK(fleet.site.Call(fleet.site.Job("entry-1", "job-a", 3, 100)).status ==
+        202);
+}
+
 // A backend server crashes without a word on its connections and is back under
 // the name that it had. Its callers would wait for streams that nobody makes,
 // and its slots would count as taken until then.
