--- a/build.sh
+++ b/build.sh
@@ -13,6 +13,7 @@
   test) ensure_packages; configure; check_format; build all; run_ctest; check_lint ;;
   demo) ensure_packages; build all; exec scripts/demo.sh ;;
   soak) ensure_packages; build knap_soak; shift; exec scripts/soak.sh "$@" ;;
+  ablate) shift; exec scripts/ablate.py "$@" ;;
   fleet) ensure_packages; build all; exec scripts/fleet.sh ;;
   *)
     cat <<'USAGE'
@@ -26,6 +27,7 @@
   demo    start a local fleet, compare two serving policies, print the result
   soak    random faults against real gateways: --seeds A..B [--minutes M]
           [--size small|few-dozen|limit] [--at-once N]
+  ablate  NAME FOLDER: the sources with one mechanism of the policy off
   fleet   start a local fleet and keep it in the foreground until a signal
 USAGE
     [ "${1:-help}" = help ] || exit 2
--- /dev/null
+++ b/scripts/ablate.py
@@ -0,0 +1,66 @@
+#!/usr/bin/env python3
+"""Copies the sources with one mechanism of the policy switched off, to be built
+and measured beside the whole.
+
+usage: scripts/ablate.py NAME FOLDER     the copy with NAME off
+       scripts/ablate.py                 the names
+The switches stand here and in no shipped setting. What each is worth:
+docs/decisions-under-load.md.
+"""
+
+import pathlib
+import shutil
+import sys
+
+from guards_off import ROOT, switch_off
+
+BOARD = "libs/serving/include/serving/slot_board_settings.h"
+GATEWAY = "libs/gateway/src/"
+
+MECHANISMS = {
+    # Free slots are taken before those of own items, however few there are.
+    "scarce_slots": [(BOARD, "scarce_factor = 2.0;", "scarce_factor = 0;")],
+    "batch_reserve": [(BOARD, "batch_reserve = 1;", "batch_reserve = 0;")],
+    "own_zone": [(BOARD, "own_zone_factor = 1.5;", "own_zone_factor = 1.0;")],
+    # Requests queue at servers only behind nobody.
+    "short_queue": [(BOARD, "queue_share_of_objective = 0.5;",
+                     "queue_share_of_objective = 0.0;")],
+    # Turned away callers come back after the queue's time.
+    "return_time": [(GATEWAY + "online_calls.cc", "        saturated ? return_time_",
+                     "        saturated && now == kNever ? return_time_")],
+    "jobs_in_time_first": [("libs/serving/src/job_book.cc",
+                            "return late_a != late_b ? late_b : a.due_at < b.due_at;",
+                            "return a.due_at < b.due_at;")],
+    "withdraw_queued_items": [(GATEWAY + "batch_runner.cc",
+                               "  WithdrawQueued(now);\n", "")],
+    # No entry knows how far another one's items have come.
+    "progress_notes": [(GATEWAY + "gateway_peers.cc",
+                        "if (now - shared_progress_at_ < kProgressPause) return;",
+                        "if (now > shared_progress_at_) return;")],
+    "notes_to_restarted": [(GATEWAY + "gateway_records.cc",
+                            "  book_.Retell(entry);\n", "")],
+    "latest_due_gives_way": [(GATEWAY + "batch_runner.cc",
+                              "if (chosen && due <= latest) continue;",
+                              "if (chosen) continue;")],
+    "long_idle": [(GATEWAY + "upstream_settings.h", "milliseconds(8000);",
+                   "milliseconds(2000);")],
+    "servers_in_groups": [(GATEWAY + "gateway_wiring.cc",
+                           "kServerMirrorPause{300};", "kServerMirrorPause{0};")],
+    "step_by_step_starts": [("libs/serving/src/slot_board_batch.cc",
+                             "return 1 + room / static_cast<uint32_t>(2 * std::max<size_t>(entries, 1));",
+                             "return 1 + room + 0 * static_cast<uint32_t>(entries);")],
+}
+
+
+def main():
+    if len(sys.argv) != 3:
+        sys.exit("\n".join(MECHANISMS))
+    folder = pathlib.Path(sys.argv[2])
+    shutil.copytree(ROOT, folder, dirs_exist_ok=True,
+                    ignore=shutil.ignore_patterns("build*", "target", ".git",
+                                                  "journal"))
+    switch_off(folder, MECHANISMS[sys.argv[1]])
+
+
+if __name__ == "__main__":
+    main()
