--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -26,8 +26,8 @@
     "short_queue": [(BOARD, "queue_share_of_objective = 0.5;",
                      "queue_share_of_objective = 0.0;")],
     # Turned away callers come back after the queue's time.
-    "return_time": [(GATEWAY + "online_calls.cc", "        saturated ? return_time_",
-                     "        saturated && now == kNever ? return_time_")],
+    "return_time": [(GATEWAY + "online_calls.cc", "const Duration after = saturated",
+                     "const Duration after = saturated && now == kNever")],
     "jobs_in_time_first": [("libs/serving/src/job_book.cc",
                             "return late_a != late_b ? late_b : a.due_at < b.due_at;",
                             "return a.due_at < b.due_at;")],
@@ -54,7 +54,8 @@
 
 def main():
     if len(sys.argv) != 3:
-        sys.exit("\n".join(MECHANISMS))
+        print("\n".join(MECHANISMS))
+        return
     folder = pathlib.Path(sys.argv[2])
     shutil.copytree(ROOT, folder, dirs_exist_ok=True,
                     ignore=shutil.ignore_patterns("build*", "target", ".git",
