Reads of the store keep up with an entry that writes all the time

Found by reading what can hold starts back for so long: SyncTracker took all counts that an entry had told before a read of the store, or none when a newer one had come since. One that writes several records a second, and whose pushes fail, left its reader behind for ever, and since the gate on starts a gap lets nothing start. Change: counts are kept with their times; a read takes those told before it began. Measured: the new replay (a record each 50 ms, reads of 80 ms) fails before; gateway, gateway_restart, kind_mirror pass.

--- a/libs/gateway/src/sync_tracker.cc
+++ b/libs/gateway/src/sync_tracker.cc
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds kLongestGap{500};
 // Eight whole messages: all of them are not lost.
 constexpr std::chrono::milliseconds kTellFilled{2000};
+// Counts of one entry that are kept while it is ahead: some seconds of them.
+constexpr size_t kMostTellings = 64;
 // The store is asked at most this often.
 constexpr std::chrono::milliseconds kAskPause{250};
 // A result must be seen everywhere within a second of its first reading.
@@ -31,17 +33,23 @@
   Entry& entry = entries_[name];
   if (entry.start == start) return entry;
   const bool restarted = entry.start != 0;
-  entry = {.start = start, .unread_start = restarted};
-  entry.behind_since = now;
-  entry.told_at = now;
+  entry = {.start = start, .started_at = now, .unread_start = restarted};
   return entry;
 }
 
 void SyncTracker::Raise(Entry& entry, uint64_t count, TimePoint now) {
   if (count <= entry.told) return;
-  if (entry.received >= entry.told) entry.behind_since = now;
   entry.told = count;
-  entry.told_at = now;
+  // The oldest stay as they are: they say since when something is missing.
+  if (entry.untaken.size() >= kMostTellings) entry.untaken.pop_back();
+  entry.untaken.push_back({count, now});
+}
+
+void SyncTracker::Take(Entry& entry, uint64_t count) {
+  entry.received = std::max(entry.received, count);
+  while (entry.behind() && entry.untaken.front().count <= entry.received) {
+    entry.untaken.pop_front();
+  }
 }
 
 void SyncTracker::Expect(const std::string& name, TimePoint now) {
@@ -61,18 +69,23 @@
   entry.heard_at = now;
   Raise(entry, count, now);
   // With a gap before it, what was received does not make up for it.
-  if (entry.received >= before) {
-    entry.received = std::max(entry.received, count);
-  }
+  if (entry.received >= before) Take(entry, count);
 }
 
+// Failure guarded against: an entry that writes several records a second tells
+// a new count during each read of the store. Taking all of its counts or none
+// leaves this entry behind for ever, though each read brings what it lacked,
+// and it starts no item as long as it is.
 void SyncTracker::OnStoreRead(TimePoint began, TimePoint now) {
   read_began_ = std::max(read_began_, began);
   for (auto& [name, entry] : entries_) {
-    if (entry.told_at > began) continue;
-    if (entry.received < entry.told) entry.filled_at = now;
-    entry.received = entry.told;
-    entry.unread_start = false;
+    uint64_t known = entry.received;
+    for (const Telling& telling : entry.untaken) {
+      if (telling.at <= began) known = telling.count;
+    }
+    if (known > entry.received) entry.filled_at = now;
+    Take(entry, known);
+    if (entry.started_at <= began) entry.unread_start = false;
   }
 }
 
@@ -92,8 +105,8 @@
 void SyncTracker::Forget(const std::string& name) { entries_.erase(name); }
 
 bool SyncTracker::IsBehind(const Entry& entry, TimePoint now) {
-  const bool behind = entry.received < entry.told || entry.unread_start;
-  return behind && now - entry.behind_since >= kPushTime;
+  if (entry.unread_start && now - entry.started_at >= kPushTime) return true;
+  return entry.behind() && now - entry.untaken.front().at >= kPushTime;
 }
 
 bool SyncTracker::IsSilent(const Entry& entry, TimePoint now) {
@@ -111,8 +124,8 @@
 
 bool SyncTracker::HasGap(TimePoint now) const {
   return std::any_of(entries_.begin(), entries_.end(), [now](const auto& e) {
-    return e.second.received < e.second.told &&
-           now - e.second.behind_since >= kLongestGap;
+    return e.second.behind() &&
+           now - e.second.untaken.front().at >= kLongestGap;
   });
 }
 
--- a/libs/gateway/src/sync_tracker.h
+++ b/libs/gateway/src/sync_tracker.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDSTILE_GATEWAY_SYNC_TRACKER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -52,19 +53,28 @@
   bool Current(TimePoint now) const;
 
  private:
+  // When a count above what is known here was first told.
+  struct Telling {
+    uint64_t count = 0;
+    TimePoint at{};
+  };
   struct Entry {
     uint64_t start = 0;
-    uint64_t told = 0;         // records it says it has written
-    uint64_t received = 0;     // of these, known here
-    TimePoint told_at{};       // when `told` last rose
-    TimePoint behind_since{};  // since when `received` is below it
+    uint64_t told = 0;      // records it says it has written
+    uint64_t received = 0;  // of these, known here
+    // Counts above `received`, in order.
+    std::deque<Telling> untaken;
+    TimePoint started_at{};  // when this start was first heard of
     TimePoint heard_at{};
+
+    bool behind() const noexcept { return !untaken.empty(); }
     // It has started again: what it wrote last before may be unknown here.
     bool unread_start = false;
     TimePoint filled_at{};  // when a gap was last filled from the store
   };
 
   static void Raise(Entry& entry, uint64_t count, TimePoint now);
+  static void Take(Entry& entry, uint64_t count);
   static bool IsBehind(const Entry& entry, TimePoint now);
   static bool IsSilent(const Entry& entry, TimePoint now);
   Entry& Known(const std::string& entry, uint64_t start, TimePoint now);
--- a/libs/gateway/tests/sync_tracker_test.cc
+++ b/libs/gateway/tests/sync_tracker_test.cc
@@ -195,4 +195,20 @@
   CHECK(sync.ReceivedOf("entry-2") == 1);
 }
 
+// The link to another entry is too slow for its pushes, and it writes a record
+// every 50 ms. A read of the store takes 80 ms, so each time a newer count has
+// come meanwhile. What the reads bring must count, or nothing starts here any
+// more.
+TEST_CASE("reads of the store keep up with an entry that writes all the time") {
+  SyncTracker sync;
+  uint64_t count = 0;
+  for (int now = 0; now < 20000; now += 10) {
+    if (now % 50 == 0) sync.OnCount("entry-2", 1, ++count, At(now));
+    if (now % 300 == 80) sync.OnStoreRead(At(now - 80), At(now));
+    CAPTURE(now);
+    REQUIRE_FALSE(sync.HasGap(At(now)));
+  }
+  CHECK(sync.ReceivedOf("entry-2") + 10 > count);
+}
+
 }  // namespace knapweedstile::gateway
