Rooms in libs/gateway/src by duty (moves only)

Change: store, peers, servers, online, batch, callers, operators; includes name the room; wiring and process stay at the top. Ruled out: no line of code changes.

--- a/bench/gateway_slopes.cc
+++ b/bench/gateway_slopes.cc
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "peer_state.h"
+#include "peers/peer_state.h"
 #include "users_platform/site.h"
 
 namespace knapweedstile::users_site {
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -1,4 +1,5 @@
-# One package is libs/NAME with include/, src/ and tests/. A package's CMake
+# One package is libs/NAME with include/, src/ and tests/; src/ may have a folder
+# for each duty, and its files name each other from src/. A package's CMake
 # file names only what it depends on; sources and tests are found by pattern,
 # so that adding a file needs no edit here.
 
@@ -7,9 +8,10 @@
 # knap_library(NAME DEPS target...)
 function(knap_library NAME)
   cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS src/*.cc)
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cc src/*/*.cc)
   if(sources)
     add_library(knap_${NAME} STATIC ${sources})
+    target_include_directories(knap_${NAME} PRIVATE src)
     set(scope PUBLIC)
   else()
     add_library(knap_${NAME} INTERFACE)
--- a/libs/gateway/src/batch_answers.cc
+++ b/libs/gateway/src/batch/batch_answers.cc
@@ -4,7 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "batch_runner.h"
+#include "batch/batch_runner.h"
 #include "users_platform/request_headers.h"
 
 // What backend servers answer to the runs of batch items.
--- a/libs/gateway/src/batch_api.cc
+++ b/libs/gateway/src/batch/batch_api.cc
@@ -1,4 +1,4 @@
-#include "batch_api.h"
+#include "batch/batch_api.h"
 
 #include <fmt/format.h>
 
@@ -10,7 +10,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "platform/store_request.h"
-#include "store_calls.h"
+#include "store/store_calls.h"
 #include "users_platform/request_headers.h"
 
 namespace knapweedstile::gateway {
--- a/libs/gateway/src/batch_api.h
+++ b/libs/gateway/src/batch/batch_api.h
@@ -11,11 +11,11 @@
 
 #include "base/id.h"
 #include "base/time.h"
+#include "batch/job_writer.h"
 #include "http/server_command.h"
 #include "http/server_event.h"
-#include "job_writer.h"
 #include "observe/metrics.h"
-#include "own_record.h"
+#include "peers/own_record.h"
 #include "platform/store_answer.h"
 #include "serving/job_book.h"
 #include "serving/route.h"
--- a/libs/gateway/src/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -1,4 +1,4 @@
-#include "batch_runner.h"
+#include "batch/batch_runner.h"
 
 #include <algorithm>
 #include <array>
--- a/libs/gateway/src/batch_runner.h
+++ b/libs/gateway/src/batch/batch_runner.h
@@ -13,7 +13,7 @@
 #include "http/client_event.h"
 #include "observe/metrics.h"
 #include "observe/timeline.h"
-#include "server_connections.h"
+#include "servers/server_connections.h"
 #include "serving/event_stream_reader.h"
 #include "serving/item_ref.h"
 #include "serving/item_result.h"
--- a/libs/gateway/src/job_records.cc
+++ b/libs/gateway/src/batch/job_records.cc
@@ -1,4 +1,4 @@
-#include "job_records.h"
+#include "batch/job_records.h"
 
 #include <fmt/format.h>
 
--- a/libs/gateway/src/job_writer.cc
+++ b/libs/gateway/src/batch/job_writer.cc
@@ -1,4 +1,4 @@
-#include "job_writer.h"
+#include "batch/job_writer.h"
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
@@ -7,7 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "platform/store_request.h"
-#include "store_calls.h"
+#include "store/store_calls.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/libs/gateway/src/job_writer.h
+++ b/libs/gateway/src/batch/job_writer.h
@@ -11,9 +11,9 @@
 
 #include "base/enum_names.h"
 #include "base/time.h"
-#include "job_records.h"
+#include "batch/job_records.h"
 #include "observe/metrics.h"
-#include "own_record.h"
+#include "peers/own_record.h"
 #include "platform/store_answer.h"
 #include "serving/job_book.h"
 #include "serving/quota_guard.h"
--- a/libs/gateway/src/own_batches.cc
+++ b/libs/gateway/src/batch/own_batches.cc
@@ -1,4 +1,4 @@
-#include "own_batches.h"
+#include "batch/own_batches.h"
 
 #include <fmt/format.h>
 
@@ -12,7 +12,7 @@
 
 #include "base/error.h"
 #include "base/hash.h"
-#include "error_answer.h"
+#include "callers/error_answer.h"
 #include "users_platform/batch_calls.h"
 
 namespace knapweedstile::gateway {
--- a/libs/gateway/src/own_batches.h
+++ b/libs/gateway/src/batch/own_batches.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <string_view>
 
-#include "caller_identity.h"
+#include "batch/job_writer.h"
+#include "callers/caller_identity.h"
 #include "http/server_command.h"
 #include "http/server_event.h"
-#include "job_writer.h"
 #include "serving/batch_job.h"
 #include "serving/job_book.h"
 #include "serving/route_table.h"
--- a/libs/gateway/src/result_committer.cc
+++ b/libs/gateway/src/batch/result_committer.cc
@@ -1,13 +1,13 @@
-#include "result_committer.h"
+#include "batch/result_committer.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <utility>
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "job_records.h"
+#include "batch/job_records.h"
 #include "platform/store_request.h"
-#include "store_calls.h"
+#include "store/store_calls.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/libs/gateway/src/result_committer.h
+++ b/libs/gateway/src/batch/result_committer.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "own_record.h"
+#include "peers/own_record.h"
 #include "platform/store_answer.h"
 #include "serving/item_result.h"
 #include "serving/job_book.h"
--- a/libs/gateway/src/caller_identity.cc
+++ b/libs/gateway/src/callers/caller_identity.cc
@@ -1,4 +1,4 @@
-#include "caller_identity.h"
+#include "callers/caller_identity.h"
 
 #include <fmt/format.h>
 #include <openssl/sha.h>
--- a/libs/gateway/src/error_answer.cc
+++ b/libs/gateway/src/callers/error_answer.cc
@@ -1,4 +1,4 @@
-#include "error_answer.h"
+#include "callers/error_answer.h"
 
 #include <fmt/format.h>
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -7,8 +7,8 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "error_answer.h"
-#include "job_records.h"
+#include "batch/job_records.h"
+#include "callers/error_answer.h"
 #include "users_platform/batch_calls.h"
 #include "users_platform/configuration.h"
 #include "users_platform/request_headers.h"
--- a/libs/gateway/src/gateway_pages.cc
+++ b/libs/gateway/src/gateway_pages.cc
@@ -3,7 +3,7 @@
 
 #include "gateway.h"
 #include "gateway_metrics.h"
-#include "status_page.h"
+#include "operators/status_page.h"
 #include "users_platform/request_headers.h"
 
 // What the gateway answers on the operators' address.
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -9,8 +9,8 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "batch/job_records.h"
 #include "gateway.h"
-#include "job_records.h"
 #include "platform/store_request.h"
 
 // The gateway's records in the store: jobs, results, ends and addresses, and
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -2,10 +2,10 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "batch/job_records.h"
 #include "gateway.h"
 #include "gateway_metrics.h"
-#include "job_records.h"
-#include "object_names.h"
+#include "operators/object_names.h"
 #include "users_platform/store_names.h"
 
 // How the gateway's parts are joined.
--- a/libs/gateway/src/online_answers.cc
+++ b/libs/gateway/src/online/online_answers.cc
@@ -2,8 +2,8 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "online_calls.h"
-#include "online_limits.h"
+#include "online/online_calls.h"
+#include "online/online_limits.h"
 #include "users_platform/request_headers.h"
 
 // Answers of backend servers on their way to callers, and what follows when an
--- a/libs/gateway/src/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -1,4 +1,4 @@
-#include "online_calls.h"
+#include "online/online_calls.h"
 
 #include <algorithm>
 #include <utility>
@@ -6,8 +6,8 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
-#include "error_answer.h"
-#include "online_limits.h"
+#include "callers/error_answer.h"
+#include "online/online_limits.h"
 #include "users_platform/request_headers.h"
 
 namespace knapweedstile::gateway {
--- a/libs/gateway/src/operators_api.cc
+++ b/libs/gateway/src/operators/operators_api.cc
@@ -1,4 +1,4 @@
-#include "operators_api.h"
+#include "operators/operators_api.h"
 
 #include <boost/json.hpp>
 #include <boost/url.hpp>
@@ -8,12 +8,12 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "object_names.h"
 #include "objects/catalog.h"
 #include "objects/object_kind.h"
+#include "operators/object_names.h"
 #include "platform/store_answer.h"
 #include "platform/store_request.h"
-#include "store_calls.h"
+#include "store/store_calls.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/libs/gateway/src/policy_view.cc
+++ b/libs/gateway/src/operators/policy_view.cc
@@ -1,4 +1,4 @@
-#include "policy_view.h"
+#include "operators/policy_view.h"
 
 #include <fmt/format.h>
 
@@ -7,9 +7,9 @@
 #include <utility>
 
 #include "base/log.h"
-#include "object_names.h"
 #include "objects/policy_order.h"
 #include "objects/selector.h"
+#include "operators/object_names.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/libs/gateway/src/status_page.cc
+++ b/libs/gateway/src/operators/status_page.cc
@@ -1,4 +1,4 @@
-#include "status_page.h"
+#include "operators/status_page.h"
 
 #include <fmt/format.h>
 
@@ -7,7 +7,7 @@
 #include "base/clock.h"
 #include "gateway/gateway_settings.h"
 #include "objects/selector.h"
-#include "policy_view.h"
+#include "operators/policy_view.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/libs/gateway/src/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -1,4 +1,4 @@
-#include "peer_link.h"
+#include "peers/peer_link.h"
 
 #include <algorithm>
 #include <charconv>
--- a/libs/gateway/src/peer_link.h
+++ b/libs/gateway/src/peers/peer_link.h
@@ -11,7 +11,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
-#include "peer_state.h"
+#include "peers/peer_state.h"
 
 namespace knapweedstile::gateway {
 
--- a/libs/gateway/src/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -1,4 +1,4 @@
-#include "peer_state.h"
+#include "peers/peer_state.h"
 
 #include <boost/json.hpp>
 
--- a/libs/gateway/src/peer_state.h
+++ b/libs/gateway/src/peers/peer_state.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "record_count.h"
+#include "peers/record_count.h"
 #include "serving/crash_count.h"
 #include "serving/server_usage.h"
 
--- a/libs/gateway/src/progress_link.cc
+++ b/libs/gateway/src/peers/progress_link.cc
@@ -1,4 +1,4 @@
-#include "progress_link.h"
+#include "peers/progress_link.h"
 
 #include <boost/json.hpp>
 #include <utility>
@@ -6,7 +6,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "peer_client_settings.h"
+#include "peers/peer_client_settings.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/libs/gateway/src/record_push.cc
+++ b/libs/gateway/src/peers/record_push.cc
@@ -1,4 +1,4 @@
-#include "record_push.h"
+#include "peers/record_push.h"
 
 #include <fmt/format.h>
 
@@ -9,7 +9,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "peer_client_settings.h"
+#include "peers/peer_client_settings.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/libs/gateway/src/record_push.h
+++ b/libs/gateway/src/peers/record_push.h
@@ -13,7 +13,7 @@
 #include "base/error.h"
 #include "http/client.h"
 #include "http/server.h"
-#include "own_record.h"
+#include "peers/own_record.h"
 
 namespace knapweedstile::gateway {
 
--- a/libs/gateway/src/sync_tracker.cc
+++ b/libs/gateway/src/peers/sync_tracker.cc
@@ -1,4 +1,4 @@
-#include "sync_tracker.h"
+#include "peers/sync_tracker.h"
 
 #include <algorithm>
 
--- a/libs/gateway/src/sync_tracker.h
+++ b/libs/gateway/src/peers/sync_tracker.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "base/time.h"
-#include "record_count.h"
+#include "peers/record_count.h"
 
 namespace knapweedstile::gateway {
 
--- a/libs/gateway/src/server_connections.cc
+++ b/libs/gateway/src/servers/server_connections.cc
@@ -1,9 +1,9 @@
-#include "server_connections.h"
+#include "servers/server_connections.h"
 
 #include <utility>
 #include <variant>
 
-#include "upstream_settings.h"
+#include "servers/upstream_settings.h"
 
 namespace knapweedstile::gateway {
 
--- a/libs/gateway/src/server_directory.cc
+++ b/libs/gateway/src/servers/server_directory.cc
@@ -1,4 +1,4 @@
-#include "server_directory.h"
+#include "servers/server_directory.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <set>
--- a/libs/gateway/src/kind_mirror.cc
+++ b/libs/gateway/src/store/kind_mirror.cc
@@ -1,11 +1,11 @@
-#include "kind_mirror.h"
+#include "store/kind_mirror.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "store_calls.h"
+#include "store/store_calls.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/libs/gateway/src/record_collector.cc
+++ b/libs/gateway/src/store/record_collector.cc
@@ -1,13 +1,13 @@
-#include "record_collector.h"
+#include "store/record_collector.h"
 
 #include <utility>
 #include <vector>
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "job_records.h"
+#include "batch/job_records.h"
 #include "platform/store_request.h"
-#include "store_calls.h"
+#include "store/store_calls.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/libs/gateway/src/store_calls.cc
+++ b/libs/gateway/src/store/store_calls.cc
@@ -1,10 +1,10 @@
-#include "store_calls.h"
+#include "store/store_calls.h"
 
 #include <utility>
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "store_relay.h"
+#include "store/store_relay.h"
 
 namespace knapweedstile::gateway {
 
--- a/libs/gateway/src/store_relay.cc
+++ b/libs/gateway/src/store/store_relay.cc
@@ -1,4 +1,4 @@
-#include "store_relay.h"
+#include "store/store_relay.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -6,7 +6,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "peer_client_settings.h"
+#include "peers/peer_client_settings.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/libs/gateway/src/store_role.h
+++ b/libs/gateway/src/store_role.h
@@ -5,9 +5,9 @@
 #include <string>
 
 #include "gateway/gateway_settings.h"
-#include "kind_mirror.h"
 #include "platform/store_answer.h"
-#include "store_calls.h"
+#include "store/kind_mirror.h"
+#include "store/store_calls.h"
 
 namespace knapweedstile::gateway {
 
--- a/libs/gateway/tests/batch_runner_test.cc
+++ b/libs/gateway/tests/batch_runner_test.cc
@@ -1,4 +1,4 @@
-#include "batch_runner.h"
+#include "batch/batch_runner.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
--- a/libs/gateway/tests/sync_tracker_test.cc
+++ b/libs/gateway/tests/sync_tracker_test.cc
@@ -1,8 +1,8 @@
-#include "sync_tracker.h"
+#include "peers/sync_tracker.h"
 
 #include <catch2/catch.hpp>
 
-#include "lag_detector.h"
+#include "store/lag_detector.h"
 
 namespace knapweedstile::gateway {
 namespace {
--- a/scripts/guards_off.py
+++ b/scripts/guards_off.py
@@ -22,38 +22,38 @@
 # name -> edits as (file, text, replacement); each text stands there once.
 GUARDS = {
     "at_most_once": [
-        (GATEWAY + "online_answers.cc",
+        (GATEWAY + "online/online_answers.cc",
          "return repeatable && call.runs", "return call.runs"),
-        (GATEWAY + "online_answers.cc",
+        (GATEWAY + "online/online_answers.cc",
          "call.runs + 1 < call.route.max_attempts &&\n         MonotonicNow()",
          "call.runs < 2 &&\n         MonotonicNow()"),
     ],
     "not_run_is_true": [
-        (GATEWAY + "online_answers.cc",
+        (GATEWAY + "online/online_answers.cc",
          "Fail(call, timeout ? kGatewayTimeout : kBadGateway, reason);",
          "Refuse(call, kRetryAfterBroken, reason);"),
     ],
     "foreign_answers": [
-        (GATEWAY + "online_answers.cc",
+        (GATEWAY + "online/online_answers.cc",
          "if (answer.request_id != call.request_id || !answer.signed_answer) {\n"
          "    client_.Cancel",
          "if (call.request_id.empty()) {\n    client_.Cancel"),
-        (GATEWAY + "online_answers.cc",
+        (GATEWAY + "online/online_answers.cc",
          "if (answer.request_id != call.request_id || !answer.signed_answer) {\n"
          "    return",
          "if (call.request_id.empty()) {\n    return"),
     ],
     "resume_after_last_event": [
-        (GATEWAY + "online_calls.cc",
+        (GATEWAY + "online/online_calls.cc",
          "if (call.passing) fields.after_event = call.last_event;", ""),
-        (GATEWAY + "online_answers.cc",
+        (GATEWAY + "online/online_answers.cc",
          "*event->id != *call.last_event + 1", "*event->id == 0"),
     ],
     "partial_event": [
-        (GATEWAY + "online_answers.cc",
+        (GATEWAY + "online/online_answers.cc",
          'if (call.reader.HasPartial()) return OnBroken(call, "partial_event");',
          ""),
-        (GATEWAY + "online_answers.cc",
+        (GATEWAY + "online/online_answers.cc",
          "return OnBroken(call, NameOf(event.outcome));",
          "return call.passing ? OnComplete(call)\n"
          "                        : OnBroken(call, NameOf(event.outcome));"),
@@ -71,12 +71,12 @@
         (GATEWAY + "gateway.cc", "callers_.BeginDraining();", "io_.stop();"),
     ],
     "written_before_accepted": [
-        (GATEWAY + "job_writer.cc", "  Write(id);\n}\n\nvoid JobWriter::Write(",
+        (GATEWAY + "batch/job_writer.cc", "  Write(id);\n}\n\nvoid JobWriter::Write(",
          "  Accept(id, EncodeJob(submissions_.at(id).request.record));\n}\n\n"
          "void JobWriter::Write("),
     ],
     "first_commit_wins": [
-        (GATEWAY + "result_committer.cc",
+        (GATEWAY + "batch/result_committer.cc",
          "    case StoreOutcome::kConflict:\n    case StoreOutcome::kUnknown:\n"
          "      return ReadBack(job, pending.number);",
          "    case StoreOutcome::kConflict:\n    case StoreOutcome::kUnknown:\n"
@@ -84,12 +84,12 @@
          " std::move(pending.results));"),
     ],
     "caller_gone": [
-        (GATEWAY + "online_calls.cc",
+        (GATEWAY + "online/online_calls.cc",
          "client_.Cancel(found->second.upstream);\n  Finish",
          "Finish"),
     ],
     "ended_job": [
-        (GATEWAY + "batch_runner.cc", "!job || job->ended || listed",
+        (GATEWAY + "batch/batch_runner.cc", "!job || job->ended || listed",
          "!job || listed"),
         ("libs/serving/include/serving/batch_job.h",
          "return !ended && !complete();", "return !complete();"),
@@ -100,19 +100,19 @@
          "return share >= 0"),
     ],
     "quota_at_all": [
-        (GATEWAY + "job_writer.cc", "if (request.most_waiting_tokens == 0) return",
+        (GATEWAY + "batch/job_writer.cc", "if (request.most_waiting_tokens == 0) return",
          "if (request.tokens != 0) return"),
     ],
     "deadline": [
-        (GATEWAY + "online_calls.cc", "request.deadline = call.deadline;",
+        (GATEWAY + "online/online_calls.cc", "request.deadline = call.deadline;",
          "request.deadline = kNever;"),
     ],
     "item_attempts": [
-        (GATEWAY + "batch_answers.cc", "if (progress.failures >= attempts)",
+        (GATEWAY + "batch/batch_answers.cc", "if (progress.failures >= attempts)",
          "if (attempts > 0)"),
     ],
     "unknown_job_is_asked_for": [
-        (GATEWAY + "batch_api.cc", "if (!job) return Fetch(caller, call);",
+        (GATEWAY + "batch/batch_api.cc", "if (!job) return Fetch(caller, call);",
          "if (!job) return Respond(caller, 404);"),
         (GATEWAY + "gateway_records.cc", "push_.Push(record, peers_.LiveAddresses());",
          ""),
--- a/tests/users_platform/kind_mirror_test.cc
+++ b/tests/users_platform/kind_mirror_test.cc
@@ -1,11 +1,11 @@
-#include "kind_mirror.h"
+#include "store/kind_mirror.h"
 
 #include <catch2/catch.hpp>
 #include <set>
 
 #include "base/clock.h"
 #include "harness/caller.h"
-#include "store_calls.h"
+#include "store/store_calls.h"
 #include "users_platform/object_store.h"
 
 namespace knapweedstile::gateway {
