--- a/bench/gateway_slopes.cc
+++ b/bench/gateway_slopes.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "peers/peer_state.h"
 #include "users_platform/site.h"
 
@@ -129,13 +130,13 @@
     state.configuration = 1000;
     state.servers_revision = 1000000;
     for (int i = 0; i < servers; ++i) {
-      state.usage[fmt::format("i-{:08x}", 0x7f3a91c2 + i)] = {3, 1};
+      state.usage[serving::ServerProcessId(Hash64(std::to_string(i)))] = {3, 1};
       state.running_items.push_back(0x9c41d07be2a35f68 + i);
     }
     const size_t whole = EncodePeerState(state).size();
     state.running_items.clear();
     state.usage.clear();
-    state.usage["i-7f3a91c2"] = {3, 1};
+    state.usage[serving::ServerProcessId(Hash64("server"))] = {3, 1};
     fmt::print(
         "a gateway's whole state with {:>3} servers in use: {} bytes; "
         "one change: {} bytes\n",
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -159,7 +159,7 @@
   TimePoint shared_whole_at_{};
   TimePoint shared_progress_at_{};
   TimePoint refreshed_records_at_{};
-  std::map<std::string, serving::ServerUsage> told_usage_;
+  serving::UsageByProcess told_usage_;
   bool registering_ = false;
   bool registered_ = false;
   TimePoint stop_began_at_ = kNever;
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -87,15 +87,15 @@
   shared_at_ = now;
   PeerState state = OwnState();
   state.partial = true;
-  std::map<std::string, serving::ServerUsage> usage = board_.OwnUsage();
-  for (const auto& [instance, counts] : usage) {
-    const auto told = told_usage_.find(instance);
+  serving::UsageByProcess usage = board_.OwnUsage();
+  for (const auto& [process, counts] : usage) {
+    const auto told = told_usage_.find(process);
     if (told == told_usage_.end() || !(told->second == counts)) {
-      state.usage[instance] = counts;
+      state.usage[process] = counts;
     }
   }
-  for (const auto& [instance, counts] : told_usage_) {
-    if (!usage.contains(instance)) state.usage[instance] = {};
+  for (const auto& [process, counts] : told_usage_) {
+    if (!usage.contains(process)) state.usage[process] = {};
   }
   told_usage_ = std::move(usage);
   if (!state.usage.empty()) peers_.Broadcast(std::move(state));
--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -1,100 +1,86 @@
 #include "peers/peer_state.h"
 
-#include <boost/json.hpp>
+#include "proto/peer_state.pb.h"
 
 namespace knapweedstile::gateway {
 namespace {
 
-namespace json = boost::json;
-
-bool ReadUsage(const json::object& object, PeerState& state) {
-  const json::value* field = object.if_contains("usage");
-  if (!field || !field->is_object()) return false;
-  for (const auto& [instance, counts] : field->get_object()) {
-    const json::array* pair = counts.if_array();
-    if (!pair || pair->size() != 2) return false;
-    state.usage[std::string(instance)] = {pair->at(0).to_number<uint32_t>(),
-                                          pair->at(1).to_number<uint32_t>()};
-  }
-  return true;
-}
-
-std::optional<PeerState> Read(const json::object& object) {
-  PeerState state;
-  state.entry = std::string(object.at("entry").as_string());
-  state.start = object.at("start").to_number<uint64_t>();
-  state.sequence = object.at("sequence").to_number<uint64_t>();
-  state.draining = object.at("draining").as_bool();
-  state.store_available = object.at("store").as_bool();
-  state.partial = object.at("partial").as_bool();
-  state.records = object.at("records").to_number<uint64_t>();
-  state.configuration = object.at("configuration").to_number<uint64_t>();
-  state.servers_revision = object.at("servers").to_number<uint64_t>();
-  if (const json::value* instance = object.if_contains("yield")) {
-    state.yield_instance = std::string(instance->as_string());
-  }
-  if (!ReadUsage(object, state)) return std::nullopt;
-  for (const json::value& item : object.at("items").as_array()) {
-    state.running_items.push_back(item.to_number<uint64_t>());
+// False when the lists that run in parallel differ in length.
+bool ReadUsage(const wire::PeerStateMessage& message, PeerState& state) {
+  const int count = message.usage_process_size();
+  if (message.usage_online_size() != count ||
+      message.usage_batch_size() != count) {
+    return false;
   }
-  for (const json::value& entry : object.at("crashes").as_array()) {
-    const json::array& pair = entry.as_array();
-    state.crashes.push_back(
-        {pair.at(0).to_number<uint64_t>(), pair.at(1).to_number<uint32_t>()});
+  for (int i = 0; i < count; ++i) {
+    state.usage[serving::ServerProcessId(message.usage_process(i))] = {
+        message.usage_online(i), message.usage_batch(i)};
   }
-  for (const auto& [entry, count] : object.at("filled").as_object()) {
-    const json::array& pair = count.as_array();
-    state.filled[std::string(entry)] = {pair.at(0).to_number<uint64_t>(),
-                                        pair.at(1).to_number<uint64_t>()};
-  }
-  return state;
+  return true;
 }
 
 }  // namespace
 
 std::string EncodePeerState(const PeerState& state) {
-  json::object usage;
-  for (const auto& [instance, counts] : state.usage) {
-    usage[instance] = json::array{counts.online, counts.batch};
+  wire::PeerStateMessage message;
+  message.set_entry(state.entry);
+  message.set_start(state.start);
+  message.set_sequence(state.sequence);
+  message.set_draining(state.draining);
+  message.set_store_available(state.store_available);
+  message.set_records(state.records);
+  message.set_configuration(state.configuration);
+  message.set_servers_revision(state.servers_revision);
+  message.set_partial(state.partial);
+  for (const auto& [process, counts] : state.usage) {
+    message.add_usage_process(process.value());
+    message.add_usage_online(counts.online);
+    message.add_usage_batch(counts.batch);
+  }
+  for (const uint64_t item : state.running_items) {
+    message.add_running_items(item);
   }
-  json::array items;
-  for (const uint64_t item : state.running_items) items.push_back(item);
-  json::array crashes;
   for (const serving::CrashCount& count : state.crashes) {
-    crashes.push_back(json::array{count.fingerprint, count.breaks});
+    wire::CrashCountMessage& crash = *message.add_crashes();
+    crash.set_fingerprint(count.fingerprint);
+    crash.set_breaks(count.breaks);
   }
-  json::object filled;
   for (const auto& [entry, count] : state.filled) {
-    filled[entry] = json::array{count.start, count.count};
+    wire::FilledMessage& filled = *message.add_filled();
+    filled.set_entry(entry);
+    filled.set_start(count.start);
+    filled.set_count(count.count);
   }
-  json::object object = {{"entry", state.entry},
-                         {"filled", std::move(filled)},
-                         {"crashes", std::move(crashes)},
-                         {"start", state.start},
-                         {"sequence", state.sequence},
-                         {"draining", state.draining},
-                         {"store", state.store_available},
-                         {"partial", state.partial},
-                         {"records", state.records},
-                         {"configuration", state.configuration},
-                         {"servers", state.servers_revision},
-                         {"usage", std::move(usage)},
-                         {"items", std::move(items)}};
-  if (!state.yield_instance.empty()) object["yield"] = state.yield_instance;
-  return json::serialize(object);
+  message.set_yield_instance(state.yield_instance);
+  return message.SerializeAsString();
 }
 
 std::optional<PeerState> DecodePeerState(std::string_view datagram) {
-  json::error_code ec;
-  const json::value parsed =
-      json::parse({datagram.data(), datagram.size()}, ec);
-  if (ec || !parsed.is_object()) return std::nullopt;
-  // The library reports a missing or mistyped field by an exception.
-  try {
-    return Read(parsed.get_object());
-  } catch (const std::exception&) {
-    return std::nullopt;
+  wire::PeerStateMessage message;
+  const int size = static_cast<int>(datagram.size());
+  if (!message.ParseFromArray(datagram.data(), size)) return std::nullopt;
+  // Bytes of another sender may happen to be a message with nothing in it.
+  if (message.entry().empty()) return std::nullopt;
+  PeerState state{.entry = message.entry(),
+                  .start = message.start(),
+                  .sequence = message.sequence(),
+                  .draining = message.draining(),
+                  .store_available = message.store_available(),
+                  .records = message.records(),
+                  .configuration = message.configuration(),
+                  .servers_revision = message.servers_revision(),
+                  .partial = message.partial(),
+                  .yield_instance = message.yield_instance()};
+  if (!ReadUsage(message, state)) return std::nullopt;
+  state.running_items.assign(message.running_items().begin(),
+                             message.running_items().end());
+  for (const wire::CrashCountMessage& crash : message.crashes()) {
+    state.crashes.push_back({crash.fingerprint(), crash.breaks()});
+  }
+  for (const wire::FilledMessage& filled : message.filled()) {
+    state.filled[filled.entry()] = {filled.start(), filled.count()};
   }
+  return state;
 }
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/peers/peer_state.h
+++ b/libs/gateway/src/peers/peer_state.h
@@ -10,7 +10,7 @@
 
 #include "peers/record_count.h"
 #include "serving/crash_count.h"
-#include "serving/server_usage.h"
+#include "serving/usage_by_process.h"
 
 namespace knapweedstile::gateway {
 
@@ -29,8 +29,7 @@
   // `running_items` nothing. Whole messages come in between, so that a lost one
   // is made good soon.
   bool partial = false;
-  // Requests outstanding, by backend server instance.
-  std::map<std::string, serving::ServerUsage> usage;
+  serving::UsageByProcess usage;
   // Batch items that this entry runs, as hashes of their ids.
   std::vector<uint64_t> running_items;
   // Requests that broke servers; whole messages only.
--- /dev/null
+++ b/libs/gateway/tests/peer_state_test.cc
@@ -0,0 +1,64 @@
+#include "peers/peer_state.h"
+
+#include <catch2/catch.hpp>
+
+namespace knapweedstile::gateway {
+namespace {
+
+PeerState MakeState() {
+  return {.entry = "entry-1",
+          .start = 1700000000123456789,
+          .sequence = 7,
+          .draining = true,
+          .store_available = true,
+          .records = 12,
+          .configuration = 40,
+          .servers_revision = 99,
+          .usage = {{serving::ServerProcessId(~0ULL), {3, 1}},
+                    {serving::ServerProcessId(5), {0, 2}}},
+          .running_items = {1, ~0ULL},
+          .crashes = {{.fingerprint = 8, .breaks = 2}},
+          .filled = {{"entry-2", {.start = 4, .count = 6}}},
+          .yield_instance = "i-1"};
+}
+
+}  // namespace
+
+TEST_CASE("a state arrives as it was told") {
+  const PeerState sent = MakeState();
+  const auto received = DecodePeerState(EncodePeerState(sent));
+  REQUIRE(received);
+  CHECK(received->entry == sent.entry);
+  CHECK(received->start == sent.start);
+  CHECK(received->sequence == sent.sequence);
+  CHECK(received->draining);
+  CHECK(received->store_available);
+  CHECK_FALSE(received->partial);
+  CHECK(received->records == sent.records);
+  CHECK(received->configuration == sent.configuration);
+  CHECK(received->servers_revision == sent.servers_revision);
+  CHECK(received->usage == sent.usage);
+  CHECK(received->running_items == sent.running_items);
+  REQUIRE(received->crashes.size() == 1);
+  CHECK(received->crashes[0].fingerprint == 8);
+  CHECK(received->crashes[0].breaks == 2);
+  CHECK(received->filled.at("entry-2").start == 4);
+  CHECK(received->filled.at("entry-2").count == 6);
+  CHECK(received->yield_instance == "i-1");
+}
+
+// Anybody may send to the port. A datagram that is cut, or is of somebody else,
+// must neither stop the process nor change what is known.
+TEST_CASE("bytes that are no state are left out") {
+  const std::string whole = EncodePeerState(MakeState());
+  for (size_t size = 0; size < whole.size(); ++size) {
+    const auto cut = DecodePeerState(whole.substr(0, size));
+    // Protobuf has no end mark: a cut between two fields is a shorter message.
+    if (cut) CHECK(cut->entry == "entry-1");
+  }
+  CHECK_FALSE(DecodePeerState(""));
+  CHECK_FALSE(DecodePeerState("{\"entry\":\"entry-1\"}"));
+  CHECK_FALSE(DecodePeerState(std::string(2000, '\xff')));
+}
+
+}  // namespace knapweedstile::gateway
--- a/libs/serving/include/serving/slot_board.h
+++ b/libs/serving/include/serving/slot_board.h
@@ -23,6 +23,7 @@
 #include "serving/slot_board_settings.h"
 #include "serving/slot_count.h"
 #include "serving/start_rate.h"
+#include "serving/usage_by_process.h"
 
 namespace knapweedstile::serving {
 
@@ -74,12 +75,10 @@
 
   // Commands: what other entries have outstanding, by the server's process.
   // All that an entry has outstanding.
-  void ReportEntry(const std::string& entry,
-                   const std::map<std::string, ServerUsage>& usage,
+  void ReportEntry(const std::string& entry, const UsageByProcess& usage,
                    TimePoint now);
-  // Only what changed; instances that are not named stay as they were.
-  void UpdateEntry(const std::string& entry,
-                   const std::map<std::string, ServerUsage>& changed,
+  // Only what changed; processes that are not named stay as they were.
+  void UpdateEntry(const std::string& entry, const UsageByProcess& changed,
                    TimePoint now);
   void DropEntry(const std::string& entry);
   void ExpireReports(TimePoint now);
@@ -106,7 +105,7 @@
   SlotCount CountSlots(std::string_view service, TimePoint now) const;
   // What this entry has outstanding, by the server's process; idle ones are
   // left out.
-  std::map<std::string, ServerUsage> OwnUsage() const;
+  UsageByProcess OwnUsage() const;
   ServerUsage UsageOf(BackendServerId server) const;
   size_t server_count() const noexcept { return servers_.size(); }
   std::vector<BackendServerId> Servers() const;
@@ -125,6 +124,7 @@
   struct Server {
     BackendServerId id;
     ServerRecord record;
+    ServerProcessId process;
     ServerUsage own;
     ServerUsage others;  // sum of the live reports
     TimePoint avoid_until{};
@@ -137,7 +137,7 @@
     uint32_t total() const noexcept { return online() + batch(); }
   };
   struct Report {
-    std::map<std::string, ServerUsage> usage;
+    UsageByProcess usage;
     TimePoint expires_at{};
   };
 
@@ -160,12 +160,14 @@
                     std::span<const BackendServerId> excluded, TimePoint now);
   Placement Displace(Server& server);
   Placement Queue(Server& server, Duration objective);
+  // Keeps the process of the server's record as the one that reports name.
+  void Index(Server& server);
   // Where the record is of a new process of a known instance.
   void RetireFormerProcess(const ServerRecord& record);
   // The present process of that name; null when there is none.
-  Server* FindProcess(const std::string& process);
+  Server* FindProcess(ServerProcessId process);
   void SumReports();
-  void Apply(Report& report, const std::string& process, ServerUsage usage,
+  void Apply(Report& report, ServerProcessId process, ServerUsage usage,
              TimePoint now);
   void Avoid(Server& server, Duration time, TimePoint now);
   Server* FindServer(BackendServerId id);
@@ -176,6 +178,7 @@
   uint64_t last_id_ = 0;
   std::map<BackendServerId, Server> servers_;
   std::unordered_map<std::string, BackendServerId> by_instance_;
+  std::unordered_map<ServerProcessId, BackendServerId> by_process_;
   std::map<std::string, Report> reports_;
   std::unordered_map<std::string, double> mean_seconds_;  // by service
   // Online requests that other entries start, by service.
--- a/libs/serving/src/slot_board.cc
+++ b/libs/serving/src/slot_board.cc
@@ -4,7 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "process_name.h"
 #include "slot_draw.h"
 
 namespace knapweedstile::serving {
@@ -48,7 +47,16 @@
   Server& server = servers_[known->second];
   server.id = known->second;
   server.record = record;
-  if (is_new) SumReports();
+  Index(server);
+}
+
+void SlotBoard::Index(Server& server) {
+  const ServerProcessId process = ProcessOf(server.record);
+  if (server.process == process) return;
+  by_process_.erase(server.process);
+  server.process = process;
+  by_process_[process] = server.id;
+  SumReports();
 }
 
 void SlotBoard::Remove(std::string_view instance) {
@@ -57,6 +65,7 @@
   Server& server = servers_[known->second];
   server.gone = true;
   server.others = {};
+  by_process_.erase(server.process);
   if (server.own.total() == 0) servers_.erase(known->second);
   by_instance_.erase(known);
 }
@@ -172,7 +181,7 @@
                       .displaces_batch = true};
   if (server.own.batch > 0) return placement;
   for (auto& [entry, report] : reports_) {
-    const auto usage = report.usage.find(ProcessName(server.record));
+    const auto usage = report.usage.find(server.process);
     if (usage == report.usage.end() || usage->second.batch == 0) continue;
     --usage->second.batch;
     --server.others.batch;
@@ -301,11 +310,11 @@
   return ids;
 }
 
-std::map<std::string, ServerUsage> SlotBoard::OwnUsage() const {
-  std::map<std::string, ServerUsage> usage;
+UsageByProcess SlotBoard::OwnUsage() const {
+  UsageByProcess usage;
   for (const auto& [id, server] : servers_) {
     if (server.own.total() > 0) {
-      usage.emplace(ProcessName(server.record), server.own);
+      usage.emplace(server.process, server.own);
     }
   }
   return usage;
--- a/libs/serving/src/slot_board_reports.cc
+++ b/libs/serving/src/slot_board_reports.cc
@@ -1,29 +1,26 @@
 #include <string>
 #include <vector>
 
-#include "process_name.h"
 #include "serving/slot_board.h"
 
 // What other entries tell of their use of the backend servers.
 namespace knapweedstile::serving {
 
 void SlotBoard::ReportEntry(const std::string& entry,
-                            const std::map<std::string, ServerUsage>& usage,
-                            TimePoint now) {
+                            const UsageByProcess& usage, TimePoint now) {
   Report& report = reports_[entry];
   report.expires_at = now + settings_.report_lifetime;
-  std::vector<std::string> idle;
+  std::vector<ServerProcessId> idle;
   for (const auto& [process, known] : report.usage) {
     if (!usage.contains(process)) idle.push_back(process);
   }
-  for (const std::string& process : idle) Apply(report, process, {}, now);
+  for (const ServerProcessId process : idle) Apply(report, process, {}, now);
   for (const auto& [process, counts] : usage)
     Apply(report, process, counts, now);
 }
 
 void SlotBoard::UpdateEntry(const std::string& entry,
-                            const std::map<std::string, ServerUsage>& changed,
-                            TimePoint now) {
+                            const UsageByProcess& changed, TimePoint now) {
   Report& report = reports_[entry];
   report.expires_at = now + settings_.report_lifetime;
   for (const auto& [process, counts] : changed) {
@@ -31,14 +28,12 @@
   }
 }
 
-SlotBoard::Server* SlotBoard::FindProcess(const std::string& process) {
-  const auto known = by_instance_.find(InstanceOf(process));
-  if (known == by_instance_.end()) return nullptr;
-  Server& server = servers_[known->second];
-  return ProcessName(server.record) == process ? &server : nullptr;
+SlotBoard::Server* SlotBoard::FindProcess(ServerProcessId process) {
+  const auto known = by_process_.find(process);
+  return known == by_process_.end() ? nullptr : FindServer(known->second);
 }
 
-void SlotBoard::Apply(Report& report, const std::string& process,
+void SlotBoard::Apply(Report& report, ServerProcessId process,
                       ServerUsage usage, TimePoint now) {
   ServerUsage& reported = report.usage[process];
   if (Server* server = FindProcess(process)) {
--- a/libs/serving/tests/fleet_model.h
+++ b/libs/serving/tests/fleet_model.h
@@ -112,7 +112,7 @@
   struct Message {
     double at;
     int from;
-    std::map<std::string, ServerUsage> usage;
+    UsageByProcess usage;
   };
 
   static std::string Name(int server) { return "i-" + std::to_string(server); }
--- a/libs/serving/tests/slot_board_test.cc
+++ b/libs/serving/tests/slot_board_test.cc
@@ -22,6 +22,10 @@
           .slots = slots};
 }
 
+ServerProcessId Process(const std::string& instance, uint64_t start = 0) {
+  return ProcessOf({.instance = instance, .start = start});
+}
+
 struct Board {
   SlotBoard board{{}, "zone-a", 7};
   BackendServerId Add(const std::string& instance, uint32_t slots = 2) {
@@ -83,8 +87,8 @@
   Board fleet;
   const BackendServerId server = fleet.Add("i-1");
   fleet.board.Started(server, TrafficClass::kOnline);
-  fleet.board.ReportEntry("entry-2", {{"i-1", {.online = 0, .batch = 1}}},
-                          kNow);
+  fleet.board.ReportEntry("entry-2",
+                          {{Process("i-1"), {.online = 0, .batch = 1}}}, kNow);
   const Placement placement = fleet.Place();
   CHECK(placement.server == server);
   CHECK(placement.displaces_batch);
@@ -110,8 +114,8 @@
 TEST_CASE("what a silent entry had outstanding is dropped") {
   Board fleet;
   const BackendServerId server = fleet.Add("i-1");
-  fleet.board.ReportEntry("entry-2", {{"i-1", {.online = 2, .batch = 0}}},
-                          kNow);
+  fleet.board.ReportEntry("entry-2",
+                          {{Process("i-1"), {.online = 2, .batch = 0}}}, kNow);
   CHECK(fleet.board.UsageOf(server).total() == 2);
   fleet.board.ExpireReports(kNow + std::chrono::seconds(2));
   CHECK(fleet.board.UsageOf(server).total() == 0);
@@ -122,8 +126,10 @@
   const BackendServerId first = fleet.Add("i-1");
   const BackendServerId second = fleet.Add("i-2");
   fleet.board.ReportEntry(
-      "entry-2", {{"i-1", {.online = 1, .batch = 0}}, {"i-2", {2, 0}}}, kNow);
-  fleet.board.UpdateEntry("entry-2", {{"i-1", {0, 0}}}, kNow);
+      "entry-2",
+      {{Process("i-1"), {.online = 1, .batch = 0}}, {Process("i-2"), {2, 0}}},
+      kNow);
+  fleet.board.UpdateEntry("entry-2", {{Process("i-1"), {0, 0}}}, kNow);
   CHECK(fleet.board.UsageOf(first).total() == 0);
   CHECK(fleet.board.UsageOf(second).total() == 2);
   fleet.board.ReportEntry("entry-2", {}, kNow);
@@ -208,7 +214,7 @@
   board.Upsert(record);
   const BackendServerId former = board.Find("i-1");
   board.Started(former, TrafficClass::kOnline);
-  board.ReportEntry("entry-2", {{"i-1@100", {1, 0}}}, kNow);
+  board.ReportEntry("entry-2", {{Process("i-1", 100), {1, 0}}}, kNow);
   board.ReportUnreachable(former, kNow);
   record.start = 200;
   board.Upsert(record);
@@ -216,11 +222,11 @@
   CHECK(present != former);
   CHECK(board.CountSlots("llm", kNow).free == 2);
   // Counts of the former process still come, and its requests still end.
-  board.ReportEntry("entry-2", {{"i-1@100", {1, 0}}}, kNow);
+  board.ReportEntry("entry-2", {{Process("i-1", 100), {1, 0}}}, kNow);
   CHECK(board.UsageOf(present).total() == 0);
   board.Ended(former, TrafficClass::kOnline);
   CHECK(board.Record(former) == nullptr);
-  board.ReportEntry("entry-2", {{"i-1@200", {1, 0}}}, kNow);
+  board.ReportEntry("entry-2", {{Process("i-1", 200), {1, 0}}}, kNow);
   CHECK(board.UsageOf(present).total() == 1);
 }
 
