--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -83,6 +83,8 @@
   // The one that runs it once this entry is gone; empty without others.
   std::string SuccessorOf(const std::string& job) const;
   void OnPeerStarted(const std::string& entry);
+  // Sorts the entries that are heard of into cells.
+  void UpdateCells();
   // Whether this entry deletes the records of a job that has expired.
   bool Collects(const std::string& job) const;
   bool Owns(const serving::BatchJob& job) const;
@@ -100,6 +102,8 @@
   void Tick();
   // Tells the other entries which slots this one has taken or left, soon.
   void OnUsageChanged();
+  // What has changed since it was last told; told from now on.
+  serving::UsageByProcess UntoldUsage();
   void ShareChanges(TimePoint now);
   void ShareState(TimePoint now);
   PeerState OwnState() const;
@@ -154,6 +158,7 @@
   // Whether the ends of jobs are known as they are in the store.
   bool knows_ends_ = false;
   PauseDetector pauses_;
+  size_t entries_in_cell_ = 1;  // this one included
   bool share_armed_ = false;
   TimePoint shared_at_{};
   TimePoint shared_whole_at_{};
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -10,8 +10,8 @@
 namespace {
 
 // A change of usage is told at once, but messages keep this distance for each
-// other entry, so that an entry of a large fleet sends a thousand a second at
-// most. Each millisecond of it lets entries take the same slot.
+// other entry of the cell, so that an entry sends a thousand a second at most.
+// Each millisecond of it lets entries take the same slot.
 constexpr std::chrono::milliseconds kSharePausePerEntry{1};
 
 // Items produce an event every 30 ms; what a lost entry costs is at most this
@@ -37,6 +37,17 @@
                      now);
 }
 
+void Gateway::UpdateCells() {
+  std::map<std::string, std::string> zones = peers_.Zones();
+  zones[settings_.name] = settings_.availability_zone;
+  const serving::CellMap cells(zones);
+  const serving::Cell own = cells.Of(settings_.name);
+  entries_in_cell_ =
+      own.availability_zone.empty() ? zones.size() : cells.EntriesIn(own);
+  board_.SetCell(own, entries_in_cell_);
+  peers_.SetCells(cells);
+}
+
 void Gateway::LearnFilled(const PeerState& state) {
   const auto own = state.filled.find(settings_.name);
   if (own == state.filled.end() || own->second.start != start_) return;
@@ -67,7 +78,7 @@
   if (std::exchange(share_armed_, true)) return;
   const TimePoint now = MonotonicNow();
   const TimePoint due =
-      shared_at_ + kSharePausePerEntry * peers_.address_count();
+      shared_at_ + kSharePausePerEntry * (entries_in_cell_ - 1);
   share_timer_.expires_at(std::max(now, due));
   share_timer_.async_wait([this](const boost::system::error_code& ec) {
     if (!ec) ShareChanges(MonotonicNow());
@@ -82,28 +93,42 @@
           .servers_revision = server_mirror_.newest_change()};
 }
 
-void Gateway::ShareChanges(TimePoint now) {
-  share_armed_ = false;
-  shared_at_ = now;
-  PeerState state = OwnState();
-  state.partial = true;
+serving::UsageByProcess Gateway::UntoldUsage() {
+  serving::UsageByProcess changes;
   serving::UsageByProcess usage = board_.OwnUsage();
   for (const auto& [process, counts] : usage) {
     const auto told = told_usage_.find(process);
     if (told == told_usage_.end() || !(told->second == counts)) {
-      state.usage[process] = counts;
+      changes[process] = counts;
     }
   }
   for (const auto& [process, counts] : told_usage_) {
-    if (!usage.contains(process)) state.usage[process] = {};
+    if (!usage.contains(process)) changes[process] = {};
   }
   told_usage_ = std::move(usage);
-  if (!state.usage.empty()) peers_.Broadcast(std::move(state));
+  return changes;
+}
+
+void Gateway::ShareChanges(TimePoint now) {
+  share_armed_ = false;
+  shared_at_ = now;
+  const serving::UsageByProcess changes = UntoldUsage();
+  PeerState state = OwnState();
+  state.partial = true;
+  peers_.BroadcastByCell(std::move(state), [&](const serving::Cell& cell) {
+    serving::UsageByProcess usage;
+    for (const auto& [process, counts] : changes) {
+      const serving::ServerRecord* record = board_.RecordOf(process);
+      if (record && cell.Holds(*record)) usage[process] = counts;
+    }
+    return usage;
+  });
 }
 
 void Gateway::ShareState(TimePoint now) {
   shared_whole_at_ = now;
   PeerState state = OwnState();
+  state.availability_zone = settings_.availability_zone;
   state.usage = board_.OwnUsage();
   state.running_items = runner_.RunningItems();
   state.crashes = crashes_.Own();
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -84,7 +84,8 @@
                     board_.DropEntry(entry);
                     crashes_.Forget(entry);
                     if (draining) sync_.Forget(entry);
-                  }}),
+                  },
+              .membership_changed = [this] { UpdateCells(); }}),
       push_(io, settings.name, start_,
             {.received =
                  [this](const std::string& entry, uint64_t start,
--- a/libs/gateway/src/peers/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -103,39 +103,70 @@
   if (!is_new && older) return;
   if (is_new) LogInfo("peer_found", {{"entry", state->entry}});
   const bool started = is_new || state->start != peer.state.start;
-  std::vector<uint64_t> items = std::move(peer.state.running_items);
-  peer.state = *state;
-  if (state->partial) peer.state.running_items = std::move(items);
-  peer.expires_at = MonotonicNow() + kSilenceUntilLost;
+  Adopt(peer, *state, is_new);
   if (started) handlers_.started(state->entry);
   handlers_.state(*state);
 }
 
+void PeerLink::Adopt(Peer& peer, const PeerState& state, bool is_new) {
+  std::vector<uint64_t> items = std::move(peer.state.running_items);
+  std::string zone = std::move(peer.state.availability_zone);
+  peer.state = state;
+  peer.expires_at = MonotonicNow() + kSilenceUntilLost;
+  if (state.partial) {
+    peer.state.running_items = std::move(items);
+    peer.state.availability_zone = zone;
+  }
+  if (is_new || peer.state.availability_zone != zone) {
+    handlers_.membership_changed();
+  }
+}
+
 void PeerLink::SendTo(const udp::endpoint& to, const std::string& datagram) {
   error_code ec;
   // Soft state: what is not sent now is in the next message.
   socket_.send_to(asio::buffer(datagram), to, 0, ec);
 }
 
-void PeerLink::Broadcast(PeerState state) {
-  if (addresses_.empty()) return;
+void PeerLink::SetCells(const serving::CellMap& cells) {
+  entries_by_cell_.clear();
+  for (const auto& [entry, peer] : peers_) {
+    entries_by_cell_[cells.Of(entry)].push_back(entry);
+  }
+}
+
+std::string PeerLink::Encode(PeerState& state) {
   state.entry = name_;
   state.start = start_;
   state.sequence = ++sequence_;
-  const std::string datagram = EncodePeerState(state);
+  return EncodePeerState(state);
+}
+
+void PeerLink::Broadcast(PeerState state) {
+  if (addresses_.empty()) return;
+  const std::string datagram = Encode(state);
   for (const auto& [entry, address] : addresses_) SendTo(address, datagram);
 }
 
+void PeerLink::BroadcastByCell(PeerState state, const UsageIn& usage_in) {
+  for (const auto& [cell, entries] : entries_by_cell_) {
+    state.usage = usage_in(cell);
+    if (state.usage.empty()) continue;
+    const std::string datagram = Encode(state);
+    for (const std::string& entry : entries) {
+      const auto address = addresses_.find(entry);
+      if (address != addresses_.end()) SendTo(address->second, datagram);
+    }
+  }
+}
+
 void PeerLink::AskToYield(const std::string& entry,
                           const std::string& instance) {
   const auto address = addresses_.find(entry);
   if (address == addresses_.end()) return;
   PeerState state;
-  state.entry = name_;
-  state.start = start_;
-  state.sequence = ++sequence_;
   state.yield_instance = instance;
-  SendTo(address->second, EncodePeerState(state));
+  SendTo(address->second, Encode(state));
 }
 
 void PeerLink::Expire(TimePoint now) {
@@ -149,6 +180,7 @@
     LogInfo("peer_lost", {{"entry", entry}, {"draining", draining}});
     handlers_.lost(entry, draining);
   }
+  if (!lost.empty()) handlers_.membership_changed();
 }
 
 std::vector<std::string> PeerLink::WorkingEntries() const {
@@ -159,6 +191,14 @@
   return entries;
 }
 
+std::map<std::string, std::string> PeerLink::Zones() const {
+  std::map<std::string, std::string> zones;
+  for (const auto& [entry, peer] : peers_) {
+    zones[entry] = peer.state.availability_zone;
+  }
+  return zones;
+}
+
 std::map<std::string, std::string> PeerLink::LiveAddresses() const {
   std::map<std::string, std::string> live;
   for (const auto& [entry, address] : addresses_) {
--- a/libs/gateway/src/peers/peer_link.h
+++ b/libs/gateway/src/peers/peer_link.h
@@ -12,6 +12,7 @@
 #include "base/error.h"
 #include "base/time.h"
 #include "peers/peer_state.h"
+#include "serving/cell_map.h"
 
 namespace knapweedstile::gateway {
 
@@ -26,7 +27,11 @@
     std::function<void(const std::string& entry)> started;
     // `draining`: it had said that it leaves.
     std::function<void(const std::string& entry, bool draining)> lost;
+    // The entries that are heard of are others, or one has told its zone.
+    std::function<void()> membership_changed;
   };
+  // What there is to tell of the servers of a cell.
+  using UsageIn = std::function<serving::UsageByProcess(const serving::Cell&)>;
 
   PeerLink(boost::asio::io_context& io, std::string name, uint64_t start,
            Handlers handlers);
@@ -36,8 +41,14 @@
   void SetAddress(const std::string& entry, const std::string& address);
   void RemoveAddress(const std::string& entry);
 
+  // Which entry is in which cell from now on.
+  void SetCells(const serving::CellMap& cells);
+
   // Sends the own state to every entry. `state` needs no name and number.
   void Broadcast(PeerState state);
+  // Sends the entries of each cell what has changed there, with the rest of
+  // `state`; nothing where nothing has changed.
+  void BroadcastByCell(PeerState state, const UsageIn& usage_in);
   void AskToYield(const std::string& entry, const std::string& instance);
   // Forgets entries that fell silent.
   void Expire(TimePoint now);
@@ -51,7 +62,8 @@
   std::string EntryWithStore() const;
   // Whether another live entry runs the item.
   bool RunsElsewhere(uint64_t item) const;
-  size_t address_count() const noexcept { return addresses_.size(); }
+  // Availability zones of the entries heard of lately.
+  std::map<std::string, std::string> Zones() const;
 
  private:
   struct Peer {
@@ -62,6 +74,10 @@
   void Receive();
   void OnDatagram(std::string_view datagram,
                   const boost::asio::ip::udp::endpoint& sender);
+  // Keeps what a message told.
+  void Adopt(Peer& peer, const PeerState& state, bool is_new);
+  // Names and numbers the message.
+  std::string Encode(PeerState& state);
   void SendTo(const boost::asio::ip::udp::endpoint& to,
               const std::string& datagram);
 
@@ -72,6 +88,7 @@
   boost::asio::ip::udp::socket socket_;
   std::map<std::string, boost::asio::ip::udp::endpoint> addresses_;
   std::map<std::string, Peer> peers_;
+  std::map<serving::Cell, std::vector<std::string>> entries_by_cell_;
 };
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -24,6 +24,7 @@
 std::string EncodePeerState(const PeerState& state) {
   wire::PeerStateMessage message;
   message.set_entry(state.entry);
+  message.set_availability_zone(state.availability_zone);
   message.set_start(state.start);
   message.set_sequence(state.sequence);
   message.set_draining(state.draining);
@@ -62,6 +63,7 @@
   // Bytes of another sender may happen to be a message with nothing in it.
   if (message.entry().empty()) return std::nullopt;
   PeerState state{.entry = message.entry(),
+                  .availability_zone = message.availability_zone(),
                   .start = message.start(),
                   .sequence = message.sequence(),
                   .draining = message.draining(),
--- a/libs/gateway/src/peers/peer_state.h
+++ b/libs/gateway/src/peers/peer_state.h
@@ -18,6 +18,7 @@
 // whole one.
 struct PeerState {
   std::string entry;
+  std::string availability_zone;  // of the entry; whole messages only
   uint64_t start = 0;     // a later start of the same entry has a higher one
   uint64_t sequence = 0;  // of this message, within one start
   bool draining = false;  // starts no new batch items
--- a/libs/gateway/tests/peer_state_test.cc
+++ b/libs/gateway/tests/peer_state_test.cc
@@ -7,6 +7,7 @@
 
 PeerState MakeState() {
   return {.entry = "entry-1",
+          .availability_zone = "zone-a",
           .start = 1700000000123456789,
           .sequence = 7,
           .draining = true,
@@ -29,6 +30,7 @@
   const auto received = DecodePeerState(EncodePeerState(sent));
   REQUIRE(received);
   CHECK(received->entry == sent.entry);
+  CHECK(received->availability_zone == sent.availability_zone);
   CHECK(received->start == sent.start);
   CHECK(received->sequence == sent.sequence);
   CHECK(received->draining);
--- a/libs/serving/include/serving/slot_board.h
+++ b/libs/serving/include/serving/slot_board.h
@@ -16,6 +16,7 @@
 #include "base/traffic_class.h"
 #include "decide/sharing_policy.h"
 #include "decide/sharing_rule.h"
+#include "serving/cell.h"
 #include "serving/demand_history.h"
 #include "serving/placement.h"
 #include "serving/server_record.h"
@@ -41,6 +42,10 @@
 //   do is known some milliseconds late: all would send to the one that looks
 //   emptiest at the same time. (Eighteen entries, 39 backend servers of 7 slots
 //   at their limit: 25 in 100 first events late with the least used one.)
+// - Backend servers of this entry's cell come first: what happens there is
+//   known within milliseconds, elsewhere a quarter of a second late. Beyond the
+//   cell a server is used where more slots are free than others may have taken
+//   meanwhile, so that a cell at its limit has room elsewhere.
 // - With no free slot it takes a batch item's slot, again by lot. With none of
 //   those either it queues only as long as its latency objective allows, and is
 //   refused at once beyond that, with the time at which the queue will have
@@ -59,6 +64,10 @@
   // Keeps only the given instances.
   void Retain(std::span<const ServerRecord> records);
 
+  // The entry's cell and how many entries it has, this one included; zero
+  // entries: all that report. Without a call the whole fleet is one cell.
+  void SetCell(const Cell& cell, size_t entries);
+
   // Commands: requests of this entry.
   void Started(BackendServerId server, TrafficClass traffic);
   void Ended(BackendServerId server, TrafficClass traffic);
@@ -100,6 +109,8 @@
 
   // Queries.
   const ServerRecord* Record(BackendServerId server) const;
+  // Null when no server is registered with that process.
+  const ServerRecord* RecordOf(ServerProcessId process) const;
   BackendServerId Find(std::string_view instance) const;
   // Slots of the service's usable servers, and those that are free.
   SlotCount CountSlots(std::string_view service, TimePoint now) const;
@@ -129,6 +140,7 @@
     ServerUsage others;  // sum of the live reports
     TimePoint avoid_until{};
     uint32_t failures = 0;
+    bool near = true;   // in this entry's cell
     bool gone = false;  // no longer registered; kept while requests run
     std::optional<Sharing> sharing;
 
@@ -145,6 +157,14 @@
               std::span<const BackendServerId> excluded) const;
   // Least used first, then the own zone, then by lot.
   bool Better(const Server& a, uint32_t use_a, const Server& b, uint32_t use_b);
+  enum class Reach { kCell, kBeyond };
+  static bool Within(const Server& server, Reach reach) {
+    return server.near == (reach == Reach::kCell);
+  }
+  // Slots that are free beyond `reserve`, as a weight; online requests.
+  double FreeWeight(const Server& server, uint32_t reserve) const;
+  // Slots of batch items that an online request would get, as a weight.
+  double BatchWeight(const Server& server) const;
   // One of the usable servers by lot; `weight` zero leaves a server out.
   template <typename Weight>
   Server* Draw(std::string_view service,
@@ -153,6 +173,10 @@
   // Items that may still be started on the server.
   uint32_t BatchRoom(const Server& server) const;
   decide::BatchLimit LimitOf(const Server& server) const;
+  // Items that this entry may start within `reach` until others know of it.
+  double RoomFor(std::string_view service, Reach reach, TimePoint now) const;
+  // Entries whose changes come here at once, this one included.
+  size_t EntriesInCell() const;
   // Whether few slots of the service are free.
   bool Scarce(std::string_view service, TimePoint now) const;
   double ZoneFactor(const Server& server) const;
@@ -174,6 +198,8 @@
 
   SlotBoardSettings settings_;
   std::string own_zone_;
+  Cell cell_;
+  size_t entries_in_cell_ = 0;
   Rng rng_;
   uint64_t last_id_ = 0;
   std::map<BackendServerId, Server> servers_;
@@ -181,7 +207,7 @@
   std::unordered_map<ServerProcessId, BackendServerId> by_process_;
   std::map<std::string, Report> reports_;
   std::unordered_map<std::string, double> mean_seconds_;  // by service
-  // Online requests that other entries start, by service.
+  // Online requests that other entries start in this cell, by service.
   std::unordered_map<std::string, StartRate> others_rate_;
   TimePoint demand_sampled_at_{};
 };
--- a/libs/serving/include/serving/slot_board_settings.h
+++ b/libs/serving/include/serving/slot_board_settings.h
@@ -10,6 +10,12 @@
   // Slots of each backend server that batch leaves free, so that an online
   // request that finds the fleet quiet starts at once.
   uint32_t batch_reserve = 1;
+  // Slots of a server beyond the cell that are left to what its own entries
+  // have started since they last told: some three requests a server and quarter
+  // of a second at the limit of a fleet, a third of them in slots that free up.
+  uint32_t far_reserve = 1;
+  // The same for batch items, which hold a slot for seconds.
+  uint32_t far_batch_reserve = 3;
   // Weight of a backend server in the own availability zone against others:
   // bytes between zones cost little, so nearness only tips the scales.
   double own_zone_factor = 1.5;
--- a/libs/serving/src/slot_board.cc
+++ b/libs/serving/src/slot_board.cc
@@ -47,6 +47,7 @@
   Server& server = servers_[known->second];
   server.id = known->second;
   server.record = record;
+  server.near = cell_.Holds(record);
   Index(server);
 }
 
@@ -70,6 +71,16 @@
   by_instance_.erase(known);
 }
 
+void SlotBoard::SetCell(const Cell& cell, size_t entries) {
+  cell_ = cell;
+  entries_in_cell_ = entries;
+  for (auto& [id, server] : servers_) server.near = cell_.Holds(server.record);
+}
+
+size_t SlotBoard::EntriesInCell() const {
+  return entries_in_cell_ == 0 ? reports_.size() + 1 : entries_in_cell_;
+}
+
 void SlotBoard::Retain(std::span<const ServerRecord> records) {
   std::set<std::string> kept;
   for (const ServerRecord& record : records) kept.insert(record.instance);
@@ -225,10 +236,16 @@
 bool SlotBoard::Scarce(std::string_view service, TimePoint now) const {
   const auto rate = others_rate_.find(std::string(service));
   if (rate == others_rate_.end()) return false;
-  const Duration delay =
-      settings_.word_delay + settings_.word_delay_per_entry * reports_.size();
+  const Duration delay = settings_.word_delay +
+                         settings_.word_delay_per_entry * (EntriesInCell() - 1);
   const double taken = rate->second.At(now) * ToSeconds(delay);
-  return CountSlots(service, now).free < settings_.scarce_factor * taken;
+  uint32_t free = 0;
+  for (const auto& [id, server] : servers_) {
+    if (!server.near || !Usable(server, service, {})) continue;
+    if (server.avoid_until > now) continue;
+    free += server.record.slots - std::min(server.record.slots, server.total());
+  }
+  return free < settings_.scarce_factor * taken;
 }
 
 SlotCount SlotBoard::CountSlots(std::string_view service, TimePoint now) const {
@@ -243,13 +260,21 @@
   return count;
 }
 
+double SlotBoard::FreeWeight(const Server& server, uint32_t reserve) const {
+  const uint32_t taken = server.total() + reserve;
+  if (taken >= server.record.slots) return 0;
+  return (server.record.slots - taken) * ZoneFactor(server);
+}
+
+double SlotBoard::BatchWeight(const Server& server) const {
+  if (server.online() >= server.record.slots) return 0;
+  const bool queue = server.total() > server.record.slots;
+  return server.batch() * (queue ? kQueuedBatchFactor : 1.0);
+}
+
 Placement SlotBoard::PlaceOnline(std::string_view service, Duration objective,
                                  std::span<const BackendServerId> excluded,
                                  TimePoint now) {
-  const auto free_slots = [this](const Server& server) {
-    if (server.total() >= server.record.slots) return 0.0;
-    return (server.record.slots - server.total()) * ZoneFactor(server);
-  };
   const auto own_batch = [](const Server& server) {
     const bool certain = server.total() <= server.record.slots;
     return certain ? static_cast<double>(server.own.batch) : 0.0;
@@ -259,17 +284,26 @@
       return Displace(*server);
     }
   }
-  if (const Server* server = Draw(service, excluded, now, free_slots)) {
-    return {.outcome = PlacementOutcome::kPlaced, .server = server->id};
-  }
-  const auto batch_slots = [](const Server& server) {
-    if (server.online() >= server.record.slots) return 0.0;
-    const bool queue = server.total() > server.record.slots;
-    return server.batch() * (queue ? kQueuedBatchFactor : 1.0);
+  const auto draw_free = [&](Reach reach, uint32_t reserve) {
+    return Draw(service, excluded, now, [&](const Server& server) {
+      return Within(server, reach) ? FreeWeight(server, reserve) : 0.0;
+    });
   };
-  if (Server* server = Draw(service, excluded, now, batch_slots)) {
-    return Displace(*server);
+  const auto draw_batch = [&](Reach reach) {
+    return Draw(service, excluded, now, [&](const Server& server) {
+      return Within(server, reach) ? BatchWeight(server) : 0.0;
+    });
+  };
+  const auto take = [](const Server& server) {
+    return Placement{.outcome = PlacementOutcome::kPlaced, .server = server.id};
+  };
+  if (Server* server = draw_free(Reach::kCell, 0)) return take(*server);
+  if (Server* server = draw_free(Reach::kBeyond, settings_.far_reserve)) {
+    return take(*server);
   }
+  if (Server* server = draw_batch(Reach::kCell)) return Displace(*server);
+  if (Server* server = draw_free(Reach::kBeyond, 0)) return take(*server);
+  if (Server* server = draw_batch(Reach::kBeyond)) return Displace(*server);
   Server* least = LeastUsed(service, excluded, now);
   if (!least) {
     return {.outcome = PlacementOutcome::kNoServer,
@@ -292,6 +326,11 @@
   return found == servers_.end() ? nullptr : &found->second.record;
 }
 
+const ServerRecord* SlotBoard::RecordOf(ServerProcessId process) const {
+  const auto known = by_process_.find(process);
+  return known == by_process_.end() ? nullptr : Record(known->second);
+}
+
 BackendServerId SlotBoard::Find(std::string_view instance) const {
   const auto known = by_instance_.find(std::string(instance));
   return known == by_instance_.end() ? BackendServerId() : known->second;
--- a/libs/serving/src/slot_board_batch.cc
+++ b/libs/serving/src/slot_board_batch.cc
@@ -47,7 +47,9 @@
 
 uint32_t SlotBoard::BatchRoom(const Server& server) const {
   const uint32_t slots = server.record.slots;
-  const uint32_t reserve = server.sharing ? 0 : settings_.batch_reserve;
+  const uint32_t usual =
+      server.near ? settings_.batch_reserve : settings_.far_batch_reserve;
+  const uint32_t reserve = server.sharing ? 0 : usual;
   const uint32_t taken = server.total() + reserve;
   const uint32_t free = taken < slots ? slots - taken : 0;
   const uint32_t most = LimitOf(server).start;
@@ -57,21 +59,36 @@
 BackendServerId SlotBoard::PlaceBatch(std::string_view service,
                                       std::span<const BackendServerId> excluded,
                                       TimePoint now) {
-  const auto room = [this](const Server& server) {
-    return BatchRoom(server) * ZoneFactor(server);
-  };
-  const Server* server = Draw(service, excluded, now, room);
-  return server ? server->id : BackendServerId();
+  for (const Reach reach : {Reach::kCell, Reach::kBeyond}) {
+    const auto room = [this, reach](const Server& server) {
+      if (!Within(server, reach)) return 0.0;
+      return BatchRoom(server) * ZoneFactor(server);
+    };
+    const Server* server = Draw(service, excluded, now, room);
+    if (server) return server->id;
+  }
+  return {};
 }
 
-uint32_t SlotBoard::BatchBudget(std::string_view service, size_t entries,
-                                TimePoint now) const {
+double SlotBoard::RoomFor(std::string_view service, Reach reach,
+                          TimePoint now) const {
   uint32_t room = 0;
   for (const auto& [id, server] : servers_) {
-    if (!Usable(server, service, {}) || server.avoid_until > now) continue;
-    room += BatchRoom(server);
+    if (!Within(server, reach) || !Usable(server, service, {})) continue;
+    if (server.avoid_until <= now) room += BatchRoom(server);
   }
-  return 1 + room / static_cast<uint32_t>(2 * std::max<size_t>(entries, 1));
+  return room;
+}
+
+uint32_t SlotBoard::BatchBudget(std::string_view service, size_t entries,
+                                TimePoint now) const {
+  const size_t all = std::max<size_t>(entries, 1);
+  const size_t near =
+      entries_in_cell_ == 0 ? all : std::min(all, entries_in_cell_);
+  constexpr double kMostOfRoom = 0.5;
+  const double share = RoomFor(service, Reach::kCell, now) / near +
+                       RoomFor(service, Reach::kBeyond, now) / all;
+  return 1 + static_cast<uint32_t>(kMostOfRoom * share);
 }
 
 std::vector<BackendServerId> SlotBoard::BatchBeyondSharing() const {
--- a/libs/serving/src/slot_board_reports.cc
+++ b/libs/serving/src/slot_board_reports.cc
@@ -37,7 +37,7 @@
                       ServerUsage usage, TimePoint now) {
   ServerUsage& reported = report.usage[process];
   if (Server* server = FindProcess(process)) {
-    if (usage.online > reported.online) {
+    if (server->near && usage.online > reported.online) {
       others_rate_[server->record.service].Add(usage.online - reported.online,
                                                now);
     }
--- /dev/null
+++ b/libs/serving/tests/cell_map_test.cc
@@ -0,0 +1,61 @@
+#include "serving/cell_map.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace knapweedstile::serving {
+namespace {
+
+std::map<std::string, std::string> Entries(int zones, int in_zone) {
+  std::map<std::string, std::string> entries;
+  for (int z = 0; z < zones; ++z) {
+    for (int e = 0; e < in_zone; ++e) {
+      entries["entry-" + std::to_string(z) + "-" + std::to_string(e)] =
+          "zone-" + std::to_string(z);
+    }
+  }
+  return entries;
+}
+
+}  // namespace
+
+TEST_CASE("a small fleet is one cell") {
+  const CellMap cells(Entries(3, 8));
+  CHECK(cells.Of("entry-0-0") == Cell());
+  CHECK(cells.Of("entry-0-0").Holds({.availability_zone = "zone-2"}));
+}
+
+TEST_CASE("the zones of a large fleet are cells") {
+  const CellMap cells(Entries(5, 12));
+  const Cell cell = cells.Of("entry-1-3");
+  CHECK(cell == cells.Of("entry-1-11"));
+  CHECK_FALSE(cell == cells.Of("entry-2-3"));
+  CHECK(cells.EntriesIn(cell) == 12);
+  CHECK(cell.Holds({.instance = "i-1", .availability_zone = "zone-1"}));
+  CHECK_FALSE(cell.Holds({.instance = "i-1", .availability_zone = "zone-2"}));
+}
+
+// Three hundred entries in five zones: were a zone one cell, each change would
+// go to 59 others again.
+TEST_CASE("a large zone is divided, and each server is in one part") {
+  const CellMap cells(Entries(5, 60));
+  std::map<Cell, size_t> parts;
+  for (int e = 0; e < 60; ++e)
+    ++parts[cells.Of("entry-3-" + std::to_string(e))];
+  CHECK(parts.size() == 5);
+  for (const auto& [cell, entries] : parts) CHECK(entries == 12);
+  for (int s = 0; s < 100; ++s) {
+    const ServerRecord server{.instance = "i-" + std::to_string(s),
+                              .availability_zone = "zone-3"};
+    int holders = 0;
+    for (const auto& [cell, entries] : parts) holders += cell.Holds(server);
+    CHECK(holders == 1);
+  }
+}
+
+TEST_CASE("an entry that is not known may use the whole fleet") {
+  const CellMap cells(Entries(5, 12));
+  CHECK(cells.Of("stranger") == Cell());
+}
+
+}  // namespace knapweedstile::serving
--- a/libs/serving/tests/fleet_model.h
+++ b/libs/serving/tests/fleet_model.h
@@ -24,6 +24,7 @@
     uint64_t seed = 1;
     int entries = 8;
     int servers = 16;
+    int zones = 3;
     uint32_t slots = 8;
     double online_seconds = 0.74;
     double batch_seconds = 4.8;
@@ -34,7 +35,12 @@
     double peak_seconds = 2.2;
     bool batch = true;  // an endless supply of items
     double withdraw_seconds = 0.09;
+    // An entry tells its usage this often, and it is known this much later.
+    double share_every = 0.008;
     double share_delay = 0.01;
+    // Each zone is a cell: its entries are told of its servers as above, and of
+    // all others four times a second.
+    bool cells = false;
     double run_seconds = 30;
     double objective_seconds = 0.3;
     SlotBoardSettings board;
@@ -52,15 +58,18 @@
   explicit FleetModel(const Settings& settings)
       : settings_(settings), rng_(settings.seed), servers_(settings.servers) {
     for (int e = 0; e < settings.entries; ++e) {
-      boards_.push_back(std::make_unique<SlotBoard>(
-          settings.board, "zone-" + std::to_string(e % 3), settings.seed + e));
+      boards_.push_back(std::make_unique<SlotBoard>(settings.board, Zone(e),
+                                                    settings.seed + e));
+      if (settings.cells) {
+        boards_[e]->SetCell({.availability_zone = Zone(e)},
+                            settings.entries / settings.zones);
+      }
       for (int s = 0; s < settings.servers; ++s) {
-        boards_[e]->Upsert(
-            {.instance = Name(s),
-             .service = "llm",
-             .address = "a",
-             .availability_zone = "zone-" + std::to_string(s % 3),
-             .slots = settings.slots});
+        boards_[e]->Upsert({.instance = Name(s),
+                            .service = "llm",
+                            .address = "a",
+                            .availability_zone = Zone(s),
+                            .slots = settings.slots});
       }
     }
   }
@@ -68,6 +77,7 @@
   Outcome Run() {
     double next_arrival = 0;
     double next_share = 0;
+    double next_whole = 0;
     for (now_ = 0; now_ < settings_.run_seconds; now_ += kStep) {
       while (!events_.empty() && events_.top().at <= now_) {
         const Event event = events_.top();
@@ -75,8 +85,12 @@
         Finish(event);
       }
       if (now_ >= next_share) {
-        Share();
-        next_share = now_ + kShareEvery;
+        Share(!settings_.cells);
+        next_share = now_ + settings_.share_every;
+      }
+      if (settings_.cells && now_ >= next_whole) {
+        Share(true);
+        next_whole = now_ + kWholeEvery;
       }
       while (next_arrival <= now_) {
         Arrive();
@@ -90,7 +104,7 @@
 
  private:
   static constexpr double kStep = 0.001;
-  static constexpr double kShareEvery = 0.008;
+  static constexpr double kWholeEvery = 0.25;
 
   struct Request {
     int entry = 0;
@@ -112,10 +126,14 @@
   struct Message {
     double at;
     int from;
+    bool whole;
     UsageByProcess usage;
   };
 
   static std::string Name(int server) { return "i-" + std::to_string(server); }
+  std::string Zone(int index) const {
+    return "zone-" + std::to_string(index % settings_.zones);
+  }
   TimePoint Now() const { return TimePoint{} + FromSeconds(1000 + now_); }
   double Rate() const {
     const double cycle = settings_.valley_seconds + settings_.peak_seconds;
@@ -128,21 +146,40 @@
     return std::stoi(boards_[entry]->Record(id)->instance.substr(2));
   }
 
-  void Share() {
+  void Share(bool whole) {
     for (int e = 0; e < settings_.entries; ++e) {
       messages_.push_back(
-          {now_ + settings_.share_delay, e, boards_[e]->OwnUsage()});
+          {now_ + settings_.share_delay, e, whole, boards_[e]->OwnUsage()});
     }
+    Deliver();
+  }
+
+  void Deliver() {
     while (!messages_.empty() && messages_.front().at <= now_) {
+      const Message& message = messages_.front();
       for (int e = 0; e < settings_.entries; ++e) {
-        if (e == messages_.front().from) continue;
-        boards_[e]->ReportEntry(std::to_string(messages_.front().from),
-                                messages_.front().usage, Now());
+        if (e != message.from) Deliver(message, e);
       }
       messages_.pop_front();
     }
   }
 
+  void Deliver(const Message& message, int entry) {
+    const std::string from = std::to_string(message.from);
+    if (message.whole) {
+      return boards_[entry]->ReportEntry(from, message.usage, Now());
+    }
+    UsageByProcess of_cell;
+    for (int s = entry % settings_.zones; s < settings_.servers;
+         s += settings_.zones) {
+      const ServerProcessId process = ProcessOf({.instance = Name(s)});
+      const auto usage = message.usage.find(process);
+      of_cell[process] =
+          usage == message.usage.end() ? ServerUsage() : usage->second;
+    }
+    boards_[entry]->UpdateEntry(from, of_cell, Now());
+  }
+
   BackendServerId LeastUsed(int entry) {
     BackendServerId best;
     for (int s = 0; s < settings_.servers; ++s) {
--- a/libs/serving/tests/slot_board_test.cc
+++ b/libs/serving/tests/slot_board_test.cc
@@ -190,6 +190,72 @@
   CHECK((by_lot.late + by_lot.refused) * 100 < by_lot.online * 5);
 }
 
+// Load: steps from a quarter to over two thirds of 420 slots beside endless
+// batch, through 58 entries. With one fleet each entry tells its 57 others
+// every 57 ms, and the same free slot is taken several times; in cells of a
+// zone its entries hear of each other after some 15 ms.
+TEST_CASE("many entries are in time at the peak where a zone is a cell") {
+  FleetModel::Outcome one_fleet;
+  FleetModel::Outcome cells;
+  for (uint64_t seed = 1; seed <= 2; ++seed) {
+    FleetModel::Settings settings;
+    settings.seed = seed;
+    settings.entries = 60;
+    settings.servers = 60;
+    settings.zones = 5;
+    settings.slots = 7;
+    settings.online_seconds = 0.57;
+    settings.valley_rate = 108;
+    settings.peak_rate = 527;
+    settings.run_seconds = 15;
+    settings.share_every = 0.057;
+    Add(one_fleet, FleetModel(settings).Run());
+    settings.share_every = 0.011;
+    settings.cells = true;
+    Add(cells, FleetModel(settings).Run());
+  }
+  CAPTURE(one_fleet.online, one_fleet.late, one_fleet.batch_slot_seconds,
+          cells.online, cells.late, cells.batch_slot_seconds);
+  CHECK(one_fleet.late * 100 > one_fleet.online * 10);
+  CHECK(cells.late * 100 < cells.online * 5);
+  CHECK(cells.batch_slot_seconds > 0.9 * one_fleet.batch_slot_seconds);
+}
+
+// A cell whose servers are full sends its callers to a zone that has room,
+// rather than cut off its own items or queue.
+TEST_CASE("beyond its cell an entry uses servers with room") {
+  SlotBoard board({}, "zone-a", 7);
+  board.Upsert(MakeServer("near", 1, "zone-a"));
+  board.Upsert(MakeServer("far", 4, "zone-b"));
+  board.SetCell({.availability_zone = "zone-a"}, 2);
+  const BackendServerId near = board.Find("near");
+  const BackendServerId far = board.Find("far");
+  const auto place = [&] {
+    return board.PlaceOnline("llm", kObjective, {}, kNow);
+  };
+  CHECK(place().server == near);
+  board.Started(near, TrafficClass::kBatch);
+  CHECK(place().server == far);
+  // Its last free slot may be taken by its own entries at this moment.
+  for (int i = 0; i < 3; ++i) board.Started(far, TrafficClass::kOnline);
+  const Placement displacing = place();
+  CHECK(displacing.server == near);
+  CHECK(displacing.displaces_batch);
+  board.Ended(near, TrafficClass::kBatch);
+  board.Started(near, TrafficClass::kOnline);
+  CHECK(place().server == far);
+}
+
+TEST_CASE("items start beyond the cell only where many slots are free") {
+  SlotBoard board({}, "zone-a", 7);
+  board.Upsert(MakeServer("far", 4, "zone-b"));
+  board.SetCell({.availability_zone = "zone-a"}, 2);
+  const BackendServerId far = board.Find("far");
+  CHECK(board.PlaceBatch("llm", {}, kNow) == far);
+  board.Started(far, TrafficClass::kBatch);
+  CHECK_FALSE(board.PlaceBatch("llm", {}, kNow));
+}
+
 // Load: twice what the fleet can run. Requests that cannot be served in time
 // are turned away at once; those that are taken are served soon.
 TEST_CASE("under overload the refused are refused and the rest is in time") {
