--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -12,7 +12,7 @@
 // A change of usage is told at once, but messages keep this distance for each
 // other entry of the cell, so that an entry sends a thousand a second at most.
 // Each millisecond of it lets entries take the same slot.
-constexpr std::chrono::microseconds kSharePausePerEntry{200};
+constexpr std::chrono::milliseconds kSharePausePerEntry{1};
 
 // Items produce an event every 30 ms; what a lost entry costs is at most this
 // and what did not make a step.
--- a/libs/serving/include/serving/slot_board_settings.h
+++ b/libs/serving/include/serving/slot_board_settings.h
@@ -23,7 +23,7 @@
   // through both processes, and what each message waits for the one before
   // (gateway_peers.cc keeps a millisecond for each other entry).
   std::chrono::milliseconds word_delay{5};
-  std::chrono::microseconds word_delay_per_entry{200};
+  std::chrono::milliseconds word_delay_per_entry{1};
   // Free slots are scarce when they are fewer than this many times what others
   // start within that delay. An online request then takes the slot of an own
   // batch item, which is certain, rather than a free one.
