--- a/libs/gateway/src/batch/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -122,6 +122,10 @@
   return StartResult::kStarted;
 }
 
+void BatchRunner::GiveWay(TimePoint now) {
+  for (const BackendServerId server : board_.BatchInTheWay(now)) Yield(server);
+}
+
 // Failure guarded against: an entry that has just started, or whose watch lags,
 // does not know the route that the job was accepted under; giving the item up
 // at once would list it as failed for good. Only a route that stays away under
--- a/libs/gateway/src/batch/batch_runner.h
+++ b/libs/gateway/src/batch/batch_runner.h
@@ -49,6 +49,8 @@
   // Starts what has room, and ends runs that have stalled or are not wanted
   // any more.
   void Run(TimePoint now);
+  // Takes items back behind which online requests wait; every 20 ms.
+  void GiveWay(TimePoint now);
   // Gives up the slot of one item on the backend server.
   void Yield(BackendServerId server);
   // The server's process is gone with all that it ran.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -245,6 +245,7 @@
   board_.ExpireReports(now);
   board_.ObserveDemand(now);
   crashes_.Expire(now);
+  runner_.GiveWay(now);
   RunBatch(now);
   committer_.Run(now);
   collector_.Run(now);
--- a/libs/serving/include/serving/slot_board.h
+++ b/libs/serving/include/serving/slot_board.h
@@ -100,6 +100,10 @@
   // of it: at least one, together at most half of the room there is.
   uint32_t BatchBudget(std::string_view service, size_t entries,
                        TimePoint now) const;
+  // Servers at which an own batch item is to be taken back because online
+  // requests wait behind it; each item that is taken back is reported by
+  // Ended() before the next call. Expects a call every 20 ms or so.
+  std::vector<BackendServerId> BatchInTheWay(TimePoint now);
   // Requests outstanding over the slots of a backend server.
   uint32_t Excess(BackendServerId server) const;
   // Zero when no backend server has room beyond the reserve.
@@ -139,6 +143,7 @@
     ServerUsage own;
     ServerUsage others;  // sum of the live reports
     TimePoint avoid_until{};
+    TimePoint excess_since = kNever;  // more outstanding than slots
     uint32_t failures = 0;
     bool near = true;   // in this entry's cell
     bool gone = false;  // no longer registered; kept while requests run
--- a/libs/serving/include/serving/slot_board_settings.h
+++ b/libs/serving/include/serving/slot_board_settings.h
@@ -28,6 +28,9 @@
   // start within that delay. An online request then takes the slot of an own
   // batch item, which is certain, rather than a free one.
   double scarce_factor = 2.0;
+  // More outstanding than slots for this long is no mere difference between an
+  // end that is known here and a start that is not.
+  std::chrono::milliseconds excess_patience{15};
   // Share of the latency objective that may be spent waiting in a backend
   // server's queue; the rest is for the network and the first token.
   double queue_share_of_objective = 0.5;
--- a/libs/serving/src/slot_board_batch.cc
+++ b/libs/serving/src/slot_board_batch.cc
@@ -91,6 +91,28 @@
   return 1 + static_cast<uint32_t>(kMostOfRoom * share);
 }
 
+// Failure guarded against: two entries take the last free slot in the same
+// milliseconds, and one of the two requests waits until something ends there,
+// half a second beside batch items. Entries with items there draw lots, so that
+// in the mean one item gives way for each request that waits. (Model of 60
+// entries at the peak beside endless batch: 6.2 in 100 late without it.)
+std::vector<BackendServerId> SlotBoard::BatchInTheWay(TimePoint now) {
+  std::vector<BackendServerId> chosen;
+  for (auto& [id, server] : servers_) {
+    if (server.total() <= server.record.slots) {
+      server.excess_since = kNever;
+      continue;
+    }
+    server.excess_since = std::min(server.excess_since, now);
+    if (now - server.excess_since < settings_.excess_patience) continue;
+    if (server.own.batch == 0 || server.online() == 0) continue;
+    const double excess = server.total() - server.record.slots;
+    const double share = excess * server.own.batch / server.batch();
+    if (UniformUnit(rng_) < share) chosen.push_back(id);
+  }
+  return chosen;
+}
+
 std::vector<BackendServerId> SlotBoard::BatchBeyondSharing() const {
   std::vector<BackendServerId> beyond;
   for (const auto& [id, server] : servers_) {
--- a/libs/serving/tests/fleet_model.h
+++ b/libs/serving/tests/fleet_model.h
@@ -35,6 +35,7 @@
     double peak_seconds = 2.2;
     bool batch = true;  // an endless supply of items
     double withdraw_seconds = 0.09;
+    bool give_way = true;  // items leave where online requests wait
     // An entry tells its usage this often, and it is known this much later.
     double share_every = 0.008;
     double share_delay = 0.01;
@@ -97,6 +98,7 @@
         next_arrival += -std::log(1 - UniformUnit(rng_)) / Rate();
       }
       if (settings_.batch) StartBatch();
+      if (settings_.batch && settings_.give_way) GiveWay();
     }
     if (outcome_.online > 0) outcome_.mean_wait /= outcome_.online;
     return outcome_;
@@ -228,6 +230,17 @@
     }
   }
 
+  void GiveWay() {
+    constexpr double kEvery = 0.02;
+    for (int entry = 0; entry < settings_.entries; ++entry) {
+      const double phase = kEvery * entry / settings_.entries;
+      if (std::fmod(now_ + phase, kEvery) >= kStep) continue;
+      for (const BackendServerId id : boards_[entry]->BatchInTheWay(Now())) {
+        CancelBatch(entry, Index(entry, id));
+      }
+    }
+  }
+
   // Items that wait in a server's queue are taken back after a while.
   void WithdrawQueued(int entry) {
     for (int index = 0; index < settings_.servers; ++index) {
