--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -246,6 +246,7 @@
   if (servers_.Expire(now)) policies_.Attach();
   peers_.Expire(now);
   UpdateReaders(now);
+  TakeDigest(now);
   board_.ExpireReports(now);
   board_.ObserveDemand(now);
   crashes_.Expire(now);
--- a/libs/gateway/src/store/kind_mirror.cc
+++ b/libs/gateway/src/store/kind_mirror.cc
@@ -85,6 +85,7 @@
 }
 
 void KindMirror::Poke() {
+  if (parked_) return ReadNow();
   if (!pausing_) return;
   EndPause();
   ReadNow();
