--- a/libs/gateway/src/gateway_pages.cc
+++ b/libs/gateway/src/gateway_pages.cc
@@ -46,6 +46,10 @@
   metrics.DeclareGauge("knap_servers", "backend servers known");
   metrics.DeclareGauge("knap_store_available", "1 while the store answers");
   metrics.DeclareGauge("knap_store_calls", "calls to the store so far");
+  metrics.DeclareGauge("knap_store_reader",
+                       "1 while this entry follows the store for its cell");
+  metrics.DeclareGauge("knap_cell_entries",
+                       "entries that tell each other changes at once");
   metrics.DeclareGauge("knap_online_open", "online requests in progress");
   metrics.DeclareGauge("knap_items_running", "batch items in progress");
   metrics.DeclareGauge("knap_entries_heard", "other entries heard of lately");
@@ -109,6 +113,8 @@
   metrics_.Set("knap_servers", static_cast<double>(board_.server_count()));
   metrics_.Set("knap_store_available", store_.available() ? 1 : 0);
   metrics_.Set("knap_store_calls", static_cast<double>(store_.calls()));
+  metrics_.Set("knap_store_reader", IsReader() ? 1 : 0);
+  metrics_.Set("knap_cell_entries", static_cast<double>(entries_in_cell_));
   metrics_.Set("knap_online_open", static_cast<double>(online_.open()));
   metrics_.Set("knap_items_running", static_cast<double>(runner_.running()));
   metrics_.Set("knap_entries_heard",
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -1,3 +1,6 @@
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -76,7 +79,13 @@
   if (store_.available() && stop_began_at_ == kNever) {
     sound.push_back(settings_.name);
   }
-  readers_ = ChooseReaders(std::move(sound));
+  std::vector<std::string> readers = ChooseReaders(std::move(sound));
+  if (readers != readers_) {
+    LogInfo("store_readers",
+            {{"readers", fmt::format("{}", fmt::join(readers, ","))},
+             {"cell_entries", entries_in_cell_}});
+    readers_ = std::move(readers);
+  }
   const bool fed = !readers_.empty() && !IsReader() && store_.available();
   configuration_mirror_.SetFed(fed);
   server_mirror_.SetFed(fed);
