--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -246,7 +246,6 @@
   if (servers_.Expire(now)) policies_.Attach();
   peers_.Expire(now);
   UpdateReaders(now);
-  TakeDigest(now);
   board_.ExpireReports(now);
   board_.ObserveDemand(now);
   crashes_.Expire(now);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -90,9 +89,6 @@
   bool IsReader() const;
   void PassOn(const StoreNews& news);
   void OnNews(StoreNews&& news);
-  // Goes on from the digest that waits once its records are known here, or
-  // reads them from the store when its time is over.
-  void TakeDigest(TimePoint now);
   // When the store came back last, as far as any entry tells; the start does
   // not count.
   TimePoint StoreRegainedAt() const;
@@ -176,8 +172,6 @@
   size_t entries_in_cell_ = 1;  // this one included
   std::vector<std::string> readers_;
   TimePoint others_regained_at_{};
-  std::optional<StoreNews> digest_;  // of records, some unknown here
-  TimePoint digest_expires_at_{};
   bool share_armed_ = false;
   TimePoint shared_at_{};
   TimePoint shared_whole_at_{};
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -6,9 +6,6 @@
 #include <utility>
 
 #include "base/clock.h"
-#include "base/log.h"
-#include "batch/job_records.h"
-#include "batch/record_digest.h"
 #include "gateway.h"
 #include "operators/object_names.h"
 #include "peers/reader_choice.h"
@@ -26,9 +23,6 @@
 // Items produce an event every 30 ms; what a lost entry costs is at most this
 // and what did not make a step.
 constexpr std::chrono::milliseconds kProgressPause{500};
-// Records that a reader has seen in the store are pushed by their writers
-// within this time.
-constexpr std::chrono::milliseconds kPushTime{300};
 // Of one message, below what the other entries' server takes.
 constexpr size_t kMostProgressBytes = 512 << 10;
 
@@ -90,14 +84,10 @@
   configuration_mirror_.SetFed(fed);
   server_mirror_.SetFed(fed);
   object_mirror_.SetFed(fed);
-  own_mirror_.SetFed(fed);
 }
 
 void Gateway::PassOn(const StoreNews& news) {
-  if (!IsReader()) return;
-  const std::vector<std::string> others = peers_.AddressesIn(cell_);
-  const bool own = news.kind == kOwnKind;
-  news_.Send(others, own ? DigestOf(news) : news);
+  if (IsReader()) news_.Send(peers_.AddressesIn(cell_), news);
 }
 
 void Gateway::OnNews(StoreNews&& news) {
@@ -107,29 +97,7 @@
   if (news.kind == users_platform::kServerKind) {
     return server_mirror_.OnNews(std::move(news));
   }
-  if (news.kind == kOperatorObjects) {
-    return object_mirror_.OnNews(std::move(news));
-  }
-  if (news.kind != kOwnKind) return;
-  const TimePoint now = MonotonicNow();
-  if (digest_) TakeDigest(now);
-  digest_ = std::move(news);
-  digest_expires_at_ = now + kPushTime;
-  TakeDigest(now);
-}
-
-void Gateway::TakeDigest(TimePoint now) {
-  if (!digest_) return;
-  if (KnowsAll(book_, *digest_)) {
-    own_mirror_.OnNews(std::move(*digest_));
-  } else if (now < digest_expires_at_) {
-    return;
-  } else {
-    LogInfo("digest_unknown",
-            {{"as_of", digest_->as_of}, {"records", digest_->objects.size()}});
-    own_mirror_.Poke();
-  }
-  digest_.reset();
+  if (news.kind == kOperatorObjects) object_mirror_.OnNews(std::move(news));
 }
 
 TimePoint Gateway::StoreRegainedAt() const {
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -251,7 +251,6 @@
                        [this](platform::StoredObject&& object) {
                          OnOwnObject(std::move(object));
                        },
-                   .news = [this](const StoreNews& news) { PassOn(news); },
                    .read =
                        [this](TimePoint began) {
                          sync_.OnStoreRead(began, MonotonicNow());
--- a/libs/gateway/src/store/kind_mirror.cc
+++ b/libs/gateway/src/store/kind_mirror.cc
@@ -85,7 +85,6 @@
 }
 
 void KindMirror::Poke() {
-  if (parked_) return ReadNow();
   if (!pausing_) return;
   EndPause();
   ReadNow();
