--- a/libs/gateway/src/batch/job_writer.cc
+++ b/libs/gateway/src/batch/job_writer.cc
@@ -24,16 +24,9 @@
 // Others acknowledge records within some 20 ms. A job that would go beyond this
 // entry's share waits for that, shorter than callers expect their answer in.
 constexpr std::chrono::milliseconds kLongestHold{250};
-<<<<<<< HEAD
-// Every entry knows what is in the store at least this often: a reader after
-// the pause of the records' mirror and a watch's wait, the others by its
-// digest, and by the next one where that is lost.
-constexpr std::chrono::seconds kKnownEverywhere{20};
-=======
 // Every entry reads the store at least this often (the pause of the records'
 // mirror, a watch's wait and its grace).
 constexpr std::chrono::seconds kKnownEverywhere{10};
->>>>>>> parent of b36efda (WIP digest)
 constexpr uint32_t kMostRefusedWrites = 3;
 // Largest record: the store's limit on a value, with room for escapes.
 constexpr size_t kMaxRecordBytes = 1000000;
--- a/libs/serving/src/slot_board_batch.cc
+++ b/libs/serving/src/slot_board_batch.cc
@@ -86,8 +86,9 @@
   const size_t near =
       entries_in_cell_ == 0 ? all : std::min(all, entries_in_cell_);
   constexpr double kMostOfRoom = 0.5;
-  const double share = RoomFor(service, Reach::kCell, now) / near +
-                       RoomFor(service, Reach::kBeyond, now) / all;
+  const double share =
+      RoomFor(service, Reach::kCell, now) / static_cast<double>(near) +
+      RoomFor(service, Reach::kBeyond, now) / static_cast<double>(all);
   return 1 + static_cast<uint32_t>(kMostOfRoom * share);
 }
 
