--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -47,8 +47,19 @@
     "servers_in_groups": [(GATEWAY + "gateway_wiring.cc",
                            "kServerMirrorPause{300};", "kServerMirrorPause{0};")],
     "step_by_step_starts": [("libs/serving/src/slot_board_batch.cc",
-                             "return 1 + room / static_cast<uint32_t>(2 * std::max<size_t>(entries, 1));",
-                             "return 1 + room + 0 * static_cast<uint32_t>(entries);")],
+                             "constexpr double kMostOfRoom = 0.5;",
+                             "const double kMostOfRoom = 2.0 * static_cast<double>(all);")],
+    # Every entry tells all others each change of its slots.
+    "cells": [("libs/serving/src/cell_map.cc", "kMostInOneFleet = 32;",
+               "kMostInOneFleet = 1000000;")],
+    # Requests wait where two have taken the last slot.
+    "give_way": [(GATEWAY + "gateway.cc", "  runner_.GiveWay(now);\n", "")],
+    # Each entry follows the store by itself.
+    "store_readers": [(GATEWAY + "gateway_peers.cc",
+                       "const bool fed = !readers_.empty() && !IsReader()",
+                       "const bool fed = now == kNever && !IsReader()")],
+    # Nothing is placed beyond the own cell while that has items to displace.
+    "beyond_the_cell": [(BOARD, "far_reserve = 1;", "far_reserve = 1000;")],
 }
 
 
--- a/scripts/guards_off.py
+++ b/scripts/guards_off.py
@@ -36,8 +36,8 @@
     "foreign_answers": [
         (GATEWAY + "online/online_answers.cc",
          "if (answer.request_id != call.request_id || !answer.signed_answer) {\n"
-         "    client_.Cancel",
-         "if (call.request_id.empty()) {\n    client_.Cancel"),
+         "    connections_.Cancel",
+         "if (call.request_id.empty()) {\n    connections_.Cancel"),
         (GATEWAY + "online/online_answers.cc",
          "if (answer.request_id != call.request_id || !answer.signed_answer) {\n"
          "    return",
@@ -85,7 +85,7 @@
     ],
     "caller_gone": [
         (GATEWAY + "online/online_calls.cc",
-         "client_.Cancel(found->second.upstream);\n  Finish",
+         "connections_.Cancel(found->second.upstream);\n  Finish",
          "Finish"),
     ],
     "ended_job": [
