--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -112,7 +112,7 @@
   // Tells the other entries which slots this one has taken or left, soon.
   void OnUsageChanged();
   // What has changed since it was last told; told from now on.
-  serving::UsageByProcess UntoldUsage();
+  serving::UsageByProcess TakeUntoldUsage();
   void ShareChanges(TimePoint now);
   void ShareState(TimePoint now);
   PeerState OwnState() const;
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -155,7 +155,7 @@
       .servers_revision = server_mirror_.newest_change()};
 }
 
-serving::UsageByProcess Gateway::UntoldUsage() {
+serving::UsageByProcess Gateway::TakeUntoldUsage() {
   serving::UsageByProcess changes;
   serving::UsageByProcess usage = board_.OwnUsage();
   for (const auto& [process, counts] : usage) {
@@ -174,7 +174,7 @@
 void Gateway::ShareChanges(TimePoint now) {
   share_armed_ = false;
   shared_at_ = now;
-  const serving::UsageByProcess changes = UntoldUsage();
+  const serving::UsageByProcess changes = TakeUntoldUsage();
   PeerState state = OwnState();
   state.partial = true;
   peers_.BroadcastByCell(std::move(state), [&](const serving::Cell& cell) {
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -120,24 +120,22 @@
                 }),
       news_(io, [this](StoreNews&& news) { OnNews(std::move(news)); }),
       connections_(io),
-      online_(connections_, board_, crashes_, metrics_, timeline_, seed + 1,
-              {
-                  .to_caller =
-                      [this](http::ServerCommand&& command) {
-                        callers_.Execute(std::move(command));
-                      },
-                  .displace =
-                      [this](BackendServerId server, const std::string& entry) {
-                        Displace(server, entry);
-                      },
-                  .usage_changed = [this] { OnUsageChanged(); },
-                  .outside =
-                      [this](const serving::Route& route,
-                             const std::string& service,
-                             const std::string& workspace) {
-                        return policies_.Outside(route, service, workspace);
-                      }  // namespace knapweedstile::gateway
-              }),
+      online_(
+          connections_, board_, crashes_, metrics_, timeline_, seed + 1,
+          {.to_caller =
+               [this](http::ServerCommand&& command) {
+                 callers_.Execute(std::move(command));
+               },
+           .displace =
+               [this](BackendServerId server, const std::string& entry) {
+                 Displace(server, entry);
+               },
+           .usage_changed = [this] { OnUsageChanged(); },
+           .outside =
+               [this](const serving::Route& route, const std::string& service,
+                      const std::string& workspace) {
+                 return policies_.Outside(route, service, workspace);
+               }}),
       runner_(
           connections_, board_, book_, routes_, metrics_, timeline_,
           {.owns = [this](const serving::BatchJob& job) { return Owns(job); },
