--- /dev/null
+++ b/libs/workspaces/tests/rate_model.h
@@ -0,0 +1,267 @@
+#ifndef KNAPWEEDSTILE_WORKSPACES_RATE_MODEL_H_
+#define KNAPWEEDSTILE_WORKSPACES_RATE_MODEL_H_
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "base/hash.h"
+#include "base/rng.h"
+#include "workspaces/rate_quota.h"
+
+namespace knapweedstile::workspaces {
+
+// A fleet of entries in simulated time that admit the requests of one
+// workspace, and what they have admitted together. `Quota` judges at each
+// entry; entries tell each other by messages that are late or do not come.
+template <typename Quota>
+class RateModel {
+ public:
+  using Time = std::chrono::milliseconds;
+
+  struct Load {
+    size_t entries = 23;
+    RateLimit limit{.per_second = 64, .burst = 64};
+    double usual_per_second = 40;
+    // By the share of the entries that this workspace's callers reach.
+    double reach = 1;
+    double hot_times = 1;  // of the usual
+    Time hot_from{0};
+    Time hot_until{0};
+    Time length{20000};
+    uint64_t seed = 1;
+  };
+  struct Cut {  // the first `side` entries and the others do not hear each
+                // other
+    Time from{0};
+    Time until{0};
+    size_t side = 0;
+    bool one_way = false;  // the others hear the first ones
+  };
+  struct Kill {  // of the entries [first, first + count)
+    Time at{0};
+    Time down{1000};
+    size_t first = 0;
+    size_t count = 0;
+    Time pause{0};  // stands still instead, for that long
+  };
+
+  std::vector<Cut> cuts;
+  std::vector<Kill> kills;
+  // The limit from then on; the one of the load before.
+  std::map<Time, RateLimit> limits;
+
+  struct Result {
+    uint64_t asked = 0;
+    uint64_t admitted = 0;
+    // What one judge who knows all would have admitted of the same requests.
+    uint64_t ideal = 0;
+    double most_over = -1e9;  // admitted in a window beyond limit and overage
+    double most_over_limit = -1e9;  // the same beyond the limit alone
+    uint64_t messages = 0;
+    uint64_t message_bytes = 0;
+  };
+
+  Result Run(const Load& load) {
+    load_ = load;
+    Rng rng(load.seed);
+    entries_.clear();
+    admitted_.clear();
+    ideal_.clear();
+    in_flight_.clear();
+    Result result;
+    for (size_t i = 0; i < load.entries; ++i) Start(i, Time(0));
+    // As after a long quiet time: all have been up for a while.
+    const Time begin{10000};
+    for (Time now{0}; now < begin + load.length; now += Time(1)) {
+      Step(now, now >= begin ? now - begin : Time(-1), rng, result);
+    }
+    Judge(begin, result);
+    return result;
+  }
+
+ private:
+  static constexpr Time kHeartbeat{250};
+  static constexpr Time kTick{20};
+  static constexpr Time kShare{22};
+  static constexpr Time kDelay{2};
+
+  struct Entry {
+    std::unique_ptr<Quota> quota;
+    uint64_t start = 0;
+    Time up_from{0};  // down or paused until then
+    Time phase{0};
+    bool dirty = false;
+  };
+  struct Message {
+    Time at{0};
+    size_t from = 0;
+    size_t to = 0;
+    uint64_t start = 0;
+    std::shared_ptr<RateReport> report;
+    bool partial = false;
+  };
+
+  static TimePoint At(Time now) {
+    return TimePoint{} + std::chrono::hours(1) + now;
+  }
+  static EntryHash Name(size_t entry) {
+    return Hash64("entry-" + std::to_string(entry));
+  }
+
+  void Start(size_t i, Time now) {
+    if (entries_.size() <= i) entries_.resize(i + 1);
+    Entry& entry = entries_[i];
+    entry.quota = std::make_unique<Quota>(RateQuotaSettings(), Name(i),
+                                          load_.seed + i, At(now));
+    entry.start = static_cast<uint64_t>(now.count()) + 1;
+    entry.phase = Time(static_cast<int64_t>(i * 37) % kHeartbeat.count());
+    std::vector<EntryHash> others;
+    for (size_t other = 0; other < load_.entries; ++other) {
+      if (other != i) others.push_back(Name(other));
+    }
+    entry.quota->SetMembers(others, At(now));
+  }
+
+  bool Hears(size_t from, size_t to, Time day) const {
+    for (const Cut& cut : cuts) {
+      if (day < cut.from || day >= cut.until) continue;
+      const bool from_side = from < cut.side;
+      const bool to_side = to < cut.side;
+      if (from_side == to_side) continue;
+      if (cut.one_way && from_side) continue;
+      return false;
+    }
+    return true;
+  }
+
+  RateLimit LimitAt(Time day) const {
+    const auto later = limits.upper_bound(day);
+    return later == limits.begin() ? load_.limit : std::prev(later)->second;
+  }
+
+  void Send(size_t from, bool partial, Time now, Result& result) {
+    Entry& entry = entries_[from];
+    auto report =
+        std::make_shared<RateReport>(partial ? entry.quota->TakeChanges(At(now))
+                                             : entry.quota->Report(At(now)));
+    for (size_t to = 0; to < entries_.size(); ++to) {
+      if (to == from) continue;
+      ++result.messages;
+      result.message_bytes += 4 + 10 * report->admitted.size() +
+                              18 * report->former.size() +
+                              8 * report->unheard.size();
+      in_flight_.push_back(
+          {now + kDelay, from, to, entry.start, report, partial});
+    }
+  }
+
+  void Step(Time now, Time day, Rng& rng, Result& result) {
+    for (const Kill& kill : kills) {
+      if (day != kill.at) continue;
+      for (size_t i = kill.first; i < kill.first + kill.count; ++i) {
+        if (kill.pause.count() > 0) {
+          entries_[i].up_from = now + kill.pause;
+        } else {
+          entries_[i].up_from = now + kill.down;
+          Start(i, now + kill.down);
+        }
+      }
+    }
+    while (!in_flight_.empty() && in_flight_.front().at <= now) {
+      const Message message = in_flight_.front();
+      in_flight_.pop_front();
+      Entry& to = entries_[message.to];
+      if (to.up_from > now || !Hears(message.from, message.to, day)) continue;
+      to.quota->OnReport(Name(message.from), message.start, *message.report,
+                         message.partial, At(now));
+    }
+    for (size_t i = 0; i < entries_.size(); ++i) {
+      Entry& entry = entries_[i];
+      if (entry.up_from > now) continue;
+      if (entry.up_from == now && now > Time(0)) entry.quota->OnPaused();
+      const Time phase = now + entry.phase;
+      if (phase % kTick == Time(0) || entry.up_from == now) {
+        entry.quota->Expire(At(now));
+      }
+      if (phase % kHeartbeat == Time(0)) Send(i, false, now, result);
+      if (phase % kShare == Time(0) && entry.dirty) {
+        entry.dirty = false;
+        Send(i, true, now, result);
+      }
+    }
+    if (day >= Time(0)) Arrive(now, day, rng, result);
+  }
+
+  void Arrive(Time now, Time day, Rng& rng, Result& result) {
+    const bool hot = day >= load_.hot_from && day < load_.hot_until;
+    const double rate =
+        load_.usual_per_second * (hot ? load_.hot_times : 1) / 1000;
+    double left = rate;
+    while (left > 0 && UniformUnit(rng) < std::min(left, 1.0)) {
+      left -= 1;
+      ++result.asked;
+      const auto reached = static_cast<uint64_t>(
+          std::max(1.0, std::ceil(load_.reach * load_.entries)));
+      const size_t to = UniformBelow(rng, reached);
+      Entry& entry = entries_[to];
+      if (entry.up_from > now) continue;
+      const RateLimit limit = LimitAt(day);
+      if (Room(now, limit)) {
+        ++result.ideal;
+        ideal_.push_back(now);
+      }
+      const RateAnswer answer = entry.quota->Admit(kWorkspace, limit, At(now));
+      if (answer.verdict == RateVerdict::kAdmitted) {
+        entry.dirty = true;
+        ++result.admitted;
+        admitted_.push_back(now);
+      }
+    }
+  }
+
+  // Whether the limit has room for one more, by all that was admitted ideally.
+  bool Room(Time now, const RateLimit& limit) const {
+    return CountSince(ideal_, now - Time(5000), now) + 1 <= limit.MostIn(5) &&
+           CountSince(ideal_, now - Time(1000), now) + 1 <= limit.MostIn(1);
+  }
+  static double CountSince(const std::vector<Time>& times, Time from,
+                           Time until) {
+    return static_cast<double>(
+        std::upper_bound(times.begin(), times.end(), until) -
+        std::upper_bound(times.begin(), times.end(), from));
+  }
+
+  // Windows that end with an admission, each against the highest limit that
+  // was in force within it.
+  void Judge(Time begin, Result& result) const {
+    for (const Time end : admitted_) {
+      double most = LimitAt(end - begin).MostIn(5);
+      for (const auto& [from, limit] : limits) {
+        if (from <= end - begin && from > end - begin - Time(6000)) {
+          most = std::max({most, load_.limit.MostIn(5), limit.MostIn(5)});
+        }
+      }
+      const double count = CountSince(admitted_, end - Time(5000), end);
+      result.most_over = std::max(result.most_over, count - (most * 1.1 + 20));
+      result.most_over_limit = std::max(result.most_over_limit, count - most);
+    }
+  }
+
+  static constexpr WorkspaceHash kWorkspace = 7;
+
+  Load load_;
+  std::vector<Entry> entries_;
+  std::vector<Time> admitted_;
+  std::vector<Time> ideal_;
+  std::deque<Message> in_flight_;
+};
+
+}  // namespace knapweedstile::workspaces
+
+#endif  // KNAPWEEDSTILE_WORKSPACES_RATE_MODEL_H_
