--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "settings/schema.h"
+#include "workspaces/rate_quota_settings.h"
 
 namespace knapweedstile::gateway {
 
@@ -27,6 +28,13 @@
   std::chrono::milliseconds result_retention{120000};
   // Between the signal to stop and the kill that follows it.
   std::chrono::milliseconds stop_grace{8000};
+  // How closely workspaces are kept to their rates.
+  workspaces::RateQuotaSettings rate_quota;
+  // How long a gateway that has no news of the configuration takes its keys for
+  // valid; zero: without end.
+  std::chrono::milliseconds trust_configuration_for{0};
+  // What the users' platform sets that has no meaning here; told in the log.
+  std::string unexplained_bounds;
   // Last events of the time line that are kept; each takes some 300 bytes.
   uint32_t timeline_events = 2000;
   LogLevel log_level = LogLevel::kInfo;
--- a/libs/gateway/src/batch/batch_api.cc
+++ b/libs/gateway/src/batch/batch_api.cc
@@ -38,11 +38,9 @@
   return tokens;
 }
 
-// The submission's items, or why it is not one.
-Result<uint64_t> TokensOfText(std::string_view text) {
-  BOOST_LEAF_AUTO(items, users_platform::ParseSubmission(
-                             text, users_platform::kMostItemsOfCaller));
-  return TokensOf(items);
+// A job of no workspace is open to all callers.
+bool IsOf(const serving::BatchJob& job, const CallerIdentity& caller) {
+  return job.workspace.empty() || job.workspace == caller.workspace;
 }
 
 }  // namespace
@@ -73,31 +71,44 @@
       .exchange = caller, .status = status, .headers = std::move(headers)});
 }
 
-void BatchApi::Submit(http::RequestEvent&& request,
-                      const serving::Route& route) {
+std::string BatchApi::KeyOf(std::string_view id,
+                            const CallerIdentity& caller) const {
+  std::string key = JobKey(caller.workspace, id);
+  if (book_.Find(key)) return key;
+  // A job that was handed in before jobs had workspaces is open to all callers.
+  const serving::BatchJob* unowned = book_.Find(id);
+  return unowned && unowned->workspace.empty() ? std::string(id) : key;
+}
+
+void BatchApi::Submit(http::RequestEvent&& request, const serving::Route& route,
+                      const CallerIdentity& identity) {
   const ExchangeId caller = request.exchange;
-  const auto fields = users_platform::DecodeCaller(request.headers);
-  const std::string& job = fields.request_id;
   if (request.method != "POST") return Respond(caller, 405);
-  if (job.empty()) return Respond(caller, 400);
-  // The same job again: its caller did not hear that it was accepted.
-  if (book_.Find(job)) return Respond(caller, 202);
-  const auto tokens = boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<std::optional<uint64_t>> {
-        BOOST_LEAF_AUTO(count, TokensOfText(request.body));
-        return std::optional<uint64_t>(count);
+  // An id that was made here would not be the same when the job comes again.
+  if (identity.own_interface) return Respond(caller, 400);
+  const std::string job = KeyOf(identity.request_id, identity);
+  if (const serving::BatchJob* known = book_.Find(job)) {
+    // The same job again: its caller did not hear that it was accepted.
+    return Respond(caller, IsOf(*known, identity) ? 202 : 409);
+  }
+  const auto items = boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::vector<serving::BatchItem>> {
+        return users_platform::ParseSubmission(
+            request.body, users_platform::kMostItemsOfCaller);
       },
       [&](const Error& error) {
         LogWarning("job_invalid", {{"job", job}, {"reason", error.message}});
-        return std::optional<uint64_t>();
+        return std::vector<serving::BatchItem>();
       },
-      [] { return std::optional<uint64_t>(); });
-  if (!tokens) return Respond(caller, 400);
+      [] { return std::vector<serving::BatchItem>(); });
+  if (items.empty()) return Respond(caller, 400);
+  // Written anew: the caller's text may hold keys in the items' headers.
   writer_.Submit(
       {.job = job,
-       .record = NewJobRecord(own_name_, fields.host, route, {},
-                              std::move(request.body)),
-       .tokens = *tokens,
+       .record =
+           NewJobRecord(own_name_, identity.host, route, identity.workspace,
+                        users_platform::RenderSubmission(items)),
+       .tokens = TokensOf(items),
        .most_waiting_tokens = route.max_waiting_tokens,
        .arrived_at = request.received_at},
       [this, caller](SubmitOutcome outcome) { OnSubmitted(caller, outcome); });
@@ -118,20 +129,25 @@
   }
 }
 
-void BatchApi::Call(http::RequestEvent&& request, const BatchCall& call) {
+void BatchApi::Call(http::RequestEvent&& request, const BatchCall& call,
+                    const CallerIdentity& identity) {
+  const std::string job = KeyOf(call.job, identity);
+  const serving::BatchJob* known = book_.Find(job);
+  if (known && !IsOf(*known, identity)) return Respond(request.exchange, 404);
   if (call.operation == BatchOperation::kEnd) {
-    return End(request.exchange, call.job, request.received_at + kEndTimeout);
+    return End(request.exchange, job, request.received_at + kEndTimeout);
   }
-  Serve(request.exchange, call);
+  Serve(request.exchange, job, call);
 }
 
-void BatchApi::Serve(ExchangeId caller, const BatchCall& call) {
-  const serving::BatchJob* job = book_.Find(call.job);
-  if (!job) return Fetch(caller, call);
+void BatchApi::Serve(ExchangeId caller, const std::string& job,
+                     const BatchCall& call) {
+  const serving::BatchJob* known = book_.Find(job);
+  if (!known) return Fetch(caller, job);
   if (call.operation == BatchOperation::kRead) {
-    return ServeRead(caller, call, *job);
+    return ServeRead(caller, call, *known);
   }
-  ServeBody(caller, call, *job);
+  ServeBody(caller, call, *known);
 }
 
 void BatchApi::ServeRead(ExchangeId caller, const BatchCall& call,
@@ -144,7 +160,7 @@
   // Nothing more will come: waiting would only delay the reader.
   const bool final = !job.open() && call.position <= job.results.size();
   if (has_result || final || wait.count() == 0) return AnswerRead(read, job);
-  reads_.emplace(call.job, read);
+  reads_.emplace(job.id, read);
 }
 
 void BatchApi::AnswerRead(const Read& read, const serving::BatchJob& job) {
@@ -166,11 +182,10 @@
   Respond(caller, 200, job.items[index->second].body, kBytes);
 }
 
-void BatchApi::Fetch(ExchangeId caller, const BatchCall& call) {
+void BatchApi::Fetch(ExchangeId caller, const std::string& job) {
   store_.CallAnyWay(
-      platform::ReadRequest{.kind = kOwnKind, .name = JobName(call.job)},
-      MonotonicNow() + kReadTimeout,
-      [this, caller, call](StoreAnswer&& answer) {
+      platform::ReadRequest{.kind = kOwnKind, .name = JobName(job)},
+      MonotonicNow() + kReadTimeout, [this, caller](StoreAnswer&& answer) {
         if (answer.outcome == StoreOutcome::kNotFound) {
           return Respond(caller, 404);
         }
--- a/libs/gateway/src/batch/batch_api.h
+++ b/libs/gateway/src/batch/batch_api.h
@@ -12,6 +12,7 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "batch/job_writer.h"
+#include "callers/caller_identity.h"
 #include "http/server_command.h"
 #include "http/server_event.h"
 #include "observe/metrics.h"
@@ -38,9 +39,11 @@
   BatchApi(StoreCalls& store, serving::JobBook& book, JobWriter& writer,
            std::string own_name, Ports ports);
 
-  void Submit(http::RequestEvent&& request, const serving::Route& route);
-  void Call(http::RequestEvent&& request,
-            const users_platform::BatchCall& call);
+  void Submit(http::RequestEvent&& request, const serving::Route& route,
+              const CallerIdentity& caller);
+  // A job is found by its own workspace only; to others it does not exist.
+  void Call(http::RequestEvent&& request, const users_platform::BatchCall& call,
+            const CallerIdentity& caller);
   void OnCallerGone(ExchangeId caller);
   // Records of the job came from the store or were committed here.
   void OnProgress(const std::string& job);
@@ -54,14 +57,18 @@
     TimePoint answer_at;
   };
   void OnSubmitted(ExchangeId caller, SubmitOutcome outcome);
-  void Serve(ExchangeId caller, const users_platform::BatchCall& call);
+  // The key of the caller's job with that id, whether or not it exists.
+  std::string KeyOf(std::string_view id, const CallerIdentity& caller) const;
+  // `job`: its key.
+  void Serve(ExchangeId caller, const std::string& job,
+             const users_platform::BatchCall& call);
   void ServeRead(ExchangeId caller, const users_platform::BatchCall& call,
                  const serving::BatchJob& job);
   void ServeBody(ExchangeId caller, const users_platform::BatchCall& call,
                  const serving::BatchJob& job);
   void End(ExchangeId caller, const std::string& job, TimePoint give_up_at);
   // Asks the store for a job that the book does not hold.
-  void Fetch(ExchangeId caller, const users_platform::BatchCall& call);
+  void Fetch(ExchangeId caller, const std::string& job);
   void AnswerRead(const Read& read, const serving::BatchJob& job);
   void Respond(ExchangeId caller, unsigned status, std::string body = {},
                std::string_view type = {});
--- a/libs/gateway/src/batch/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -109,6 +109,7 @@
   request.headers =
       users_platform::ItemHeaders(work.headers, work.id, job.host,
                                   {.instance = record.instance,
+                                   .workspace = job.workspace,
                                    .budget = kLongestRun,
                                    .after_event = progress.last_event});
   request.body = work.body;
--- a/libs/gateway/src/batch/job_records.cc
+++ b/libs/gateway/src/batch/job_records.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "users_platform/batch_calls.h"
 
 namespace knapweedstile::gateway {
@@ -67,6 +68,11 @@
   return record;
 }
 
+std::string JobKey(std::string_view workspace, std::string_view id) {
+  if (workspace.empty()) return std::string(id);
+  return fmt::format("{}-{}", HexOf(Hash64(workspace)), id);
+}
+
 std::string JobName(std::string_view job) {
   return fmt::format("{}{}", kJobPrefix, job);
 }
--- a/libs/gateway/src/batch/job_records.h
+++ b/libs/gateway/src/batch/job_records.h
@@ -32,6 +32,9 @@
   uint32_t segment = 0;  // kSegment
 };
 RecordName ParseRecordName(std::string_view name);
+// What a job is known by inside: the caller's id, and the workspace that it
+// belongs to. Two workspaces may use the same id; each finds its own job only.
+std::string JobKey(std::string_view workspace, std::string_view id);
 std::string JobName(std::string_view job);
 std::string SegmentName(std::string_view job, uint32_t number);
 std::string EndName(std::string_view job);
--- a/libs/gateway/src/batch/job_writer.cc
+++ b/libs/gateway/src/batch/job_writer.cc
@@ -40,15 +40,15 @@
 
 serving::QuotaVerdict JobWriter::Judge(const Request& request) const {
   if (request.most_waiting_tokens == 0) return serving::QuotaVerdict::kFits;
-  const std::string& route = request.record.route;
-  uint64_t waiting = book_.WaitingTokens(route);
+  const serving::QuotaScope scope = request.scope();
+  uint64_t waiting = book_.WaitingTokens(scope);
   for (const auto& [id, submission] : submissions_) {
-    if (submission.request.record.route == route) {
+    if (submission.request.scope() == scope) {
       waiting += submission.request.tokens;
     }
   }
   const auto verdict =
-      quota_.Judge(route, waiting, request.tokens, request.most_waiting_tokens,
+      quota_.Judge(scope, waiting, request.tokens, request.most_waiting_tokens,
                    ports_.entries());
   // Failure guarded against: an entry that wakes from a pause, or was cut off,
   // knows less than what waits, and would give away what others have taken. An
@@ -65,13 +65,15 @@
 
 void JobWriter::Refuse(const Request& request, SubmitOutcome outcome,
                        std::string_view cause) {
-  LogWarning("job_refused",
-             {{"job", request.job},
-              {"outcome", NameOf(outcome)},
-              {"cause", cause},
-              {"tokens", request.tokens},
-              {"waiting", book_.WaitingTokens(request.record.route)},
-              {"limit", request.most_waiting_tokens}});
+  LogWarning("job_refused", {{"job", request.job},
+                             {"outcome", NameOf(outcome)},
+                             {"cause", cause},
+                             {"tokens", request.tokens},
+                             {"workspace", request.record.workspace.empty()
+                                               ? "-"
+                                               : request.record.workspace},
+                             {"waiting", book_.WaitingTokens(request.scope())},
+                             {"limit", request.most_waiting_tokens}});
   metrics_.Add("knap_jobs_total", {std::string(NameOf(outcome))});
 }
 
@@ -119,7 +121,7 @@
 
 void JobWriter::Begin(Request&& request, Submitted done) {
   if (request.most_waiting_tokens != 0) {
-    quota_.Take(request.job, request.record.route, request.tokens);
+    quota_.Take(request.job, request.scope(), request.tokens);
   }
   const SubmissionId id = ++last_submission_;
   Submission& submission = submissions_[id];
--- a/libs/gateway/src/batch/job_writer.h
+++ b/libs/gateway/src/batch/job_writer.h
@@ -61,8 +61,12 @@
     std::string job;
     JobRecord record;
     uint64_t tokens = 0;
-    uint64_t most_waiting_tokens = 0;  // of the route; zero: no limit
+    uint64_t most_waiting_tokens = 0;  // of the scope; zero: no limit
     TimePoint arrived_at;
+
+    serving::QuotaScope scope() const {
+      return {.route = record.route, .workspace = record.workspace};
+    }
   };
 
   JobWriter(StoreCalls& store, serving::JobBook& book,
--- a/libs/gateway/src/batch/own_batches.cc
+++ b/libs/gateway/src/batch/own_batches.cc
@@ -155,6 +155,13 @@
   return path == kPath || path.starts_with(kRoutePath);
 }
 
+const serving::Route* OwnBatches::FindRoute(const serving::RouteTable& routes,
+                                            std::string_view host) {
+  const serving::Route* route = routes.Find(host, kRoutePath);
+  const bool batch = route && route->kind == serving::RouteKind::kBatch;
+  return batch ? route : nullptr;
+}
+
 void OwnBatches::OnRequest(http::RequestEvent&& request,
                            const CallerIdentity& caller) {
   const auto url = boost::urls::parse_origin_form(request.target);
@@ -192,8 +199,8 @@
 void OwnBatches::Submit(http::RequestEvent&& request,
                         const CallerIdentity& caller) {
   const ExchangeId exchange = request.exchange;
-  const serving::Route* route = routes_.Find(caller.host, kRoutePath);
-  if (!route || route->kind != serving::RouteKind::kBatch) {
+  const serving::Route* route = FindRoute(routes_, caller.host);
+  if (!route) {
     const bool unknown = routes_.version == 0;
     return ports_.to_caller(ToCommand(
         exchange, {.status = unknown ? 503U : 404U,
--- a/libs/gateway/src/batch/own_batches.h
+++ b/libs/gateway/src/batch/own_batches.h
@@ -38,6 +38,9 @@
              JobWriter& writer, std::string own_name, Ports ports);
 
   static bool IsTarget(std::string_view target);
+  // The route whose settings hold for these jobs on the host, or null.
+  static const serving::Route* FindRoute(const serving::RouteTable& routes,
+                                         std::string_view host);
   void OnRequest(http::RequestEvent&& request, const CallerIdentity& caller);
 
  private:
--- a/libs/gateway/src/callers/caller_identity.cc
+++ b/libs/gateway/src/callers/caller_identity.cc
@@ -1,40 +1,20 @@
 #include "callers/caller_identity.h"
 
-#include <fmt/format.h>
-#include <openssl/sha.h>
-
 #include <algorithm>
-#include <array>
 #include <boost/json.hpp>
 #include <charconv>
 
-#include "objects/catalog.h"
 #include "users_platform/request_headers.h"
+#include "workspaces/credentials.h"
+#include "workspaces/directory.h"
 
 namespace knapweedstile::gateway {
 namespace {
 
 namespace json = boost::json;
-
-constexpr std::string_view kBearer = "Bearer ";
-
-std::string Sha256Hex(std::string_view text) {
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest;
-  ::SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-           digest.data());
-  std::string hex;
-  for (const unsigned char byte : digest) hex += fmt::format("{:02x}", byte);
-  return hex;
-}
-
-const objects::Workspace* WorkspaceOfKey(const http::HeaderList& headers,
-                                         const objects::Catalog& catalog) {
-  const std::string_view value = headers.Find("Authorization");
-  if (!value.starts_with(kBearer) || catalog.workspaces().empty()) {
-    return nullptr;
-  }
-  return catalog.WorkspaceByKey(Sha256Hex(value.substr(kBearer.size())));
-}
+using workspaces::Credentials;
+using workspaces::Directory;
+using workspaces::Workspace;
 
 std::optional<Duration> OwnBudget(const http::HeaderList& headers) {
   const std::string_view text = headers.Find("X-Deadline-Ms");
@@ -56,10 +36,43 @@
                                      : std::string();
 }
 
+// Without a key: a workspace that has none is entered by its name.
+void EnterByName(const http::HeaderList& headers, const Directory& workspaces,
+                 CallerIdentity& caller) {
+  if (workspaces.needs_key()) {
+    caller.access = CallerAccess::kNoKey;
+    return;
+  }
+  const Workspace* named = workspaces.Find(headers.Find("X-Workspace"));
+  if (!named) return;
+  if (named->keys.empty()) {
+    caller.workspace = named->name;
+  } else {
+    caller.access = CallerAccess::kNoKey;
+  }
+}
+
+// Where no workspace has a key, a caller's key is of no concern here.
+void Enter(const http::HeaderList& headers, const Directory& workspaces,
+           CallerIdentity& caller) {
+  const Credentials credentials = workspaces::ReadCredentials(headers);
+  const bool keys_matter = workspaces.needs_key() || workspaces.has_keys();
+  if (!credentials.present || !keys_matter) {
+    return EnterByName(headers, workspaces, caller);
+  }
+  if (credentials.malformed()) {
+    caller.access = CallerAccess::kMalformedKey;
+  } else if (const Workspace* owner = workspaces.FindByKey(*credentials.key)) {
+    caller.workspace = owner->name;
+  } else {
+    caller.access = CallerAccess::kUnknownKey;
+  }
+}
+
 }  // namespace
 
 CallerIdentity ReadCaller(const http::HeaderList& headers,
-                          const objects::Catalog& catalog,
+                          const Directory& workspaces,
                           const std::string& made_id) {
   const auto platform = users_platform::DecodeCaller(headers);
   CallerIdentity caller{.host = platform.host,
@@ -69,31 +82,16 @@
   if (caller.own_interface) caller.request_id = headers.Find("X-Request-Id");
   if (caller.request_id.empty()) caller.request_id = made_id;
   if (!caller.budget) caller.budget = OwnBudget(headers);
-  if (const auto* owner = WorkspaceOfKey(headers, catalog)) {
-    caller.workspace = owner->name;
-  } else if (const auto named =
-                 catalog.workspaces().find(headers.Find("X-Workspace"));
-             named != catalog.workspaces().end()) {
-    caller.workspace = named->first;
-  }
+  Enter(headers, workspaces, caller);
   return caller;
 }
 
-bool HoldsKey(const http::HeaderList& headers, const CallerIdentity& caller,
-              const objects::Catalog& catalog) {
-  const auto found = catalog.workspaces().find(caller.workspace);
-  if (found == catalog.workspaces().end()) return true;
-  return found->second.key_sha256.empty() ||
-         WorkspaceOfKey(headers, catalog) == &found->second;
-}
-
 bool MayAskModel(std::string_view body, const CallerIdentity& caller,
-                 const objects::Catalog& catalog) {
-  const auto found = catalog.workspaces().find(caller.workspace);
-  if (found == catalog.workspaces().end()) return true;
-  const std::vector<std::string>& models = found->second.models;
-  return models.empty() ||
-         std::find(models.begin(), models.end(), ModelOf(body)) != models.end();
+                 const Directory& workspaces) {
+  const Workspace* workspace = workspaces.Find(caller.workspace);
+  if (!workspace || workspace->models.empty()) return true;
+  const std::vector<std::string>& models = workspace->models;
+  return std::find(models.begin(), models.end(), ModelOf(body)) != models.end();
 }
 
 }  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/callers/intake.cc
@@ -0,0 +1,188 @@
+#include "callers/intake.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "batch/own_batches.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+using serving::Route;
+using serving::RouteKind;
+using workspaces::RateAnswer;
+using workspaces::RateVerdict;
+
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kForbidden = 403;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kUnavailable = 503;
+
+// A read of the configuration takes some milliseconds while the store answers.
+constexpr std::chrono::milliseconds kDoubtRetry{500};
+
+}  // namespace
+
+Intake::Intake(const serving::RouteTable& routes,
+               const workspaces::Directory& workspaces,
+               workspaces::RateQuota& rate, observe::Metrics& metrics,
+               std::string id_prefix, Duration trust_for, Ports ports)
+    : routes_(routes),
+      workspaces_(workspaces),
+      rate_(rate),
+      metrics_(metrics),
+      id_prefix_(std::move(id_prefix)),
+      trust_for_(trust_for),
+      ports_(std::move(ports)) {}
+
+void Intake::OnRequest(http::RequestEvent&& request) {
+  const CallerIdentity identity =
+      ReadCaller(request.headers, workspaces_,
+                 fmt::format("{}-{}", id_prefix_, ++made_ids_));
+  if (OwnBatches::IsTarget(request.target)) {
+    const Route* route = OwnBatches::FindRoute(routes_, identity.host);
+    if (!MayEnter(request, identity, route && route->is_public)) return;
+    return ports_.own_batches(std::move(request), identity);
+  }
+  const auto call = users_platform::DecodeBatchCall(
+      request.method, request.target, request.headers);
+  if (call.operation != users_platform::BatchOperation::kNone) {
+    if (!MayEnter(request, identity, HasPublicJobs(identity.host))) return;
+    return ports_.call_job(std::move(request), call, identity);
+  }
+  const Route* route = routes_.Find(identity.host, request.target);
+  if (!route) return RefuseRoute(request, identity);
+  if (!MayEnter(request, identity, route->is_public)) return;
+  if (route->kind == RouteKind::kBatch) {
+    return ports_.submit_job(std::move(request), *route, identity);
+  }
+  if (!MayAsk(request, identity)) return;
+  if (!FitsRate(request, identity)) return;
+  ports_.online(std::move(request), *route, identity);
+}
+
+bool Intake::HasPublicJobs(std::string_view host) const {
+  return std::any_of(routes_.routes.begin(), routes_.routes.end(),
+                     [host](const Route& route) {
+                       return route.host == host && route.is_public &&
+                              route.kind == RouteKind::kBatch;
+                     });
+}
+
+void Intake::Refuse(const http::RequestEvent& request,
+                    const CallerIdentity& identity, const ErrorAnswer& error,
+                    std::string_view cause) {
+  LogInfo("turned_away",
+          {{"request", identity.request_id},
+           {"workspace", identity.workspace.empty() ? "-" : identity.workspace},
+           {"host", identity.host},
+           {"target", request.target},
+           {"status", error.status},
+           {"cause", cause},
+           {"configuration", routes_.version},
+           {"configuration_age_ms", ToMillis(ports_.configuration_age())}});
+  metrics_.Add("knap_turned_away_total", {std::string(cause)});
+  ErrorAnswer answer = error;
+  answer.request_id = identity.request_id;
+  answer.truth = RunTruth::kNotRun;
+  ports_.to_caller(ToCommand(request.exchange, answer));
+}
+
+void Intake::RefuseInDoubt(const http::RequestEvent& request,
+                           const CallerIdentity& identity,
+                           std::string_view cause) {
+  ports_.look_again();
+  Refuse(request, identity,
+         {.status = kUnavailable,
+          .code = "configuration_in_doubt",
+          .message = "what is known here may be old; come back",
+          .retry_after = kDoubtRetry},
+         cause);
+}
+
+void Intake::RefuseRoute(const http::RequestEvent& request,
+                         const CallerIdentity& identity) {
+  const bool sure =
+      routes_.version != 0 && ports_.configuration_age() == Duration::zero();
+  if (!sure) return RefuseInDoubt(request, identity, "no_route");
+  Refuse(request, identity,
+         {.status = kNotFound,
+          .code = "no_route",
+          .message = "no route leads there"},
+         "no_route");
+}
+
+// Failure guarded against: a gateway that has no configuration, or an old one,
+// denies a key that holds; the caller takes that for final and does not come
+// again.
+bool Intake::MayEnter(const http::RequestEvent& request,
+                      const CallerIdentity& identity, bool is_public) {
+  if (is_public) return true;
+  const Duration age = ports_.configuration_age();
+  if (identity.access == CallerAccess::kGranted) {
+    const bool trusted = trust_for_ == Duration::zero() || age <= trust_for_ ||
+                         identity.workspace.empty();
+    if (!trusted) RefuseInDoubt(request, identity, "configuration_too_old");
+    return trusted;
+  }
+  const bool final =
+      identity.access == CallerAccess::kMalformedKey || age == Duration::zero();
+  if (routes_.version == 0 || !final) {
+    RefuseInDoubt(request, identity, NameOf(identity.access));
+    return false;
+  }
+  Refuse(request, identity,
+         {.status = kUnauthorized,
+          .code = "invalid_api_key",
+          .message = "a key of a workspace is needed here"},
+         NameOf(identity.access));
+  return false;
+}
+
+bool Intake::MayAsk(const http::RequestEvent& request,
+                    const CallerIdentity& identity) {
+  if (MayAskModel(request.body, identity, workspaces_)) return true;
+  Refuse(request, identity,
+         {.status = kForbidden,
+          .code = "model_not_allowed",
+          .message = "this workspace may not ask for this model"},
+         "model");
+  return false;
+}
+
+bool Intake::FitsRate(const http::RequestEvent& request,
+                      const CallerIdentity& identity) {
+  const workspaces::Workspace* workspace = workspaces_.Find(identity.workspace);
+  if (!workspace || !workspace->rate.limited()) return true;
+  const RateAnswer answer =
+      rate_.Admit(Hash64(workspace->name), workspace->rate, MonotonicNow());
+  if (answer.verdict == RateVerdict::kAdmitted) return true;
+  LogInfo("over_rate", {{"request", identity.request_id},
+                        {"workspace", workspace->name},
+                        {"verdict", NameOf(answer.verdict)},
+                        {"limit", std::llround(answer.limit)},
+                        {"known", std::llround(answer.known)},
+                        {"own", answer.own},
+                        {"silent_entries", answer.silent},
+                        {"oldest_report_ms", ToMillis(answer.oldest_report)},
+                        {"retry_after_ms", ToMillis(answer.retry_after)}});
+  metrics_.Add("knap_workspace_refused_total",
+               {workspace->name, std::string(NameOf(answer.verdict))});
+  ErrorAnswer error{.status = kTooManyRequests,
+                    .code = "rate_limit_exceeded",
+                    .message = "the workspace has sent more than its rate",
+                    .request_id = identity.request_id,
+                    .truth = RunTruth::kNotRun,
+                    .retry_after = answer.retry_after};
+  ports_.to_caller(ToCommand(request.exchange, error));
+  return false;
+}
+
+}  // namespace knapweedstile::gateway
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -8,17 +8,12 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "batch/job_records.h"
-#include "callers/error_answer.h"
-#include "users_platform/batch_calls.h"
 #include "users_platform/configuration.h"
-#include "users_platform/request_headers.h"
 #include "users_platform/store_names.h"
 
 namespace knapweedstile::gateway {
 namespace {
 
-using users_platform::BatchOperation;
-
 // Housekeeping: deadlines of reads, starts of items, shared usage.
 constexpr std::chrono::milliseconds kTick{20};
 // Without a change, often enough that silence is noticed soon.
@@ -92,80 +87,11 @@
     batch_.OnCallerGone(gone->exchange);
     return true;
   }
-  OnRequest(std::get<http::RequestEvent>(std::move(event)));
+  NoticePause();
+  intake_.OnRequest(std::get<http::RequestEvent>(std::move(event)));
   return true;
 }
 
-void Gateway::OnRequest(http::RequestEvent&& request) {
-  const ExchangeId caller = request.exchange;
-  const CallerIdentity identity = ReadCaller(
-      request.headers, policies_.catalog(),
-      fmt::format("{}-{:x}-{}", settings_.name, start_, ++made_ids_));
-  if (!HasAccess(request, identity)) return;
-  if (OwnBatches::IsTarget(request.target)) {
-    return own_batches_.OnRequest(std::move(request), identity);
-  }
-  const auto call = users_platform::DecodeBatchCall(
-      request.method, request.target, request.headers);
-  if (call.operation != BatchOperation::kNone) {
-    return batch_.Call(std::move(request), call);
-  }
-  const serving::Route* route = routes_.Find(identity.host, request.target);
-  if (!route) {
-    // Without a configuration nothing is known of any route.
-    const unsigned status = routes_.version == 0 ? 503 : 404;
-    LogInfo("no_route", {{"request", identity.request_id},
-                         {"host", identity.host},
-                         {"target", request.target},
-                         {"status", status},
-                         {"configuration", routes_.version}});
-    callers_.Execute(ToCommand(caller, {.status = status,
-                                        .code = "no_route",
-                                        .message = "no route leads there",
-                                        .request_id = identity.request_id,
-                                        .truth = RunTruth::kNotRun}));
-    return;
-  }
-  if (route->kind == serving::RouteKind::kBatch) {
-    return batch_.Submit(std::move(request), *route);
-  }
-  if (!HasModel(request, identity)) return;
-  online_.Begin(std::move(request), *route, identity);
-}
-
-// False when the caller may not act for its workspace, which it has been told.
-bool Gateway::HasAccess(const http::RequestEvent& request,
-                        const CallerIdentity& identity) {
-  if (HoldsKey(request.headers, identity, policies_.catalog())) return true;
-  LogWarning("access_denied", {{"request", identity.request_id},
-                               {"workspace", identity.workspace},
-                               {"cause", "key"}});
-  callers_.Execute(
-      ToCommand(request.exchange,
-                {.status = 401,
-                 .code = "invalid_api_key",
-                 .message = "this workspace is reached with its keys only",
-                 .request_id = identity.request_id,
-                 .truth = RunTruth::kNotRun}));
-  return false;
-}
-
-// The same for the model that it asks for.
-bool Gateway::HasModel(const http::RequestEvent& request,
-                       const CallerIdentity& identity) {
-  if (MayAskModel(request.body, identity, policies_.catalog())) return true;
-  LogWarning("access_denied", {{"request", identity.request_id},
-                               {"workspace", identity.workspace},
-                               {"cause", "model"}});
-  callers_.Execute(ToCommand(
-      request.exchange, {.status = 403,
-                         .code = "model_not_allowed",
-                         .message = "this workspace may not ask for this model",
-                         .request_id = identity.request_id,
-                         .truth = RunTruth::kNotRun}));
-  return false;
-}
-
 void Gateway::OnServerRestarted(BackendServerId former,
                                 const std::string& address) {
   connections_.CloseIdle(address);
@@ -177,15 +103,22 @@
   if (object.name != users_platform::kConfigurationName) return;
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_AUTO(table,
+        BOOST_LEAF_AUTO(configuration,
                         users_platform::ParseConfiguration(object.value));
+        serving::RouteTable& table = configuration.routes;
         // Versions only rise: an older one never comes back into force.
         if (table.version <= routes_.version) return {};
-        LogInfo("configuration_in_force", {{"version", table.version},
-                                           {"before", routes_.version},
-                                           {"routes", table.routes.size()},
-                                           {"revision", object.version}});
+        LogInfo(
+            "configuration_in_force",
+            {{"version", table.version},
+             {"before", routes_.version},
+             {"routes", table.routes.size()},
+             {"workspaces",
+              configuration.workspaces ? configuration.workspaces->size() : 0},
+             {"revision", object.version}});
         routes_ = std::move(table);
+        workspaces_.SetConfigured(std::move(configuration.workspaces));
+        NoticeConfigurationAge(MonotonicNow());
         policies_.Attach();
         callers_.SetLimits(
             routes_.limits.max_header_bytes, routes_.limits.max_body_bytes,
@@ -213,6 +146,8 @@
   if (!pauses_.Passed(BootNow())) return;
   LogWarning("paused");
   sync_.OnPaused(MonotonicNow());
+  rate_.OnPaused();
+  rate_.Expire(MonotonicNow());
   own_mirror_.ReadAnew();
 }
 
@@ -233,6 +168,31 @@
   own_mirror_.ReadAnew();
 }
 
+Duration Gateway::ConfigurationAge() const {
+  if (routes_.version == 0) return kNever - TimePoint{};
+  return Remaining(MonotonicNow(), configuration_known_at_);
+}
+
+// What is known is the present state while the store answers and no other entry
+// is ahead.
+void Gateway::NoticeConfigurationAge(TimePoint now) {
+  const bool present = store_.available() &&
+                       configuration_mirror_.following() &&
+                       !configuration_lag_.Ahead(routes_.version);
+  if (present) configuration_known_at_ = kNever;
+  if (!present && configuration_known_at_ == kNever) {
+    configuration_known_at_ = now;
+  }
+}
+
+void Gateway::SetWorkspaceObjects() {
+  std::vector<workspaces::Workspace> objects;
+  for (const auto& [name, workspace] : policies_.catalog().workspaces()) {
+    objects.push_back(workspace);
+  }
+  workspaces_.SetObjects(std::move(objects));
+}
+
 void Gateway::ArmTick() {
   tick_.expires_after(kTick);
   tick_.async_wait([this](const boost::system::error_code& ec) {
@@ -245,6 +205,8 @@
   const TimePoint now = MonotonicNow();
   if (servers_.Expire(now)) policies_.Attach();
   peers_.Expire(now);
+  rate_.Expire(now);
+  NoticeConfigurationAge(now);
   UpdateReaders(now);
   board_.ExpireReports(now);
   board_.ObserveDemand(now);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -12,6 +12,7 @@
 #include "batch/job_writer.h"
 #include "batch/own_batches.h"
 #include "batch/result_committer.h"
+#include "callers/intake.h"
 #include "gateway/gateway_settings.h"
 #include "http/server.h"
 #include "observe/metrics.h"
@@ -36,6 +37,8 @@
 #include "store/record_collector.h"
 #include "store/store_calls.h"
 #include "store/store_relay.h"
+#include "workspaces/directory.h"
+#include "workspaces/rate_quota.h"
 
 namespace knapweedstile::gateway {
 
@@ -55,11 +58,6 @@
  private:
   void ListenForMetrics();
   bool OnCallerEvent(http::ServerEvent&& event);
-  void OnRequest(http::RequestEvent&& request);
-  bool HasAccess(const http::RequestEvent& request,
-                 const CallerIdentity& identity);
-  bool HasModel(const http::RequestEvent& request,
-                const CallerIdentity& identity);
   bool OnReadinessEvent(http::ServerEvent&& event);
   http::RespondCommand MetricsPage(const http::RequestEvent& request);
   http::RespondCommand OperatorsPage(const http::RequestEvent& request);
@@ -68,6 +66,12 @@
   // Ends what a former process of a server had in its hands.
   void OnServerRestarted(BackendServerId former, const std::string& address);
   void OnConfiguration(const platform::StoredObject& object);
+  // How long ago the configuration was last known to be the present one; zero:
+  // it is now.
+  Duration ConfigurationAge() const;
+  void NoticeConfigurationAge(TimePoint now);
+  // The workspaces that operators wrote as objects have changed.
+  void SetWorkspaceObjects();
   void OnOwnObject(platform::StoredObject&& object);
   void OnOwnListed(std::vector<platform::StoredObject>&& objects);
   void AddJob(const std::string& id, const platform::StoredObject& object);
@@ -92,6 +96,8 @@
   // When the store came back last, as far as any entry tells; the start does
   // not count.
   TimePoint StoreRegainedAt() const;
+  // Tells the quotas which entries there are.
+  void UpdateRateMembers();
   // Sorts the entries that are heard of into cells.
   void UpdateCells();
   // Whether this entry deletes the records of a job that has expired.
@@ -121,6 +127,8 @@
   // The entry has read records of this one that it was not pushed.
   void LearnFilled(const PeerState& state);
   void RefreshLaggingMirrors(TimePoint now);
+  // Once more, through another entry where the store does not answer here.
+  void ReadConfiguration(TimePoint now);
   void CheckStopped(TimePoint now);
   std::string RenderMetrics();
 
@@ -133,6 +141,8 @@
   serving::CrashLedger crashes_;
   serving::JobBook book_;
   serving::RouteTable routes_;
+  workspaces::Directory workspaces_;
+  workspaces::RateQuota rate_;
   StoreCalls store_;
   ServerDirectory servers_;
   PolicyView policies_;
@@ -152,6 +162,7 @@
   JobWriter writer_;
   BatchApi batch_;
   OwnBatches own_batches_;
+  Intake intake_;
   RecordCollector collector_;
   http::Server callers_;
   http::Server readiness_;
@@ -164,7 +175,8 @@
   boost::asio::steady_timer tick_;
   boost::asio::steady_timer share_timer_;
 
-  uint64_t made_ids_ = 0;  // for requests that name none
+  // Since when the configuration may be an old one; kNever: it is the present.
+  TimePoint configuration_known_at_{};
   // Whether the ends of jobs are known as they are in the store.
   bool knows_ends_ = false;
   PauseDetector pauses_;
@@ -178,6 +190,7 @@
   TimePoint shared_progress_at_{};
   TimePoint refreshed_records_at_{};
   serving::UsageByProcess told_usage_;
+  TimePoint read_configuration_at_{};
   bool registering_ = false;
   bool registered_ = false;
   TimePoint stop_began_at_ = kNever;
--- a/libs/gateway/src/gateway_pages.cc
+++ b/libs/gateway/src/gateway_pages.cc
@@ -29,6 +29,11 @@
   metrics.DeclareCounter("knap_requests_total",
                          "online requests by route and outcome",
                          {"route", "outcome"});
+  metrics.DeclareCounter("knap_turned_away_total",
+                         "requests that went nowhere, by cause", {"cause"});
+  metrics.DeclareCounter("knap_workspace_refused_total",
+                         "requests beyond their workspace's rate, by verdict",
+                         {"workspace", "verdict"});
   metrics.DeclareHistogram("knap_request_seconds",
                            "from arrival to the last answer byte", {"route"});
   metrics.DeclareHistogram("knap_first_event_seconds",
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -6,9 +6,11 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "gateway.h"
 #include "operators/object_names.h"
 #include "peers/reader_choice.h"
+#include "platform/store_request.h"
 #include "users_platform/store_names.h"
 
 // What the gateway tells the other entries and learns from them.
@@ -20,6 +22,9 @@
 // Each millisecond of it lets entries take the same slot.
 constexpr std::chrono::milliseconds kSharePausePerEntry{1};
 
+// Of reads through another entry.
+constexpr std::chrono::milliseconds kConfigurationReadPause{200};
+constexpr std::chrono::milliseconds kConfigurationReadTimeout{800};
 // Items produce an event every 30 ms; what a lost entry costs is at most this
 // and what did not make a step.
 constexpr std::chrono::milliseconds kProgressPause{500};
@@ -30,6 +35,8 @@
 
 void Gateway::OnPeerState(const PeerState& state) {
   const TimePoint now = MonotonicNow();
+  rate_.OnReport(Hash64(state.entry), state.start, state.rate, state.partial,
+                 now);
   if (state.partial) {
     board_.UpdateEntry(state.entry, state.usage, now);
   } else {
@@ -55,10 +62,20 @@
   entries_in_cell_ =
       cell_.availability_zone.empty() ? zones.size() : cells.EntriesIn(cell_);
   board_.SetCell(cell_, entries_in_cell_);
+  UpdateRateMembers();
   peers_.SetCells(cells);
   UpdateReaders(MonotonicNow());
 }
 
+void Gateway::UpdateRateMembers() {
+  if (!own_mirror_.listed()) return;
+  std::vector<workspaces::EntryHash> others;
+  for (const std::string& entry : peers_.KnownEntries()) {
+    others.push_back(Hash64(entry));
+  }
+  rate_.SetMembers(others, MonotonicNow());
+}
+
 bool Gateway::IsReader() const {
   return std::find(readers_.begin(), readers_.end(), settings_.name) !=
          readers_.end();
@@ -113,10 +130,25 @@
   push_.Confirm(address->second, own->second.count);
 }
 
+// Failure guarded against: a gateway that the store turns away goes on with the
+// keys and routes that it knew for as long as that lasts. Others tell that
+// there is a newer version, and one of them reads it for this one.
+void Gateway::ReadConfiguration(TimePoint now) {
+  if (store_.available()) return configuration_mirror_.Refresh();
+  if (!store_.reachable()) return;
+  if (now - read_configuration_at_ < kConfigurationReadPause) return;
+  read_configuration_at_ = now;
+  store_.CallAnyWay(
+      platform::ReadRequest{.kind = users_platform::kConfigurationKind,
+                            .name = users_platform::kConfigurationName},
+      now + kConfigurationReadTimeout, [this](platform::StoreAnswer&& answer) {
+        if (answer.outcome != platform::StoreOutcome::kOk) return;
+        for (const auto& object : answer.objects) OnConfiguration(object);
+      });
+}
+
 void Gateway::RefreshLaggingMirrors(TimePoint now) {
-  if (configuration_lag_.Lagging(routes_.version, now)) {
-    configuration_mirror_.Refresh();
-  }
+  if (configuration_lag_.Lagging(routes_.version, now)) ReadConfiguration(now);
   if (server_lag_.Lagging(server_mirror_.newest_change(), now)) {
     server_mirror_.Refresh();
   }
@@ -177,6 +209,7 @@
   const serving::UsageByProcess changes = TakeUntoldUsage();
   PeerState state = OwnState();
   state.partial = true;
+  state.rate = rate_.TakeChanges(now);
   peers_.BroadcastByCell(std::move(state), [&](const serving::Cell& cell) {
     serving::UsageByProcess usage;
     for (const auto& [process, counts] : changes) {
@@ -195,6 +228,7 @@
   state.running_items = runner_.RunningItems();
   state.crashes = crashes_.Own();
   state.filled = sync_.FilledLately(now);
+  state.rate = rate_.Report(now);
   told_usage_ = state.usage;
   peers_.Broadcast(std::move(state));
 }
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -51,9 +51,13 @@
   const int code = boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<int> {
         BOOST_LEAF_CHECK(gateway.Start());
-        LogInfo("started", {{"role", "gateway"},
-                            {"callers", settings.callers_address},
-                            {"store", settings.store_address}});
+        LogInfo("started",
+                {{"role", "gateway"},
+                 {"callers", settings.callers_address},
+                 {"store", settings.store_address},
+                 {"unexplained_bounds", settings.unexplained_bounds.empty()
+                                            ? "-"
+                                            : settings.unexplained_bounds}});
         return kExitOk;
       },
       [](const Error& error) {
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -46,6 +46,7 @@
     OnOwnObject(std::move(object));
   }
   if (!registered_) Register(own_version);
+  UpdateRateMembers();
   RunBatch(MonotonicNow());
 }
 
@@ -64,7 +65,8 @@
     case RecordType::kNode:
       if (object.deleted) return ForgetEntry(name.id);
       if (name.id != settings_.name) sync_.Expect(name.id, MonotonicNow());
-      return peers_.SetAddress(name.id, DecodeNode(object.value));
+      peers_.SetAddress(name.id, DecodeNode(object.value));
+      return UpdateRateMembers();
     case RecordType::kUnknown:
       return LogWarning("record_unknown", {{"name", object.name}});
   }
@@ -73,6 +75,7 @@
 void Gateway::ForgetEntry(const std::string& entry) {
   peers_.RemoveAddress(entry);
   sync_.Forget(entry);
+  rate_.Leave(Hash64(entry));
 }
 
 void Gateway::AddJob(const std::string& id,
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -28,6 +28,23 @@
   schema.Seconds("batch.result_retention",
                  "how long results stay readable after a job's acceptance",
                  &settings->result_retention);
+  schema.Seconds("workspaces.rate_window",
+                 "span in which a workspace's rate and burst hold",
+                 &settings->rate_quota.window, 1, 60);
+  schema.Real("workspaces.rate_overage", "share",
+              "of the limit, that all entries together may admit beyond it",
+              &settings->rate_quota.overage_share, 0, 1);
+  schema.Real("workspaces.rate_slack", "requests",
+              "that all entries together may admit beyond it besides",
+              &settings->rate_quota.slack_requests, 0, 10000);
+  schema.Seconds("workspaces.trust_for",
+                 "how long a gateway without news of the configuration takes "
+                 "keys for valid; 0: without end",
+                 &settings->trust_configuration_for);
+  schema.Text("platform.unexplained_bounds",
+              "bounds of the users' platform whose meaning is not known here; "
+              "told in the log at the start",
+              &settings->unexplained_bounds);
   schema.Seconds("stop.grace", "from the signal to stop to the kill",
                  &settings->stop_grace);
   schema.Integer("timeline.events", "events",
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -1,7 +1,10 @@
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "batch/job_records.h"
 #include "gateway.h"
 #include "gateway_metrics.h"
@@ -64,6 +67,7 @@
       started_at_(MonotonicNow()),
       timeline_(settings.timeline_events),
       board_({}, settings.availability_zone, seed),
+      rate_(settings.rate_quota, Hash64(settings.name), seed + 2, started_at_),
       store_(io, settings.store_address),
       servers_(board_,
                [this](BackendServerId former, const std::string& address) {
@@ -83,7 +87,9 @@
                   [this](const std::string& entry, bool draining) {
                     board_.DropEntry(entry);
                     crashes_.Forget(entry);
-                    if (draining) sync_.Forget(entry);
+                    if (!draining) return;
+                    sync_.Forget(entry);
+                    rate_.Leave(Hash64(entry));
                   },
               .membership_changed = [this] { UpdateCells(); }}),
       push_(io, settings.name, start_,
@@ -130,6 +136,10 @@
                [this](BackendServerId server, const std::string& entry) {
                  Displace(server, entry);
                },
+           .not_run =
+               [this](const std::string& workspace, TimePoint admitted_at) {
+                 rate_.GiveBack(Hash64(workspace), admitted_at, MonotonicNow());
+               },
            .usage_changed = [this] { OnUsageChanged(); },
            .outside =
                [this](const serving::Route& route, const std::string& service,
@@ -183,8 +193,39 @@
            .current = [this] { return Current(); },
            .may_ask =
                [this](std::string_view body, const CallerIdentity& caller) {
-                 return MayAskModel(body, caller, policies_.catalog());
+                 return MayAskModel(body, caller, workspaces_);
                }}),
+      intake_(
+          routes_, workspaces_, rate_, metrics_,
+          fmt::format("{}-{:x}", settings.name, start_),
+          settings.trust_configuration_for,
+          {.to_caller =
+               [this](http::ServerCommand&& command) {
+                 callers_.Execute(std::move(command));
+               },
+           .online =
+               [this](http::RequestEvent&& request, const serving::Route& route,
+                      const CallerIdentity& caller) {
+                 online_.Begin(std::move(request), route, caller);
+               },
+           .submit_job =
+               [this](http::RequestEvent&& request, const serving::Route& route,
+                      const CallerIdentity& caller) {
+                 batch_.Submit(std::move(request), route, caller);
+               },
+           .call_job =
+               [this](http::RequestEvent&& request,
+                      const users_platform::BatchCall& call,
+                      const CallerIdentity& caller) {
+                 batch_.Call(std::move(request), call, caller);
+               },
+           .own_batches =
+               [this](http::RequestEvent&& request,
+                      const CallerIdentity& caller) {
+                 own_batches_.OnRequest(std::move(request), caller);
+               },
+           .configuration_age = [this] { return ConfigurationAge(); },
+           .look_again = [this] { ReadConfiguration(MonotonicNow()); }}),
       collector_(store_, book_,
                  {.keep = settings.result_retention * kRetentionFactor},
                  [this](const std::string& job) { return Collects(job); }),
@@ -260,10 +301,12 @@
           {.listed =
                [this](std::vector<platform::StoredObject>&& objects) {
                  policies_.OnListed(std::move(objects));
+                 SetWorkspaceObjects();
                },
            .changed =
                [this](platform::StoredObject&& object) {
                  policies_.OnChanged(std::move(object));
+                 SetWorkspaceObjects();
                },
            .news = [this](const StoreNews& news) { PassOn(news); }}),
       tick_(io),
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -60,6 +60,8 @@
   OnlineCall& call = calls_[id];
   call.caller = id;
   call.request_id = caller.request_id;
+  call.workspace = caller.workspace;
+  call.admitted_at = MonotonicNow();
   call.own_interface = caller.own_interface;
   call.route = route;
   call.service = PickService(route, rng_);
@@ -120,7 +122,8 @@
   call.upstream = connections_.Open(sink_);
   upstreams_[call.upstream] = call.caller;
   users_platform::ForwardedFields fields{.instance = record.instance,
-                                         .request_id = call.request_id};
+                                         .request_id = call.request_id,
+                                         .workspace = call.workspace};
   fields.budget = Remaining(call.deadline, now);
   if (call.passing) fields.after_event = call.last_event;
   http::ClientRequest request;
@@ -155,6 +158,7 @@
 // Only for requests no attempt of which may have run.
 void OnlineCalls::Refuse(OnlineCall& call, Duration retry_after,
                          std::string_view cause) {
+  if (!call.workspace.empty()) ports_.not_run(call.workspace, call.admitted_at);
   ports_.to_caller(ToCommand(call.caller, {.status = kUnavailable,
                                            .code = cause,
                                            .message = "it was not run",
@@ -192,6 +196,7 @@
   Log(answered ? LogLevel::kInfo : LogLevel::kWarning, "request_done",
       {{"request", call.request_id},
        {"route", call.route.name},
+       {"workspace", call.workspace.empty() ? "-" : call.workspace},
        {"status", status},
        {"outcome", outcome},
        {"age_ms", ToMillis(age)},
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -39,6 +39,9 @@
     // `entry` is empty.
     std::function<void(BackendServerId server, const std::string& entry)>
         displace;
+    // A request that was admitted at that time has not run and never will.
+    std::function<void(const std::string& workspace, TimePoint admitted_at)>
+        not_run;
     // Counts on the slot board have changed.
     std::function<void()> usage_changed;
     // Servers that the operators' policies keep the route's requests from.
--- a/libs/gateway/src/peers/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -199,6 +199,12 @@
   return peer != peers_.end() && !peer->second.state.draining;
 }
 
+std::vector<std::string> PeerLink::KnownEntries() const {
+  std::vector<std::string> entries;
+  for (const auto& [entry, address] : addresses_) entries.push_back(entry);
+  return entries;
+}
+
 std::map<std::string, std::string> PeerLink::Zones() const {
   std::map<std::string, std::string> zones;
   for (const auto& [entry, peer] : peers_) {
--- a/libs/gateway/src/peers/peer_link.h
+++ b/libs/gateway/src/peers/peer_link.h
@@ -69,6 +69,8 @@
   std::vector<std::string> AddressesIn(const serving::Cell& cell) const;
   // Whether another live entry runs the item.
   bool RunsElsewhere(uint64_t item) const;
+  // All other entries, heard of or only registered.
+  std::vector<std::string> KnownEntries() const;
   // Availability zones of the entries heard of lately.
   std::map<std::string, std::string> Zones() const;
 
--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -19,6 +19,45 @@
   return true;
 }
 
+void WriteRate(const workspaces::RateReport& rate, wire::RateMessage& message) {
+  message.set_uptime_millis(static_cast<uint64_t>(ToMillis(rate.uptime)));
+  for (const workspaces::AdmittedCount& count : rate.admitted) {
+    message.add_workspace(count.workspace);
+    message.add_in_window(count.in_window);
+    message.add_in_second(count.in_second);
+  }
+  for (const workspaces::FormerCount& former : rate.former) {
+    message.add_former_entry(former.entry);
+    message.add_former_workspace(former.workspace);
+    message.add_former_in_window(former.in_window);
+  }
+  for (const workspaces::EntryHash entry : rate.unheard) {
+    message.add_unheard(entry);
+  }
+}
+
+// False when the lists that run in parallel differ in length.
+bool ReadRate(const wire::RateMessage& message, workspaces::RateReport& rate) {
+  rate.uptime = std::chrono::milliseconds(message.uptime_millis());
+  const int count = message.workspace_size();
+  const int former = message.former_entry_size();
+  if (message.in_window_size() != count || message.in_second_size() != count ||
+      message.former_workspace_size() != former ||
+      message.former_in_window_size() != former) {
+    return false;
+  }
+  for (int i = 0; i < count; ++i) {
+    rate.admitted.push_back(
+        {message.workspace(i), message.in_window(i), message.in_second(i)});
+  }
+  for (int i = 0; i < former; ++i) {
+    rate.former.push_back({message.former_entry(i), message.former_workspace(i),
+                           message.former_in_window(i)});
+  }
+  rate.unheard.assign(message.unheard().begin(), message.unheard().end());
+  return true;
+}
+
 }  // namespace
 
 std::string EncodePeerState(const PeerState& state) {
@@ -53,6 +92,7 @@
     filled.set_start(count.start);
     filled.set_count(count.count);
   }
+  WriteRate(state.rate, *message.mutable_rate());
   message.set_yield_instance(state.yield_instance);
   return message.SerializeAsString();
 }
@@ -77,6 +117,7 @@
       .partial = message.partial(),
       .yield_instance = message.yield_instance()};
   if (!ReadUsage(message, state)) return std::nullopt;
+  if (!ReadRate(message.rate(), state.rate)) return std::nullopt;
   state.running_items.assign(message.running_items().begin(),
                              message.running_items().end());
   for (const wire::CrashCountMessage& crash : message.crashes()) {
--- a/libs/gateway/src/peers/peer_state.h
+++ b/libs/gateway/src/peers/peer_state.h
@@ -11,6 +11,7 @@
 #include "peers/record_count.h"
 #include "serving/crash_count.h"
 #include "serving/usage_by_process.h"
+#include "workspaces/rate_report.h"
 
 namespace knapweedstile::gateway {
 
@@ -40,6 +41,8 @@
   // Entries whose records the sender has read from the store lately, where a
   // push was lost; whole messages only.
   std::map<std::string, RecordCount> filled;
+  // Requests of workspaces that the sender has admitted.
+  workspaces::RateReport rate;
   // Not empty: the receiver is asked to give up the slot of one batch item on
   // this backend server.
   std::string yield_instance;
--- a/libs/gateway/src/store/lag_detector.h
+++ b/libs/gateway/src/store/lag_detector.h
@@ -21,6 +21,8 @@
     if (newest_told_ <= own) ahead_since_ = now;
     newest_told_ = std::max(newest_told_, told);
   }
+  // Whether others know a newer version, however lately they have told of it.
+  bool Ahead(uint64_t own) const noexcept { return newest_told_ > own; }
   bool Lagging(uint64_t own, TimePoint now) const {
     return newest_told_ > own && now - ahead_since_ >= kUsualDelay;
   }
--- a/libs/objects/include/objects/catalog.h
+++ b/libs/objects/include/objects/catalog.h
@@ -53,8 +53,6 @@
 
   // The engine object of a VM, or null; the lowest name when there are several.
   const Engine* EngineOnVm(std::string_view vm) const;
-  // The workspace that a key with this SHA-256 belongs to, or null.
-  const Workspace* WorkspaceByKey(std::string_view key_sha256) const;
   // For each policy, which others shadow it (policy_order.h).
   std::map<std::string, std::vector<std::string>> ShadowedPolicies() const;
 
--- a/libs/objects/include/objects/parse.h
+++ b/libs/objects/include/objects/parse.h
@@ -5,13 +5,13 @@
 #include <variant>
 
 #include "objects/field_error.h"
+#include "objects/workspace.h"
 
 namespace knapweedstile::objects {
 
 struct Engine;
 struct Placement;
 struct Policy;
-struct Workspace;
 
 // The object, or every field that is wrong with it.
 template <typename T>
--- a/libs/objects/include/objects/policy_order.h
+++ b/libs/objects/include/objects/policy_order.h
@@ -7,12 +7,12 @@
 #include <vector>
 
 #include "objects/labels.h"
+#include "objects/workspace.h"
 
 namespace knapweedstile::objects {
 
 struct Engine;
 struct Policy;
-struct Workspace;
 
 // The one total order that settles policies selecting the same traffic or
 // engine: the higher `priority` wins, and among equals the lower name (names
--- a/libs/objects/src/catalog.cc
+++ b/libs/objects/src/catalog.cc
@@ -113,16 +113,6 @@
   return nullptr;
 }
 
-const Workspace* Catalog::WorkspaceByKey(std::string_view key_sha256) const {
-  for (const auto& [name, workspace] : workspaces_) {
-    const auto& keys = workspace.key_sha256;
-    if (std::find(keys.begin(), keys.end(), key_sha256) != keys.end()) {
-      return &workspace;
-    }
-  }
-  return nullptr;
-}
-
 std::map<std::string, std::vector<std::string>> Catalog::ShadowedPolicies()
     const {
   return ShadowedBy(AllPolicies(), Pointers(engines_), Pointers(workspaces_));
--- a/libs/objects/src/parse.cc
+++ b/libs/objects/src/parse.cc
@@ -24,7 +24,7 @@
 constexpr double kPermille = 1000;
 constexpr double kPercent = 100;
 constexpr int64_t kMostReplicas = 100'000;
-constexpr size_t kSha256Digits = 64;
+constexpr double kMostRate = 1e6;
 
 template <typename E>
 std::string NamesOf() {
@@ -67,18 +67,27 @@
   reader.Text("model", engine.model);
 }
 
-bool IsSha256(const std::string& text) {
-  return text.size() == kSha256Digits &&
-         text.find_first_not_of("0123456789abcdef") == std::string::npos;
+void ReadKeys(FieldReader& reader, Workspace& workspace) {
+  std::vector<std::string> digests;
+  reader.TextList("key_sha256", digests);
+  for (const std::string& text : digests) {
+    const auto digest = workspaces::ParseKeyDigest(text);
+    if (!digest) {
+      reader.Refuse("key_sha256", "64 lower-case hexadecimal digits each");
+      return;
+    }
+    workspace.keys.push_back(*digest);
+  }
 }
 
 void ReadSpec(FieldReader& reader, Workspace& workspace) {
   reader.TextList("models", workspace.models);
-  reader.TextList("key_sha256", workspace.key_sha256);
-  if (!std::all_of(workspace.key_sha256.begin(), workspace.key_sha256.end(),
-                   IsSha256)) {
-    reader.Refuse("key_sha256", "64 lower-case hexadecimal digits each");
-  }
+  ReadKeys(reader, workspace);
+  int64_t priority = -1;
+  reader.Int("priority", 0, kMostPriority, priority);
+  if (priority >= 0) workspace.priority = static_cast<uint32_t>(priority);
+  reader.Real("requests_per_second", 0, kMostRate, workspace.rate.per_second);
+  reader.Real("burst", 0, kMostRate, workspace.rate.burst);
 }
 
 void ReadSpec(FieldReader& reader, Placement& placement) {
--- a/libs/serving/include/serving/job_book.h
+++ b/libs/serving/include/serving/job_book.h
@@ -13,6 +13,7 @@
 #include "serving/batch_job.h"
 #include "serving/item_ref.h"
 #include "serving/progress_note.h"
+#include "serving/quota_scope.h"
 
 namespace knapweedstile::serving {
 
@@ -63,8 +64,8 @@
   BatchJob* Find(std::string_view job);
   // Whether the segment is known, also where it waits for an earlier one.
   bool HasSegment(const std::string& job, uint32_t number) const;
-  // Tokens of the open jobs' items on a route that have no result yet.
-  uint64_t WaitingTokens(std::string_view route) const;
+  // Tokens of the open jobs' items in the scope that have no result yet.
+  uint64_t WaitingTokens(const QuotaScope& scope) const;
   // The item to start next: of the open jobs for which `mine` is true, the
   // first waiting item that `free` allows. Jobs that are due after `in_time`
   // can still be in time.
--- a/libs/serving/include/serving/quota_guard.h
+++ b/libs/serving/include/serving/quota_guard.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "serving/quota_scope.h"
 
 namespace knapweedstile::serving {
 
@@ -15,8 +16,9 @@
   kUnheard,  // not before others have heard of the jobs taken before it
 };
 
-// Whether a batch job still fits a limit on waiting tokens that holds over all
-// entries. No network, clock or thread: what is known and the time come in.
+// Whether a batch job still fits its workspace's limit on waiting tokens, which
+// holds over all entries. No network, clock or thread: what is known and the
+// time come in.
 //
 // Load pattern: many jobs that arrive at all entries in the same moment with
 // the limit nearly reached, while some entries are slow, paused or cut off.
@@ -33,14 +35,14 @@
  public:
   // `waiting`: tokens known to wait here, this entry's own jobs included.
   // `entries`: those that accept jobs, this one included.
-  QuotaVerdict Judge(const std::string& route, uint64_t waiting,
-                     uint64_t tokens, uint64_t limit, size_t entries) const;
+  QuotaVerdict Judge(const QuotaScope& scope, uint64_t waiting, uint64_t tokens,
+                     uint64_t limit, size_t entries) const;
 
   // Whether others have heard of all that was taken.
   bool empty() const noexcept { return unheard_.empty(); }
 
   // Commands. The job was taken, by Judge's word.
-  void Take(const std::string& job, const std::string& route, uint64_t tokens);
+  void Take(const std::string& job, const QuotaScope& scope, uint64_t tokens);
   // Its record is written, as this entry's `number`th.
   void Written(const std::string& job, uint64_t number);
   // It was not taken in the end.
@@ -56,7 +58,7 @@
   static constexpr double kSharedOverage = 0.08;
 
   struct Unheard {
-    std::string route;
+    QuotaScope scope;
     uint64_t tokens = 0;
     uint64_t number = 0;  // zero: not written yet
     TimePoint until = kNever;
--- a/libs/serving/include/serving/route.h
+++ b/libs/serving/include/serving/route.h
@@ -35,13 +35,15 @@
   std::chrono::milliseconds latency_objective{1000};
   uint32_t max_attempts = 1;  // backend servers that may run one request
   uint32_t priority = 0;      // zero is the most urgent
+  bool is_public = false;     // entered without a key
   // A broken stream may go on at another backend server.
   bool resumable = false;
   // Batch: all results are due this long after the job was first sent.
   std::chrono::milliseconds completion_objective{60000};
   // Batch: an item may be given up this long after the job was first sent.
   std::chrono::milliseconds item_ttl{60000};
-  // Batch: tokens of unfinished items over the whole fleet; zero: no limit.
+  // Batch: tokens of unfinished items of one workspace over the whole fleet;
+  // zero: no limit.
   uint64_t max_waiting_tokens = 0;
 
   // Whether a request may be sent again after it may have run.
--- a/libs/serving/src/job_book.cc
+++ b/libs/serving/src/job_book.cc
@@ -174,10 +174,11 @@
   return early != early_.end() && early->second.contains(number);
 }
 
-uint64_t JobBook::WaitingTokens(std::string_view route) const {
+uint64_t JobBook::WaitingTokens(const QuotaScope& scope) const {
   uint64_t tokens = 0;
   for (const auto& [id, job] : jobs_) {
-    if (!job.open() || job.route != route) continue;
+    if (!job.open() || job.route != scope.route) continue;
+    if (job.workspace != scope.workspace) continue;
     for (uint32_t i = 0; i < job.items.size(); ++i) {
       const ItemPhase phase = job.progress[i].phase;
       const bool done =
--- a/libs/serving/src/quota_guard.cc
+++ b/libs/serving/src/quota_guard.cc
@@ -4,13 +4,13 @@
 
 namespace knapweedstile::serving {
 
-QuotaVerdict QuotaGuard::Judge(const std::string& route, uint64_t waiting,
+QuotaVerdict QuotaGuard::Judge(const QuotaScope& scope, uint64_t waiting,
                                uint64_t tokens, uint64_t limit,
                                size_t entries) const {
   if (waiting + tokens > limit) return QuotaVerdict::kOver;
   uint64_t unheard = 0;
   for (const auto& [job, own] : unheard_) {
-    if (own.route == route) unheard += own.tokens;
+    if (own.scope == scope) unheard += own.tokens;
   }
   if (unheard == 0 || entries <= 1) return QuotaVerdict::kFits;
   const double share = kSharedOverage * static_cast<double>(limit) /
@@ -20,9 +20,9 @@
              : QuotaVerdict::kUnheard;
 }
 
-void QuotaGuard::Take(const std::string& job, const std::string& route,
+void QuotaGuard::Take(const std::string& job, const QuotaScope& scope,
                       uint64_t tokens) {
-  unheard_[job] = {.route = route, .tokens = tokens};
+  unheard_[job] = {.scope = scope, .tokens = tokens};
 }
 
 void QuotaGuard::Written(const std::string& job, uint64_t number) {
--- a/libs/serving/tests/job_book_test.cc
+++ b/libs/serving/tests/job_book_test.cc
@@ -61,7 +61,7 @@
   // The same segment again, as pushes and watches both bring it.
   CHECK(book.AddSegment("a", 1, ResultOf("a1")));
   CHECK(book.Find("a")->results.size() == 2);
-  CHECK(book.WaitingTokens("summaries") == 10);
+  CHECK(book.WaitingTokens({"summaries", ""}) == 10);
 }
 
 TEST_CASE("an end that comes before its job holds") {
--- a/libs/serving/tests/quota_guard_test.cc
+++ b/libs/serving/tests/quota_guard_test.cc
@@ -12,6 +12,7 @@
 constexpr TimePoint kNow = TimePoint{} + std::chrono::hours(1);
 constexpr uint64_t kLimit = 1200000;
 constexpr uint64_t kJob = 5200;  // ten items
+const QuotaScope kScope{.route = "r", .workspace = "w"};
 
 struct Load {
   size_t entries = 1;
@@ -73,11 +74,11 @@
     }
     const bool fits = by_own_view_only_
                           ? waiting + kJob <= kLimit
-                          : guard.Judge("r", waiting, kJob, kLimit,
+                          : guard.Judge(kScope, waiting, kJob, kLimit,
                                         load_.entries) == QuotaVerdict::kFits;
     if (!fits) return;
     const std::string job = "job-" + std::to_string(accepted_.size());
-    guard.Take(job, "r", kJob);
+    guard.Take(job, kScope, kJob);
     guard.Written(job, number);
     accepted_.push_back({now, entry, number});
   }
@@ -150,24 +151,24 @@
 
 TEST_CASE("a single job is not refused for the entries that might compete") {
   const QuotaGuard guard;
-  CHECK(guard.Judge("r", kLimit - kJob, kJob, kLimit, 18) ==
+  CHECK(guard.Judge(kScope, kLimit - kJob, kJob, kLimit, 18) ==
         QuotaVerdict::kFits);
-  CHECK(guard.Judge("r", kLimit - kJob + 1, kJob, kLimit, 18) ==
+  CHECK(guard.Judge(kScope, kLimit - kJob + 1, kJob, kLimit, 18) ==
         QuotaVerdict::kOver);
   // Even one that is larger than an entry's share of everything.
-  CHECK(guard.Judge("r", 0, kLimit, kLimit, 18) == QuotaVerdict::kFits);
+  CHECK(guard.Judge(kScope, 0, kLimit, kLimit, 18) == QuotaVerdict::kFits);
 }
 
 // A write to the store gets no answer: the job may be there. It counts against
 // the share until every entry has read the store.
 TEST_CASE("a job that may have been written is not forgotten") {
   QuotaGuard guard;
-  guard.Take("job-a", "r", kLimit / 2);
+  guard.Take("job-a", kScope, kLimit / 2);
   guard.Unsure("job-a", kNow + milliseconds(100));
   guard.Heard(100, kNow);
-  CHECK(guard.Judge("r", 0, kJob, kLimit, 2) == QuotaVerdict::kUnheard);
+  CHECK(guard.Judge(kScope, 0, kJob, kLimit, 2) == QuotaVerdict::kUnheard);
   guard.Heard(100, kNow + milliseconds(100));
-  CHECK(guard.Judge("r", 0, kJob, kLimit, 2) == QuotaVerdict::kFits);
+  CHECK(guard.Judge(kScope, 0, kJob, kLimit, 2) == QuotaVerdict::kFits);
 }
 
 }  // namespace knapweedstile::serving
--- a/libs/settings/include/settings/schema.h
+++ b/libs/settings/include/settings/schema.h
@@ -36,7 +36,11 @@
               std::chrono::milliseconds* field, int64_t least, int64_t most);
   // A time in seconds; the file may hold a whole number or a fraction.
   void Seconds(std::string path, std::string doc,
-               std::chrono::milliseconds* field);
+               std::chrono::milliseconds* field, double least = 0,
+               double most = 86400);
+  // A whole number or a fraction.
+  void Real(std::string path, std::string unit, std::string doc, double* field,
+            double least, double most);
   void Flag(std::string path, std::string doc, bool* field);
 
   template <typename T>
@@ -70,6 +74,9 @@
   void BindInteger(std::string path, std::string unit, std::string doc,
                    int64_t standard, int64_t least, int64_t most,
                    std::function<void(int64_t)> set);
+  void BindNumber(std::string path, std::string unit, std::string doc,
+                  double standard, double least, double most,
+                  std::function<void(double)> set);
   void BindChoice(std::string path, std::string doc, std::string standard,
                   std::vector<std::string> names,
                   std::function<void(std::string_view)> set);
--- a/libs/settings/src/schema.cc
+++ b/libs/settings/src/schema.cc
@@ -96,25 +96,42 @@
 }
 
 void Schema::Seconds(std::string path, std::string doc,
-                     std::chrono::milliseconds* field) {
-  constexpr double kMostSeconds = 86400;
-  keys_.push_back(
-      {std::move(path), "s", "a number from 0 to 86400",
-       fmt::format("{}", static_cast<double>(field->count()) / 1000),
-       std::move(doc), Presence::kOptional, [field](const SettingValue& value) {
-         double seconds = 0;
-         if (value.kind == SettingValue::Kind::kInteger) {
-           seconds = static_cast<double>(value.integer);
-         } else if (value.kind == SettingValue::Kind::kFraction) {
-           seconds = value.fraction;
-         } else {
-           return false;
-         }
-         if (!(seconds >= 0 && seconds <= kMostSeconds)) return false;
-         *field =
-             std::chrono::milliseconds(static_cast<int64_t>(seconds * 1000));
-         return true;
-       }});
+                     std::chrono::milliseconds* field, double least,
+                     double most) {
+  BindNumber(std::move(path), "s", std::move(doc),
+             static_cast<double>(field->count()) / 1000, least, most,
+             [field](double seconds) {
+               *field = std::chrono::milliseconds(
+                   static_cast<int64_t>(seconds * 1000));
+             });
+}
+
+void Schema::Real(std::string path, std::string unit, std::string doc,
+                  double* field, double least, double most) {
+  BindNumber(std::move(path), std::move(unit), std::move(doc), *field, least,
+             most, [field](double value) { *field = value; });
+}
+
+void Schema::BindNumber(std::string path, std::string unit, std::string doc,
+                        double standard, double least, double most,
+                        std::function<void(double)> set) {
+  keys_.push_back({std::move(path), std::move(unit),
+                   fmt::format("a number from {} to {}", least, most),
+                   fmt::format("{}", standard), std::move(doc),
+                   Presence::kOptional,
+                   [=, set = std::move(set)](const SettingValue& value) {
+                     double number = 0;
+                     if (value.kind == SettingValue::Kind::kInteger) {
+                       number = static_cast<double>(value.integer);
+                     } else if (value.kind == SettingValue::Kind::kFraction) {
+                       number = value.fraction;
+                     } else {
+                       return false;
+                     }
+                     if (!(number >= least && number <= most)) return false;
+                     set(number);
+                     return true;
+                   }});
 }
 
 void Schema::Flag(std::string path, std::string doc, bool* field) {
--- /dev/null
+++ b/libs/workspaces/src/directory.cc
@@ -0,0 +1,64 @@
+#include "workspaces/directory.h"
+
+#include <utility>
+
+namespace knapweedstile::workspaces {
+
+// Failure guarded against: a list that is gone from a later configuration, by
+// an operator's mistake, would open every route to everybody. Once there was a
+// list, no list is an empty one.
+void Directory::SetConfigured(
+    std::optional<std::vector<Workspace>> workspaces) {
+  if (!workspaces && !configured_) return;
+  configured_ = std::move(workspaces).value_or(std::vector<Workspace>());
+  Merge();
+}
+
+void Directory::SetObjects(std::vector<Workspace> workspaces) {
+  objects_ = std::move(workspaces);
+  Merge();
+}
+
+void Directory::Merge() {
+  workspaces_.clear();
+  names_by_key_.clear();
+  if (configured_) {
+    for (const Workspace& workspace : *configured_) {
+      workspaces_[workspace.name] = workspace;
+    }
+  }
+  for (const Workspace& object : objects_) {
+    const auto [known, is_new] = workspaces_.try_emplace(object.name, object);
+    if (is_new) continue;
+    Workspace& workspace = known->second;
+    workspace.version = object.version;
+    workspace.labels = object.labels;
+    workspace.models = object.models;
+    workspace.keys.insert(workspace.keys.end(), object.keys.begin(),
+                          object.keys.end());
+  }
+  if (configured_) {
+    for (const Workspace& workspace : *configured_) {
+      for (const KeyDigest& key : workspace.keys) {
+        names_by_key_.try_emplace(key, workspace.name);
+      }
+    }
+  }
+  for (const Workspace& object : objects_) {
+    for (const KeyDigest& key : object.keys) {
+      names_by_key_.try_emplace(key, object.name);
+    }
+  }
+}
+
+const Workspace* Directory::FindByKey(const KeyDigest& key) const {
+  const auto found = names_by_key_.find(key);
+  return found == names_by_key_.end() ? nullptr : Find(found->second);
+}
+
+const Workspace* Directory::Find(std::string_view name) const {
+  const auto found = workspaces_.find(name);
+  return found == workspaces_.end() ? nullptr : &found->second;
+}
+
+}  // namespace knapweedstile::workspaces
--- a/tests/users_platform/object_store.cc
+++ b/tests/users_platform/object_store.cc
@@ -98,6 +98,17 @@
   }
 }
 
+bool ObjectStore::Holds(const std::string& kind,
+                        const std::string& text) const {
+  const auto objects = kinds_.find(kind);
+  if (objects == kinds_.end()) return false;
+  return std::any_of(objects->second.begin(), objects->second.end(),
+                     [&](const auto& entry) {
+                       return json::serialize(entry.second.spec).find(text) !=
+                              std::string::npos;
+                     });
+}
+
 size_t ObjectStore::Count(const std::string& kind,
                           const std::string& prefix) const {
   const auto objects = kinds_.find(kind);
--- a/tests/users_platform/object_store.h
+++ b/tests/users_platform/object_store.h
@@ -60,6 +60,8 @@
   size_t Count(const std::string& kind, const std::string& prefix) const;
   boost::json::value Status(const std::string& kind,
                             const std::string& name) const;
+  // Whether any object of the kind holds the text.
+  bool Holds(const std::string& kind, const std::string& text) const;
   int writes() const noexcept { return writes_; }
 
  private:
--- a/tests/users_platform/site.cc
+++ b/tests/users_platform/site.cc
@@ -161,16 +161,21 @@
   for (const std::string& name : extra_routes) {
     routes.push_back(StreamRoute(name, "/" + name + "/", false, 1));
   }
-  store_.Put(
-      "config", "main",
-      json::object{{"version", version},
-                   {"routes", std::move(routes)},
-                   {"services", json::array{json::object{{"name", "llm"}},
-                                            json::object{{"name", "app"}}}},
-                   {"limits", json::object{{"max_header_bytes", 4096},
-                                           {"max_body_bytes", 100000},
-                                           {"header_timeout_ms", 1000},
-                                           {"idle_timeout_ms", 5000}}}});
+  for (json::value& route : routes) {
+    const std::string name(route.at("name").as_string());
+    route.as_object()["public"] = public_routes.contains(name);
+  }
+  json::object configuration = {
+      {"version", version},
+      {"routes", std::move(routes)},
+      {"services", json::array{json::object{{"name", "llm"}},
+                               json::object{{"name", "app"}}}},
+      {"limits", json::object{{"max_header_bytes", max_header_bytes},
+                              {"max_body_bytes", 100000},
+                              {"header_timeout_ms", 1000},
+                              {"idle_timeout_ms", 5000}}}};
+  if (workspaces) configuration["tenants"] = *workspaces;
+  store_.Put("config", "main", configuration);
 }
 
 std::string Site::WriteSettings(const std::string& name) {
@@ -178,8 +183,8 @@
   callers_[name] = interpose("callers/" + name, listens);
   readiness_[name] = kAddress + std::to_string(FreePort());
   std::string text = ReadTemplate();
-  text =
-      std::regex_replace(text, std::regex(R"(\{\{[#/]listen\.\w+\}\}\n)"), "");
+  text = std::regex_replace(
+      text, std::regex(R"(\{\{[#/](listen|bounds)\.\w+\}\}\n)"), "");
   text = Replace(text, "node_name", name);
   text = Replace(text, "ip", "127.0.0.1");
   text = Replace(text, "zone", "zone-a");
@@ -192,6 +197,13 @@
   text = Replace(text, "heartbeat_ms", "400");
   text = Replace(text, "bounds.status_s", std::to_string(retention_s));
   text = Replace(text, "bounds.grace_s", "4.5");
+  text = Replace(text, "bounds.quota_window_s", "5");
+  text = Replace(text, "bounds.quota_overage", "0.1");
+  text = Replace(text, "bounds.quota_slack", "20");
+  text = Replace(text, "bounds.revoke_strict", "false");
+  text = Replace(text, "bounds.revoke_ms", "5000");
+  const std::string section = "[workspaces]\n";
+  text.insert(text.find(section) + section.size(), workspace_settings);
   std::string file = folder_.File(name + ".toml");
   std::ofstream(file) << text;
   return file;
--- a/tests/users_platform/site.h
+++ b/tests/users_platform/site.h
@@ -5,6 +5,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +56,16 @@
   void RestartUnderSameName(const ModelServer& server);
   // Writes the configuration with all routes; versions must rise.
   void Configure(int version, const boost::json::object& changes = {});
+  // The list of workspaces of configurations from now on, as the users write
+  // it; nothing: they have none.
+  std::optional<boost::json::array> workspaces;
+  // What callers may send before a body, in configurations from now on.
+  int max_header_bytes = 4096;
+  // Names of routes that need no key in configurations from now on.
+  std::set<std::string> public_routes;
+  // Lines under [workspaces] in the settings of gateways that are started from
+  // now on.
+  std::string workspace_settings;
   // Whether configurations hold the routes of the product's own interface.
   bool own_interface = false;
   // Stream routes beside the usual ones in configurations from now on.
