The soak knows workspaces: keys that come and go, one that is always hot

Judged: the workspace named at servers, no key there, keys of no workspace, keys that hold, keys taken away, the rate in sliding windows over all gateways.

--- a/scripts/guards_off.py
+++ b/scripts/guards_off.py
@@ -111,9 +111,25 @@
         (GATEWAY + "batch/batch_answers.cc", "if (progress.failures >= attempts)",
          "if (attempts > 0)"),
     ],
+    "no_key_is_passed_on": [
+        ("platform/src/request_headers.cc",
+         "if (IsIdentityField(name)) return true;", ""),
+    ],
+    "keys_are_asked_for": [
+        (GATEWAY + "callers/intake.cc",
+         "identity.access == CallerAccess::kGranted", "!is_public"),
+    ],
+    "taken_keys_are_gone": [
+        ("libs/workspaces/src/directory.cc", "  names_by_key_.clear();\n", ""),
+    ],
+    "rate": [
+        (GATEWAY + "callers/intake.cc",
+         "if (answer.verdict == RateVerdict::kAdmitted) return true;",
+         "return true;"),
+    ],
     "unknown_job_is_asked_for": [
-        (GATEWAY + "batch/batch_api.cc", "if (!job) return Fetch(caller, call);",
-         "if (!job) return Respond(caller, 404);"),
+        (GATEWAY + "batch/batch_api.cc", "if (!known) return Fetch(caller, job);",
+         "if (!known) return Respond(caller, 404);"),
         (GATEWAY + "gateway_records.cc", "push_.Push(record, peers_.LiveAddresses());",
          ""),
     ],
--- a/tests/soak/batch_traffic.cc
+++ b/tests/soak/batch_traffic.cc
@@ -52,6 +52,7 @@
                          TimePoint now) {
   call.sent_at = now;
   request.deadline = now + kCallTimeout;
+  request.headers.Add("Authorization", std::string("Bearer ") + kUsualKey);
   open_.emplace(site_.site().caller().Begin(std::move(request)),
                 std::move(call));
 }
--- a/tests/soak/online_judge.cc
+++ b/tests/soak/online_judge.cc
@@ -14,7 +14,6 @@
 // Bounds of the deployment.
 constexpr milliseconds kAnswerBound{500};  // after the deadline
 constexpr milliseconds kCancelBound{500};
-constexpr milliseconds kApplyBound{2000};
 constexpr milliseconds kDrainBound{2000};
 constexpr milliseconds kLossBound{200};
 constexpr milliseconds kRegressBound{250};
@@ -124,6 +123,11 @@
                                                    }),
                   Describe(request));
   const bool denied = end.status / 100 == 4 && !PromisesNotRun(end.status);
+  // Keys that came or went meanwhile are judged apart (workspace_judge.h).
+  if (!operations_.KeyInEach(request.key, true, request.sent_at,
+                             request.ended_at, slack_)) {
+    return;
+  }
   findings_.Check(
       "a proper request is not denied",
       !denied || request.kind == OnlineKind::kExtra || !signature.empty(),
@@ -181,14 +185,9 @@
 // between the two moments.
 bool OnlineJudge::RouteInEach(const std::string& route, bool present,
                               TimePoint from, TimePoint until) const {
-  const auto& all = operations_.configurations;
-  for (size_t i = 0; i < all.size(); ++i) {
-    const bool replaced =
-        i + 1 < all.size() && all[i + 1].at + kApplyBound + slack_ <= from;
-    if (replaced || all[i].at > until) continue;
-    if (all[i].extra_routes.contains(route) != present) return false;
-  }
-  return true;
+  return operations_.InEach(from, until, slack_, [&](const auto& version) {
+    return version.extra_routes.contains(route) == present;
+  });
 }
 
 void OnlineJudge::JudgeRoute(const OnlineRequest& request) {
--- a/tests/soak/online_request.h
+++ b/tests/soak/online_request.h
@@ -27,6 +27,7 @@
   int start = 0;  // which start of the gateway's process took it
   std::string target;
   std::string body;
+  std::string key;
   std::chrono::milliseconds budget{0};
   TimePoint sent_at{};
   TimePoint cancelled_at = kNever;
--- a/tests/soak/online_traffic.cc
+++ b/tests/soak/online_traffic.cc
@@ -5,6 +5,8 @@
 #include <iterator>
 #include <utility>
 
+#include "soak_workspaces.h"
+
 namespace knapweedstile::soak {
 namespace {
 
@@ -19,6 +21,10 @@
 constexpr uint64_t kLongestHangUp = 400;  // ms after sending
 
 constexpr uint64_t kShares = 20;
+// One request in so many has a wrong key, kChangingShares one that comes and
+// goes, the others one that lasts.
+constexpr uint64_t kKeyShares = 20;
+constexpr uint64_t kChangingShares = 5;
 
 // Mostly streams, as on the users' deployments.
 OnlineKind DrawKind(Rng& rng) {
@@ -49,26 +55,37 @@
 }  // namespace
 
 OnlineTraffic::OnlineTraffic(SoakSite& site, uint64_t seed, int per_second)
-    : site_(site), rng_(seed), per_second_(per_second) {}
+    : site_(site), rng_(seed), key_rng_(seed), per_second_(per_second) {}
 
 void OnlineTraffic::Run(TimePoint now) {
   Collect(now);
-  if (next_at_ == TimePoint{}) next_at_ = now;
+  if (next_at_ == TimePoint{}) next_at_ = next_hot_at_ = now;
   while (next_at_ <= now) {
-    Send(DrawKind(rng_), site_.PickGateway(rng_), false, now);
+    Send(DrawKind(rng_), site_.PickGateway(rng_), false, now, PickKey());
     next_at_ += FromSeconds(1.0 / per_second_);
   }
+  while (next_hot_at_ <= now) {
+    Send(OnlineKind::kPing, site_.PickGateway(key_rng_), true, now, kHotKey);
+    next_hot_at_ += FromSeconds(1.0 / kHotRequestsPerSecond);
+  }
 }
 
 void OnlineTraffic::Probe(const std::string& gateway, TimePoint now) {
   for (const OnlineKind kind : {OnlineKind::kQuery, OnlineKind::kReply,
                                 OnlineKind::kPing, OnlineKind::kBook}) {
-    Send(kind, gateway, true, now);
+    Send(kind, gateway, true, now, kUsualKey);
   }
 }
 
+std::string OnlineTraffic::PickKey() {
+  const uint64_t draw = UniformBelow(key_rng_, kKeyShares);
+  if (draw == 0) return kWrongKey;
+  if (draw <= kChangingShares) return site_.PickChangingKey(key_rng_);
+  return kUsualKey;
+}
+
 void OnlineTraffic::Send(OnlineKind kind, const std::string& gateway,
-                         bool patient, TimePoint now) {
+                         bool patient, TimePoint now, const std::string& key) {
   OnlineRequest request{.id = fmt::format("r{}", ++last_),
                         .kind = kind,
                         .gateway = gateway,
@@ -82,6 +99,10 @@
       site_.site().Online(gateway, request.plain() ? "GET" : "POST",
                           request.target, request.id, request.budget.count());
   request.body = sent.body;
+  request.key = key;
+  sent.headers.Add("Authorization", "Bearer " + key);
+  // A claim that must not be believed.
+  sent.headers.Add("Tenant", kHotWorkspace);
   sent.stream_body = !request.plain();
   sent.deadline = now + request.budget + kPatience;
   Open open{.index = requests_.size()};
--- a/tests/soak/online_traffic.h
+++ b/tests/soak/online_traffic.h
@@ -38,12 +38,15 @@
 
   // A patient caller neither hangs up nor sets a short deadline.
   void Send(OnlineKind kind, const std::string& gateway, bool patient,
-            TimePoint now);
+            TimePoint now, const std::string& key);
+  std::string PickKey();
 
   SoakSite& site_;
   Rng rng_;
+  Rng key_rng_;
   int per_second_;
   TimePoint next_at_{};
+  TimePoint next_hot_at_{};
   uint64_t last_ = 0;
   std::vector<OnlineRequest> requests_;
   std::map<ExchangeId, Open> open_;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -8,6 +8,7 @@
 #include "batch_judge.h"
 #include "fault_plan.h"
 #include "online_judge.h"
+#include "workspace_judge.h"
 
 namespace knapweedstile::soak {
 namespace {
@@ -107,6 +108,9 @@
   OnlineJudge online(runs, site_.disturbances(), site_.operations(),
                      SoakSite::kEvents, slack_, findings_);
   online.Judge(online_.requests());
+  WorkspaceJudge workspaces(runs, site_.disturbances(), site_.operations(),
+                            slack_, findings_);
+  workspaces.Judge(online_.requests());
   BatchJudge batch(runs, site_.disturbances(), site_.operations(),
                    SoakSite::kEvents, slack_, findings_);
   batch.Judge(batch_.jobs());
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -31,6 +31,24 @@
 // A silent server's entry is removed after three heartbeats.
 constexpr milliseconds kEntryLifetime{1200};
 
+// How long a key that comes and goes holds.
+constexpr milliseconds kKeyLifetime{4500};
+
+std::string ChangingKey(int number) { return fmt::format("key-{}", number); }
+
+boost::json::array WorkspacesOf(const KeyOwners& keys) {
+  boost::json::array usual;
+  boost::json::array hot;
+  for (const auto& [key, owner] : keys) {
+    (owner == kHotWorkspace ? hot : usual).push_back(key.c_str());
+  }
+  return {{{"name", kUsualWorkspace}, {"api_keys", std::move(usual)}},
+          {{"name", kHotWorkspace},
+           {"api_keys", std::move(hot)},
+           {"rate_per_s", kHotRate},
+           {"burst", kHotBurst}}};
+}
+
 }  // namespace
 
 SoakSite::SoakSite(const SoakSize& size, Findings& findings)
@@ -95,7 +113,13 @@
     servers_.push_back(&site_.AddServer("app", NewInstance(), kSlots));
     servers_.back()->name_requests = true;
   }
-  operations_.configurations.push_back({.at = MonotonicNow()});
+  const TimePoint now = MonotonicNow();
+  operations_.configurations.push_back(
+      {.at = now,
+       .keys = {{kUsualKey, kUsualWorkspace},
+                {kHotKey, kHotWorkspace},
+                {ChangingKey(last_key_), kUsualWorkspace}}});
+  keys_change_at_ = now + kKeyLifetime;
   Configure();
   for (int i = 1; i <= size_.gateways; ++i) {
     const std::string gateway = fmt::format("gateway-{}", i);
@@ -109,7 +133,24 @@
   }
 }
 
+void SoakSite::ChangeKeys(TimePoint now) {
+  keys_change_at_ = now + kKeyLifetime;
+  OperationsLog::Configuration next = operations_.configurations.back();
+  next.at = now;
+  next.keys.erase(ChangingKey(last_key_));
+  next.keys[ChangingKey(++last_key_)] = kUsualWorkspace;
+  operations_.configurations.push_back(std::move(next));
+  Configure();
+}
+
+std::string SoakSite::PickChangingKey(Rng& rng) const {
+  // Also one that has not come yet.
+  const int back = static_cast<int>(UniformBelow(rng, 4)) - 1;
+  return ChangingKey(std::max(last_key_ - back, 0));
+}
+
 void SoakSite::Configure() {
+  site_.workspaces = WorkspacesOf(operations_.configurations.back().keys);
   const auto& routes = operations_.configurations.back().extra_routes;
   site_.extra_routes.assign(routes.begin(), routes.end());
   // Versions increase in uneven steps.
@@ -162,6 +203,7 @@
 }
 
 void SoakSite::Run(TimePoint now) {
+  if (now >= keys_change_at_) ChangeKeys(now);
   while (!steps_.empty() && steps_.begin()->first <= now) {
     steps_.extract(steps_.begin()).mapped()();
   }
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -66,6 +66,8 @@
   }
   // One that the balancer has in rotation; any when there is none.
   const std::string& PickGateway(Rng& rng) const;
+  // Of the keys that come and go, one of the last few.
+  std::string PickChangingKey(Rng& rng) const;
   // Of the routes that came and went, mostly a late one.
   std::string PickExtraRoute(Rng& rng) const;
   RunIndex Runs() const;
@@ -84,6 +86,8 @@
   void Probe(const std::string& gateway, GatewayState& state, TimePoint now);
   void CheckProcess(const std::string& gateway, GatewayState& state,
                     TimePoint now);
+  // Takes a key away and gives another to the same workspace.
+  void ChangeKeys(TimePoint now);
   void Configure();
   std::string Interpose(const std::string& who, const std::string& address);
   std::string ClockFile(const std::string& gateway) const;
@@ -104,6 +108,8 @@
   int version_ = 1;
   int last_instance_ = 0;
   int last_route_ = 0;
+  int last_key_ = 0;
+  TimePoint keys_change_at_ = kNever;
 };
 
 }  // namespace knapweedstile::soak
--- /dev/null
+++ b/tests/soak/workspace_judge.cc
@@ -0,0 +1,94 @@
+#include "workspace_judge.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "soak_workspaces.h"
+
+namespace knapweedstile::soak {
+namespace {
+
+constexpr unsigned kUnauthorized = 401;
+
+std::string Describe(const OnlineRequest& request) {
+  return fmt::format("{} with {} at {}: {}", request.id, request.key,
+                     request.gateway, request.end.status);
+}
+
+}  // namespace
+
+void WorkspaceJudge::Judge(const std::vector<OnlineRequest>& requests) {
+  JudgeServers();
+  for (const OnlineRequest& request : requests) {
+    JudgeKey(request);
+    for (const auto* run : runs_.Of(request.id)) {
+      findings_.Check(
+          "a server is told the workspace that holds the key",
+          run->headers.Find("Tenant") == operations_.OwnerOf(request.key),
+          Describe(request));
+    }
+  }
+  JudgeRate(requests);
+}
+
+void WorkspaceJudge::JudgeServers() {
+  for (const auto& [id, runs] : runs_.all()) {
+    for (const auto* run : runs) {
+      const auto& fields = run->headers.fields();
+      const bool leaked =
+          std::any_of(fields.begin(), fields.end(), [](const auto& field) {
+            return field.second.find(kKeyMark) != std::string::npos;
+          });
+      findings_.Check("no key reaches a server", !leaked, id);
+    }
+  }
+}
+
+void WorkspaceJudge::JudgeKey(const OnlineRequest& request) {
+  const bool ran = !runs_.Of(request.id).empty();
+  if (operations_.OwnerOf(request.key).empty()) {
+    findings_.Check("a key of no workspace opens nothing", !ran,
+                    Describe(request));
+    return;
+  }
+  if (operations_.KeyInEach(request.key, true, request.sent_at,
+                            request.ended_at, slack_)) {
+    findings_.Check("a key that holds is not denied",
+                    request.end.status != kUnauthorized, Describe(request));
+  }
+  const bool calm =
+      disturbances_.Calm(request.gateway, request.sent_at, request.ended_at);
+  if (calm && operations_.KeyInEach(request.key, false, request.sent_at,
+                                    request.ended_at, slack_)) {
+    findings_.Check("a key that is taken away opens nothing", !ran,
+                    Describe(request));
+  }
+}
+
+// In each window: requests that were both sent and began to run in it.
+void WorkspaceJudge::JudgeRate(const std::vector<OnlineRequest>& requests) {
+  std::vector<std::pair<TimePoint, TimePoint>> runs;  // began, sent
+  for (const OnlineRequest& request : requests) {
+    if (request.key != kHotKey) continue;
+    const auto& of = runs_.Of(request.id);
+    if (!of.empty()) runs.emplace_back(of.front()->began_at, request.sent_at);
+  }
+  std::sort(runs.begin(), runs.end());
+  const double limit =
+      (kHotRate * kRateWindow.count() + kHotBurst) * (1 + kRateOverage) +
+      kRateSlack;
+  for (const auto& [end, unused] : runs) {
+    const auto count = std::count_if(
+        runs.begin(), runs.end(), [&, end = end](const auto& run) {
+          return run.first <= end && run.second > end - kRateWindow;
+        });
+    findings_.Check("a workspace stays within its rate",
+                    static_cast<double>(count) <= limit,
+                    fmt::format("{} requests in {} s, {} allowed", count,
+                                kRateWindow.count(), limit));
+  }
+}
+
+}  // namespace knapweedstile::soak
