--- a/apps/knapctl/src/batch_api.cc
+++ b/apps/knapctl/src/batch_api.cc
@@ -96,6 +96,9 @@
     call.body = body;
     call.headers.Add("Host", line_.host.empty() ? entry : line_.host);
     call.headers.Add("X-Workspace", line_.workspace);
+    if (!line_.api_key.empty()) {
+      call.headers.Add("Authorization", "Bearer " + line_.api_key);
+    }
     if (!key.empty()) call.headers.Add("Idempotency-Key", key);
     end = Send(call);
     if (end.outcome == http::ClientOutcome::kComplete) break;
--- a/apps/knapctl/src/command_line.h
+++ b/apps/knapctl/src/command_line.h
@@ -12,8 +12,9 @@
   std::vector<std::string> entries;  // --entry, or KNAP_ENTRIES (by comma)
   std::vector<std::string> admins;   // --admin, or KNAP_ADMINS (by comma)
   std::string workspace = "default";
-  std::string host;   // --host, or KNAP_HOST: of the routes asked for
-  bool json = false;  // -o json
+  std::string api_key;  // KNAP_API_KEY: of the workspace
+  std::string host;     // --host, or KNAP_HOST: of the routes asked for
+  bool json = false;    // -o json
   std::vector<std::string> words;
 };
 
--- a/apps/knapctl/src/load_command.cc
+++ b/apps/knapctl/src/load_command.cc
@@ -3,7 +3,9 @@
 #include <fmt/core.h>
 
 #include <fstream>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -18,13 +20,26 @@
 namespace knapweedstile::ctl {
 namespace {
 
-std::vector<load::CallOutcome> RunOnline(const CommandLine& line,
-                                         const load::LoadMix& mix) {
+// `WORKSPACE KEY` a line; a file, since the words of a command are seen by all
+// users of the machine.
+std::map<std::string, std::string> ReadKeys(const std::string& path) {
+  std::map<std::string, std::string> keys;
+  std::ifstream file(path);
+  std::string workspace;
+  std::string key;
+  while (file >> workspace >> key) keys[workspace] = key;
+  return keys;
+}
+
+std::vector<load::CallOutcome> RunOnline(
+    const CommandLine& line, const load::LoadMix& mix,
+    std::map<std::string, std::string> workspace_keys) {
   load::LoadTargets targets;
   targets.entries = line.entries;
   targets.model = mix.model;
   targets.service_path = mix.service_path;
   targets.host = line.host;
+  targets.workspace_keys = std::move(workspace_keys);
   std::vector<load::Arrival> plan = load::PlanArrivals(mix);
   const size_t calls = plan.size();
   load::LoadRun run(targets, std::move(plan));
@@ -50,6 +65,10 @@
             cxxopts::value<uint32_t>()->default_value("0"))(
             "batch-tokens", "max_tokens of an item",
             cxxopts::value<uint32_t>()->default_value("32"))(
+            "key-file",
+            "keys of the workspaces workspace-0, workspace-1, ...: a name and "
+            "its key a line",
+            cxxopts::value<std::string>()->default_value(""))(
             "out", "write the summary as JSON to this file",
             cxxopts::value<std::string>());
       });
@@ -71,7 +90,8 @@
         key, &job);
     if (code != ExitCode::kOk) return code;
   }
-  const load::LoadSummary summary = load::Summarize(RunOnline(line, mix));
+  const load::LoadSummary summary = load::Summarize(
+      RunOnline(line, mix, ReadKeys(words["key-file"].as<std::string>())));
   fmt::print("{}",
              line.json ? SummaryJson(summary) + "\n" : ShowSummary(summary));
   if (!job.id.empty() && batch.Status(job.id, &job) == ExitCode::kOk) {
--- a/apps/knapctl/src/log_explanation.cc
+++ b/apps/knapctl/src/log_explanation.cc
@@ -50,7 +50,10 @@
   return static_cast<double>(::timegm(&parts)) + fraction;
 }
 
+// A job of a workspace is logged under its key, which ends with the caller's
+// id.
 bool TellsOf(std::string_view line, std::string_view id) {
+  if (FieldOf(line, "job").ends_with("-" + std::string(id))) return true;
   constexpr std::array<std::string_view, 3> kIds = {"request", "item", "job"};
   return std::any_of(kIds.begin(), kIds.end(), [&](std::string_view key) {
     return FieldOf(line, key) == id;
--- a/apps/knapctl/src/main.cc
+++ b/apps/knapctl/src/main.cc
@@ -16,6 +16,7 @@
 #include "output.h"
 #include "status_command.h"
 #include "timeline_command.h"
+#include "workspaces_command.h"
 
 // The operators' and callers' command line.
 namespace knapweedstile::ctl {
@@ -27,12 +28,13 @@
   std::string_view summary;
 };
 
-constexpr std::array<Command, 10> kCommands = {
+constexpr std::array<Command, 11> kCommands = {
     {{"apply", RunApply, "create or change objects from a file"},
      {"get", RunGet, "show objects"},
      {"label", RunLabel, "set and take off labels, also by selector"},
      {"delete", RunDelete, "delete an object"},
      {"status", RunStatus, "what is in force where, and who is in"},
+     {"workspaces", RunWorkspaces, "limits and use of workspaces"},
      {"job", RunJob, "submit, follow, read and cancel batch jobs"},
      {"timeline", RunTimeline, "merge the processes' time lines"},
      {"explain", RunExplain, "from a request's id to its cause, by logs"},
@@ -48,6 +50,8 @@
     "(KNAP_ADMINS)\n"
     "  --host NAME          host of the routes asked for (KNAP_HOST)\n"
     "  --workspace NAME     the workspace to act for\n"
+    "  (KNAP_API_KEY)       its key, sent with each call; never a flag, which "
+    "other users would see\n"
     "  -o json|text         the form of the output\n"
     "  --help               after a command: its own words\n";
 
@@ -92,6 +96,7 @@
     line.platform = platform;
   }
   if (const char* host = std::getenv("KNAP_HOST")) line.host = host;
+  if (const char* key = std::getenv("KNAP_API_KEY")) line.api_key = key;
   for (int i = 1; i < argc; ++i) {
     if (const char* platform = TakeFlag("--platform", argv, argc, &i)) {
       line.platform = platform;
--- a/libs/gateway/src/gateway_pages.cc
+++ b/libs/gateway/src/gateway_pages.cc
@@ -1,9 +1,11 @@
 #include <charconv>
 #include <utility>
 
+#include "base/clock.h"
 #include "gateway.h"
 #include "gateway_metrics.h"
 #include "operators/status_page.h"
+#include "operators/workspaces_page.h"
 #include "users_platform/request_headers.h"
 
 // What the gateway answers on the operators' address.
@@ -86,6 +88,10 @@
     answer.headers.Add("Content-Type", "application/json");
     answer.body = RenderStatus(settings_, stop_began_at_ != kNever,
                                routes_.version, board_, policies_);
+  } else if (path == "/workspaces") {
+    answer.headers.Add("Content-Type", "application/json");
+    answer.body = RenderWorkspaces(settings_.name, routes_.version, workspaces_,
+                                   rate_, MonotonicNow());
   } else if (path == "/timeline") {
     answer.headers.Add("Content-Type", "application/json");
     answer.body = RenderTimeline(settings_.name, timeline_, AfterOf(target));
--- /dev/null
+++ b/libs/gateway/src/operators/workspaces_page.h
@@ -0,0 +1,25 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_WORKSPACES_PAGE_H_
+#define KNAPWEEDSTILE_GATEWAY_WORKSPACES_PAGE_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/time.h"
+
+namespace knapweedstile::workspaces {
+class Directory;
+class RateQuota;
+}  // namespace knapweedstile::workspaces
+
+namespace knapweedstile::gateway {
+
+// The workspaces in force at this gateway as JSON, for `knapctl workspaces`:
+// names, limits and use, and of their keys only how many there are. At most a
+// thousand, those in use first; `more` says that there are others.
+std::string RenderWorkspaces(const std::string& node, uint64_t configuration,
+                             const workspaces::Directory& workspaces,
+                             const workspaces::RateQuota& rate, TimePoint now);
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_WORKSPACES_PAGE_H_
--- a/libs/load/include/load/load_run.h
+++ b/libs/load/include/load/load_run.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDSTILE_LOAD_LOAD_RUN_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,6 +17,8 @@
   std::vector<std::string> entries;  // callers' addresses, taken in turn
   std::string model;
   std::string service_path;
+  // Keys of workspaces, by name; one that has none is only named.
+  std::map<std::string, std::string> workspace_keys;
   std::string host;  // of the routes; empty: the entry's address
   // How long after the last arrival an answer is waited for.
   Duration patience = std::chrono::seconds(30);
--- a/libs/load/src/load_run.cc
+++ b/libs/load/src/load_run.cc
@@ -121,6 +121,10 @@
     request.headers.Add(
         "Host", targets_.host.empty() ? request.address : targets_.host);
     request.headers.Add("X-Workspace", arrival.workspace);
+    const auto key = targets_.workspace_keys.find(arrival.workspace);
+    if (key != targets_.workspace_keys.end()) {
+      request.headers.Add("Authorization", "Bearer " + key->second);
+    }
     if (arrival.kind == ArrivalKind::kService) {
       request.target = targets_.service_path;
       request.body = arrival.prompt;
--- a/libs/workspaces/include/workspaces/rate_quota.h
+++ b/libs/workspaces/include/workspaces/rate_quota.h
@@ -70,12 +70,15 @@
   RateReport Report(TimePoint now) const;
   uint32_t OwnCount(WorkspaceHash workspace, TimePoint now) const;
   double KnownCount(WorkspaceHash workspace, TimePoint now) const;
+  uint32_t OwnRefused(WorkspaceHash workspace, TimePoint now) const;
+  Duration window() const noexcept { return settings_.window; }
 
  private:
   struct Own {
-    explicit Own(Duration longest) : window(longest) {}
+    explicit Own(Duration longest) : window(longest), refused(longest) {}
 
     AdmissionWindow window;
+    AdmissionWindow refused;
     TimePoint used_at{};
     TimePoint last_return_at{};  // that a refused request was told
     bool changed = false;        // since it was told
--- a/libs/workspaces/src/rate_quota.cc
+++ b/libs/workspaces/src/rate_quota.cc
@@ -179,6 +179,7 @@
     if (!std::exchange(own.changed, true)) changed_.push_back(workspace);
     return answer;
   }
+  own.refused.Add(now);
   for (const auto& [entry, peer] : peers_) {
     if (peer.silent) continue;
     answer.oldest_report = std::max(answer.oldest_report, now - peer.heard_at);
@@ -369,6 +370,11 @@
                            : own->second.window.CountIn(settings_.window, now);
 }
 
+uint32_t RateQuota::OwnRefused(WorkspaceHash workspace, TimePoint now) const {
+  const auto own = own_.find(workspace);
+  return own == own_.end() ? 0 : own->second.refused.CountIn(window(), now);
+}
+
 double RateQuota::KnownCount(WorkspaceHash workspace, TimePoint now) const {
   return KnownOf(workspace, now).all;
 }
--- a/tests/users_platform/workspaces_test.cc
+++ b/tests/users_platform/workspaces_test.cc
@@ -335,6 +335,15 @@
   CHECK(served <= (5 * 4 + 4) * 1.1 + 20);
   CHECK(fleet.Status("entry-1", "cattery-key") == 200);
   CHECK(fleet.Logged({"entry-1"}, "event=over_rate"));
+  int code = 0;
+  const std::string shown = fleet.site.Control(
+      {"workspaces", "--admin", fleet.site.readiness("entry-1"), "--admin",
+       fleet.site.readiness("entry-2")},
+      &code);
+  CHECK(code == 0);
+  CHECK(shown.find("4/s + 4") != std::string::npos);
+  CHECK(shown.find("no limit") != std::string::npos);
+  CHECK(shown.find("kennel-key") == std::string::npos);
 }
 
 }  // namespace knapweedstile::users_site
