--- /dev/null
+++ b/libs/gateway/src/batch/record_reader.cc
@@ -0,0 +1,77 @@
+#include "batch/record_reader.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "batch/job_records.h"
+#include "platform/store_answer.h"
+#include "serving/job_book.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+constexpr int64_t kNanosPerMilli = 1000000;
+
+}  // namespace
+
+RecordReader::RecordReader(serving::JobBook& book, Ports ports)
+    : book_(book), ports_(std::move(ports)) {}
+
+void RecordReader::Take(const platform::StoredObject& object) {
+  const RecordName name = ParseRecordName(object.name);
+  switch (name.type) {
+    case RecordType::kJob:
+      return object.deleted ? book_.Forget(name.id) : AddJob(name.id, object);
+    case RecordType::kSegment:
+      if (!object.deleted) AddSegment(name, object);
+      return;
+    case RecordType::kEnd:
+      if (object.deleted) return;
+      book_.EndJob(name.id);
+      return ports_.progress(name.id);
+    case RecordType::kNode:
+      if (object.deleted) return ports_.entry_gone(name.id);
+      return ports_.entry(name.id, DecodeNode(object.value));
+    case RecordType::kUnknown:
+      return LogWarning("record_unknown", {{"name", object.name}});
+  }
+}
+
+void RecordReader::AddJob(const std::string& id,
+                          const platform::StoredObject& object) {
+  if (book_.Find(id)) return;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(job, DecodeJob(id, object.value, MonotonicNow(),
+                                       WallClockNanos() / kNanosPerMilli));
+        book_.AddJob(std::move(job));
+        return {};
+      },
+      [&](const Error& error) {
+        LogError("job_undecodable", {{"job", id}, {"reason", error.message}});
+      },
+      [] {});
+}
+
+// Most records that a read of the store brings were pushed before: they are not
+// decoded again.
+void RecordReader::AddSegment(const RecordName& name,
+                              const platform::StoredObject& object) {
+  if (book_.HasSegment(name.id, name.segment)) return;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(results, DecodeSegment(object.value));
+        book_.AddSegment(name.id, name.segment, std::move(results));
+        ports_.progress(name.id);
+        return {};
+      },
+      [&](const Error& error) {
+        LogError("segment_invalid",
+                 {{"name", object.name}, {"reason", error.message}});
+      },
+      [] {});
+}
+
+}  // namespace knapweedstile::gateway
--- /dev/null
+++ b/libs/gateway/src/batch/record_reader.h
@@ -0,0 +1,45 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_RECORD_READER_H_
+#define KNAPWEEDSTILE_GATEWAY_RECORD_READER_H_
+
+#include <functional>
+#include <string>
+
+namespace knapweedstile::platform {
+struct StoredObject;
+}
+namespace knapweedstile::serving {
+class JobBook;
+}
+
+namespace knapweedstile::gateway {
+
+struct RecordName;
+
+// Takes the system's own records, read from the store or pushed by other
+// entries, into the book.
+class RecordReader {
+ public:
+  struct Ports {
+    // A job has results or its end that were not known here.
+    std::function<void(const std::string& job)> progress;
+    // Where an entry takes datagrams; or that it is gone for good.
+    std::function<void(const std::string& entry, const std::string& address)>
+        entry;
+    std::function<void(const std::string& entry)> entry_gone;
+  };
+
+  RecordReader(serving::JobBook& book, Ports ports);
+
+  void Take(const platform::StoredObject& object);
+
+ private:
+  void AddJob(const std::string& id, const platform::StoredObject& object);
+  void AddSegment(const RecordName& name, const platform::StoredObject& object);
+
+  serving::JobBook& book_;
+  Ports ports_;
+};
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_RECORD_READER_H_
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -33,8 +33,7 @@
 }  // namespace
 
 Result<bool> Gateway::Start() {
-  BOOST_LEAF_CHECK(readiness_.Listen(settings_.readiness_address));
-  ListenForMetrics();
+  BOOST_LEAF_CHECK(pages_.Listen());
   BOOST_LEAF_CHECK(peers_.Listen(settings_.ip, settings_.peer_port));
   BOOST_LEAF_CHECK(
       push_.Listen(fmt::format("{}:{}", settings_.ip, settings_.peer_port)));
@@ -64,23 +63,6 @@
   return true;
 }
 
-// Callers are served without it as well, so it does not keep the entry from
-// starting; the readiness address has the same page.
-void Gateway::ListenForMetrics() {
-  if (settings_.metrics_address.empty()) return;
-  boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_CHECK(metrics_page_.Listen(settings_.metrics_address));
-        return {};
-      },
-      [&](const Error& error) {
-        LogWarning("metrics_address_refused",
-                   {{"address", settings_.metrics_address},
-                    {"reason", error.message}});
-      },
-      [] {});
-}
-
 bool Gateway::OnCallerEvent(http::ServerEvent&& event) {
   if (const auto* gone = std::get_if<http::DisconnectEvent>(&event)) {
     online_.OnCallerGone(gone->exchange);
@@ -138,7 +120,7 @@
 // servers seconds after the caller was told so. What was counted by others or
 // written before now is read first; items that already run go on meanwhile.
 void Gateway::RunBatch(TimePoint now) {
-  knows_ends_ = own_mirror_.caught_up() && !sync_.HasGap(now);
+  ownership_.SetKnowsEnds(own_mirror_.caught_up() && !sync_.HasGap(now));
   runner_.Run(now);
 }
 
@@ -227,6 +209,7 @@
 void Gateway::BeginStop() {
   if (stop_began_at_ != kNever) return;
   stop_began_at_ = MonotonicNow();
+  ownership_.Stop();
   LogInfo("stopping", {{"online", online_.open()},
                        {"items", runner_.running()},
                        {"grace_ms", settings_.stop_grace.count()}});
@@ -262,4 +245,24 @@
   io_.stop();
 }
 
+bool Gateway::ready() const {
+  return routes_.version != 0 && server_mirror_.listed() &&
+         stop_began_at_ == kNever;
+}
+
+std::string Gateway::RenderMetrics() {
+  metrics_.Set("knap_configuration_version",
+               static_cast<double>(routes_.version));
+  metrics_.Set("knap_servers", static_cast<double>(board_.server_count()));
+  metrics_.Set("knap_store_available", store_.available() ? 1 : 0);
+  metrics_.Set("knap_store_calls", static_cast<double>(store_.calls()));
+  metrics_.Set("knap_store_reader", IsReader() ? 1 : 0);
+  metrics_.Set("knap_cell_entries", static_cast<double>(entries_in_cell_));
+  metrics_.Set("knap_online_open", static_cast<double>(online_.open()));
+  metrics_.Set("knap_items_running", static_cast<double>(runner_.running()));
+  metrics_.Set("knap_entries_heard",
+               static_cast<double>(peers_.WorkingEntries().size()));
+  return metrics_.Render();
+}
+
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -9,8 +9,10 @@
 
 #include "batch/batch_api.h"
 #include "batch/batch_runner.h"
+#include "batch/job_ownership.h"
 #include "batch/job_writer.h"
 #include "batch/own_batches.h"
+#include "batch/record_reader.h"
 #include "batch/result_committer.h"
 #include "callers/intake.h"
 #include "gateway/gateway_settings.h"
@@ -18,9 +20,10 @@
 #include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "online/online_calls.h"
-#include "operators/operators_api.h"
+#include "operators/operators_pages.h"
 #include "operators/policy_view.h"
 #include "pause_detector.h"
+#include "peers/entry_registration.h"
 #include "peers/peer_link.h"
 #include "peers/progress_link.h"
 #include "peers/record_push.h"
@@ -56,11 +59,7 @@
   void BeginStop();
 
  private:
-  void ListenForMetrics();
   bool OnCallerEvent(http::ServerEvent&& event);
-  bool OnReadinessEvent(http::ServerEvent&& event);
-  http::RespondCommand MetricsPage(const http::RequestEvent& request);
-  http::RespondCommand OperatorsPage(const http::RequestEvent& request);
   bool ready() const;
 
   // Ends what a former process of a server had in its hands.
@@ -72,21 +71,14 @@
   void NoticeConfigurationAge(TimePoint now);
   // The workspaces that operators wrote as objects have changed.
   void SetWorkspaceObjects();
-  void OnOwnObject(platform::StoredObject&& object);
   void OnOwnListed(std::vector<platform::StoredObject>&& objects);
-  void AddJob(const std::string& id, const platform::StoredObject& object);
-  void AddSegment(const RecordName& name, const platform::StoredObject& object);
+  void OnEntry(const std::string& entry, const std::string& address);
   void ForgetEntry(const std::string& entry);
-  void Register(uint64_t version);
   // Its number among the records of this entry.
   uint64_t PushRecord(const OwnRecord& record);
   void OnRecordsHeard();
   void OnPeerState(const PeerState& state);
 
-  // One of the live entries, by a hash that all agree on.
-  std::string ChosenOf(const std::string& job) const;
-  // The one that runs it once this entry is gone; empty without others.
-  std::string SuccessorOf(const std::string& job) const;
   void OnPeerStarted(const std::string& entry);
   // Which entries follow the store for this cell.
   void UpdateReaders(TimePoint now);
@@ -100,9 +92,6 @@
   void UpdateRateMembers();
   // Sorts the entries that are heard of into cells.
   void UpdateCells();
-  // Whether this entry deletes the records of a job that has expired.
-  bool Collects(const std::string& job) const;
-  bool Owns(const serving::BatchJob& job) const;
   void Displace(BackendServerId server, const std::string& entry);
   void RunBatch(TimePoint now);
 
@@ -153,6 +142,8 @@
   ProgressLink progress_;
   NewsLink news_;
   SyncTracker sync_;
+  JobOwnership ownership_;
+  EntryRegistration registration_;
   LagDetector configuration_lag_;
   LagDetector server_lag_;
   ServerConnections connections_;
@@ -162,12 +153,11 @@
   JobWriter writer_;
   BatchApi batch_;
   OwnBatches own_batches_;
+  RecordReader records_;
   Intake intake_;
   RecordCollector collector_;
   http::Server callers_;
-  http::Server readiness_;
-  http::Server metrics_page_;
-  OperatorsApi operators_;
+  OperatorsPages pages_;
   KindMirror configuration_mirror_;
   KindMirror server_mirror_;
   KindMirror own_mirror_;
@@ -177,8 +167,6 @@
 
   // Since when the configuration may be an old one; kNever: it is the present.
   TimePoint configuration_known_at_{};
-  // Whether the ends of jobs are known as they are in the store.
-  bool knows_ends_ = false;
   PauseDetector pauses_;
   serving::Cell cell_;
   size_t entries_in_cell_ = 1;  // this one included
@@ -191,8 +179,6 @@
   TimePoint refreshed_records_at_{};
   serving::UsageByProcess told_usage_;
   TimePoint read_configuration_at_{};
-  bool registering_ = false;
-  bool registered_ = false;
   TimePoint stop_began_at_ = kNever;
   bool accepting_ = true;
   bool handed_over_ = false;  // stopping: runs ended, their progress told
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -240,7 +240,7 @@
   if (addresses.empty()) return;
   std::map<std::string, ProgressLink::Notes> by_address;
   for (auto& note : book_.TakeNotes(step, kMostProgressBytes)) {
-    const auto address = addresses.find(SuccessorOf(note.job));
+    const auto address = addresses.find(ownership_.SuccessorOf(note.job));
     if (address == addresses.end()) continue;
     by_address[address->second].push_back(std::move(note));
   }
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -9,6 +9,8 @@
 #include "gateway.h"
 #include "gateway_metrics.h"
 #include "operators/object_names.h"
+#include "operators/status_page.h"
+#include "operators/workspaces_page.h"
 #include "users_platform/store_names.h"
 
 // How the gateway's parts are joined.
@@ -99,9 +101,9 @@
                    sync_.OnReceived(entry, start, count - records.size(), count,
                                     MonotonicNow());
                    for (OwnRecord& record : records) {
-                     OnOwnObject({.kind = kOwnKind,
-                                  .name = std::move(record.name),
-                                  .value = std::move(record.value)});
+                     records_.Take({.kind = kOwnKind,
+                                    .name = std::move(record.name),
+                                    .value = std::move(record.value)});
                    }
                    RunBatch(MonotonicNow());
                    return sync_.ReceivedOf(entry);
@@ -125,6 +127,9 @@
                   }
                 }),
       news_(io, [this](StoreNews&& news) { OnNews(std::move(news)); }),
+      ownership_(settings.name, started_at_, peers_, book_),
+      registration_(io, store_, settings.name,
+                    fmt::format("{}:{}", settings.ip, settings.peer_port)),
       connections_(io),
       online_(
           connections_, board_, crashes_, metrics_, timeline_, seed + 1,
@@ -148,7 +153,10 @@
                }}),
       runner_(
           connections_, board_, book_, routes_, metrics_, timeline_,
-          {.owns = [this](const serving::BatchJob& job) { return Owns(job); },
+          {.owns =
+               [this](const serving::BatchJob& job) {
+                 return ownership_.Owns(job, MonotonicNow());
+               },
            .entries = [this] { return peers_.WorkingEntries().size() + 1; },
            .runs_elsewhere =
                [this](uint64_t item) { return peers_.RunsElsewhere(item); },
@@ -195,6 +203,16 @@
                [this](std::string_view body, const CallerIdentity& caller) {
                  return MayAskModel(body, caller, workspaces_);
                }}),
+      records_(
+          book_,
+          {.progress =
+               [this](const std::string& job) { batch_.OnProgress(job); },
+           .entry =
+               [this](const std::string& entry, const std::string& address) {
+                 OnEntry(entry, address);
+               },
+           .entry_gone =
+               [this](const std::string& entry) { ForgetEntry(entry); }}),
       intake_(
           routes_, workspaces_, rate_, metrics_,
           fmt::format("{}-{:x}", settings.name, start_),
@@ -226,28 +244,26 @@
                },
            .configuration_age = [this] { return ConfigurationAge(); },
            .look_again = [this] { ReadConfiguration(MonotonicNow()); }}),
-      collector_(store_, book_,
-                 {.keep = settings.result_retention * kRetentionFactor},
-                 [this](const std::string& job) { return Collects(job); }),
+      collector_(
+          store_, book_, {.keep = settings.result_retention * kRetentionFactor},
+          [this](const std::string& job) { return ownership_.Collects(job); }),
       callers_(io, CallerServerSettings(),
                [this](http::ServerEvent&& event) {
                  return OnCallerEvent(std::move(event));
                }),
-      readiness_(io, {},
-                 [this](http::ServerEvent&& event) {
-                   return OnReadinessEvent(std::move(event));
-                 }),
-      metrics_page_(io, {},
-                    [this](http::ServerEvent&& event) {
-                      const auto* request =
-                          std::get_if<http::RequestEvent>(&event);
-                      if (request) metrics_page_.Execute(MetricsPage(*request));
-                      return true;
-                    }),
-      operators_(store_,
-                 [this](http::ServerCommand&& command) {
-                   readiness_.Execute(std::move(command));
-                 }),
+      pages_(io, settings_, store_, timeline_,
+             {.ready = [this] { return ready(); },
+              .metrics = [this] { return RenderMetrics(); },
+              .status =
+                  [this] {
+                    return RenderStatus(settings_, stop_began_at_ != kNever,
+                                        routes_.version, board_, policies_);
+                  },
+              .workspaces =
+                  [this] {
+                    return RenderWorkspaces(settings_.name, routes_.version,
+                                            workspaces_, rate_, MonotonicNow());
+                  }}),
       configuration_mirror_(
           io, store_,
           {.kind = users_platform::kConfigurationKind,
@@ -288,7 +304,7 @@
                        },
                    .changed =
                        [this](platform::StoredObject&& object) {
-                         OnOwnObject(std::move(object));
+                         records_.Take(object);
                        },
                    .read =
                        [this](TimePoint began) {
--- /dev/null
+++ b/libs/gateway/src/peers/entry_registration.h
@@ -0,0 +1,35 @@
+#ifndef KNAPWEEDSTILE_GATEWAY_ENTRY_REGISTRATION_H_
+#define KNAPWEEDSTILE_GATEWAY_ENTRY_REGISTRATION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <string>
+
+namespace knapweedstile::gateway {
+
+class StoreCalls;
+
+// Writes to the store where this entry takes datagrams of the others, and tries
+// until it stands there.
+class EntryRegistration {
+ public:
+  EntryRegistration(boost::asio::io_context& io, StoreCalls& store,
+                    std::string entry, std::string address);
+
+  // `version` of the record that is there; zero: none. Nothing is done once it
+  // has been written.
+  void Register(uint64_t version);
+
+ private:
+  void Write(uint64_t version);
+
+  boost::asio::io_context& io_;
+  StoreCalls& store_;
+  std::string entry_;
+  std::string address_;
+  bool begun_ = false;
+};
+
+}  // namespace knapweedstile::gateway
+
+#endif  // KNAPWEEDSTILE_GATEWAY_ENTRY_REGISTRATION_H_
