--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -16,8 +16,6 @@
 
 // Housekeeping: deadlines of reads, starts of items, shared usage.
 constexpr std::chrono::milliseconds kTick{20};
-// Without a change, often enough that silence is noticed soon.
-constexpr std::chrono::milliseconds kHeartbeat{250};
 // Some half a second of a run; much finer would tell more than a lost entry
 // costs.
 constexpr uint64_t kProgressStep = 16;
@@ -41,7 +39,7 @@
   store_.SetRelay(&relay_);
   push_.SetOtherHandler([this](const http::RequestEvent& request) {
     if (NewsLink::IsTarget(request.target)) {
-      news_.OnRequest(request);
+      follower_.OnNewsRequest(request);
     } else if (ProgressLink::IsTarget(request.target)) {
       progress_.OnRequest(request);
     } else {
@@ -50,15 +48,11 @@
     push_.Respond(request.exchange, {});
   });
   store_.SetRegainedHandler([this] {
-    configuration_mirror_.OnStoreRegained();
-    server_mirror_.OnStoreRegained();
+    follower_.OnStoreRegained();
     own_mirror_.OnStoreRegained();
-    object_mirror_.OnStoreRegained();
   });
-  configuration_mirror_.Start();
-  server_mirror_.Start();
+  follower_.Start();
   own_mirror_.Start();
-  object_mirror_.Start();
   ArmTick();
   return true;
 }
@@ -100,7 +94,7 @@
              {"revision", object.version}});
         routes_ = std::move(table);
         workspaces_.SetConfigured(std::move(configuration.workspaces));
-        NoticeConfigurationAge(MonotonicNow());
+        follower_.NoticeConfigurationAge(MonotonicNow());
         policies_.Attach();
         callers_.SetLimits(
             routes_.limits.max_header_bytes, routes_.limits.max_body_bytes,
@@ -150,23 +144,6 @@
   own_mirror_.ReadAnew();
 }
 
-Duration Gateway::ConfigurationAge() const {
-  if (routes_.version == 0) return kNever - TimePoint{};
-  return Remaining(MonotonicNow(), configuration_known_at_);
-}
-
-// What is known is the present state while the store answers and no other entry
-// is ahead.
-void Gateway::NoticeConfigurationAge(TimePoint now) {
-  const bool present = store_.available() &&
-                       configuration_mirror_.following() &&
-                       !configuration_lag_.Ahead(routes_.version);
-  if (present) configuration_known_at_ = kNever;
-  if (!present && configuration_known_at_ == kNever) {
-    configuration_known_at_ = now;
-  }
-}
-
 void Gateway::SetWorkspaceObjects() {
   std::vector<workspaces::Workspace> objects;
   for (const auto& [name, workspace] : policies_.catalog().workspaces()) {
@@ -188,8 +165,7 @@
   if (servers_.Expire(now)) policies_.Attach();
   peers_.Expire(now);
   rate_.Expire(now);
-  NoticeConfigurationAge(now);
-  UpdateReaders(now);
+  follower_.Run(now);
   board_.ExpireReports(now);
   board_.ObserveDemand(now);
   crashes_.Expire(now);
@@ -199,9 +175,10 @@
   collector_.Run(now);
   batch_.Expire(now);
   OnRecordsHeard();
-  if (now - shared_whole_at_ >= kHeartbeat) ShareState(now);
+  sharer_.Run(now);
   ShareProgress(now, kProgressStep);
-  RefreshLaggingMirrors(now);
+  if (sync_.MustAskStore(now)) own_mirror_.Poke();
+  if (sync_.HasGap(now)) own_mirror_.RenewWatch();
   if (stop_began_at_ != kNever) CheckStopped(now);
   ArmTick();
 }
@@ -210,6 +187,7 @@
   if (stop_began_at_ != kNever) return;
   stop_began_at_ = MonotonicNow();
   ownership_.Stop();
+  follower_.Stop();
   LogInfo("stopping", {{"online", online_.open()},
                        {"items", runner_.running()},
                        {"grace_ms", settings_.stop_grace.count()}});
@@ -217,7 +195,7 @@
   // Items that wait are taken over at once, from where they are.
   shared_progress_at_ = TimePoint{};
   ShareProgress(stop_began_at_, 1);
-  ShareState(stop_began_at_);
+  sharer_.ShareWhole(stop_began_at_);
 }
 
 void Gateway::CheckStopped(TimePoint now) {
@@ -231,14 +209,14 @@
     runner_.EndAll();
     shared_progress_at_ = TimePoint{};
     ShareProgress(now, 1);
-    ShareState(now);
+    sharer_.ShareWhole(now);
   }
   const bool idle = !accepting_ && callers_.open_exchanges() == 0 &&
                     callers_.open_connections() == 0 &&
                     runner_.running() == 0 && committer_.idle();
   if (!idle) idle_since_ = now;
   if (now - idle_since_ < kLastPushes && now < kill_at - kLastWrites) return;
-  ShareState(now);
+  sharer_.ShareWhole(now);
   LogInfo("stopped", {{"online", online_.open()},
                       {"items", runner_.running()},
                       {"connections", callers_.open_connections()}});
@@ -246,7 +224,7 @@
 }
 
 bool Gateway::ready() const {
-  return routes_.version != 0 && server_mirror_.listed() &&
+  return routes_.version != 0 && follower_.knows_servers() &&
          stop_began_at_ == kNever;
 }
 
@@ -256,7 +234,7 @@
   metrics_.Set("knap_servers", static_cast<double>(board_.server_count()));
   metrics_.Set("knap_store_available", store_.available() ? 1 : 0);
   metrics_.Set("knap_store_calls", static_cast<double>(store_.calls()));
-  metrics_.Set("knap_store_reader", IsReader() ? 1 : 0);
+  metrics_.Set("knap_store_reader", follower_.IsReader() ? 1 : 0);
   metrics_.Set("knap_cell_entries", static_cast<double>(entries_in_cell_));
   metrics_.Set("knap_online_open", static_cast<double>(online_.open()));
   metrics_.Set("knap_items_running", static_cast<double>(runner_.running()));
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -27,6 +27,7 @@
 #include "peers/peer_link.h"
 #include "peers/progress_link.h"
 #include "peers/record_push.h"
+#include "peers/state_sharer.h"
 #include "peers/sync_tracker.h"
 #include "servers/server_connections.h"
 #include "servers/server_directory.h"
@@ -35,10 +36,9 @@
 #include "serving/route_table.h"
 #include "serving/slot_board.h"
 #include "store/kind_mirror.h"
-#include "store/lag_detector.h"
-#include "store/news_link.h"
 #include "store/record_collector.h"
 #include "store/store_calls.h"
+#include "store/store_follower.h"
 #include "store/store_relay.h"
 #include "workspaces/directory.h"
 #include "workspaces/rate_quota.h"
@@ -65,10 +65,6 @@
   // Ends what a former process of a server had in its hands.
   void OnServerRestarted(BackendServerId former, const std::string& address);
   void OnConfiguration(const platform::StoredObject& object);
-  // How long ago the configuration was last known to be the present one; zero:
-  // it is now.
-  Duration ConfigurationAge() const;
-  void NoticeConfigurationAge(TimePoint now);
   // The workspaces that operators wrote as objects have changed.
   void SetWorkspaceObjects();
   void OnOwnListed(std::vector<platform::StoredObject>&& objects);
@@ -80,14 +76,6 @@
   void OnPeerState(const PeerState& state);
 
   void OnPeerStarted(const std::string& entry);
-  // Which entries follow the store for this cell.
-  void UpdateReaders(TimePoint now);
-  bool IsReader() const;
-  void PassOn(const StoreNews& news);
-  void OnNews(StoreNews&& news);
-  // When the store came back last, as far as any entry tells; the start does
-  // not count.
-  TimePoint StoreRegainedAt() const;
   // Tells the quotas which entries there are.
   void UpdateRateMembers();
   // Sorts the entries that are heard of into cells.
@@ -104,20 +92,11 @@
   void NoticePause();
   void ArmTick();
   void Tick();
-  // Tells the other entries which slots this one has taken or left, soon.
-  void OnUsageChanged();
-  // What has changed since it was last told; told from now on.
-  serving::UsageByProcess TakeUntoldUsage();
-  void ShareChanges(TimePoint now);
-  void ShareState(TimePoint now);
   PeerState OwnState() const;
   // Tells the entry that would go on with each item how far it has come.
   void ShareProgress(TimePoint now, uint64_t step);
   // The entry has read records of this one that it was not pushed.
   void LearnFilled(const PeerState& state);
-  void RefreshLaggingMirrors(TimePoint now);
-  // Once more, through another entry where the store does not answer here.
-  void ReadConfiguration(TimePoint now);
   void CheckStopped(TimePoint now);
   std::string RenderMetrics();
 
@@ -140,12 +119,11 @@
   RecordPush push_;
   StoreRelay relay_;
   ProgressLink progress_;
-  NewsLink news_;
+  StateSharer sharer_;
+  StoreFollower follower_;
   SyncTracker sync_;
   JobOwnership ownership_;
   EntryRegistration registration_;
-  LagDetector configuration_lag_;
-  LagDetector server_lag_;
   ServerConnections connections_;
   OnlineCalls online_;
   BatchRunner runner_;
@@ -158,27 +136,13 @@
   RecordCollector collector_;
   http::Server callers_;
   OperatorsPages pages_;
-  KindMirror configuration_mirror_;
-  KindMirror server_mirror_;
   KindMirror own_mirror_;
-  KindMirror object_mirror_;
   boost::asio::steady_timer tick_;
-  boost::asio::steady_timer share_timer_;
 
-  // Since when the configuration may be an old one; kNever: it is the present.
-  TimePoint configuration_known_at_{};
   PauseDetector pauses_;
-  serving::Cell cell_;
   size_t entries_in_cell_ = 1;  // this one included
-  std::vector<std::string> readers_;
-  TimePoint others_regained_at_{};
-  bool share_armed_ = false;
-  TimePoint shared_at_{};
-  TimePoint shared_whole_at_{};
   TimePoint shared_progress_at_{};
   TimePoint refreshed_records_at_{};
-  serving::UsageByProcess told_usage_;
-  TimePoint read_configuration_at_{};
   TimePoint stop_began_at_ = kNever;
   bool accepting_ = true;
   bool handed_over_ = false;  // stopping: runs ended, their progress told
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -17,17 +17,6 @@
 namespace knapweedstile::gateway {
 namespace {
 
-// Operators' objects change seldom, and a change ends the wait. A watch that
-// has gone silent is found when it is over, so this is how late a change can
-// be.
-constexpr std::chrono::milliseconds kObjectWatchWait{20000};
-// Other entries' datagrams tell of a newer version within 0.3 s, and probes of
-// a connection that has gone silent within 3 s: the wait itself bounds nothing.
-constexpr std::chrono::milliseconds kConfigurationWatchWait{15000};
-// Servers change in groups, when they start, leave or are replaced; each change
-// would wake a watch of every entry: 46 of 100 calls of 24 entries on a quiet
-// minute. A draining server must be left within two seconds.
-constexpr std::chrono::milliseconds kServerMirrorPause{300};
 // Records of other entries are pushed by them; the store is asked again only to
 // be sure. With a pause of 150 ms this was two thirds of all calls.
 constexpr std::chrono::milliseconds kOwnMirrorPause{5000};
@@ -35,19 +24,6 @@
 // server's own limit leaves room for it.
 constexpr std::chrono::milliseconds kBodyTimeout{10000};
 
-// Failure guarded against: a store that goes silent and comes back while a
-// watch waits. The watch then brings the removal of live servers whose entries
-// lapsed meanwhile, and nothing else tells that there was an outage. An entry
-// lapses after three heartbeats, so a watch that is over before then has
-// failed.
-std::chrono::milliseconds ServerWatchWait(std::chrono::milliseconds heartbeat) {
-  constexpr int kHeartbeatsToLapse = 3;
-  constexpr std::chrono::milliseconds kTimeoutAndMargin{1000};
-  constexpr std::chrono::milliseconds kLeastWait{300};
-  return std::max(kLeastWait,
-                  heartbeat * kHeartbeatsToLapse - kTimeoutAndMargin);
-}
-
 // Results are kept for longer than is promised: an entry counts from when it
 // learned of a job, and readers come late.
 constexpr int kRetentionFactor = 2;
@@ -109,24 +85,61 @@
                    return sync_.ReceivedOf(entry);
                  },
              .acknowledged = [this] { OnRecordsHeard(); }}),
-      relay_(io, {.helper = [this] { return peers_.EntryWithStore(readers_); },
-                  .perform =
-                      [this](platform::StoreCall&& call, TimePoint deadline,
-                             StoreRelay::Callback callback) {
-                        store_.Call(std::move(call), deadline,
-                                    std::move(callback));
-                      },
-                  .respond =
-                      [this](ExchangeId exchange, std::string body) {
-                        push_.Respond(exchange, std::move(body));
-                      }}),
+      relay_(io,
+             {.helper =
+                  [this] { return peers_.EntryWithStore(follower_.readers()); },
+              .perform =
+                  [this](platform::StoreCall&& call, TimePoint deadline,
+                         StoreRelay::Callback callback) {
+                    store_.Call(std::move(call), deadline, std::move(callback));
+                  },
+              .respond =
+                  [this](ExchangeId exchange, std::string body) {
+                    push_.Respond(exchange, std::move(body));
+                  }}),
       progress_(io,
                 [this](ProgressLink::Notes&& notes) {
                   for (serving::ProgressNote& note : notes) {
                     book_.Offer(std::move(note));
                   }
                 }),
-      news_(io, [this](StoreNews&& news) { OnNews(std::move(news)); }),
+      sharer_(io, peers_, board_, rate_,
+              {.every = [this] { return OwnState(); },
+               .whole =
+                   [this](PeerState& state, TimePoint now) {
+                     state.availability_zone = settings_.availability_zone;
+                     state.running_items = runner_.RunningItems();
+                     state.crashes = crashes_.Own();
+                     state.filled = sync_.FilledLately(now);
+                   }}),
+      follower_(io, settings_, store_, peers_,
+                {.configuration =
+                     [this](const platform::StoredObject& object) {
+                       OnConfiguration(object);
+                     },
+                 .servers_listed =
+                     [this](std::vector<platform::StoredObject>&& objects) {
+                       servers_.OnListed(std::move(objects), MonotonicNow(),
+                                         follower_.regained_at());
+                       policies_.Attach();
+                     },
+                 .server_changed =
+                     [this](platform::StoredObject&& object) {
+                       servers_.OnChanged(std::move(object), MonotonicNow(),
+                                          follower_.regained_at());
+                       policies_.Attach();
+                     },
+                 .objects_listed =
+                     [this](std::vector<platform::StoredObject>&& objects) {
+                       policies_.OnListed(std::move(objects));
+                       SetWorkspaceObjects();
+                     },
+                 .object_changed =
+                     [this](platform::StoredObject&& object) {
+                       policies_.OnChanged(std::move(object));
+                       SetWorkspaceObjects();
+                     },
+                 .version = [this] { return routes_.version; }}),
       ownership_(settings.name, started_at_, peers_, book_),
       registration_(io, store_, settings.name,
                     fmt::format("{}:{}", settings.ip, settings.peer_port)),
@@ -145,7 +158,7 @@
                [this](const std::string& workspace, TimePoint admitted_at) {
                  rate_.GiveBack(Hash64(workspace), admitted_at, MonotonicNow());
                },
-           .usage_changed = [this] { OnUsageChanged(); },
+           .usage_changed = [this] { sharer_.OnUsageChanged(); },
            .outside =
                [this](const serving::Route& route, const std::string& service,
                       const std::string& workspace) {
@@ -164,7 +177,7 @@
                [this](const std::string& job) {
                  committer_.Note(job, MonotonicNow());
                },
-           .usage_changed = [this] { OnUsageChanged(); },
+           .usage_changed = [this] { sharer_.OnUsageChanged(); },
            .outside =
                [this](const serving::Route& route, const std::string& service) {
                  return policies_.Outside(route, service, "");
@@ -242,8 +255,10 @@
                       const CallerIdentity& caller) {
                  own_batches_.OnRequest(std::move(request), caller);
                },
-           .configuration_age = [this] { return ConfigurationAge(); },
-           .look_again = [this] { ReadConfiguration(MonotonicNow()); }}),
+           .configuration_age =
+               [this] { return follower_.ConfigurationAge(MonotonicNow()); },
+           .look_again =
+               [this] { follower_.ReadConfiguration(MonotonicNow()); }}),
       collector_(
           store_, book_, {.keep = settings.result_retention * kRetentionFactor},
           [this](const std::string& job) { return ownership_.Collects(job); }),
@@ -264,38 +279,6 @@
                     return RenderWorkspaces(settings_.name, routes_.version,
                                             workspaces_, rate_, MonotonicNow());
                   }}),
-      configuration_mirror_(
-          io, store_,
-          {.kind = users_platform::kConfigurationKind,
-           .watch_wait = kConfigurationWatchWait,
-           .probes = true},
-          {.listed =
-               [this](std::vector<platform::StoredObject>&& objects) {
-                 for (const auto& object : objects) OnConfiguration(object);
-               },
-           .changed =
-               [this](platform::StoredObject&& object) {
-                 if (!object.deleted) OnConfiguration(object);
-               },
-           .news = [this](const StoreNews& news) { PassOn(news); }}),
-      server_mirror_(
-          io, store_,
-          {.kind = users_platform::kServerKind,
-           .watch_wait = ServerWatchWait(settings.server_heartbeat),
-           .pause = kServerMirrorPause},
-          {.listed =
-               [this](std::vector<platform::StoredObject>&& objects) {
-                 servers_.OnListed(std::move(objects), MonotonicNow(),
-                                   StoreRegainedAt());
-                 policies_.Attach();
-               },
-           .changed =
-               [this](platform::StoredObject&& object) {
-                 servers_.OnChanged(std::move(object), MonotonicNow(),
-                                    StoreRegainedAt());
-                 policies_.Attach();
-               },
-           .news = [this](const StoreNews& news) { PassOn(news); }}),
       own_mirror_(io, store_,
                   {.kind = kOwnKind, .pause = kOwnMirrorPause, .large = true},
                   {.listed =
@@ -311,22 +294,7 @@
                          sync_.OnStoreRead(began, MonotonicNow());
                          RunBatch(MonotonicNow());
                        }}),
-      object_mirror_(
-          io, store_,
-          {.kind = kOperatorObjects, .watch_wait = kObjectWatchWait},
-          {.listed =
-               [this](std::vector<platform::StoredObject>&& objects) {
-                 policies_.OnListed(std::move(objects));
-                 SetWorkspaceObjects();
-               },
-           .changed =
-               [this](platform::StoredObject&& object) {
-                 policies_.OnChanged(std::move(object));
-                 SetWorkspaceObjects();
-               },
-           .news = [this](const StoreNews& news) { PassOn(news); }}),
-      tick_(io),
-      share_timer_(io) {
+      tick_(io) {
   DeclareMetrics(metrics_);
 }
 
--- a/libs/gateway/src/peers/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -243,12 +243,21 @@
   return {};
 }
 
+std::vector<std::string> PeerLink::EntriesOf(const serving::Cell& cell) const {
+  if (cell == serving::Cell()) {
+    std::vector<std::string> all;
+    for (const auto& [entry, peer] : peers_) all.push_back(entry);
+    return all;
+  }
+  const auto entries = entries_by_cell_.find(cell);
+  return entries == entries_by_cell_.end() ? std::vector<std::string>()
+                                           : entries->second;
+}
+
 std::vector<std::string> PeerLink::SoundEntriesIn(const serving::Cell& cell,
                                                   TimePoint now) const {
   std::vector<std::string> sound;
-  const auto entries = entries_by_cell_.find(cell);
-  if (entries == entries_by_cell_.end()) return sound;
-  for (const std::string& entry : entries->second) {
+  for (const std::string& entry : EntriesOf(cell)) {
     const auto found = peers_.find(entry);
     if (found == peers_.end()) continue;
     const Peer& peer = found->second;
@@ -262,9 +271,7 @@
 std::vector<std::string> PeerLink::AddressesIn(
     const serving::Cell& cell) const {
   std::vector<std::string> addresses;
-  const auto entries = entries_by_cell_.find(cell);
-  if (entries == entries_by_cell_.end()) return addresses;
-  for (const std::string& entry : entries->second) {
+  for (const std::string& entry : EntriesOf(cell)) {
     if (addresses_.contains(entry)) addresses.push_back(AddressOf(entry));
   }
   return addresses;
--- a/libs/gateway/src/peers/peer_link.h
+++ b/libs/gateway/src/peers/peer_link.h
@@ -99,6 +99,9 @@
   boost::asio::ip::udp::socket socket_;
   std::map<std::string, boost::asio::ip::udp::endpoint> addresses_;
   std::map<std::string, Peer> peers_;
+  // Entries heard of lately; of the whole fleet for the cell of all.
+  std::vector<std::string> EntriesOf(const serving::Cell& cell) const;
+
   std::map<serving::Cell, std::vector<std::string>> entries_by_cell_;
 };
 
--- /dev/null
+++ b/libs/gateway/src/store/store_follower.cc
@@ -0,0 +1,218 @@
+#include "store/store_follower.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "gateway/gateway_settings.h"
+#include "operators/object_names.h"
+#include "peers/peer_link.h"
+#include "peers/reader_choice.h"
+#include "platform/store_request.h"
+#include "store/store_calls.h"
+#include "users_platform/store_names.h"
+
+namespace knapweedstile::gateway {
+namespace {
+
+using platform::StoredObject;
+
+// Operators' objects change seldom, and a change ends the wait. A watch that
+// has gone silent is found when it is over, so this is how late a change can
+// be.
+constexpr std::chrono::milliseconds kObjectWatchWait{20000};
+// Other entries' datagrams tell of a newer version within 0.3 s, and probes of
+// a connection that has gone silent within 3 s: the wait itself bounds nothing.
+constexpr std::chrono::milliseconds kConfigurationWatchWait{15000};
+// Servers change in groups, when they start, leave or are replaced; each change
+// would wake a watch of every entry. A draining server must be left within two
+// seconds.
+constexpr std::chrono::milliseconds kServerPause{300};
+// Of reads through another entry.
+constexpr std::chrono::milliseconds kConfigurationReadPause{200};
+constexpr std::chrono::milliseconds kConfigurationReadTimeout{800};
+
+// Failure guarded against: a store that goes silent and comes back while a
+// watch waits. The watch then brings the removal of live servers whose entries
+// lapsed meanwhile, and nothing else tells that there was an outage. An entry
+// lapses after three heartbeats, so a watch that is over before then has
+// failed.
+std::chrono::milliseconds ServerWatchWait(std::chrono::milliseconds heartbeat) {
+  constexpr int kHeartbeatsToLapse = 3;
+  constexpr std::chrono::milliseconds kTimeoutAndMargin{1000};
+  constexpr std::chrono::milliseconds kLeastWait{300};
+  return std::max(kLeastWait,
+                  heartbeat * kHeartbeatsToLapse - kTimeoutAndMargin);
+}
+
+}  // namespace
+
+StoreFollower::StoreFollower(boost::asio::io_context& io,
+                             const GatewaySettings& settings, StoreCalls& store,
+                             const PeerLink& peers, Ports ports)
+    : own_name_(settings.name),
+      store_(store),
+      peers_(peers),
+      ports_(std::move(ports)),
+      news_(io, [this](StoreNews&& news) { OnNews(std::move(news)); }),
+      configuration_(io, store,
+                     {.kind = users_platform::kConfigurationKind,
+                      .watch_wait = kConfigurationWatchWait,
+                      .probes = true},
+                     {.listed =
+                          [this](std::vector<StoredObject>&& objects) {
+                            for (const auto& object : objects) {
+                              ports_.configuration(object);
+                            }
+                          },
+                      .changed =
+                          [this](StoredObject&& object) {
+                            if (!object.deleted) ports_.configuration(object);
+                          },
+                      .news = [this](const StoreNews& news) { PassOn(news); }}),
+      servers_(io, store,
+               {.kind = users_platform::kServerKind,
+                .watch_wait = ServerWatchWait(settings.server_heartbeat),
+                .pause = kServerPause},
+               {.listed =
+                    [this](std::vector<StoredObject>&& objects) {
+                      ports_.servers_listed(std::move(objects));
+                    },
+                .changed =
+                    [this](StoredObject&& object) {
+                      ports_.server_changed(std::move(object));
+                    },
+                .news = [this](const StoreNews& news) { PassOn(news); }}),
+      objects_(io, store,
+               {.kind = kOperatorObjects, .watch_wait = kObjectWatchWait},
+               {.listed =
+                    [this](std::vector<StoredObject>&& objects) {
+                      ports_.objects_listed(std::move(objects));
+                    },
+                .changed =
+                    [this](StoredObject&& object) {
+                      ports_.object_changed(std::move(object));
+                    },
+                .news = [this](const StoreNews& news) { PassOn(news); }}) {}
+
+void StoreFollower::Start() {
+  configuration_.Start();
+  servers_.Start();
+  objects_.Start();
+}
+
+void StoreFollower::OnStoreRegained() {
+  configuration_.OnStoreRegained();
+  servers_.OnStoreRegained();
+  objects_.OnStoreRegained();
+}
+
+void StoreFollower::OnNewsRequest(const http::RequestEvent& request) {
+  news_.OnRequest(request);
+}
+
+void StoreFollower::OnPeerState(const PeerState& state, TimePoint now) {
+  if (state.store_regained_millis_ago != 0) {
+    const auto ago = std::chrono::milliseconds(state.store_regained_millis_ago);
+    others_regained_at_ = std::max(others_regained_at_, now - ago);
+  }
+  configuration_lag_.OnTold(state.configuration, ports_.version(), now);
+  server_lag_.OnTold(state.servers_revision, servers_.newest_change(), now);
+}
+
+void StoreFollower::SetCell(const serving::Cell& cell, TimePoint now) {
+  cell_ = cell;
+  UpdateReaders(now);
+}
+
+bool StoreFollower::IsReader() const {
+  return std::find(readers_.begin(), readers_.end(), own_name_) !=
+         readers_.end();
+}
+
+// Failure guarded against: a reader that is cut off from the store, stalls or
+// stops leaves its cell with what it knew. It is left out as soon as it says
+// so or is silent; whoever takes its place reads at once, and whoever has lost
+// the store itself looks for it again as if it were alone.
+void StoreFollower::UpdateReaders(TimePoint now) {
+  std::vector<std::string> sound = peers_.SoundEntriesIn(cell_, now);
+  if (store_.available() && !stopping_) sound.push_back(own_name_);
+  std::vector<std::string> readers = ChooseReaders(std::move(sound));
+  if (readers != readers_) {
+    LogInfo(
+        "store_readers",
+        {{"readers", fmt::format("{}", fmt::join(readers, ","))},
+         {"cell",
+          cell_.availability_zone.empty() ? "all" : cell_.availability_zone}});
+    readers_ = std::move(readers);
+  }
+  const bool fed = !readers_.empty() && !IsReader() && store_.available();
+  configuration_.SetFed(fed);
+  servers_.SetFed(fed);
+  objects_.SetFed(fed);
+}
+
+void StoreFollower::PassOn(const StoreNews& news) {
+  if (IsReader()) news_.Send(peers_.AddressesIn(cell_), news);
+}
+
+void StoreFollower::OnNews(StoreNews&& news) {
+  if (news.kind == users_platform::kConfigurationKind) {
+    return configuration_.OnNews(std::move(news));
+  }
+  if (news.kind == users_platform::kServerKind) {
+    return servers_.OnNews(std::move(news));
+  }
+  if (news.kind == kOperatorObjects) objects_.OnNews(std::move(news));
+}
+
+TimePoint StoreFollower::regained_at() const {
+  return std::max(store_.available_since(), others_regained_at_);
+}
+
+// Failure guarded against: a gateway that the store turns away goes on with the
+// keys and routes that it knew for as long as that lasts. Others tell that
+// there is a newer version, and one of them reads it for this one.
+void StoreFollower::ReadConfiguration(TimePoint now) {
+  if (store_.available()) return configuration_.Refresh();
+  if (!store_.reachable()) return;
+  if (now - read_configuration_at_ < kConfigurationReadPause) return;
+  read_configuration_at_ = now;
+  store_.CallAnyWay(
+      platform::ReadRequest{.kind = users_platform::kConfigurationKind,
+                            .name = users_platform::kConfigurationName},
+      now + kConfigurationReadTimeout, [this](platform::StoreAnswer&& answer) {
+        if (answer.outcome != platform::StoreOutcome::kOk) return;
+        for (const auto& object : answer.objects) ports_.configuration(object);
+      });
+}
+
+void StoreFollower::Run(TimePoint now) {
+  UpdateReaders(now);
+  NoticeConfigurationAge(now);
+  if (configuration_lag_.Lagging(ports_.version(), now)) ReadConfiguration(now);
+  if (server_lag_.Lagging(servers_.newest_change(), now)) servers_.Refresh();
+}
+
+Duration StoreFollower::ConfigurationAge(TimePoint now) const {
+  if (ports_.version() == 0) return kNever - TimePoint{};
+  return Remaining(now, configuration_known_at_);
+}
+
+// What is known is the present state while the store answers and no other entry
+// is ahead.
+void StoreFollower::NoticeConfigurationAge(TimePoint now) {
+  const bool present = store_.available() && configuration_.following() &&
+                       !configuration_lag_.Ahead(ports_.version());
+  if (present) {
+    configuration_known_at_ = kNever;
+  } else if (configuration_known_at_ == kNever) {
+    configuration_known_at_ = now;
+  }
+}
+
+}  // namespace knapweedstile::gateway
--- a/libs/serving/include/serving/cell_map.h
+++ b/libs/serving/include/serving/cell_map.h
@@ -16,7 +16,8 @@
 //
 // Load pattern: every entry starts and ends some twenty requests a second. Told
 // to all others, changes grow with the square of the fleet: with 58 entries
-// each had to be held back for 57 ms, in which others took the same slot.
+// each had to be held back for 57 ms, in which others took the same slot; with
+// 23 they are two thirds of what an entry sends and receives.
 class CellMap {
  public:
   // Availability zone by entry.
@@ -25,6 +26,8 @@
 
   // The whole fleet for an entry that is not known.
   Cell Of(const std::string& entry) const;
+  // The cell whose readers of the store the entry follows.
+  Cell ReadersOf(const std::string& entry) const;
   // Entries of the cell.
   size_t EntriesIn(const Cell& cell) const;
 
--- a/libs/serving/src/cell_map.cc
+++ b/libs/serving/src/cell_map.cc
@@ -8,10 +8,12 @@
 namespace knapweedstile::serving {
 namespace {
 
-// A fleet of up to this many entries is one cell: at a millisecond for each
-// other entry a change is held back for a tenth of a latency objective of 300
-// ms, and every free slot can be used by all.
-constexpr size_t kMostInOneFleet = 32;
+// A fleet of up to this many entries is one cell: every free slot can be used
+// by all, and what each tells all others costs little.
+constexpr size_t kMostInOneFleet = 16;
+// Reading costs a call for each reader and little to pass on: up to this many
+// entries follow the same readers, whatever their cells.
+constexpr size_t kMostAfterSameReaders = 32;
 // A zone of more entries is divided into cells of about half as many.
 constexpr size_t kMostInCell = 24;
 constexpr size_t kUsualInCell = 12;
@@ -45,6 +47,10 @@
   return known == cells_.end() ? Cell() : known->second;
 }
 
+Cell CellMap::ReadersOf(const std::string& entry) const {
+  return cells_.size() <= kMostAfterSameReaders ? Cell() : Of(entry);
+}
+
 size_t CellMap::EntriesIn(const Cell& cell) const {
   return std::count_if(
       cells_.begin(), cells_.end(),
--- a/libs/serving/tests/cell_map_test.cc
+++ b/libs/serving/tests/cell_map_test.cc
@@ -20,9 +20,22 @@
 }  // namespace
 
 TEST_CASE("a small fleet is one cell") {
-  const CellMap cells(Entries(3, 8));
+  const CellMap cells(Entries(3, 5));
   CHECK(cells.Of("entry-0-0") == Cell());
   CHECK(cells.Of("entry-0-0").Holds({.availability_zone = "zone-2"}));
+  CHECK(cells.ReadersOf("entry-0-0") == Cell());
+}
+
+// Two dozen entries in three zones: each change at a server would go to all of
+// them, while those of the server's zone use it. They still follow the same two
+// readers of the store; six would cost three times the calls.
+TEST_CASE("the zones of a middling fleet are cells with the same readers") {
+  const CellMap cells(Entries(3, 8));
+  CHECK(cells.EntriesIn(cells.Of("entry-0-0")) == 8);
+  CHECK_FALSE(cells.Of("entry-0-0") == cells.Of("entry-1-0"));
+  CHECK(cells.ReadersOf("entry-0-0") == Cell());
+  const CellMap large(Entries(5, 12));
+  CHECK(large.ReadersOf("entry-0-0") == large.Of("entry-0-0"));
 }
 
 TEST_CASE("the zones of a large fleet are cells") {
--- a/libs/workspaces/tests/rate_model.h
+++ b/libs/workspaces/tests/rate_model.h
@@ -28,6 +28,8 @@
     size_t entries = 23;
     RateLimit limit{.per_second = 64, .burst = 64};
     double usual_per_second = 40;
+    // Changes go at once to the entries of the same cell only.
+    size_t cells = 1;
     // By the share of the entries that this workspace's callers reach.
     double reach = 1;
     double hot_times = 1;  // of the usual
@@ -152,6 +154,7 @@
                                              : entry.quota->Report(At(now)));
     for (size_t to = 0; to < entries_.size(); ++to) {
       if (to == from) continue;
+      if (partial && to % load_.cells != from % load_.cells) continue;
       ++result.messages;
       result.message_bytes += 4 + 10 * report->admitted.size() +
                               18 * report->former.size() +
--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -54,6 +54,20 @@
   }
 }
 
+// The fleet is divided into cells: others hear of an admission with the next
+// whole report only, a quarter of a second later.
+TEST_CASE("a rate holds over cells that hear of each other later") {
+  for (const double reach : {1.0, 0.5}) {
+    CAPTURE(reach);
+    Model model;
+    Model::Load load = Hot(7.5, reach);
+    load.cells = 3;
+    CHECK(PlayAll(model, load).over <= 0);
+    model.cuts.push_back({Time(4000), Time(13000), 11, false});
+    CHECK(PlayAll(model, load).over <= 0);
+  }
+}
+
 TEST_CASE("usual load below the limit is never refused") {
   for (const double reach : {1.0, 0.15, 0.01}) {
     for (const double rate : {1.5, 4.0, 40.0}) {
