--- a/libs/gateway/src/peers/record_push.cc
+++ b/libs/gateway/src/peers/record_push.cc
@@ -3,19 +3,17 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <boost/json.hpp>
 #include <charconv>
 #include <utility>
 
 #include "base/clock.h"
 #include "base/log.h"
 #include "peers/peer_client_settings.h"
+#include "peers/record_codec.h"
 
 namespace knapweedstile::gateway {
 namespace {
 
-namespace json = boost::json;
-
 constexpr char kTarget[] = "/records";
 // An entry that does not take records in this time is cut off or overloaded; it
 // then reads them from the store.
@@ -38,16 +36,6 @@
   return count;
 }
 
-std::vector<OwnRecord> ReadRecords(const json::array& list) {
-  std::vector<OwnRecord> records;
-  for (const json::value& entry : list) {
-    const json::object& record = entry.as_object();
-    records.push_back({std::string(record.at("name").as_string()),
-                       std::string(record.at("value").as_string())});
-  }
-  return records;
-}
-
 }  // namespace
 
 RecordPush::RecordPush(boost::asio::io_context& io, std::string name,
@@ -76,8 +64,7 @@
 void RecordPush::Push(const OwnRecord& record,
                       const std::map<std::string, std::string>& addresses) {
   ++count_;
-  const auto shared = std::make_shared<const std::string>(json::serialize(
-      json::object{{"name", record.name}, {"value", record.value}}));
+  const auto shared = std::make_shared<const std::string>(PackRecord(record));
   for (const auto& [entry, address] : addresses) {
     Outbox& outbox = outboxes_[address];
     outbox.records.push_back(shared);
@@ -92,14 +79,11 @@
   while (!outbox.records.empty()) {
     const std::string& record = *outbox.records.front();
     if (!list.empty() && list.size() + record.size() > kMaxMessageBytes) break;
-    if (!list.empty()) list += ',';
     list += record;
     outbox.records.pop_front();
   }
   const uint64_t count = outbox.count - outbox.records.size();
-  std::string message =
-      fmt::format(R"({{"entry":{},"start":{},"count":{},"records":[{}]}})",
-                  json::serialize(json::string(name_)), start_, count, list);
+  std::string message = EncodePush(name_, start_, count, list);
   outbox.in_flight = true;
   const ExchangeId exchange(++last_exchange_);
   exchanges_[exchange] = address;
@@ -163,20 +147,13 @@
     return true;
   }
   http::RespondCommand answer{.exchange = request->exchange, .status = kTaken};
-  json::error_code ec;
-  const json::value parsed = json::parse(request->body, ec);
-  // The library reports a missing or mistyped field by an exception.
-  try {
-    if (ec) throw boost::system::system_error(ec);
-    const json::object& message = parsed.as_object();
+  if (auto pushed = DecodePush(request->body)) {
     const uint64_t known =
-        handlers_.received(std::string(message.at("entry").as_string()),
-                           message.at("start").to_number<uint64_t>(),
-                           message.at("count").to_number<uint64_t>(),
-                           ReadRecords(message.at("records").as_array()));
+        handlers_.received(pushed->entry, pushed->start, pushed->count,
+                           std::move(pushed->records));
     answer.body = std::to_string(known);
-  } catch (const std::exception& error) {
-    LogWarning("push_invalid", {{"reason", error.what()}});
+  } else {
+    LogWarning("push_invalid", {{"bytes", request->body.size()}});
     answer.status = 400;
   }
   server_.Execute(std::move(answer));
--- a/libs/gateway/src/peers/record_push.h
+++ b/libs/gateway/src/peers/record_push.h
@@ -59,7 +59,7 @@
 
  private:
   struct Outbox {
-    // As JSON, made once for all entries.
+    // Packed once for all entries.
     std::deque<std::shared_ptr<const std::string>> records;
     uint64_t count = 0;  // written when the last of them was
     bool in_flight = false;
