--- a/libs/gateway/src/batch/job_writer.cc
+++ b/libs/gateway/src/batch/job_writer.cc
@@ -26,7 +26,7 @@
 constexpr std::chrono::milliseconds kLongestHold{250};
 // Every entry reads the store at least this often (the pause of the records'
 // mirror, a watch's wait and its grace).
-constexpr std::chrono::seconds kKnownEverywhere{10};
+constexpr std::chrono::seconds kKnownEverywhere{25};
 constexpr uint32_t kMostRefusedWrites = 3;
 // Largest record: the store's limit on a value, with room for escapes.
 constexpr size_t kMaxRecordBytes = 1000000;
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -17,9 +17,9 @@
 namespace knapweedstile::gateway {
 namespace {
 
-// Records of other entries are pushed by them; the store is asked again only to
-// be sure. With a pause of 150 ms this was two thirds of all calls.
-constexpr std::chrono::milliseconds kOwnMirrorPause{5000};
+// Records of other entries are pushed by them, and a lost push or a silent entry
+// ends the pause; the store is asked besides only to be sure.
+constexpr std::chrono::milliseconds kOwnMirrorPause{20000};
 // A configuration's limit holds for what a caller sends before its body; the
 // server's own limit leaves room for it.
 constexpr std::chrono::milliseconds kBodyTimeout{10000};
