--- a/libs/gateway/src/callers/caller_identity.cc
+++ b/libs/gateway/src/callers/caller_identity.cc
@@ -47,6 +47,7 @@
   if (!named) return;
   if (named->keys.empty()) {
     caller.workspace = named->name;
+    caller.priority = named->priority;
   } else {
     caller.access = CallerAccess::kNoKey;
   }
@@ -64,6 +65,7 @@
     caller.access = CallerAccess::kMalformedKey;
   } else if (const Workspace* owner = workspaces.FindByKey(*credentials.key)) {
     caller.workspace = owner->name;
+    caller.priority = owner->priority;
   } else {
     caller.access = CallerAccess::kUnknownKey;
   }
--- a/libs/gateway/src/callers/caller_identity.h
+++ b/libs/gateway/src/callers/caller_identity.h
@@ -31,8 +31,9 @@
   std::string request_id;  // the caller's, or one made here
   std::string workspace;   // in force; empty: none
   CallerAccess access = CallerAccess::kGranted;
-  std::optional<Duration> budget;  // how long the caller will wait
-  bool own_interface = false;      // named its request by the product's headers
+  std::optional<uint32_t> priority;  // of the workspace
+  std::optional<Duration> budget;    // how long the caller will wait
+  bool own_interface = false;  // named its request by the product's headers
 };
 
 // `made_id` serves a request that names none.
--- a/libs/gateway/src/callers/intake.cc
+++ b/libs/gateway/src/callers/intake.cc
@@ -65,7 +65,8 @@
   }
   if (!MayAsk(request, identity)) return;
   if (!FitsRate(request, identity)) return;
-  ports_.online(std::move(request), *route, identity);
+  ports_.online(std::move(request), *route, identity,
+                routes_.IsLessUrgent(*route, identity.priority));
 }
 
 bool Intake::HasPublicJobs(std::string_view host) const {
--- a/libs/gateway/src/callers/intake.h
+++ b/libs/gateway/src/callers/intake.h
@@ -32,7 +32,7 @@
   struct Ports {
     std::function<void(http::ServerCommand&&)> to_caller;
     std::function<void(http::RequestEvent&&, const serving::Route&,
-                       const CallerIdentity&)>
+                       const CallerIdentity&, bool less_urgent)>
         online;
     std::function<void(http::RequestEvent&&, const serving::Route&,
                        const CallerIdentity&)>
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -17,8 +17,8 @@
 namespace knapweedstile::gateway {
 namespace {
 
-// Records of other entries are pushed by them, and a lost push or a silent entry
-// ends the pause; the store is asked besides only to be sure.
+// Records of other entries are pushed by them, and a lost push or a silent
+// entry ends the pause; the store is asked besides only to be sure.
 constexpr std::chrono::milliseconds kOwnMirrorPause{20000};
 // A configuration's limit holds for what a caller sends before its body; the
 // server's own limit leaves room for it.
@@ -236,8 +236,8 @@
                },
            .online =
                [this](http::RequestEvent&& request, const serving::Route& route,
-                      const CallerIdentity& caller) {
-                 online_.Begin(std::move(request), route, caller);
+                      const CallerIdentity& caller, bool less_urgent) {
+                 online_.Begin(std::move(request), route, caller, less_urgent);
                },
            .submit_job =
                [this](http::RequestEvent&& request, const serving::Route& route,
--- a/libs/gateway/src/online/online_call.h
+++ b/libs/gateway/src/online/online_call.h
@@ -23,6 +23,7 @@
   std::string request_id;
   std::string workspace;       // that asks; empty: none
   TimePoint admitted_at;       // within its workspace's rate
+  bool less_urgent = false;    // than other requests of its service
   bool own_interface = false;  // answers bear the product's own headers
   uint64_t fingerprint = 0;    // the same when the request comes again
   serving::Route route;        // as it was when the request came
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -23,6 +23,15 @@
 // A request that crashes servers is not served before its quarantine ends.
 constexpr std::chrono::seconds kQuarantineRetry{60};
 
+// Load: more than all slots take, from callers of whom some are less urgent.
+// Those may wait in queues half as long, so that the rest of each queue is left
+// to the urgent ones, who are then turned away last.
+Duration QueueObjective(const OnlineCall& call) {
+  constexpr int kLessUrgentPart = 2;
+  const Duration objective = call.route.latency_objective;
+  return call.less_urgent ? objective / kLessUrgentPart : objective;
+}
+
 const std::string& PickService(const serving::Route& route, Rng& rng) {
   uint64_t total = 0;
   for (const auto& share : route.services) total += share.weight;
@@ -55,7 +64,7 @@
 
 void OnlineCalls::Begin(http::RequestEvent&& request,
                         const serving::Route& route,
-                        const CallerIdentity& caller) {
+                        const CallerIdentity& caller, bool less_urgent) {
   const ExchangeId id = request.exchange;
   OnlineCall& call = calls_[id];
   call.caller = id;
@@ -63,6 +72,7 @@
   call.workspace = caller.workspace;
   call.admitted_at = MonotonicNow();
   call.own_interface = caller.own_interface;
+  call.less_urgent = less_urgent;
   call.route = route;
   call.service = PickService(route, rng_);
   call.deadline = request.received_at + route.timeout;
@@ -87,8 +97,8 @@
     if (call.runs > 0) return Fail(call, kGatewayTimeout, "deadline");
     return Refuse(call, kRetryAfterBroken, "deadline");
   }
-  const auto placement = board_.PlaceOnline(
-      call.service, call.route.latency_objective, call.excluded, now);
+  const auto placement = board_.PlaceOnline(call.service, QueueObjective(call),
+                                            call.excluded, now);
   // A stream that goes on elsewhere has been begun: it is never refused for a
   // queue.
   const bool must_go_on = call.passing && placement.server;
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -55,8 +55,9 @@
               serving::CrashLedger& crashes, observe::Metrics& metrics,
               observe::Timeline& timeline, uint64_t seed, Ports ports);
 
+  // `less_urgent`: than other requests of its service.
   void Begin(http::RequestEvent&& request, const serving::Route& route,
-             const CallerIdentity& caller);
+             const CallerIdentity& caller, bool less_urgent);
   void OnCallerGone(ExchangeId caller);
   // The server's process is gone with all that it had taken, which may have
   // run.
--- a/libs/serving/include/serving/route_table.h
+++ b/libs/serving/include/serving/route_table.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDSTILE_SERVING_ROUTE_TABLE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -23,6 +24,11 @@
   const Route* Find(std::string_view host, std::string_view target) const;
   const Route* FindByName(std::string_view name) const;
   const Service* FindService(std::string_view name) const;
+  // Whether a request of the route is less urgent than others that its service
+  // answers. The priority of its workspace, if that has one, goes before the
+  // route's.
+  bool IsLessUrgent(const Route& route,
+                    std::optional<uint32_t> workspace_priority) const;
 };
 
 }  // namespace knapweedstile::serving
--- a/libs/serving/src/route_table.cc
+++ b/libs/serving/src/route_table.cc
@@ -1,5 +1,7 @@
 #include "serving/route_table.h"
 
+#include <algorithm>
+
 namespace knapweedstile::serving {
 namespace {
 
@@ -31,6 +33,16 @@
   return nullptr;
 }
 
+bool RouteTable::IsLessUrgent(
+    const Route& route, std::optional<uint32_t> workspace_priority) const {
+  const uint32_t own = workspace_priority.value_or(route.priority);
+  const std::string& service = route.services.front().service;
+  return std::any_of(routes.begin(), routes.end(), [&](const Route& other) {
+    return other.kind != RouteKind::kBatch && other.priority < own &&
+           other.services.front().service == service;
+  });
+}
+
 const Service* RouteTable::FindService(std::string_view name) const {
   for (const Service& service : services) {
     if (service.name == name) return &service;
--- a/libs/serving/tests/slot_board_test.cc
+++ b/libs/serving/tests/slot_board_test.cc
@@ -52,6 +52,21 @@
   CHECK(placement.retry_after > Duration::zero());
 }
 
+// A burst fills all slots and queues. A request that may wait half as long is
+// turned away while there is still a place for one that is urgent.
+TEST_CASE("the end of a queue is left to urgent requests") {
+  Board fleet;
+  fleet.Add("i-1", 8);
+  const auto place = [&](Duration objective) {
+    return fleet.board.PlaceOnline("llm", objective, {}, kNow);
+  };
+  while (place(kObjective / 2).outcome == PlacementOutcome::kPlaced) {
+    fleet.board.Started(fleet.board.Find("i-1"), TrafficClass::kOnline);
+  }
+  CHECK(place(kObjective / 2).outcome == PlacementOutcome::kSaturated);
+  CHECK(place(kObjective).outcome == PlacementOutcome::kPlaced);
+}
+
 TEST_CASE("draining, excluded and other services' servers get nothing") {
   Board fleet;
   ServerRecord draining = MakeServer("i-1");
