--- a/libs/gateway/src/store/kind_mirror.cc
+++ b/libs/gateway/src/store/kind_mirror.cc
@@ -14,10 +14,11 @@
 using platform::StoreOutcome;
 
 // Between tries while the store is away: short enough that changes are seen
-// well within two seconds of its return.
+// within two seconds of its return, and no shorter, since calls that are turned
+// away cost as much as others.
 constexpr std::chrono::milliseconds kFirstRetry{100};
-constexpr std::chrono::milliseconds kLastRetry{500};
-constexpr std::chrono::milliseconds kSeldomRetry{2000};
+constexpr std::chrono::milliseconds kLastRetry{1000};
+constexpr std::chrono::milliseconds kSeldomRetry{4000};
 // Of a list's first page: a store that is slow takes 0.4 s, and one that is
 // silent is to be asked again soon.
 constexpr std::chrono::milliseconds kListTimeout{1000};
--- a/libs/gateway/src/store/store_follower.cc
+++ b/libs/gateway/src/store/store_follower.cc
@@ -32,8 +32,9 @@
 // would wake a watch of every entry. A draining server must be left within two
 // seconds.
 constexpr std::chrono::milliseconds kServerPause{300};
-// Of reads through another entry.
-constexpr std::chrono::milliseconds kConfigurationReadPause{200};
+// Of reads through another entry: callers whose keys are gone ask for one each
+// time.
+constexpr std::chrono::milliseconds kConfigurationReadPause{1000};
 constexpr std::chrono::milliseconds kConfigurationReadTimeout{800};
 
 // Failure guarded against: a store that goes silent and comes back while a
--- a/libs/gateway/src/store_role.cc
+++ b/libs/gateway/src/store_role.cc
@@ -11,9 +11,9 @@
 namespace knapweedstile::gateway {
 namespace {
 
-// Such requests come a few times a year and may take seconds to be seen; a
-// watch is a call each time, so it waits long.
-constexpr std::chrono::milliseconds kWatchWait{5000};
+// Such requests come a few times a year, and a change ends the wait; a watch is
+// a call each time, so it waits long.
+constexpr std::chrono::milliseconds kWatchWait{20000};
 constexpr std::chrono::milliseconds kReportTimeout{1500};
 constexpr std::chrono::milliseconds kReportPause{300};
 
