--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -21,6 +21,7 @@
 
 void WriteRate(const workspaces::RateReport& rate, wire::RateMessage& message) {
   message.set_uptime_millis(static_cast<uint64_t>(ToMillis(rate.uptime)));
+  message.set_entries(rate.entries);
   for (const workspaces::AdmittedCount& count : rate.admitted) {
     message.add_workspace(count.workspace);
     message.add_in_window(count.in_window);
@@ -39,6 +40,7 @@
 // False when the lists that run in parallel differ in length.
 bool ReadRate(const wire::RateMessage& message, workspaces::RateReport& rate) {
   rate.uptime = std::chrono::milliseconds(message.uptime_millis());
+  rate.entries = message.entries();
   const int count = message.workspace_size();
   const int former = message.former_entry_size();
   if (message.in_window_size() != count || message.in_second_size() != count ||
--- a/libs/gateway/tests/peer_state_test.cc
+++ b/libs/gateway/tests/peer_state_test.cc
@@ -68,12 +68,14 @@
 TEST_CASE("what an entry has admitted of workspaces arrives") {
   PeerState state{.entry = "entry-1"};
   state.rate.uptime = std::chrono::milliseconds(4200);
+  state.rate.entries = 23;
   state.rate.admitted = {{7, 24, 5}, {9, 1, 0}};
   state.rate.former = {{3, 7, 12}};
   state.rate.unheard = {11};
   const auto read = DecodePeerState(EncodePeerState(state));
   REQUIRE(read);
   CHECK(read->rate.uptime == state.rate.uptime);
+  CHECK(read->rate.entries == 23);
   REQUIRE(read->rate.admitted.size() == 2);
   CHECK(read->rate.admitted[0].workspace == 7);
   CHECK(read->rate.admitted[0].in_window == 24);
--- a/libs/workspaces/include/workspaces/rate_quota.h
+++ b/libs/workspaces/include/workspaces/rate_quota.h
@@ -136,8 +136,7 @@
   TimePoint started_at_;
   Rng rng_;
   bool members_known_ = false;
-  // From when on the others' reports hold all that they know of this entry.
-  TimePoint learned_at_ = kNever;
+  uint32_t told_entries_ = 0;  // that others say there are
   uint32_t silent_ = 0;  // peers that are silent
   std::unordered_map<WorkspaceHash, Own> own_;
   std::vector<WorkspaceHash> changed_;
--- a/libs/workspaces/include/workspaces/rate_report.h
+++ b/libs/workspaces/include/workspaces/rate_report.h
@@ -31,6 +31,8 @@
 // are whole, so that a later report makes good a lost one.
 struct RateReport {
   Duration uptime{};  // of the entry's process
+  // Entries of the fleet, as far as the entry knows; zero: it does not.
+  uint32_t entries = 0;
   std::vector<AdmittedCount> admitted;
   // Whole reports only.
   std::vector<FormerCount> former;
--- a/libs/workspaces/src/rate_quota.cc
+++ b/libs/workspaces/src/rate_quota.cc
@@ -9,9 +9,6 @@
 constexpr std::chrono::seconds kSecond{1};
 // Whole reports come every 250 ms.
 constexpr std::chrono::milliseconds kSilence{400};
-// From the first message of a process until the others, who then know that it
-// is a new one, have told what the former one had admitted.
-constexpr std::chrono::milliseconds kLearn{600};
 // An entry that is silent for longer is gone, and nothing is kept for it.
 constexpr std::chrono::seconds kGone{30};
 
@@ -26,8 +23,11 @@
 constexpr double kDemandPart = 0.5;
 // Between two reports, of the hottest workspace.
 constexpr double kMostGrowth = 4;
-// As long as the fleet is not known: more entries than there are.
-constexpr double kAssumedEntries = 256;
+// As long as nobody has told how many entries there are.
+constexpr double kAssumedEntries = 64;
+// Of each workspace, in the window, whatever the entry's part: the first
+// callers after a start are not turned away for what others may have admitted.
+constexpr double kLeastPart = 2;
 
 constexpr double kUnbounded = std::numeric_limits<double>::infinity();
 
@@ -106,8 +106,13 @@
 }
 
 double RateQuota::HeardPart(WorkspaceHash workspace) const {
-  const auto heard = static_cast<double>(entries() - silent_);
-  if (!members_known_) return heard / kAssumedEntries;
+  if (!members_known_) {
+    // The fleet is listed seconds after a start at a small VM; entries that are
+    // faster tell how many there are.
+    const auto heard = static_cast<double>(entries() - silent_);
+    const double all = told_entries_ > 0 ? told_entries_ : kAssumedEntries;
+    return std::min(1.0, heard / all);
+  }
   if (silent_ == 0) return 1;
   const double of_one = 1.0 / static_cast<double>(entries());
   double silent_part = 0;
@@ -137,8 +142,9 @@
     return RateVerdict::kStarting;
   }
   const double part = HeardPart(workspace);
-  if (part < 1 &&
-      !fits(known.heard, part * (whole + Overage(kSplitPart, whole)))) {
+  const double most =
+      std::max(kLeastPart, part * (whole + Overage(kSplitPart, whole)));
+  if (part < 1 && !fits(known.heard, most)) {
     return RateVerdict::kSplit;
   }
   return RateVerdict::kAdmitted;
@@ -197,7 +203,6 @@
 
 void RateQuota::SetMembers(const std::vector<EntryHash>& others,
                            TimePoint now) {
-  if (!members_known_) learned_at_ = now + kLearn;
   members_known_ = true;
   for (const EntryHash entry : others) {
     if (left_.contains(entry)) continue;
@@ -234,6 +239,7 @@
   }
   peer.heard_at = now;
   peer.uptime = report.uptime;
+  told_entries_ = std::max(told_entries_, report.entries);
   if (!partial) {
     peer.counts.clear();
     peer.whole_heard = true;
@@ -340,6 +346,7 @@
 
 RateReport RateQuota::Report(TimePoint now) const {
   RateReport report{.uptime = now - started_at_};
+  if (members_known_) report.entries = static_cast<uint32_t>(entries());
   for (const auto& [workspace, own] : own_) {
     const AdmittedCount count = CountOf(workspace, own, now);
     if (count.in_window > 0) report.admitted.push_back(count);
--- a/libs/workspaces/tests/rate_model.h
+++ b/libs/workspaces/tests/rate_model.h
@@ -51,6 +51,9 @@
     size_t first = 0;
     size_t count = 0;
     Time pause{0};  // stands still instead, for that long
+    // After the start, until the k-th of them has listed the fleet: k times
+    // this. Until then it sends nothing.
+    Time lists_after{0};
   };
 
   std::vector<Cut> cuts;
@@ -77,7 +80,7 @@
     ideal_.clear();
     in_flight_.clear();
     Result result;
-    for (size_t i = 0; i < load.entries; ++i) Start(i, Time(0));
+    for (size_t i = 0; i < load.entries; ++i) Start(i, Time(0), Time(0));
     // As after a long quiet time: all have been up for a while.
     const Time begin{10000};
     for (Time now{0}; now < begin + load.length; now += Time(1)) {
@@ -98,6 +101,7 @@
     uint64_t start = 0;
     Time up_from{0};  // down or paused until then
     Time phase{0};
+    Time listed_at{0};
     bool dirty = false;
   };
   struct Message {
@@ -116,18 +120,23 @@
     return Hash64("entry-" + std::to_string(entry));
   }
 
-  void Start(size_t i, Time now) {
+  void Start(size_t i, Time now, Time listed_at) {
     if (entries_.size() <= i) entries_.resize(i + 1);
     Entry& entry = entries_[i];
     entry.quota = std::make_unique<Quota>(RateQuotaSettings(), Name(i),
                                           load_.seed + i, At(now));
     entry.start = static_cast<uint64_t>(now.count()) + 1;
+    entry.listed_at = listed_at;
     entry.phase = Time(static_cast<int64_t>(i * 37) % kHeartbeat.count());
+    if (listed_at <= now) ListFleet(i, now);
+  }
+
+  void ListFleet(size_t i, Time now) {
     std::vector<EntryHash> others;
     for (size_t other = 0; other < load_.entries; ++other) {
       if (other != i) others.push_back(Name(other));
     }
-    entry.quota->SetMembers(others, At(now));
+    entries_[i].quota->SetMembers(others, At(now));
   }
 
   bool Hears(size_t from, size_t to, Time day) const {
@@ -171,8 +180,10 @@
         if (kill.pause.count() > 0) {
           entries_[i].up_from = now + kill.pause;
         } else {
-          entries_[i].up_from = now + kill.down;
-          Start(i, now + kill.down);
+          const Time up = now + kill.down;
+          entries_[i].up_from = up;
+          Start(i, up,
+                up + kill.lists_after * static_cast<int>(i - kill.first));
         }
       }
     }
@@ -188,6 +199,11 @@
       Entry& entry = entries_[i];
       if (entry.up_from > now) continue;
       if (entry.up_from == now && now > Time(0)) entry.quota->OnPaused();
+      if (entry.listed_at == now && now > Time(0)) ListFleet(i, now);
+      if (entry.listed_at > now) {
+        entry.quota->Expire(At(now));
+        continue;
+      }
       const Time phase = now + entry.phase;
       if (phase % kTick == Time(0) || entry.up_from == now) {
         entry.quota->Expire(At(now));
--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -109,6 +109,21 @@
   }
 }
 
+// The same where small VMs list the fleet up to three seconds after their
+// start. Until then they know nobody and are told by the fastest how many there
+// are. They must not admit the limit once more each, and not turn away what a
+// workspace usually sends.
+TEST_CASE("entries that have not listed the fleet keep to their part") {
+  for (const int lists_after : {20, 120}) {
+    CAPTURE(lists_after);
+    Model model;
+    model.kills.push_back(
+        {Time(9000), Time(700), 0, 23, Time(0), Time(lists_after)});
+    CHECK(PlayAll(model, Hot(7.5, 1)).over <= 0);
+    CHECK(PlayAll(model, Hot(1, 1)).withheld <= 0.05);
+  }
+}
+
 // The one entry that a workspace's callers reach is killed and starts again.
 // What its former process had admitted stands in the others' memory only.
 TEST_CASE("an entry learns what its former process had admitted") {
