An entry that is gone for good takes no part of the rates from the others

Cause: its record stays in the store, so each time the fleet was listed it counted as silent for 30 s more, with half of its part by number withheld.

--- a/libs/workspaces/include/workspaces/rate_quota.h
+++ b/libs/workspaces/include/workspaces/rate_quota.h
@@ -137,11 +137,12 @@
   Rng rng_;
   bool members_known_ = false;
   uint32_t told_entries_ = 0;  // that others say there are
-  uint32_t silent_ = 0;  // peers that are silent
+  uint32_t silent_ = 0;        // peers that are silent
   std::unordered_map<WorkspaceHash, Own> own_;
   std::vector<WorkspaceHash> changed_;
   std::map<EntryHash, Peer> peers_;
-  std::set<EntryHash> left_;  // stopped as planned and not heard since
+  // Stopped as planned or silent for long, and not heard since.
+  std::set<EntryHash> left_;
   std::map<std::pair<WorkspaceHash, EntryHash>, Former> former_;
 };
 
--- a/libs/workspaces/src/rate_quota.cc
+++ b/libs/workspaces/src/rate_quota.cc
@@ -315,6 +315,7 @@
     const Peer& peer = entry.second;
     if (!peer.silent || now - peer.silent_since < kGone) return false;
     --silent_;
+    left_.insert(entry.first);
     return true;
   });
   std::erase_if(former_, [this, now](const auto& entry) {
--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -173,6 +173,29 @@
   CHECK(PlayAll(raised, Hot(7.5, 1)).withheld <= 0.01);
 }
 
+// A VM is removed for good, and its record stays in the store. Each time the
+// fleet is listed again, the others would leave it half of each limit anew.
+TEST_CASE("an entry that is gone takes nothing from the others") {
+  const TimePoint start = TimePoint{} + std::chrono::hours(1);
+  RateQuota quota({}, 1, 1, start);
+  const RateLimit limit{.per_second = 1, .burst = 99};
+  const auto admitted = [&](TimePoint now) {
+    int count = 0;
+    while (quota.Admit(7, limit, now).verdict == RateVerdict::kAdmitted) {
+      ++count;
+    }
+    return count;
+  };
+  quota.SetMembers({2}, start);
+  const TimePoint cut_off = start + std::chrono::seconds(10);
+  quota.Expire(cut_off);
+  CHECK(admitted(cut_off) < 100);
+  const TimePoint gone = start + std::chrono::seconds(40);
+  quota.Expire(gone);
+  quota.SetMembers({2}, gone);
+  CHECK(admitted(gone) >= 100);
+}
+
 // A request that was admitted and then refused for want of a server has used
 // nothing of the rate.
 TEST_CASE("what did not run is given back") {
