--- a/libs/workspaces/src/rate_quota.cc
+++ b/libs/workspaces/src/rate_quota.cc
@@ -138,12 +138,11 @@
   if (!fits(known.second, limit.MostIn(ToSeconds(kSecond)) + counting)) {
     return RateVerdict::kOverRate;
   }
-  if (!fits(known.all, MostSinceStart(limit, now))) {
-    return RateVerdict::kStarting;
-  }
+  const double since_start = MostSinceStart(limit, now);
+  if (!fits(known.all, since_start)) return RateVerdict::kStarting;
   const double part = HeardPart(workspace);
-  const double most =
-      std::max(kLeastPart, part * (whole + Overage(kSplitPart, whole)));
+  const double free = std::min(since_start, whole + Overage(kSplitPart, whole));
+  const double most = std::max(kLeastPart, part * free);
   if (part < 1 && !fits(known.heard, most)) {
     return RateVerdict::kSplit;
   }
--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -124,6 +124,22 @@
   }
 }
 
+// A workspace has just used its burst when all entries are killed for half a
+// second. For the next half second none knows how many they are; each took its
+// part of the whole limit, as if nothing had been admitted before.
+TEST_CASE("a part of the limit is a part of what is known to be free") {
+  for (const int lists_after : {20, 120}) {
+    CAPTURE(lists_after);
+    Model model;
+    model.kills.push_back(
+        {Time(8000), Time(500), 0, 23, Time(0), Time(lists_after)});
+    Model::Load load = Hot(7.5, 1);
+    load.limit = {.per_second = 87, .burst = 87};
+    load.usual_per_second = 54;
+    CHECK(PlayAll(model, load).over <= 0);
+  }
+}
+
 // The one entry that a workspace's callers reach is killed and starts again.
 // What its former process had admitted stands in the others' memory only.
 TEST_CASE("an entry learns what its former process had admitted") {
