--- a/libs/serving/include/serving/cell_map.h
+++ b/libs/serving/include/serving/cell_map.h
@@ -16,8 +16,7 @@
 //
 // Load pattern: every entry starts and ends some twenty requests a second. Told
 // to all others, changes grow with the square of the fleet: with 58 entries
-// each had to be held back for 57 ms, in which others took the same slot; with
-// 23 they are two thirds of what an entry sends and receives.
+// each had to be held back for 57 ms, in which others took the same slot.
 class CellMap {
  public:
   // Availability zone by entry.
