--- a/libs/gateway/src/peers/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -259,6 +259,11 @@
   return names;
 }
 
+std::optional<double> PeerLink::HeadroomOf(const std::string& name) const {
+  const auto peer = peers_.find(name);
+  return peer == peers_.end() ? std::nullopt : peer->second.state.headroom;
+}
+
 bool PeerLink::IsActivePeer(const std::string& name) const {
   const auto peer = peers_.find(name);
   return peer != peers_.end() && !peer->second.state.draining;
--- a/libs/gateway/src/peers/peer_link.h
+++ b/libs/gateway/src/peers/peer_link.h
@@ -83,6 +83,9 @@
   // Live peers that are not draining.
   std::vector<std::string> ActivePeers() const;
   bool IsActivePeer(const std::string& name) const;
+  // Share of its processor time that a live peer has left, 0 to 1, by its last
+  // report; none: unknown.
+  std::optional<double> HeadroomOf(const std::string& name) const;
   // Addresses ("IP:PORT") of all live peers, by name.
   std::map<std::string, std::string> LiveAddresses() const;
   // Address of a live peer that can reach the store, preferably one of
--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -1,5 +1,7 @@
 #include "peers/peer_state.h"
 
+#include <algorithm>
+
 #include "proto/peer_state.pb.h"
 
 namespace knapweedstile::gateway {
@@ -66,6 +68,19 @@
   return true;
 }
 
+constexpr double kHeadroomSteps = 1000;
+
+// Zero stands for "unknown", so one is added.
+uint32_t EncodeHeadroom(double headroom) {
+  const double share = std::clamp(headroom, 0.0, 1.0);
+  return static_cast<uint32_t>(share * kHeadroomSteps) + 1;
+}
+
+std::optional<double> DecodeHeadroom(uint32_t encoded) {
+  if (encoded == 0) return std::nullopt;
+  return std::min(1.0, (encoded - 1) / kHeadroomSteps);
+}
+
 }  // namespace
 
 std::string EncodePeerState(const PeerState& state) {
@@ -83,6 +98,7 @@
   message.set_partial(state.partial);
   message.set_summary(state.summary);
   message.set_members_revision(state.members_revision);
+  if (state.headroom) message.set_headroom(EncodeHeadroom(*state.headroom));
   for (const auto& [process, counts] : state.usage) {
     message.add_usage_process(process.value());
     message.add_usage_online(counts.online);
@@ -125,6 +141,7 @@
       .configuration = message.configuration(),
       .servers_revision = message.servers_revision(),
       .members_revision = message.members_revision(),
+      .headroom = DecodeHeadroom(message.headroom()),
       .partial = message.partial(),
       .summary = message.summary(),
       .yield_instance = message.yield_instance()};
--- a/libs/gateway/src/peers/peer_state.h
+++ b/libs/gateway/src/peers/peer_state.h
@@ -31,6 +31,9 @@
   uint64_t configuration = 0;     // active version
   uint64_t servers_revision = 0;  // newest change of a backend server's record
   uint64_t members_revision = 0;  // newest change of the member directory
+  // Share of its processor time that the sender has left, 0 to 1; none:
+  // unknown.
+  std::optional<double> headroom;
   // True for a delta: `usage` holds only what changed since the last message,
   // and `running_items` is empty. Periodic full messages compensate for lost
   // deltas.
