Serving: an estimate of each server's pace and failures weighs placements

Cause: where a request goes depended on free slots and zone only. A server that fails requests at once has free slots and attracts more of them, and servers of different speeds were filled alike. SlotScheduler multiplies its weights by it, counts queues by the server's own pace and lets items with time go to slow servers. All weights are exactly one where no server differs significantly.

--- a/libs/serving/include/serving/slot_scheduler.h
+++ b/libs/serving/include/serving/slot_scheduler.h
@@ -18,7 +18,9 @@
 #include "decide/sharing_rule.h"
 #include "serving/cell.h"
 #include "serving/demand_history.h"
+#include "serving/pace_sample.h"
 #include "serving/placement.h"
+#include "serving/server_pace.h"
 #include "serving/server_record.h"
 #include "serving/server_usage.h"
 #include "serving/slot_count.h"
@@ -77,6 +79,10 @@
   void OnRequestStarted(BackendServerId server, TrafficClass traffic);
   void OnRequestEnded(BackendServerId server, TrafficClass traffic);
   void ObserveDuration(BackendServerId server, Duration duration);
+  // The server's load is added to the sample.
+  void ObservePace(BackendServerId server, PaceSample sample);
+  void OnAttemptServed(BackendServerId server, TimePoint now);
+  void OnAttemptFailed(BackendServerId server, TimePoint now);
   void MarkUnreachable(BackendServerId server, TimePoint now);
   void MarkFull(BackendServerId server, TimePoint now);
   void MarkReachable(BackendServerId server);
@@ -115,10 +121,16 @@
   std::vector<BackendServerId> ServersToPreempt(TimePoint now);
   // Number of outstanding requests beyond the slots of a backend server.
   uint32_t Oversubscription(BackendServerId server) const;
-  // Zero (no server) when no backend server has headroom beyond the reserve.
+  // Zero (no server) when no backend server has headroom beyond the reserve. An
+  // item goes to a slow server if it will end there well before it is due, so
+  // that fast ones are left to online requests.
   BackendServerId PlaceBatch(std::string_view service,
                              std::span<const BackendServerId> excluded,
-                             TimePoint now);
+                             TimePoint now, TimePoint due_at = kNever);
+
+  // Pace and failures of the servers, by process.
+  ServerPace& pace() noexcept { return pace_; }
+  const ServerPace& pace() const noexcept { return pace_; }
 
   // Queries.
   const ServerRecord* Record(BackendServerId server) const;
@@ -131,6 +143,8 @@
   // left out.
   UsageByProcess OwnUsage() const;
   ServerUsage UsageOf(BackendServerId server) const;
+  // Zero when the server is not known.
+  ServerProcessId Process(BackendServerId server) const;
   size_t server_count() const noexcept { return servers_.size(); }
   std::vector<BackendServerId> Servers() const;
   // Servers on which batch exceeds the limit of the sharing policy and this
@@ -174,9 +188,14 @@
 
   bool Usable(const Server& server, std::string_view service,
               std::span<const BackendServerId> excluded) const;
-  // Fewest requests first, then the own zone, then at random.
-  bool IsPreferred(const Server& a, uint32_t use_a, const Server& b,
-                   uint32_t use_b);
+  // Least work first, then the own zone, then at random.
+  bool IsPreferred(const Server& a, double work_a, const Server& b,
+                   double work_b);
+  // Factors on the weight of a server by its pace; one if it looks like others.
+  double PaceWeight(const Server& server) const;
+  double BatchPaceWeight(const Server& server, TimePoint now,
+                         TimePoint due_at) const;
+  bool Avoided(const Server& server) const;
   enum class Locality { kSameCell, kOtherCell };
   static bool HasLocality(const Server& server, Locality locality) {
     return server.in_cell == (locality == Locality::kSameCell);
@@ -234,6 +253,7 @@
   std::unordered_map<std::string, double> mean_duration_seconds_;  // by service
   // Rate at which peers start online requests in this cell, by service.
   std::unordered_map<std::string, StartRate> peer_start_rate_;
+  ServerPace pace_;
   TimePoint demand_sampled_at_{};
 };
 
--- a/libs/serving/include/serving/slot_scheduler_settings.h
+++ b/libs/serving/include/serving/slot_scheduler_settings.h
@@ -51,6 +51,11 @@
   std::chrono::milliseconds full_backoff{60};
   // Assumed duration of an online request before the first one has ended.
   std::chrono::milliseconds assumed_duration{500};
+  // Duration of a batch item on a busy server of the usual pace.
+  std::chrono::milliseconds typical_item_duration{4500};
+  // An item may run on a slow server if this many times its duration there
+  // remain until it is due: enough for a run that is cut and resumed.
+  double item_slack = 2.0;
   // Usage reported by a peer expires after this time without a report.
   std::chrono::milliseconds report_lifetime{1500};
 };
--- a/libs/serving/src/slot_scheduler.cc
+++ b/libs/serving/src/slot_scheduler.cc
@@ -53,8 +53,10 @@
 
 void SlotScheduler::IndexProcess(Server& server) {
   const ServerProcessId process = ProcessOf(server.record);
+  pace_.Add(process, server.record.service);
   if (server.process == process) return;
   by_process_.erase(server.process);
+  pace_.Remove(server.process);
   server.process = process;
   by_process_[process] = server.id;
   SumPeerUsage();
@@ -67,6 +69,7 @@
   server.removed = true;
   server.peer_usage = {};
   by_process_.erase(server.process);
+  pace_.Remove(server.process);
   if (server.own_usage.total() == 0) servers_.erase(known->second);
   by_instance_.erase(known);
 }
@@ -153,31 +156,34 @@
              excluded.end();
 }
 
-bool SlotScheduler::IsPreferred(const Server& a, uint32_t use_a,
-                                const Server& b, uint32_t use_b) {
-  if (use_a != use_b) return use_a < use_b;
+bool SlotScheduler::IsPreferred(const Server& a, double work_a, const Server& b,
+                                double work_b) {
+  if (work_a != work_b) return work_a < work_b;
   const bool own_zone_a = a.record.availability_zone == own_zone_;
   const bool own_zone_b = b.record.availability_zone == own_zone_;
   if (own_zone_a != own_zone_b) return own_zone_a;
   return UniformBelow(rng_, 2) == 0;
 }
 
-// Servers in backoff come last: they are used only when there is no other.
+// Servers in backoff and avoided ones come last: they are used only when there
+// is no other.
 SlotScheduler::Server* SlotScheduler::LeastUsed(
     std::string_view service, std::span<const BackendServerId> excluded,
     TimePoint now) {
   Server* best = nullptr;
-  bool best_in_backoff = false;
+  bool best_comes_last = false;
+  const auto work = [this](const Server& server) {
+    return server.total() * pace_.SlownessOf(server.process);
+  };
   for (auto& [id, server] : servers_) {
     if (!Usable(server, service, excluded)) continue;
-    const bool in_backoff = server.backoff_until > now;
-    const bool better =
-        !best || (best_in_backoff && !in_backoff) ||
-        (best_in_backoff == in_backoff &&
-         IsPreferred(server, server.total(), *best, best->total()));
+    const bool comes_last = server.backoff_until > now || Avoided(server);
+    const bool better = !best || (best_comes_last && !comes_last) ||
+                        (best_comes_last == comes_last &&
+                         IsPreferred(server, work(server), *best, work(*best)));
     if (!better) continue;
     best = &server;
-    best_in_backoff = in_backoff;
+    best_comes_last = comes_last;
   }
   return best;
 }
@@ -210,7 +216,8 @@
                              ? ToSeconds(settings_.assumed_duration)
                              : mean->second;
   const uint32_t slots = std::max(server.record.slots, 1U);
-  const double position_seconds = seconds / slots;
+  const double position_seconds =
+      seconds * pace_.SlownessOf(server.process) / slots;
   const uint32_t ahead =
       server.total() >= slots ? server.total() - slots + 1 : 0;
   const double allowed =
@@ -247,7 +254,7 @@
   uint32_t free = 0;
   for (const auto& [id, server] : servers_) {
     if (!server.in_cell || !Usable(server, service, {})) continue;
-    if (server.backoff_until > now) continue;
+    if (server.backoff_until > now || Avoided(server)) continue;
     free += server.record.slots - std::min(server.record.slots, server.total());
   }
   return free < settings_.scarce_factor * expected_starts;
@@ -269,22 +276,23 @@
 double SlotScheduler::FreeWeight(const Server& server, uint32_t reserve) const {
   const uint32_t used = server.total() + reserve;
   if (used >= server.record.slots) return 0;
-  return (server.record.slots - used) * ZoneFactor(server);
+  return (server.record.slots - used) * ZoneFactor(server) * PaceWeight(server);
 }
 
 double SlotScheduler::PreemptionWeight(const Server& server) const {
   if (server.online() >= server.record.slots) return 0;
   const bool oversubscribed = server.total() > server.record.slots;
-  return server.batch() * (oversubscribed ? kOversubscribedFactor : 1.0);
+  return server.batch() * (oversubscribed ? kOversubscribedFactor : 1.0) *
+         PaceWeight(server);
 }
 
 Placement SlotScheduler::PlaceOnline(std::string_view service,
                                      Duration objective,
                                      std::span<const BackendServerId> excluded,
                                      TimePoint now) {
-  const auto own_batch = [](const Server& server) {
+  const auto own_batch = [this](const Server& server) {
     const bool all_have_slots = server.total() <= server.record.slots;
-    return all_have_slots ? static_cast<double>(server.own_usage.batch) : 0.0;
+    return all_have_slots ? server.own_usage.batch * PaceWeight(server) : 0.0;
   };
   if (FreeSlotsAreScarce(service, now)) {
     if (Server* server = PickWeighted(service, excluded, now, own_batch)) {
@@ -321,7 +329,16 @@
     return {.outcome = PlacementOutcome::kNoServer,
             .retry_after = settings_.min_backoff};
   }
-  return PlaceInQueue(*least, objective);
+  const Placement queued = PlaceInQueue(*least, objective);
+  if (queued.outcome != PlacementOutcome::kSaturated || !pace_.differs())
+    return queued;
+  // Rather than reject, use the slots that servers on probation have free.
+  Server* spare = PickWeighted(service, excluded, now, [&](const Server& s) {
+    const bool on_probation =
+        pace_.StandingOf(s.process) == ServerStanding::kOnProbation;
+    return on_probation && s.total() < s.record.slots ? 1.0 : 0.0;
+  });
+  return spare ? place_on(*spare) : queued;
 }
 
 uint32_t SlotScheduler::Oversubscription(BackendServerId id) const {
--- a/libs/serving/src/slot_scheduler_reports.cc
+++ b/libs/serving/src/slot_scheduler_reports.cc
@@ -51,6 +51,7 @@
 }
 
 void SlotScheduler::RemovePeer(const std::string& peer) {
+  pace_.RemovePeer(peer);
   if (peer_reports_.erase(peer) > 0) SumPeerUsage();
 }
 
--- a/libs/serving/tests/fleet_model.h
+++ b/libs/serving/tests/fleet_model.h
@@ -49,13 +49,21 @@
     // Uses the server with the fewest requests known to the gateway instead of
     // the scheduler.
     bool least_used_rule = false;
+    // Factors on the durations by server, repeated; empty: all equal.
+    std::vector<double> slowness;
+    // The first servers fail this share of their online requests, at once.
+    int failing_servers = 0;
+    double failing_share = 0.3;
+    bool learns_pace = false;
   };
   struct Outcome {
     int online = 0;
     int late = 0;  // waited longer than half the objective
     int rejected = 0;
+    int failed = 0;
     double batch_slot_seconds = 0;
     double mean_wait = 0;
+    double mean_response = 0;  // from sending to the end, of served requests
   };
 
   explicit FleetModel(const Settings& settings)
@@ -87,6 +95,7 @@
         events_.pop();
         Finish(event);
       }
+      for (auto& scheduler : schedulers_) scheduler->pace().Update(Now());
       if (now_ >= next_report) {
         SendReports(!settings_.cells);
         next_report = now_ + settings_.report_interval;
@@ -103,12 +112,14 @@
       if (settings_.batch && settings_.preempt_batch) PreemptBatch();
     }
     if (outcome_.online > 0) outcome_.mean_wait /= outcome_.online;
+    if (served_ > 0) outcome_.mean_response /= served_;
     return outcome_;
   }
 
  private:
   static constexpr double kStep = 0.001;
   static constexpr double kFullReportInterval = 0.25;
+  static constexpr double kFailureSeconds = 0.03;
 
   struct Request {
     int gateway = 0;
@@ -116,6 +127,7 @@
     double sent_at = 0;
     double began_at = -1;
     bool cancelled = false;
+    bool fails = false;
   };
   struct Server {
     std::vector<std::shared_ptr<Request>> running;
@@ -132,6 +144,7 @@
     int from;
     bool full;
     UsageByProcess usage;
+    std::vector<ServerObservation> observations;
   };
 
   static std::string Name(int server) { return "i-" + std::to_string(server); }
@@ -152,8 +165,9 @@
 
   void SendReports(bool full) {
     for (int e = 0; e < settings_.gateways; ++e) {
-      messages_.push_back(
-          {now_ + settings_.report_delay, e, full, schedulers_[e]->OwnUsage()});
+      messages_.push_back({now_ + settings_.report_delay, e, full,
+                           schedulers_[e]->OwnUsage(),
+                           schedulers_[e]->pace().TakeObservations(Now())});
     }
     Deliver();
   }
@@ -170,6 +184,10 @@
 
   void Deliver(const Message& message, int gateway) {
     const std::string from = std::to_string(message.from);
+    if (!message.observations.empty()) {
+      schedulers_[gateway]->pace().SetPeerObservations(
+          from, message.observations, Now());
+    }
     if (message.full) {
       return schedulers_[gateway]->SetPeerUsage(from, message.usage, Now());
     }
@@ -286,13 +304,32 @@
         outcome_.mean_wait += wait;
         if (wait > settings_.objective_seconds / 2) ++outcome_.late;
       }
-      const double mean =
-          request->online ? settings_.online_seconds : settings_.batch_seconds;
-      events_.push(
-          {now_ + mean * (0.7 + 0.6 * UniformUnit(rng_)), index, request});
+      const double mean = (request->online ? settings_.online_seconds
+                                           : settings_.batch_seconds) *
+                          Slowness(index);
+      double duration = mean * (0.7 + 0.6 * UniformUnit(rng_));
+      if (request->online && index < settings_.failing_servers) {
+        request->fails = UniformUnit(rng_) < settings_.failing_share;
+        if (request->fails) duration = kFailureSeconds;
+      }
+      events_.push({now_ + duration, index, request});
     }
   }
 
+  double Slowness(int index) const {
+    const auto& slowness = settings_.slowness;
+    return slowness.empty() ? 1 : slowness[index % slowness.size()];
+  }
+
+  // What a gateway learns from the end of an online request.
+  void Learn(const Event& event, BackendServerId id) {
+    SlotScheduler& scheduler = *schedulers_[event.request->gateway];
+    if (event.request->fails) return scheduler.OnAttemptFailed(id, Now());
+    scheduler.OnAttemptServed(id, Now());
+    const Duration time = FromSeconds(now_ - event.request->began_at);
+    scheduler.ObservePace(id, {.step = PaceStep::kResponse, .time = time});
+  }
+
   void Leave(int index, const std::shared_ptr<Request>& request) {
     schedulers_[request->gateway]->OnRequestEnded(
         schedulers_[request->gateway]->Find(Name(index)),
@@ -307,9 +344,16 @@
   void Finish(const Event& event) {
     if (event.request->cancelled) return;
     if (event.request->online) {
-      schedulers_[event.request->gateway]->ObserveDuration(
-          schedulers_[event.request->gateway]->Find(Name(event.server)),
-          FromSeconds(now_ - event.request->sent_at));
+      const Duration age = FromSeconds(now_ - event.request->sent_at);
+      const BackendServerId id =
+          schedulers_[event.request->gateway]->Find(Name(event.server));
+      schedulers_[event.request->gateway]->ObserveDuration(id, age);
+      if (settings_.learns_pace) Learn(event, id);
+      if (event.request->fails) ++outcome_.failed;
+      if (!event.request->fails) {
+        ++served_;
+        outcome_.mean_response += ToSeconds(age);
+      }
     }
     Leave(event.server, event.request);
   }
@@ -342,6 +386,7 @@
   std::priority_queue<Event> events_;
   std::deque<Message> messages_;
   Outcome outcome_;
+  int served_ = 0;
 };
 
 }  // namespace knapweedstile::serving
