Gateway: feed the servers' pace and tell it to peers

Cause: the scheduler's estimates need the times and ends of attempts, and a gateway alone sees too few requests of a server to judge it soon. Gauges knap_servers_avoided and knap_server_pace, log lines server_avoided, server_on_probation and server_restored, pace on the status page and in `knapctl status`. Measured: gateway_tests 28 cases; ctest users_platform, settings_page, divided_fleet, gateway_batch, gateway_faults, gateway_online, gateway_restart all pass (172 s).

--- a/apps/knapctl/src/status_command.cc
+++ b/apps/knapctl/src/status_command.cc
@@ -41,6 +41,29 @@
                      FieldText(fields, "batch"), FieldText(fields, "slots"));
 }
 
+// The pace and standing of a server that differs from its service's median.
+std::string PaceText(const json::object& server) {
+  const json::value* pace = server.if_contains("pace");
+  if (pace == nullptr || !pace->is_object()) return "-";
+  const json::object& fields = pace->get_object();
+  const json::value* slowness = fields.if_contains("slowness");
+  const json::value* failures = fields.if_contains("failure_share");
+  const bool has_numbers = slowness != nullptr && slowness->is_number() &&
+                           failures != nullptr && failures->is_number();
+  if (!has_numbers) return "-";
+  std::string text;
+  if (slowness->to_number<double>() != 1)
+    text += fmt::format("{:.2f}x time ", slowness->to_number<double>());
+  constexpr int kPercent = 100;
+  if (failures->to_number<double>() > 0) {
+    text +=
+        fmt::format("{:.0f}% fail ", failures->to_number<double>() * kPercent);
+  }
+  const std::string standing = FieldText(fields, "standing");
+  if (standing != "trusted") text += standing;
+  return text.empty() ? "-" : text;
+}
+
 void PrintNodes(const std::vector<NodePage>& pages) {
   TextTable table;
   table.AddRow(
@@ -64,7 +87,7 @@
 void PrintServers(const std::vector<NodePage>& pages) {
   TextTable table;
   table.AddRow({"SEEN BY", "BACKEND SERVER", "TARGET", "ZONE", "STATE",
-                "POLICY", "LOAD"});
+                "POLICY", "LOAD", "PACE"});
   for (const NodePage& page : pages) {
     for (const json::value& element :
          ArrayField(page.fields, "backend_servers")) {
@@ -73,7 +96,7 @@
                     FieldText(server, "target"),
                     FieldText(server, "availability_zone"),
                     FieldText(server, "state"), FieldText(server, "policy"),
-                    LoadText(server)});
+                    LoadText(server), PaceText(server)});
     }
   }
   fmt::print("{}\n", table.Render());
--- a/libs/gateway/src/batch/batch_answers.cc
+++ b/libs/gateway/src/batch/batch_answers.cc
@@ -73,6 +73,7 @@
 
 bool BatchRunner::ReadEvents(ItemRun& run) {
   serving::ItemProgress& progress = Progress(run);
+  size_t count = 0;
   while (auto event = run.reader.Next()) {
     if (!event->id) continue;
     if (progress.last_event && *event->id != *progress.last_event + 1) {
@@ -84,13 +85,19 @@
     progress.breaks = 0;
     run.received_event = true;
     run.stalls_at = MonotonicNow() + kNextEventTimeout;
+    ++count;
   }
+  if (count == 0) return true;
+  const TimePoint now = MonotonicNow();
+  const auto sample = run.pace.OnEvents(count, now);
+  if (sample) scheduler_.ObservePace(run.server, *sample);
   return true;
 }
 
 void BatchRunner::OnEnd(ItemRun& run, const http::EndEvent& event) {
   if (event.outcome == http::ClientOutcome::kNotSent) {
     scheduler_.MarkUnreachable(run.server, MonotonicNow());
+    scheduler_.OnAttemptFailed(run.server, MonotonicNow());
     return Requeue(run, kNotExecutedPause, "unreachable");
   }
   if (event.outcome != http::ClientOutcome::kComplete) {
@@ -115,6 +122,7 @@
   if (run.reader.HasIncompleteEvent())
     return OnAttemptBroken(run, "partial_event");
   scheduler_.MarkReachable(run.server);
+  scheduler_.OnAttemptServed(run.server, MonotonicNow());
   Finish(run, ItemState::kCompleted);
 }
 
@@ -124,7 +132,11 @@
                              {"item", run.item_id},
                              {"status", run.status},
                              {"failures", progress.failures}});
-  if (run.status == kUnprocessable) return Finish(run, ItemState::kFailed);
+  if (run.status == kUnprocessable) {
+    scheduler_.OnAttemptServed(run.server, MonotonicNow());
+    return Finish(run, ItemState::kFailed);
+  }
+  scheduler_.OnAttemptFailed(run.server, MonotonicNow());
   if (run.status == kServerError) ++progress.failures;
   const serving::Route* route = routes_.FindByName(run.route);
   const uint32_t attempts = route ? route->max_attempts : 1;
@@ -137,6 +149,7 @@
 // event; after the third, the pauses are long.
 void BatchRunner::OnAttemptBroken(ItemRun& run, std::string_view reason) {
   serving::ItemProgress& progress = Progress(run);
+  scheduler_.OnAttemptFailed(run.server, MonotonicNow());
   if (!run.received_event) ++progress.breaks;
   const size_t step =
       std::min<size_t>(progress.breaks, kBrokenAttemptPauses.size() - 1);
--- a/libs/gateway/src/batch/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -95,7 +95,7 @@
   const std::string& service = route->services.front().service;
   if (!ConsumeBudget(service, now)) return StartResult::kNoCapacity;
   const BackendServerId server = scheduler_.PlaceBatch(
-      service, callbacks_.excluded_servers(*route, service), now);
+      service, callbacks_.excluded_servers(*route, service), now, job.due_at);
   if (!server) return StartResult::kNoCapacity;
   serving::ItemProgress& progress = job.progress[ref.index];
   progress.unrouted_since.reset();
@@ -108,6 +108,8 @@
               .started_at = now,
               .stalls_at = now + kFirstEventTimeout};
   const serving::ServerRecord& record = *scheduler_.Record(server);
+  const bool queued = scheduler_.UsageOf(server).total() >= record.slots;
+  run.pace = AttemptPace(TrafficClass::kBatch, queued, now);
   http::ClientRequest request;
   request.exchange = run.exchange;
   request.address = record.address;
--- a/libs/gateway/src/batch/batch_runner.h
+++ b/libs/gateway/src/batch/batch_runner.h
@@ -13,6 +13,7 @@
 #include "http/client_event.h"
 #include "observe/metrics.h"
 #include "observe/timeline.h"
+#include "servers/attempt_pace.h"
 #include "servers/server_connections.h"
 #include "serving/event_stream_reader.h"
 #include "serving/item_ref.h"
@@ -81,6 +82,7 @@
     unsigned status = 0;
     http::HeaderList head;
     bool received_event = false;
+    AttemptPace pace;
     serving::EventStreamReader reader;
   };
   // kHandled: the item was started, waits for its route, or failed without one.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "batch/job_records.h"
+#include "servers/standing_log.h"
 #include "users_platform/configuration.h"
 #include "users_platform/store_names.h"
 
@@ -191,6 +192,8 @@
   follower_.Run(now);
   scheduler_.ExpirePeerReports(now);
   scheduler_.ObserveDemand(now);
+  scheduler_.pace().Update(now);
+  LogStandingChanges(scheduler_);
   crash_tracker_.Expire(now);
   runner_.PreemptBlockingItems(now);
   RunBatch(now);
@@ -256,6 +259,7 @@
   metrics_.Set("knap_configuration_version",
                static_cast<double>(routes_.version));
   metrics_.Set("knap_servers", static_cast<double>(scheduler_.server_count()));
+  SetPaceMetrics(scheduler_, metrics_);
   metrics_.Set("knap_store_available", store_.available() ? 1 : 0);
   metrics_.Set("knap_store_calls", static_cast<double>(store_.call_count()));
   metrics_.Set("knap_store_reader", follower_.IsReader() ? 1 : 0);
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -33,6 +33,13 @@
   metrics.DeclareGauge("knap_configuration_version",
                        "configuration version in effect");
   metrics.DeclareGauge("knap_servers", "backend servers known");
+  metrics.DeclareGauge("knap_servers_avoided",
+                       "backend servers avoided because they fail");
+  metrics.DeclareGauge(
+      "knap_server_pace",
+      "time per step of the slowest and the fastest server, relative to the "
+      "median of its service",
+      {"server"});
   metrics.DeclareGauge("knap_store_available", "1 while the store answers");
   metrics.DeclareGauge("knap_store_calls", "calls to the store so far");
   metrics.DeclareGauge("knap_store_reader",
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -27,6 +27,10 @@
   } else {
     scheduler_.SetPeerUsage(state.gateway, state.usage, now);
     crash_tracker_.SetPeerCounts(state.gateway, state.crashes);
+    if (!state.observations.empty()) {
+      scheduler_.pace().SetPeerObservations(state.gateway, state.observations,
+                                            now);
+    }
     ConfirmRecoveredRecords(state);
   }
   sync_tracker_.OnAdvertisedCount(state.gateway, state.start, state.records,
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -130,6 +130,7 @@
                  state.availability_zone = settings_.availability_zone;
                  state.running_items = runner_.RunningItemHashes();
                  state.crashes = crash_tracker_.OwnCounts();
+                 state.observations = scheduler_.pace().TakeObservations(now);
                  state.filled = sync_tracker_.RecentlyRecovered(now);
                },
            .summary = [this](TimePoint now) { return BuildSummary(now); }}),
--- a/libs/gateway/src/online/online_answers.cc
+++ b/libs/gateway/src/online/online_answers.cc
@@ -88,6 +88,7 @@
 bool OnlineCalls::ForwardEvents(OnlineCall& call) {
   std::string data;
   bool in_order = true;
+  size_t count = 0;
   while (auto event = call.reader.Next()) {
     if (event->id && call.last_event && *event->id != *call.last_event + 1) {
       in_order = false;
@@ -95,8 +96,10 @@
     }
     if (event->id) call.last_event = event->id;
     data += event->raw;
+    ++count;
   }
   if (data.empty()) return in_order;
+  ObserveEvents(call, count);
   if (call.first_byte_at == TimePoint{}) {
     call.first_byte_at = MonotonicNow();
     metrics_.Observe("knap_first_event_seconds",
@@ -113,6 +116,7 @@
   const TimePoint now = MonotonicNow();
   if (event.outcome == http::ClientOutcome::kNotSent) {
     scheduler_.MarkUnreachable(call.server, now);
+    ObserveFailure(call, /*by_deadline=*/false);
     LogWarning("server_unreachable", {{"request", call.request_id},
                                       {"server", call.address},
                                       {"reason", event.message}});
@@ -143,6 +147,7 @@
     if (call.reader.HasIncompleteEvent())
       return OnAttemptBroken(call, "partial_event");
     scheduler_.ObserveDuration(call.server, MonotonicNow() - call.sent_at);
+    scheduler_.OnAttemptServed(call.server, MonotonicNow());
     callbacks_.to_caller(
         http::StreamChunkCommand{.exchange = call.caller, .last = true});
     return Finish(call, call.status, "answered");
@@ -154,9 +159,12 @@
   if (failed && (call.response_started || CanRetryElsewhere(call))) {
     return OnAttemptBroken(call, "server_error");
   }
-  if (!failed) {
+  if (failed) {
+    ObserveFailure(call, call.status == kGatewayTimeout);
+  } else {
     scheduler_.MarkReachable(call.server);
     scheduler_.ObserveDuration(call.server, MonotonicNow() - call.sent_at);
+    ObserveResponse(call);
   }
   callbacks_.to_caller(http::RespondCommand{.exchange = call.caller,
                                             .status = call.status,
@@ -165,6 +173,26 @@
   Finish(call, call.status, "answered");
 }
 
+void OnlineCalls::ObserveEvents(OnlineCall& call, size_t count) {
+  const TimePoint now = MonotonicNow();
+  const auto sample = call.pace.OnEvents(count, now);
+  if (sample) scheduler_.ObservePace(call.server, *sample);
+}
+
+void OnlineCalls::ObserveFailure(const OnlineCall& call, bool by_deadline) {
+  const TimePoint now = MonotonicNow();
+  const bool had_time = now - call.sent_at >= call.route.latency_objective;
+  if (!by_deadline || had_time) scheduler_.OnAttemptFailed(call.server, now);
+}
+
+void OnlineCalls::ObserveResponse(const OnlineCall& call) {
+  const TimePoint now = MonotonicNow();
+  scheduler_.OnAttemptServed(call.server, now);
+  const auto sample = call.pace.OnResponse(now);
+  const bool ok = call.status / 100 == 2;
+  if (sample && ok) scheduler_.ObservePace(call.server, *sample);
+}
+
 bool OnlineCalls::CanRetryElsewhere(const OnlineCall& call) const {
   const bool retryable =
       call.route.IsRetryable() ||
@@ -188,6 +216,8 @@
       reason == kServerRestarted) {
     crashes_.OnAttemptBroken(call.fingerprint, MonotonicNow());
   }
+  ObserveFailure(call, reason == NameOf(http::ClientOutcome::kDeadline) ||
+                           call.status == kGatewayTimeout);
   call.excluded.push_back(call.server);
   EndAttempt(call);
   ++call.runs;
--- a/libs/gateway/src/online/online_call.h
+++ b/libs/gateway/src/online/online_call.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "http/header_list.h"
 #include "http/server_event.h"
+#include "servers/attempt_pace.h"
 #include "serving/event_stream_reader.h"
 #include "serving/route.h"
 #include "serving/server_usage.h"
@@ -36,6 +37,7 @@
   std::string address;  // of the server it was last sent to
   TimePoint sent_at;
   serving::ServerUsage usage_at_send;  // of the server, before this request
+  AttemptPace pace;
   bool preempted_batch = false;
   unsigned status = 0;  // in the attempt's head; zero: none yet
   http::HeaderList head;
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -20,6 +20,9 @@
 // otherwise.
 constexpr double kAttemptTimeoutObjectives = 1.5;
 constexpr std::chrono::milliseconds kMinAttemptTimeout{150};
+// A caller that leaves after this multiple of the objective, without a response
+// head, has left because of the server.
+constexpr int kStalledAfterObjectives = 2;
 // A request that crashes servers is not served until its quarantine ends.
 constexpr std::chrono::seconds kQuarantineRetry{60};
 
@@ -128,6 +131,8 @@
   call.address = record.address;
   call.usage_at_send = scheduler_.UsageOf(server);
   call.sent_at = now;
+  const bool queued = call.usage_at_send.total() >= record.slots;
+  call.pace = AttemptPace(TrafficClass::kOnline, queued, now);
   call.status = 0;
   call.body.clear();
   call.reader.Reset();
@@ -253,8 +258,15 @@
 void OnlineCalls::OnCallerDisconnected(ExchangeId caller) {
   const auto found = calls_.find(caller);
   if (found == calls_.end()) return;
-  connections_.Cancel(found->second.upstream);
-  Finish(found->second, 0, "caller_gone");
+  OnlineCall& call = found->second;
+  connections_.Cancel(call.upstream);
+  // Callers leave a server that stalls before anything else is known of it.
+  const bool stalled =
+      call.server && call.status == 0 &&
+      MonotonicNow() - call.sent_at >=
+          call.route.latency_objective * kStalledAfterObjectives;
+  if (stalled) ObserveFailure(call, /*by_deadline=*/true);
+  Finish(call, 0, "caller_gone");
 }
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -73,6 +73,11 @@
   void OnEnd(OnlineCall& call, http::EndEvent&& event);
   void OnComplete(OnlineCall& call);
   void OnAttemptBroken(OnlineCall& call, std::string_view reason);
+  void ObserveEvents(OnlineCall& call, size_t count);
+  // The attempt failed. A deadline is the server's failure only where it had
+  // the time that the objective allows.
+  void ObserveFailure(const OnlineCall& call, bool by_deadline);
+  void ObserveResponse(const OnlineCall& call);
 
   void Dispatch(OnlineCall& call);
   void SendTo(OnlineCall& call, BackendServerId server);
--- a/libs/gateway/src/operators/status_page.cc
+++ b/libs/gateway/src/operators/status_page.cc
@@ -14,6 +14,14 @@
 
 namespace json = boost::json;
 
+json::object Pace(const serving::SlotScheduler& scheduler, BackendServerId id) {
+  const serving::ServerPace& pace = scheduler.pace();
+  const serving::ServerProcessId process = scheduler.Process(id);
+  return {{"standing", NameOf(pace.StandingOf(process))},
+          {"slowness", pace.SlownessOf(process)},
+          {"failure_share", pace.FailureShareOf(process)}};
+}
+
 json::array Servers(const serving::SlotScheduler& scheduler,
                     const PolicyView& policies) {
   json::array servers;
@@ -31,6 +39,7 @@
                      {"availability_zone", record.availability_zone},
                      {"state", record.draining ? "draining" : "ready"},
                      {"policy", scheduler.SharingPolicyName(id)},
+                     {"pace", Pace(scheduler, id)},
                      {"labels", std::move(labels)},
                      {"load", json::object{{"slots", record.slots},
                                            {"online", usage.online},
--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -21,6 +21,31 @@
   return true;
 }
 
+constexpr double kSlownessSteps = 1000;
+
+void WriteObservations(
+    const std::vector<serving::ServerObservation>& observations,
+    wire::PeerStateMessage& message) {
+  for (const serving::ServerObservation& observation : observations) {
+    wire::ObservationMessage& written = *message.add_observations();
+    written.set_process(observation.process.value());
+    written.set_slowness(
+        static_cast<uint32_t>(observation.slowness * kSlownessSteps));
+    written.set_attempts(observation.attempts);
+    written.set_failures(observation.failures);
+  }
+}
+
+void ReadObservations(const wire::PeerStateMessage& message, PeerState& state) {
+  for (const wire::ObservationMessage& read : message.observations()) {
+    state.observations.push_back(
+        {.process = serving::ServerProcessId(read.process()),
+         .slowness = read.slowness() / kSlownessSteps,
+         .attempts = read.attempts(),
+         .failures = std::min(read.failures(), read.attempts())});
+  }
+}
+
 void WriteRate(const workspaces::RateReport& rate, wire::RateMessage& message) {
   message.set_uptime_millis(static_cast<uint64_t>(ToMillis(rate.uptime)));
   message.set_entries(rate.fleet_size);
@@ -112,6 +137,7 @@
     crash.set_fingerprint(count.fingerprint);
     crash.set_breaks(count.breaks);
   }
+  WriteObservations(state.observations, message);
   for (const auto& [gateway, count] : state.filled) {
     wire::FilledMessage& filled = *message.add_filled();
     filled.set_entry(gateway);
@@ -152,6 +178,7 @@
   for (const wire::CrashCountMessage& crash : message.crashes()) {
     state.crashes.push_back({crash.fingerprint(), crash.breaks()});
   }
+  ReadObservations(message, state);
   for (const wire::FilledMessage& filled : message.filled()) {
     state.filled[filled.entry()] = {filled.start(), filled.count()};
   }
--- a/libs/gateway/src/peers/peer_state.h
+++ b/libs/gateway/src/peers/peer_state.h
@@ -10,6 +10,7 @@
 
 #include "peers/record_count.h"
 #include "serving/crash_count.h"
+#include "serving/server_observation.h"
 #include "serving/usage_by_process.h"
 #include "workspaces/rate_report.h"
 
@@ -46,6 +47,8 @@
   std::vector<uint64_t> running_items;
   // Requests that crashed servers; full messages only.
   std::vector<serving::CrashCount> crashes;
+  // What the sender has observed of backend servers; some full messages only.
+  std::vector<serving::ServerObservation> observations;
   // Gateways whose records the sender recently read from the store because a
   // push was lost; full messages only.
   std::map<std::string, RecordCount> filled;
--- a/libs/gateway/tests/peer_state_test.cc
+++ b/libs/gateway/tests/peer_state_test.cc
@@ -21,6 +21,10 @@
                     {serving::ServerProcessId(5), {0, 2}}},
           .running_items = {1, ~0ULL},
           .crashes = {{.fingerprint = 8, .breaks = 2}},
+          .observations = {{.process = serving::ServerProcessId(~0ULL),
+                            .slowness = 1.5,
+                            .attempts = 12,
+                            .failures = 3}},
           .filled = {{"entry-2", {.start = 4, .count = 6}}},
           .yield_instance = "i-1"};
 }
@@ -48,6 +52,11 @@
   REQUIRE(received->crashes.size() == 1);
   CHECK(received->crashes[0].fingerprint == 8);
   CHECK(received->crashes[0].breaks == 2);
+  REQUIRE(received->observations.size() == 1);
+  CHECK(received->observations[0].process == sent.observations[0].process);
+  CHECK(received->observations[0].slowness == 1.5);
+  CHECK(received->observations[0].attempts == 12);
+  CHECK(received->observations[0].failures == 3);
   CHECK(received->filled.at("entry-2").start == 4);
   CHECK(received->filled.at("entry-2").count == 6);
   CHECK(received->yield_instance == "i-1");
