Cluster: picks the two gateways that hold a job

Cause: every gateway of a fleet holds every job's bytes, whatever its size and the job's; a gateway with 0.07 cores unpacks what it never uses. Change: cluster::JobHolders picks an owner in the accepting gateway's zone and a second holder in another zone, by rendezvous hashing weighted by free cores and bounded to three quarters of a zone. Fleets of up to four gateways are left as they are. Nothing uses it yet.

--- /dev/null
+++ b/libs/cluster/include/cluster/job_holders.h
@@ -0,0 +1,60 @@
+#ifndef KNAPWEEDSTILE_CLUSTER_JOB_HOLDERS_H_
+#define KNAPWEEDSTILE_CLUSTER_JOB_HOLDERS_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace knapweedstile::cluster {
+
+// A live gateway that may hold jobs.
+struct HolderCandidate {
+  std::string name;
+  std::string availability_zone;
+  double processor_share = 1;  // cores
+  double headroom = 1;         // share of them that is free, 0 to 1
+};
+
+// The gateways that hold the bytes of a job.
+struct HolderPair {
+  std::string owner;   // runs the job
+  std::string second;  // runs it when the owner is gone; empty: all hold it
+
+  bool operator==(const HolderPair&) const = default;
+};
+
+// Picks the two gateways that hold a job's bytes: its owner, in the zone of the
+// gateway that accepts the job, and a second one in another zone. Pure logic:
+// no I/O, no clock, no threads. Rendezvous hashing: a gateway that leaves moves
+// only its own jobs.
+//
+// Designed for jobs of some hundred kilobytes at gateways of 0.07 to 0.5 cores.
+// Held by every gateway, each job would occupy the small ones for longer than
+// an online request may wait. A gateway's share of the jobs grows with its free
+// cores, up to a bound, so that the loss of one strong gateway does not take
+// most jobs of its zone with it.
+class JobHolders {
+ public:
+  explicit JobHolders(std::vector<HolderCandidate> candidates);
+
+  // The holders of a job that is accepted in the zone. With only one zone, both
+  // are in it. `second` is empty if the fleet is so small that every gateway
+  // holds every job; `owner` is then empty as well.
+  HolderPair Choose(std::string_view job, std::string_view zone) const;
+
+ private:
+  struct Weighted {
+    std::string name;
+    std::string availability_zone;
+    double weight = 0;
+  };
+
+  template <class Predicate>
+  const Weighted* Best(std::string_view job, Predicate may_hold) const;
+
+  std::vector<Weighted> gateways_;
+};
+
+}  // namespace knapweedstile::cluster
+
+#endif  // KNAPWEEDSTILE_CLUSTER_JOB_HOLDERS_H_
--- /dev/null
+++ b/libs/cluster/tests/job_holders_test.cc
@@ -0,0 +1,108 @@
+#include "cluster/job_holders.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace knapweedstile::cluster {
+namespace {
+
+constexpr int kJobs = 4000;
+
+std::string JobOf(int job) { return "job-" + std::to_string(job); }
+
+// Three zones, each with two strong gateways, one middling and four small ones.
+std::vector<HolderCandidate> UnevenFleet() {
+  std::vector<HolderCandidate> fleet;
+  for (const std::string zone : {"a", "b", "c"}) {
+    for (const auto& [name, cores] :
+         std::map<std::string, double>{{"big-1", 0.5},
+                                       {"big-2", 0.5},
+                                       {"mid", 0.22},
+                                       {"small-1", 0.07},
+                                       {"small-2", 0.07},
+                                       {"small-3", 0.07},
+                                       {"small-4", 0.07}}) {
+      fleet.push_back({.name = zone + "-" + name,
+                       .availability_zone = zone,
+                       .processor_share = cores});
+    }
+  }
+  return fleet;
+}
+
+// Shares of the jobs accepted in zone "a", by owner.
+std::map<std::string, double> OwnedShares(const JobHolders& holders) {
+  std::map<std::string, double> shares;
+  for (int job = 0; job < kJobs; ++job) {
+    shares[holders.Choose(JobOf(job), "a").owner] += 1.0 / kJobs;
+  }
+  return shares;
+}
+
+}  // namespace
+
+TEST_CASE("holders share the jobs by their cores, in two zones") {
+  const JobHolders holders(UnevenFleet());
+  const auto shares = OwnedShares(holders);
+  CHECK(shares.size() == 7);
+  CHECK(shares.at("a-big-1") == Approx(0.5 / 1.5).margin(0.03));
+  CHECK(shares.at("a-mid") == Approx(0.22 / 1.5).margin(0.03));
+  CHECK(shares.at("a-small-1") == Approx(0.07 / 1.5).margin(0.02));
+  std::map<char, int> seconds;
+  for (int job = 0; job < kJobs; ++job) {
+    ++seconds[holders.Choose(JobOf(job), "a").second.front()];
+  }
+  CHECK_FALSE(seconds.contains('a'));
+  CHECK(std::min(seconds['b'], seconds['c']) > kJobs / 3);
+}
+
+// Guards against a busy gateway that gets more jobs, and against a zone that
+// holds none because all its gateways are busy.
+TEST_CASE("a gateway without headroom holds fewer jobs") {
+  auto fleet = UnevenFleet();
+  fleet.front().headroom = 0;
+  CHECK(OwnedShares(JobHolders(fleet)).at("a-big-1") < 0.08);
+  for (HolderCandidate& candidate : fleet) candidate.headroom = 0;
+  CHECK(OwnedShares(JobHolders(fleet)).at("a-big-1") > 0.25);
+}
+
+// Guards against losing most jobs of a zone with one gateway.
+TEST_CASE("a strong gateway's share is bounded") {
+  auto fleet = UnevenFleet();
+  fleet.front().processor_share = 64;
+  CHECK(OwnedShares(JobHolders(fleet)).at("a-big-1") ==
+        Approx(0.75).margin(0.03));
+}
+
+// Guards against a restart that moves the jobs of gateways that stay.
+TEST_CASE("a gateway that leaves moves only its own jobs") {
+  auto fleet = UnevenFleet();
+  const JobHolders before(fleet);
+  fleet.erase(fleet.begin() + 3);  // a-small-1
+  const JobHolders after(fleet);
+  std::reverse(fleet.begin(), fleet.end());
+  const JobHolders reordered(fleet);
+  for (int job = 0; job < kJobs; ++job) {
+    const HolderPair pair = before.Choose(JobOf(job), "a");
+    CHECK(after.Choose(JobOf(job), "a") == reordered.Choose(JobOf(job), "a"));
+    if (pair.owner == "a-small-1") continue;
+    CHECK(after.Choose(JobOf(job), "a") == pair);
+  }
+}
+
+TEST_CASE("one zone holds both copies, and a small fleet holds all jobs") {
+  auto fleet = UnevenFleet();
+  for (HolderCandidate& candidate : fleet) candidate.availability_zone = "a";
+  for (int job = 0; job < 100; ++job) {
+    const HolderPair pair = JobHolders(fleet).Choose(JobOf(job), "a");
+    CHECK_FALSE(pair.second.empty());
+    CHECK(pair.owner != pair.second);
+  }
+  // The accepting gateway's zone has no other gateway, and it is stopping.
+  CHECK_FALSE(JobHolders(UnevenFleet()).Choose("job", "d").owner.empty());
+  fleet.resize(4);
+  CHECK(JobHolders(fleet).Choose("job", "a") == HolderPair());
+}
+
+}  // namespace knapweedstile::cluster
