--- a/libs/gateway/src/batch/batch_api.cc
+++ b/libs/gateway/src/batch/batch_api.cc
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "batch/job_forwarder.h"
 #include "batch/record_kinds.h"
 #include "platform/store_request.h"
 #include "store/store_calls.h"
@@ -29,6 +30,7 @@
 constexpr std::chrono::milliseconds kOutageRetry{1000};
 constexpr std::chrono::milliseconds kQuotaRetry{1000};
 constexpr std::chrono::milliseconds kEndRetry{300};
+constexpr std::chrono::milliseconds kReadRetry{200};
 
 constexpr char kJson[] = "application/json";
 constexpr char kBytes[] = "application/octet-stream";
@@ -142,28 +144,34 @@
   if (call.operation == BatchOperation::kEndJob) {
     return End(request.exchange, job, request.received_at + kEndTimeout);
   }
-  Serve(request.exchange, job, call);
+  Serve(std::make_shared<const JobCall>(JobCall{std::move(request), identity}),
+        job, call);
 }
 
-void BatchApi::Serve(ExchangeId caller, const std::string& job,
-                     const BatchCall& call) {
+void BatchApi::Serve(const CallPointer& call, const std::string& job,
+                     const BatchCall& operation) {
   const serving::BatchJob* known = jobs_.Find(job);
-  if (!known) return RespondUnknownJob(caller, job);
-  if (call.operation == BatchOperation::kRead) {
-    return ServeRead(caller, call, *known);
+  if (!known) return RespondUnknownJob(call->request.exchange, job);
+  if (operation.operation == BatchOperation::kRead) {
+    return ServeRead(call, operation, *known);
   }
-  ServeBody(caller, call, *known);
+  ServeBody(call, operation, *known);
 }
 
-void BatchApi::ServeRead(ExchangeId caller, const BatchCall& call,
+void BatchApi::ServeRead(const CallPointer& call, const BatchCall& operation,
                          const serving::BatchJob& job) {
-  const Duration wait = std::min<Duration>(call.wait, kMaxReadWait);
-  const PendingRead read{.caller = caller,
-                         .position = call.position,
+  const Duration wait = std::min<Duration>(operation.wait, kMaxReadWait);
+  const PendingRead read{.caller = call->request.exchange,
+                         .call = call,
+                         .position = operation.position,
                          .respond_at = MonotonicNow() + wait};
-  const bool has_result = job.results.size() > call.position;
+  const bool has_result = job.results.size() > read.position;
+  // The sender knows of a result that this gateway does not have yet.
+  if (call->caller.sent_to_holder && !has_result) {
+    return Respond(read.caller, JobForwarder::kMisdirected);
+  }
   // No more results will follow, so waiting would only delay the reader.
-  const bool final = !job.open() && call.position <= job.results.size();
+  const bool final = !job.open() && read.position <= job.results.size();
   if (has_result || final || wait.count() == 0) return RespondRead(read, job);
   pending_reads_.emplace(job.id, read);
 }
@@ -175,19 +183,52 @@
   const bool nothing_new = read.position >= job.results.size() && job.open();
   if (read.position > job.results.size() ||
       (nothing_new && !callbacks_.has_all_records())) {
-    return RespondRetry(read.caller, 503, std::chrono::milliseconds(200));
+    return RespondRetry(read.caller, 503, kReadRetry);
   }
+  if (job.MissingSegment(read.position)) return ReadOutputs(read, job.id);
   Respond(read.caller, 200, users_platform::RenderResults(job, read.position),
           kJson);
 }
 
-void BatchApi::ServeBody(ExchangeId caller, const BatchCall& call,
+void BatchApi::ReadOutputs(const PendingRead& read, const std::string& job) {
+  const auto missing = [position = read.position](const serving::BatchJob& j) {
+    const auto segment = j.MissingSegment(position);
+    return segment ? std::optional(SegmentName(j.id, *segment)) : std::nullopt;
+  };
+  callbacks_.serve_from_holder(
+      read.call, job, missing, [this, read, job](bool complete) {
+        const serving::BatchJob* known = jobs_.Find(job);
+        if (!complete || !known) {
+          return RespondRetry(read.caller, 503, kReadRetry);
+        }
+        RespondRead(read, *known);
+      });
+}
+
+void BatchApi::ServeBody(const CallPointer& call, const BatchCall& operation,
                          const serving::BatchJob& job) {
-  const auto index = job.item_index.find(call.item);
+  const ExchangeId caller = call->request.exchange;
+  const auto index = job.item_index.find(operation.item);
   if (job.ended || index == job.item_index.end()) return Respond(caller, 404);
+  if (!job.has_bodies) return ReadBody(call, operation, job.id);
   Respond(caller, 200, job.items[index->second].body, kBytes);
 }
 
+void BatchApi::ReadBody(const CallPointer& call, const BatchCall& operation,
+                        const std::string& job) {
+  const auto missing = [](const serving::BatchJob& j) {
+    return j.has_bodies ? std::nullopt : std::optional(JobName(j.id));
+  };
+  callbacks_.serve_from_holder(
+      call, job, missing, [this, call, operation, job](bool complete) {
+        const serving::BatchJob* known = jobs_.Find(job);
+        if (!complete || !known) {
+          return RespondRetry(call->request.exchange, 503, kReadRetry);
+        }
+        ServeBody(call, operation, *known);
+      });
+}
+
 void BatchApi::RespondUnknownJob(ExchangeId caller, const std::string& job) {
   store_.CallDirectOrRelayed(
       platform::ReadRequest{.kind = kinds_.KindOfJob(job),
@@ -199,7 +240,7 @@
         // If the job exists, the watch of the store delivers it shortly; if the
         // read failed, its existence is unknown. In both cases the caller
         // should retry.
-        RespondRetry(caller, 503, std::chrono::milliseconds(200));
+        RespondRetry(caller, 503, kReadRetry);
       });
 }
 
--- a/libs/gateway/src/batch/batch_api.h
+++ b/libs/gateway/src/batch/batch_api.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -12,6 +13,7 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "batch/job_writer.h"
+#include "batch/outline_calls.h"
 #include "callers/caller_identity.h"
 #include "http/server_command.h"
 #include "http/server_event.h"
@@ -35,6 +37,8 @@
     std::function<void(http::ServerCommand&&)> to_caller;
     // Whether this gateway has all records that exist.
     std::function<bool()> has_all_records;
+    // Answers a read that needs bytes of a job known in outline only.
+    OutlineCalls::Function serve_from_holder;
   };
 
   BatchApi(StoreCalls& store, const RecordKinds& kinds, serving::JobTable& jobs,
@@ -52,8 +56,10 @@
   void Expire(TimePoint now);
 
  private:
+  using CallPointer = std::shared_ptr<const JobCall>;
   struct PendingRead {
     ExchangeId caller;
+    CallPointer call;
     uint64_t position = 0;
     TimePoint respond_at;
   };
@@ -61,12 +67,19 @@
   // Key of the caller's job with that id, whether or not the job exists.
   std::string KeyOf(std::string_view id, const CallerIdentity& caller) const;
   // `job` is the job's key.
-  void Serve(ExchangeId caller, const std::string& job,
-             const users_platform::BatchCall& call);
-  void ServeRead(ExchangeId caller, const users_platform::BatchCall& call,
+  void Serve(const CallPointer& call, const std::string& job,
+             const users_platform::BatchCall& operation);
+  void ServeRead(const CallPointer& call,
+                 const users_platform::BatchCall& operation,
                  const serving::BatchJob& job);
-  void ServeBody(ExchangeId caller, const users_platform::BatchCall& call,
+  void ServeBody(const CallPointer& call,
+                 const users_platform::BatchCall& operation,
                  const serving::BatchJob& job);
+  // For a job whose outputs, or the item's body, are not here.
+  void ReadOutputs(const PendingRead& read, const std::string& job);
+  void ReadBody(const CallPointer& call,
+                const users_platform::BatchCall& operation,
+                const std::string& job);
   void End(ExchangeId caller, const std::string& job, TimePoint give_up_at);
   // Reads the store for a job that is not in the job table: responds 404 if it
   // does not exist, otherwise 503 with Retry-After.
--- a/libs/gateway/src/batch/job_call.cc
+++ b/libs/gateway/src/batch/job_call.cc
@@ -39,6 +39,7 @@
   message.set_request_id(caller.request_id);
   message.set_workspace(caller.workspace);
   message.set_own_interface(caller.own_interface);
+  message.set_sent_to_holder(caller.sent_to_holder);
   return message.SerializeAsString();
 }
 
@@ -59,7 +60,8 @@
   call.caller = {.host = message.host(),
                  .request_id = message.request_id(),
                  .workspace = message.workspace(),
-                 .own_interface = message.own_interface()};
+                 .own_interface = message.own_interface(),
+                 .sent_to_holder = message.sent_to_holder()};
   return call;
 }
 
--- a/libs/gateway/src/batch/job_forwarder.cc
+++ b/libs/gateway/src/batch/job_forwarder.cc
@@ -24,6 +24,8 @@
 // A read may wait one second at the holder, and a write takes as long if the
 // store is slow. A stalled holder must leave enough time to try the next one.
 constexpr std::chrono::milliseconds kMaxTryDuration{1900};
+// A holder answers a read of a known result at once.
+constexpr std::chrono::milliseconds kMaxReadDuration{800};
 constexpr std::chrono::milliseconds kUnreachableDuration{2000};
 constexpr std::chrono::milliseconds kRetryAfter{300};
 constexpr size_t kMaxTries = 4;
@@ -64,12 +66,30 @@
 void JobForwarder::Forward(const http::RequestEvent& request,
                            const std::string& job,
                            const CallerIdentity& caller) {
+  Start({.caller = request.exchange,
+         .job = job,
+         .message = EncodeJobCall(request, caller),
+         .holders = callbacks_.holders(job),
+         .give_up_at = MonotonicNow() + kMaxCallDuration,
+         .max_try = kMaxTryDuration});
+}
+
+void JobForwarder::ForwardTo(std::vector<std::string> addresses,
+                             const http::RequestEvent& request,
+                             const std::string& job,
+                             const CallerIdentity& caller,
+                             std::function<void()> unanswered) {
+  Start({.caller = request.exchange,
+         .job = job,
+         .message = EncodeJobCall(request, caller),
+         .holders = std::move(addresses),
+         .give_up_at = MonotonicNow() + 2 * kMaxReadDuration,
+         .max_try = kMaxReadDuration,
+         .unanswered = std::move(unanswered)});
+}
+
+void JobForwarder::Start(Call&& call) {
   const TimePoint now = MonotonicNow();
-  Call call{.caller = request.exchange,
-            .job = job,
-            .message = EncodeJobCall(request, caller),
-            .holders = callbacks_.holders(job),
-            .give_up_at = now + kMaxCallDuration};
   std::stable_partition(
       call.holders.begin(), call.holders.end(),
       [&](const std::string& address) { return !IsUnreachable(address, now); });
@@ -90,7 +110,7 @@
       .method = "POST",
       .target = kTarget,
       .body = call.message,
-      .deadline = std::min(call.give_up_at, now + kMaxTryDuration)};
+      .deadline = std::min(call.give_up_at, now + call.max_try)};
   request.headers.Add("Host", request.address);
   calls_.emplace(exchange, std::move(call));
   client_.Send(std::move(request));
@@ -103,7 +123,10 @@
   if (found.empty()) return;
   Call& call = found.mapped();
   const bool answered = end->outcome == http::ClientOutcome::kComplete;
-  if (answered && end->status != kMisdirected) {
+  // A holder that does not have all records yet is no reason to let the caller
+  // of a read wait.
+  const bool behind = call.unanswered && end->status == kUnavailable;
+  if (answered && end->status != kMisdirected && !behind) {
     return Respond(call, std::move(*end));
   }
   LogInfo("job_call_not_answered",
@@ -137,6 +160,7 @@
 
 void JobForwarder::GiveUp(const Call& call) {
   metrics_.Add("knap_job_calls_forwarded_total", {"no_holder"});
+  if (call.unanswered) return call.unanswered();
   LogWarning("job_call_given_up",
              {{"job", call.job}, {"maybe_taken", call.maybe_accepted}});
   http::RespondCommand command{
--- a/libs/gateway/src/batch/job_forwarder.h
+++ b/libs/gateway/src/batch/job_forwarder.h
@@ -44,6 +44,12 @@
 
   void Forward(const http::RequestEvent& request, const std::string& job,
                const CallerIdentity& caller);
+  // Forwards a read to the holders at `addresses`. Calls `unanswered` if none
+  // of them can answer it.
+  void ForwardTo(std::vector<std::string> addresses,
+                 const http::RequestEvent& request, const std::string& job,
+                 const CallerIdentity& caller,
+                 std::function<void()> unanswered);
   void OnCallerDisconnected(ExchangeId caller);
 
  private:
@@ -55,8 +61,12 @@
     std::vector<std::string> holders;  // not yet tried, in reverse order
     bool maybe_accepted = false;
     TimePoint give_up_at;
+    Duration max_try{};
+    std::function<void()> unanswered;  // if set, called instead of a response
   };
 
+  void Start(Call&& call);
+
   void TryNext(Call&& call);
   void OnEvent(http::ClientEvent&& event);
   void Respond(const Call& call, http::EndEvent&& answer);
--- a/libs/gateway/src/batch/job_ownership.cc
+++ b/libs/gateway/src/batch/job_ownership.cc
@@ -45,9 +45,25 @@
   if (job.creator == own_name_) return true;
   if (now < started_at_ + kTakeoverDelay) return false;
   if (peers_.IsActivePeer(job.creator)) return false;
+  if (job.second_holder == own_name_) return true;
+  if (peers_.IsActivePeer(job.second_holder)) return false;
   return RendezvousOwner(job.id) == own_name_;
 }
 
+bool JobOwnership::IsLive(const std::string& gateway) const {
+  return gateway == own_name_ ? !stopping_ : peers_.IsActivePeer(gateway);
+}
+
+std::vector<std::string> JobOwnership::HoldersOf(
+    const serving::BatchJob& job) const {
+  std::vector<std::string> holders;
+  for (const std::string& holder : {job.creator, job.second_holder}) {
+    if (IsLive(holder)) holders.push_back(holder);
+  }
+  if (holders.empty()) holders.push_back(RendezvousOwner(job.id));
+  return holders;
+}
+
 bool JobOwnership::CollectsRecordsOf(const std::string& job) const {
   return !stopping_ && RendezvousOwner(job) == own_name_;
 }
@@ -59,13 +75,12 @@
 }
 
 std::string JobOwnership::SuccessorOf(const std::string& job) const {
-  const std::vector<std::string> gateways = peers_.ActivePeers();
-  const serving::BatchJob* known = jobs_.Find(job);
-  const bool creator_is_live =
-      known && std::find(gateways.begin(), gateways.end(), known->creator) !=
-                   gateways.end();
-  return creator_is_live ? known->creator
-                         : HighestRendezvousHash(job, gateways);
+  if (const serving::BatchJob* known = jobs_.Find(job)) {
+    for (const std::string& holder : {known->creator, known->second_holder}) {
+      if (peers_.IsActivePeer(holder)) return holder;
+    }
+  }
+  return HighestRendezvousHash(job, peers_.ActivePeers());
 }
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/batch/job_ownership.h
+++ b/libs/gateway/src/batch/job_ownership.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDSTILE_GATEWAY_JOB_OWNERSHIP_H_
 
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 
@@ -15,9 +16,10 @@
 class PeerLink;
 
 // Determines which gateway owns a batch job from this gateway's view of its
-// peers: the gateway that accepted the job while it is live, otherwise one of
-// the live gateways, chosen by rendezvous hashing. Views may differ briefly; an
-// item may then run twice, but its result is committed only once.
+// peers: the owner that its record names while that is live, otherwise the
+// record's second holder, otherwise one of the live gateways, chosen by
+// rendezvous hashing. Views may differ briefly; an item may then run twice, but
+// its result is committed only once.
 class JobOwnership {
  public:
   JobOwnership(std::string own_name, TimePoint started_at,
@@ -36,14 +38,19 @@
   // Whether this gateway is the one that deletes the job's records when it has
   // expired.
   bool CollectsRecordsOf(const std::string& job) const;
-  // Name of the peer that runs the job after this gateway stops: the gateway
-  // that accepted it, if live, otherwise one chosen by rendezvous hashing.
-  // Empty if there are no peers.
+  // Name of the peer that runs the job after this gateway stops: its owner, if
+  // live, otherwise its second holder, otherwise one chosen by rendezvous
+  // hashing. Empty if there are no peers.
   std::string SuccessorOf(const std::string& job) const;
+  // Names of the live gateways that have the job's bytes, in the order in which
+  // they would run it; may include this one. If both holders are gone, the
+  // gateway that takes the job over.
+  std::vector<std::string> HoldersOf(const serving::BatchJob& job) const;
 
  private:
   // One of the live gateways, chosen by rendezvous hashing.
   std::string RendezvousOwner(const std::string& job) const;
+  bool IsLive(const std::string& gateway) const;
 
   std::string own_name_;
   TimePoint started_at_;
--- a/libs/gateway/src/batch/job_records.cc
+++ b/libs/gateway/src/batch/job_records.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <boost/leaf/handle_errors.hpp>
 #include <charconv>
 
 #include "base/clock.h"
@@ -98,14 +99,15 @@
 }
 
 std::string EncodeJob(const JobRecord& record) {
-  const json::object object = {{"creator", record.creator},
-                               {"host", record.host},
-                               {"route", record.route},
-                               {"workspace", record.workspace},
-                               {"accepted_ms", record.accepted_wall_millis},
-                               {"completion_ms", record.completion_millis},
-                               {"ttl_ms", record.ttl_millis},
-                               {"submission", record.submission}};
+  json::object object = {{"creator", record.creator},
+                         {"host", record.host},
+                         {"route", record.route},
+                         {"workspace", record.workspace},
+                         {"accepted_ms", record.accepted_wall_millis},
+                         {"completion_ms", record.completion_millis},
+                         {"ttl_ms", record.ttl_millis},
+                         {"submission", record.submission}};
+  if (!record.second.empty()) object["second"] = record.second;
   return json::serialize(object);
 }
 
@@ -118,6 +120,7 @@
   serving::BatchJob job;
   job.id = id;
   job.creator = Text(*object, "creator");
+  job.second_holder = Text(*object, "second");
   job.host = Text(*object, "host");
   job.route = Text(*object, "route");
   job.workspace = Text(*object, "workspace");
@@ -159,4 +162,40 @@
   return results;
 }
 
+std::optional<std::string> OutlineOfJob(std::string_view value) {
+  auto object = ParseObject(value);
+  if (!object) return std::nullopt;
+  auto items = boost::leaf::try_handle_all(
+      [&] {
+        return users_platform::ParseSubmission(Text(*object, "submission"),
+                                               kMaxItems);
+      },
+      [] { return std::vector<serving::BatchItem>(); });
+  if (items.empty()) return std::nullopt;
+  for (serving::BatchItem& item : items) {
+    item.headers = {};
+    item.body.clear();
+  }
+  (*object)["submission"] = users_platform::RenderSubmission(items);
+  return json::serialize(*object);
+}
+
+std::optional<std::string> OutlineOfSegment(std::string_view value) {
+  auto results =
+      boost::leaf::try_handle_all([&] { return DecodeSegment(value); },
+                                  [] { return std::vector<ItemResult>(); });
+  if (results.empty()) return std::nullopt;
+  for (ItemResult& result : results) result.output.clear();
+  return EncodeSegment(results);
+}
+
+void MarkOutline(serving::BatchJob& job) { job.has_bodies = false; }
+
+void MarkOutline(std::vector<ItemResult>& results) {
+  for (ItemResult& result : results) {
+    // A failed item has no output.
+    result.has_output = result.state == ItemState::kFailed;
+  }
+}
+
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/batch/job_records.h
+++ b/libs/gateway/src/batch/job_records.h
@@ -37,10 +37,11 @@
 std::string SegmentName(std::string_view job, uint32_t number);
 std::string EndName(std::string_view job);
 
-// An accepted job: its submission, and the gateway, host and route that
-// received it.
+// An accepted job: its submission, the gateways that hold it, and the host and
+// route that received it.
 struct JobRecord {
-  std::string creator;
+  std::string creator;  // its owner
+  std::string second;   // second holder; empty: every gateway holds the job
   std::string host;
   std::string route;
   std::string workspace;  // of the submission; empty: none
@@ -52,7 +53,7 @@
   int64_t ttl_millis = 0;
   std::string submission;
 };
-// Returns the record of a job that arrives now at the gateway `creator`.
+// Returns the record of a job that arrives now and is owned by `creator`.
 JobRecord NewJobRecord(std::string_view creator, std::string_view host,
                        const serving::Route& route, std::string_view workspace,
                        std::string&& submission);
@@ -65,6 +66,16 @@
 std::string EncodeSegment(const std::vector<serving::ItemResult>& results);
 Result<std::vector<serving::ItemResult>> DecodeSegment(std::string_view value);
 
+// Outlines of the records of a job and of a segment, which are decoded like
+// them: items without headers and bodies, and results without outputs. They are
+// a fiftieth of a record whose items are some kilobytes. Nothing if the value
+// is not a valid record.
+std::optional<std::string> OutlineOfJob(std::string_view value);
+std::optional<std::string> OutlineOfSegment(std::string_view value);
+// Mark what was decoded from an outline.
+void MarkOutline(serving::BatchJob& job);
+void MarkOutline(std::vector<serving::ItemResult>& results);
+
 }  // namespace knapweedstile::gateway
 
 #endif  // KNAPWEEDSTILE_GATEWAY_JOB_RECORDS_H_
--- a/libs/gateway/src/batch/job_writer.cc
+++ b/libs/gateway/src/batch/job_writer.cc
@@ -145,6 +145,11 @@
   if (request.max_waiting_tokens != 0) {
     quota_.Reserve(request.job, request.scope(), request.tokens);
   }
+  const cluster::HolderPair holders = callbacks_.choose_holders(request.job);
+  if (!holders.second.empty()) {
+    request.record.creator = holders.owner;
+    request.record.second = holders.second;
+  }
   const SubmissionId id = ++last_submission_;
   Submission& submission = submissions_[id];
   submission.give_up_at = request.arrived_at + kSubmitTimeout;
--- a/libs/gateway/src/batch/job_writer.h
+++ b/libs/gateway/src/batch/job_writer.h
@@ -12,6 +12,7 @@
 #include "base/enum_names.h"
 #include "base/time.h"
 #include "batch/job_records.h"
+#include "cluster/job_holders.h"
 #include "observe/metrics.h"
 #include "peers/store_record.h"
 #include "platform/store_answer.h"
@@ -51,6 +52,8 @@
     // Called when a record is in the store. Returns its sequence number among
     // the records that this gateway wrote.
     std::function<uint64_t(const StoreRecord& record)> record_written;
+    // The gateways that are to hold the job's bytes; empty names: all of them.
+    std::function<cluster::HolderPair(const std::string& job)> choose_holders;
     // Number of gateways that accept jobs of the shards held by this gateway,
     // including this one.
     std::function<size_t()> gateway_count;
--- a/libs/gateway/src/batch/native_batch_api.cc
+++ b/libs/gateway/src/batch/native_batch_api.cc
@@ -12,6 +12,8 @@
 
 #include "base/error.h"
 #include "base/hash.h"
+#include "batch/job_forwarder.h"
+#include "batch/job_records.h"
 #include "callers/error_response.h"
 #include "users_platform/batch_calls.h"
 
@@ -211,7 +213,7 @@
     return Status(request.exchange, caller, target.id);
   }
   if (get && target.verb == "results") {
-    return Results(request.exchange, caller, target);
+    return Results(std::move(request), caller, target);
   }
   if (request.method == "POST" && target.verb == "cancel") {
     return Cancel(request, caller, target.id);
@@ -355,19 +357,60 @@
   RespondStatus(exchange, caller, 200, id);
 }
 
-void NativeBatchApi::Results(ExchangeId exchange, const CallerIdentity& caller,
+void NativeBatchApi::Results(http::RequestEvent&& request,
+                             const CallerIdentity& caller,
                              const JobTarget& target) {
   const BatchJob* job = FindJob(caller, target.id);
-  if (!job) return RespondUnknownJob(exchange, caller);
-  const size_t end = std::min(job->results.size(), target.after + target.limit);
+  if (!job) return RespondUnknownJob(request.exchange, caller);
+  // The sender knows of a result that this gateway does not have yet.
+  if (caller.sent_to_holder && job->results.size() <= target.after) {
+    return callbacks_.to_caller(http::RespondCommand{
+        .exchange = request.exchange, .status = JobForwarder::kMisdirected});
+  }
+  if (job->MissingSegment(target.after)) {
+    return ReadOutputs(std::move(request), caller, target);
+  }
+  RespondResults(request.exchange, caller, target, *job);
+}
+
+void NativeBatchApi::ReadOutputs(http::RequestEvent&& request,
+                                 const CallerIdentity& caller,
+                                 const JobTarget& target) {
+  const ExchangeId exchange = request.exchange;
+  const auto missing = [after = target.after](const BatchJob& job) {
+    const auto segment = job.MissingSegment(after);
+    return segment ? std::optional(SegmentName(job.id, *segment))
+                   : std::nullopt;
+  };
+  callbacks_.serve_from_holder(
+      std::make_shared<const JobCall>(JobCall{std::move(request), caller}),
+      target.id, missing, [this, exchange, caller, target](bool complete) {
+        const BatchJob* job = FindJob(caller, target.id);
+        if (job && complete) {
+          return RespondResults(exchange, caller, target, *job);
+        }
+        callbacks_.to_caller(
+            ToCommand(exchange, {.status = 503,
+                                 .code = "results_unavailable",
+                                 .message = "the results cannot be read now",
+                                 .request_id = caller.request_id,
+                                 .retry_after = kRetry}));
+      });
+}
+
+void NativeBatchApi::RespondResults(ExchangeId exchange,
+                                    const CallerIdentity& caller,
+                                    const JobTarget& target,
+                                    const BatchJob& job) {
+  const size_t end = std::min(job.results.size(), target.after + target.limit);
   http::RespondCommand command{.exchange = exchange, .status = 200};
   for (size_t at = target.after; at < end; ++at) {
-    command.body += ResultLine(*job, at);
+    command.body += ResultLine(job, at);
   }
   command.headers.Add("Content-Type", "application/jsonl");
   command.headers.Add("X-Request-Id", caller.request_id);
-  command.headers.Add("X-Job-State", std::string(StateOf(*job)));
-  if (job->open() || end < job->results.size()) {
+  command.headers.Add("X-Job-State", std::string(StateOf(job)));
+  if (job.open() || end < job.results.size()) {
     command.headers.Add("X-Next-After",
                         std::to_string(std::max(end, target.after)));
   }
--- a/libs/gateway/src/batch/native_batch_api.h
+++ b/libs/gateway/src/batch/native_batch_api.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "batch/job_writer.h"
+#include "batch/outline_calls.h"
 #include "callers/caller_identity.h"
 #include "http/server_command.h"
 #include "http/server_event.h"
@@ -33,6 +34,8 @@
     // Whether the caller's workspace may use the model that the item requests.
     std::function<bool(std::string_view body, const CallerIdentity& caller)>
         may_use_model;
+    // Answers a read that needs outputs of a job known in outline only.
+    OutlineCalls::Function serve_from_holder;
   };
 
   NativeBatchApi(const serving::RouteTable& routes,
@@ -54,8 +57,12 @@
   void Submit(http::RequestEvent&& request, const CallerIdentity& caller);
   void Status(ExchangeId exchange, const CallerIdentity& caller,
               const std::string& id);
-  void Results(ExchangeId exchange, const CallerIdentity& caller,
+  void Results(http::RequestEvent&& request, const CallerIdentity& caller,
                const JobTarget& target);
+  void RespondResults(ExchangeId exchange, const CallerIdentity& caller,
+                      const JobTarget& target, const serving::BatchJob& job);
+  void ReadOutputs(http::RequestEvent&& request, const CallerIdentity& caller,
+                   const JobTarget& target);
   void Cancel(const http::RequestEvent& request, const CallerIdentity& caller,
               const std::string& id);
   void OnSubmitted(ExchangeId exchange, const CallerIdentity& caller,
--- a/libs/gateway/src/batch/record_reader.cc
+++ b/libs/gateway/src/batch/record_reader.cc
@@ -19,14 +19,15 @@
 RecordReader::RecordReader(serving::JobTable& jobs, Callbacks callbacks)
     : jobs_(jobs), callbacks_(std::move(callbacks)) {}
 
-void RecordReader::ApplyRecord(const platform::StoredObject& object) {
+void RecordReader::ApplyRecord(const platform::StoredObject& object,
+                               RecordOrigin origin) {
   const RecordName name = ParseRecordName(object.name);
   switch (name.type) {
     case RecordType::kJob:
       return object.deleted ? jobs_.RemoveJob(name.id)
-                            : AddJob(name.id, object);
+                            : AddJob(name.id, object, origin);
     case RecordType::kSegment:
-      if (!object.deleted) AddSegment(name, object);
+      if (!object.deleted) AddSegment(name, object, origin);
       return;
     case RecordType::kEnd:
       if (object.deleted) return;
@@ -38,12 +39,17 @@
 }
 
 void RecordReader::AddJob(const std::string& id,
-                          const platform::StoredObject& object) {
-  if (jobs_.Find(id)) return;
+                          const platform::StoredObject& object,
+                          RecordOrigin origin) {
+  const serving::BatchJob* known = jobs_.Find(id);
+  const bool completes =
+      known && !known->has_bodies && origin == RecordOrigin::kFull;
+  if (known && !completes) return;
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(job, DecodeJob(id, object.value, MonotonicNow(),
                                        WallClockNanos() / kNanosPerMilli));
+        if (origin == RecordOrigin::kOutline) MarkOutline(job);
         jobs_.AddJob(std::move(job));
         return {};
       },
@@ -56,11 +62,16 @@
 // Most records that a store read returns were already pushed by peers; they are
 // not decoded again.
 void RecordReader::AddSegment(const RecordName& name,
-                              const platform::StoredObject& object) {
-  if (jobs_.HasSegment(name.id, name.segment)) return;
+                              const platform::StoredObject& object,
+                              RecordOrigin origin) {
+  const bool known = origin == RecordOrigin::kFull
+                         ? jobs_.HasFullSegment(name.id, name.segment)
+                         : jobs_.HasSegment(name.id, name.segment);
+  if (known) return;
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(results, DecodeSegment(object.value));
+        if (origin == RecordOrigin::kOutline) MarkOutline(results);
         jobs_.AddSegment(name.id, name.segment, std::move(results));
         callbacks_.job_updated(name.id);
         return {};
--- a/libs/gateway/src/batch/record_reader.h
+++ b/libs/gateway/src/batch/record_reader.h
@@ -15,6 +15,13 @@
 
 struct RecordName;
 
+// Where a record comes from.
+enum class RecordOrigin {
+  kMirror,   // a read of all records; those that are known stay as they are
+  kFull,     // pushed, or read because this gateway needs its bytes
+  kOutline,  // pushed without bodies and outputs
+};
+
 // Decodes records of batch jobs, read from the store or pushed by peers, and
 // applies them to the job table.
 class RecordReader {
@@ -26,11 +33,13 @@
 
   RecordReader(serving::JobTable& jobs, Callbacks callbacks);
 
-  void ApplyRecord(const platform::StoredObject& object);
+  void ApplyRecord(const platform::StoredObject& object, RecordOrigin origin);
 
  private:
-  void AddJob(const std::string& id, const platform::StoredObject& object);
-  void AddSegment(const RecordName& name, const platform::StoredObject& object);
+  void AddJob(const std::string& id, const platform::StoredObject& object,
+              RecordOrigin origin);
+  void AddSegment(const RecordName& name, const platform::StoredObject& object,
+                  RecordOrigin origin);
 
   serving::JobTable& jobs_;
   Callbacks callbacks_;
--- a/libs/gateway/src/callers/caller_identity.h
+++ b/libs/gateway/src/callers/caller_identity.h
@@ -34,6 +34,9 @@
   std::optional<uint32_t> priority;  // of the workspace
   std::optional<Duration> budget;    // how long the caller waits
   bool own_interface = false;        // used the product's headers
+  // A gateway without the job's bytes sent the call here, as to a holder of
+  // them.
+  bool sent_to_holder = false;
 };
 
 // `generated_id` becomes the ID of a request that has none.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <utility>
 
@@ -43,6 +44,7 @@
   });
   record_push_.SetDisconnectHandler([this](ExchangeId exchange) {
     batch_api_.OnCallerDisconnected(exchange);
+    forwarder_.OnCallerDisconnected(exchange);
   });
   store_.SetRegainedHandler([this] {
     follower_.OnStoreRegained();
@@ -266,6 +268,12 @@
                static_cast<double>(fleet_.members().size()));
   metrics_.Set("knap_fleet_shards",
                static_cast<double>(fleet_.layout().shards));
+  const auto full = static_cast<double>(
+      std::count_if(jobs_.jobs().begin(), jobs_.jobs().end(),
+                    [](const auto& job) { return job.second.has_bodies; }));
+  metrics_.Set("knap_jobs_known", full, {"full"});
+  metrics_.Set("knap_jobs_known",
+               static_cast<double>(jobs_.jobs().size()) - full, {"outline"});
   metrics_.Set("knap_entries_heard",
                static_cast<double>(peers_.ActivePeers().size()));
   return metrics_.Render();
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -15,11 +15,14 @@
 #include "batch/job_ownership.h"
 #include "batch/job_writer.h"
 #include "batch/native_batch_api.h"
+#include "batch/outline_calls.h"
+#include "batch/record_fetcher.h"
 #include "batch/record_kinds.h"
 #include "batch/record_reader.h"
 #include "batch/result_committer.h"
 #include "callers/request_admission.h"
 #include "cluster/fleet_view.h"
+#include "cluster/job_holders.h"
 #include "gateway/gateway_settings.h"
 #include "http/server.h"
 #include "observe/metrics.h"
@@ -101,9 +104,16 @@
                           const std::string& job, const CallerIdentity& caller);
   void OnJobCall(const http::RequestEvent& request);
   void OnPeerRequest(http::RequestEvent&& request);
-  // Sends the record to the live peers. Returns its sequence number among the
-  // records of this gateway.
+  // Sends the record to the live peers, in full to the holders of its job.
+  // Returns its sequence number among the records of this gateway.
   uint64_t PushRecord(const StoreRecord& record);
+  // Whether this gateway starts items of the job now. Without the items' bodies
+  // it first reads them.
+  bool RunsItemsOf(const serving::BatchJob& job);
+  // The gateways that are to hold a job that this gateway accepts now.
+  cluster::HolderPair ChooseHolders(const std::string& job) const;
+  // Addresses of the other gateways that have the job's bytes.
+  std::vector<std::string> AddressesOfHolders(const std::string& job) const;
   void OnRecordsAcknowledged();
   void OnPeerState(const PeerState& state);
 
@@ -174,6 +184,8 @@
   NativeBatchApi native_batch_api_;
   JobForwarder forwarder_;
   RecordReader record_reader_;
+  RecordFetcher record_fetcher_;
+  OutlineCalls outline_calls_;
   RequestAdmission admission_;
   RecordCollector collector_;
   http::Server caller_server_;
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -30,6 +30,15 @@
   metrics.DeclareCounter("knap_job_calls_forwarded_total",
                          "calls forwarded to a gateway that holds the job",
                          {"outcome"});
+  metrics.DeclareCounter(
+      "knap_outline_calls_total",
+      "reads that needed bytes of a job known in outline, by where they went",
+      {"outcome"});
+  metrics.DeclareGauge("knap_jobs_known", "batch jobs in memory, by form",
+                       {"form"});
+  metrics.DeclareCounter("knap_peer_bytes_total",
+                         "bytes queued for other gateways, by cause",
+                         {"cause"});
   metrics.DeclareGauge("knap_configuration_version",
                        "configuration version in effect");
   metrics.DeclareGauge("knap_servers", "backend servers known");
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -112,7 +112,8 @@
     by_address[address->second].push_back(std::move(update));
   }
   for (const auto& [address, updates] : by_address) {
-    progress_link_.Send(address, updates);
+    metrics_.Add("knap_peer_bytes_total", {"progress"},
+                 progress_link_.Send(address, updates));
   }
 }
 
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -9,10 +9,64 @@
 namespace knapweedstile::gateway {
 
 uint64_t Gateway::PushRecord(const StoreRecord& record) {
-  record_push_.Push(record, peers_.LiveAddresses());
+  const auto addresses = peers_.LiveAddresses();
+  const RecordName name = ParseRecordName(record.name);
+  const serving::BatchJob* job = jobs_.Find(name.id);
+  std::optional<std::string> outline;
+  if (job && !job->second_holder.empty()) {
+    if (name.type == RecordType::kJob) outline = OutlineOfJob(record.value);
+    if (name.type == RecordType::kSegment) {
+      outline = OutlineOfSegment(record.value);
+    }
+  }
+  if (outline) {
+    record_push_.Push(record, {record.name, std::move(*outline), true},
+                      addresses, ownership_.HoldersOf(*job));
+  } else {
+    record_push_.Push(record, addresses);
+  }
   return record_push_.count();
 }
 
+bool Gateway::RunsItemsOf(const serving::BatchJob& job) {
+  if (!ownership_.Owns(job, MonotonicNow())) return false;
+  if (job.has_bodies) return true;
+  record_fetcher_.FetchInBackground(JobName(job.id));
+  return false;
+}
+
+cluster::HolderPair Gateway::ChooseHolders(const std::string& job) const {
+  std::vector<cluster::HolderCandidate> candidates;
+  const std::map<std::string, std::string> zones = peers_.Zones();
+  for (const std::string& peer : peers_.ActivePeers()) {
+    candidates.push_back({.name = peer,
+                          .availability_zone = zones.at(peer),
+                          .processor_share = fleet_.ProcessorShareOf(peer),
+                          .headroom = peers_.HeadroomOf(peer).value_or(1)});
+  }
+  if (stop_began_at_ == kNever) {
+    candidates.push_back({.name = settings_.name,
+                          .availability_zone = settings_.availability_zone,
+                          .processor_share = settings_.processor_share,
+                          .headroom = OwnState().headroom.value_or(1)});
+  }
+  return cluster::JobHolders(std::move(candidates))
+      .Choose(job, settings_.availability_zone);
+}
+
+std::vector<std::string> Gateway::AddressesOfHolders(
+    const std::string& job) const {
+  std::vector<std::string> found;
+  const serving::BatchJob* known = jobs_.Find(job);
+  if (!known) return found;
+  const auto addresses = peers_.LiveAddresses();
+  for (const std::string& holder : ownership_.HoldersOf(*known)) {
+    const auto address = addresses.find(holder);
+    if (address != addresses.end()) found.push_back(address->second);
+  }
+  return found;
+}
+
 void Gateway::OnRecordsAcknowledged() {
   if (!writer_.awaits_acknowledgement()) return;
   writer_.OnAcknowledged(record_push_.AcknowledgedBy(peers_.LiveAddresses()),
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -95,12 +95,19 @@
                    record_reader_.ApplyRecord(
                        {.kind = kRecordKind,
                         .name = std::move(record.name),
-                        .value = std::move(record.value)});
+                        .value = std::move(record.value)},
+                       record.is_outline ? RecordOrigin::kOutline
+                                         : RecordOrigin::kFull);
                  }
                  RunBatch(MonotonicNow());
                  return sync_tracker_.ReceivedFrom(peer);
                },
-           .acknowledged = [this] { OnRecordsAcknowledged(); }}),
+           .acknowledged = [this] { OnRecordsAcknowledged(); },
+           .queued =
+               [this](std::string_view cause, uint64_t bytes) {
+                 metrics_.Add("knap_peer_bytes_total", {std::string(cause)},
+                              bytes);
+               }}),
       store_relay_(
           io, {.peer_address =
                    [this] {
@@ -203,7 +210,7 @@
           connections_, scheduler_, jobs_, routes_, metrics_, timeline_,
           {.owns =
                [this](const serving::BatchJob& job) {
-                 return ownership_.Owns(job, MonotonicNow());
+                 return RunsItemsOf(job);
                },
            .gateway_count =
                [this] {
@@ -234,6 +241,8 @@
                },
            .record_written =
                [this](const StoreRecord& record) { return PushRecord(record); },
+           .choose_holders =
+               [this](const std::string& job) { return ChooseHolders(job); },
            .gateway_count =
                [this] { return peers_.LiveAddresses().size() + 1; },
            .shard_share =
@@ -249,7 +258,15 @@
                       [this](http::ServerCommand&& command) {
                         SendToCaller(std::move(command));
                       },
-                  .has_all_records = [this] { return HasAllRecords(); }}),
+                  .has_all_records = [this] { return HasAllRecords(); },
+                  .serve_from_holder =
+                      [this](const std::shared_ptr<const JobCall>& call,
+                             const std::string& job,
+                             OutlineCalls::MissingRecord missing,
+                             OutlineCalls::AnswerHere answer) {
+                        outline_calls_.Serve(call, job, std::move(missing),
+                                             std::move(answer));
+                      }}),
       native_batch_api_(
           routes_, jobs_, writer_, settings.name,
           {.to_caller =
@@ -260,12 +277,20 @@
            .may_use_model =
                [this](std::string_view body, const CallerIdentity& caller) {
                  return IsModelAllowed(body, caller, workspaces_);
+               },
+           .serve_from_holder =
+               [this](const std::shared_ptr<const JobCall>& call,
+                      const std::string& job,
+                      OutlineCalls::MissingRecord missing,
+                      OutlineCalls::AnswerHere answer) {
+                 outline_calls_.Serve(call, job, std::move(missing),
+                                      std::move(answer));
                }}),
       forwarder_(
           io, metrics_,
           {.to_caller =
                [this](http::ServerCommand&& command) {
-                 caller_server_.Execute(std::move(command));
+                 SendToCaller(std::move(command));
                },
            .holders =
                [this](std::string_view job) { return HolderAddresses(job); }}),
@@ -273,6 +298,18 @@
                                  [this](const std::string& job) {
                                    batch_api_.OnProgress(job);
                                  }}),
+      record_fetcher_(store_, record_kinds_, record_reader_),
+      outline_calls_(forwarder_, record_fetcher_, jobs_, metrics_,
+                     {.holders =
+                          [this](const std::string& job) {
+                            return AddressesOfHolders(job);
+                          },
+                      .misdirected =
+                          [this](ExchangeId exchange) {
+                            SendToCaller(http::RespondCommand{
+                                .exchange = exchange,
+                                .status = JobForwarder::kMisdirected});
+                          }}),
       admission_(
           routes_, workspaces_, rate_quota_, metrics_,
           fmt::format("{}-{:x}", settings.name, start_id_),
@@ -343,12 +380,12 @@
           {.listed =
                [this](std::vector<platform::StoredObject>&& objects) {
                  for (const auto& object : objects)
-                   record_reader_.ApplyRecord(object);
+                   record_reader_.ApplyRecord(object, RecordOrigin::kMirror);
                  RunBatch(MonotonicNow());
                },
            .changed =
                [this](platform::StoredObject&& object) {
-                 record_reader_.ApplyRecord(object);
+                 record_reader_.ApplyRecord(object, RecordOrigin::kMirror);
                },
            .read_completed =
                [this](TimePoint began) {
--- a/libs/gateway/src/peers/progress_link.cc
+++ b/libs/gateway/src/peers/progress_link.cc
@@ -46,7 +46,7 @@
   return target == kTarget;
 }
 
-void ProgressLink::Send(const std::string& address, const Updates& updates) {
+size_t ProgressLink::Send(const std::string& address, const Updates& updates) {
   json::array list;
   for (const serving::ProgressUpdate& update : updates) {
     list.push_back(json::object{{"job", update.job},
@@ -61,7 +61,9 @@
                               .body = json::serialize(list),
                               .deadline = MonotonicNow() + kSendTimeout};
   request.headers.Add("Host", address);
+  const size_t bytes = request.body.size();
   client_.Send(std::move(request));
+  return bytes;
 }
 
 void ProgressLink::OnRequest(const http::RequestEvent& request) {
--- a/libs/gateway/src/peers/progress_link.h
+++ b/libs/gateway/src/peers/progress_link.h
@@ -30,7 +30,8 @@
   ProgressLink(boost::asio::io_context& io,
                std::function<void(Updates&&)> received);
 
-  void Send(const std::string& address, const Updates& updates);
+  // Returns the size of the message.
+  size_t Send(const std::string& address, const Updates& updates);
   // Whether peers send progress to this request target.
   static bool IsTarget(std::string_view target);
   // Handles a peer's request to that target. The caller sends the response.
--- a/libs/gateway/src/peers/record_codec.cc
+++ b/libs/gateway/src/peers/record_codec.cc
@@ -60,6 +60,7 @@
   packed.set_name(record.name);
   packed.set_packed(Compress(record.value));
   packed.set_size(record.value.size());
+  packed.set_outline(record.is_outline);
   return message.SerializeAsString();
 }
 
@@ -85,7 +86,8 @@
   for (const wire::PackedRecordMessage& record : message.records()) {
     auto value = Decompress(record.packed(), record.size());
     if (!value) return std::nullopt;
-    pushed.records.push_back({record.name(), std::move(*value)});
+    pushed.records.push_back(
+        {record.name(), std::move(*value), record.outline()});
   }
   return pushed;
 }
--- a/libs/gateway/src/peers/record_push.cc
+++ b/libs/gateway/src/peers/record_push.cc
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr char kTarget[] = "/records";
+// Causes of the bytes queued.
+constexpr std::string_view kRecords = "records";
+constexpr std::string_view kOutlines = "outlines";
 // A peer that does not accept records in this time is partitioned or
 // overloaded; it then reads them from the store.
 constexpr std::chrono::milliseconds kPushTimeout{600};
@@ -80,15 +83,37 @@
 void RecordPush::Push(const StoreRecord& record,
                       const std::map<std::string, std::string>& addresses) {
   ++count_;
-  const auto shared = std::make_shared<const std::string>(PackRecord(record));
+  const auto packed = std::make_shared<const std::string>(PackRecord(record));
   for (const auto& [peer, address] : addresses) {
-    Outbox& outbox = outboxes_[address];
-    outbox.records.push_back(shared);
-    outbox.count = count_;
-    if (!outbox.in_flight) SendNext(address);
+    Queue(address, packed, kRecords);
   }
 }
 
+void RecordPush::Push(const StoreRecord& record, const StoreRecord& outline,
+                      const std::map<std::string, std::string>& addresses,
+                      const std::vector<std::string>& holders) {
+  ++count_;
+  const auto packed = std::make_shared<const std::string>(PackRecord(record));
+  const auto packed_outline =
+      std::make_shared<const std::string>(PackRecord(outline));
+  for (const auto& [peer, address] : addresses) {
+    const bool holds =
+        std::find(holders.begin(), holders.end(), peer) != holders.end();
+    holds ? Queue(address, packed, kRecords)
+          : Queue(address, packed_outline, kOutlines);
+  }
+}
+
+void RecordPush::Queue(const std::string& address,
+                       const std::shared_ptr<const std::string>& packed,
+                       std::string_view cause) {
+  Outbox& outbox = outboxes_[address];
+  outbox.records.push_back(packed);
+  outbox.count = count_;
+  if (!outbox.in_flight) SendNext(address);
+  handlers_.queued(cause, packed->size());
+}
+
 void RecordPush::SendNext(const std::string& address) {
   Outbox& outbox = outboxes_[address];
   std::string list;
--- a/libs/gateway/src/peers/record_push.h
+++ b/libs/gateway/src/peers/record_push.h
@@ -36,6 +36,8 @@
         received;
     // A peer has acknowledged records of this gateway.
     std::function<void()> acknowledged;
+    // Bytes were queued for peers; `cause` is "records" or "outlines".
+    std::function<void(std::string_view cause, uint64_t bytes)> queued;
   };
 
   RecordPush(boost::asio::io_context& io, std::string name, uint64_t start,
@@ -57,9 +59,14 @@
   // caller.
   static bool IsPeerExchange(ExchangeId exchange);
   void Execute(http::ServerCommand&& command);
-  // Queues a record that was just written for the peers at `addresses`.
+  // Queues a record that was just written for the peers at `addresses`, by
+  // name.
   void Push(const StoreRecord& record,
             const std::map<std::string, std::string>& addresses);
+  // Queues it for the peers in `holders` and its outline for the others.
+  void Push(const StoreRecord& record, const StoreRecord& outline,
+            const std::map<std::string, std::string>& addresses,
+            const std::vector<std::string>& holders);
   // Notes that the peer at `address` has all records of this gateway up to
   // `count`.
   void OnAcknowledged(const std::string& address, uint64_t count);
@@ -78,6 +85,10 @@
     bool in_flight = false;
     uint64_t acknowledged = 0;  // the peer has all records up to this count
   };
+  // Queues a packed record for one peer and counts it for `cause`.
+  void Queue(const std::string& address,
+             const std::shared_ptr<const std::string>& packed,
+             std::string_view cause);
   void SendNext(const std::string& address);
   void OnSent(http::ClientEvent&& event);
   bool OnRequest(http::ServerEvent&& event);
--- a/libs/gateway/src/peers/store_record.h
+++ b/libs/gateway/src/peers/store_record.h
@@ -9,6 +9,8 @@
 struct StoreRecord {
   std::string name;
   std::string value;
+  // An outline of the record, without bodies and outputs (job_records.h).
+  bool is_outline = false;
 };
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/tests/record_codec_test.cc
+++ b/libs/gateway/tests/record_codec_test.cc
@@ -22,6 +22,11 @@
   CHECK(pushed->records[0].name == result.name);
   CHECK(pushed->records[0].value == text);
   CHECK(pushed->records[1].value.empty());
+  CHECK_FALSE(pushed->records[0].is_outline);
+  const auto outline = DecodePush(
+      EncodePush("entry-1", 7, 1, PackRecord({"job.a", "{}", true})));
+  REQUIRE(outline);
+  CHECK(outline->records[0].is_outline);
 }
 
 // Guards against bytes that no gateway sent and truncated messages. Decoded as
--- a/libs/serving/include/serving/batch_job.h
+++ b/libs/serving/include/serving/batch_job.h
@@ -1,7 +1,10 @@
 #ifndef KNAPWEEDSTILE_SERVING_BATCH_JOB_H_
 #define KNAPWEEDSTILE_SERVING_BATCH_JOB_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -13,10 +16,20 @@
 
 namespace knapweedstile::serving {
 
-// An accepted batch job as known to one gateway.
+// Positions of results, from `first` up to before `end`.
+struct ResultRange {
+  size_t first = 0;
+  size_t end = 0;
+};
+
+// An accepted batch job as known to one gateway: in full, or in outline,
+// without the items' bodies and headers and the results' outputs.
 struct BatchJob {
   std::string id;
-  std::string creator;  // the gateway that accepted it
+  // Its owner: the gateway that was chosen to run it.
+  std::string creator;
+  // The second gateway that holds it in full; empty: every gateway does.
+  std::string second_holder;
   std::string host;
   std::string route;      // name of its route at submission
   std::string workspace;  // of the caller; empty: none
@@ -25,7 +38,10 @@
   std::vector<ItemProgress> progress;  // one per item
   // Committed results in commit order; a position never changes.
   std::vector<ItemResult> results;
-  uint32_t segments = 0;  // result segments committed
+  uint32_t segments = 0;   // result segments committed
+  bool has_bodies = true;  // false: an outline
+  // Results without outputs, by the number of their segment.
+  std::map<uint32_t, ResultRange> outline_segments;
   bool ended = false;     // cancelled or deleted by its caller
   TimePoint received_at;  // by this gateway
   TimePoint due_at;       // deadline for all results
@@ -33,6 +49,14 @@
 
   bool complete() const noexcept { return results.size() >= items.size(); }
   bool open() const noexcept { return !ended && !complete(); }
+  // The first segment with a result at `position` or later whose output is
+  // missing.
+  std::optional<uint32_t> MissingSegment(uint64_t position) const {
+    for (const auto& [number, range] : outline_segments) {
+      if (range.end > position) return number;
+    }
+    return std::nullopt;
+  }
 };
 
 }  // namespace knapweedstile::serving
--- a/libs/serving/include/serving/item_result.h
+++ b/libs/serving/include/serving/item_result.h
@@ -15,7 +15,8 @@
 struct ItemResult {
   std::string item;
   ItemState state = ItemState::kCompleted;
-  std::string output;  // the data of all events, joined by line feeds
+  std::string output;      // the data of all events, joined by line feeds
+  bool has_output = true;  // false: an outline, the output is elsewhere
 };
 
 }  // namespace knapweedstile::serving
--- a/libs/serving/include/serving/job_table.h
+++ b/libs/serving/include/serving/job_table.h
@@ -32,8 +32,9 @@
 // after them, as otherwise each overdue job would make the next one late too.
 class JobTable {
  public:
-  // Commands: records of the store. A job that is in the table is left
-  // unchanged.
+  // Commands: records of the store, in full or in outline. A job or segment
+  // that is in the table is left unchanged, except that an outline is completed
+  // by the full record.
   void AddJob(BatchJob&& job);
   // False when an earlier segment is missing; the segment is then kept until
   // that one is added.
@@ -59,15 +60,17 @@
   // ahead of the progress known here and the item is not running here. An
   // update for an unknown job is kept until the job is added.
   void MergeProgress(ProgressUpdate&& update);
-  // The gateway `creator`, which accepted these jobs, has restarted and lost
-  // its state: their progress counts as unpublished, so that it is sent again.
-  void RepublishProgress(std::string_view creator);
+  // The gateway `holder` has restarted and lost its state: the progress of the
+  // jobs that it holds counts as unpublished, so that it is sent again.
+  void RepublishProgress(std::string_view holder);
 
   // Queries.
   const BatchJob* Find(std::string_view job) const;
   BatchJob* Find(std::string_view job);
   // Whether the segment was received, also while it waits for an earlier one.
   bool HasSegment(const std::string& job, uint32_t number) const;
+  // Whether it was also received with its outputs.
+  bool HasFullSegment(const std::string& job, uint32_t number) const;
   // Tokens of the items of open jobs in the scope that have no result yet.
   uint64_t WaitingTokens(const QuotaScope& scope) const;
   // The item to start next: the first waiting item for which `is_allowed` is
@@ -88,6 +91,9 @@
 
  private:
   void MergePendingUpdates(const std::string& job);
+  static void CompleteOutline(BatchJob& outline, BatchJob&& full);
+  static void CompleteSegment(BatchJob& job, uint32_t number,
+                              std::vector<ItemResult>&& results);
   void AppendSegment(BatchJob& job, std::vector<ItemResult>&& results);
 
   std::map<std::string, BatchJob, std::less<>> jobs_;
--- a/libs/serving/src/job_table.cc
+++ b/libs/serving/src/job_table.cc
@@ -1,5 +1,6 @@
 #include "serving/job_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace knapweedstile::serving {
@@ -10,10 +11,17 @@
 // from the beginning.
 constexpr size_t kMaxPendingUpdateBytes = 4 << 20;
 
+bool HasOutputs(const std::vector<ItemResult>& results) {
+  return std::all_of(results.begin(), results.end(),
+                     [](const ItemResult& r) { return r.has_output; });
+}
+
 }  // namespace
 
 void JobTable::AddJob(BatchJob&& job) {
-  if (jobs_.contains(job.id)) return;
+  if (BatchJob* known = Find(job.id)) {
+    return CompleteOutline(*known, std::move(job));
+  }
   const std::string id = job.id;
   job.progress.resize(job.items.size());
   for (uint32_t i = 0; i < job.items.size(); ++i) {
@@ -29,14 +37,37 @@
   }
 }
 
+void JobTable::CompleteOutline(BatchJob& outline, BatchJob&& full) {
+  if (outline.has_bodies || !full.has_bodies) return;
+  if (full.items.size() != outline.items.size()) return;
+  outline.items = std::move(full.items);
+  outline.has_bodies = true;
+}
+
+void JobTable::CompleteSegment(BatchJob& job, uint32_t number,
+                               std::vector<ItemResult>&& results) {
+  const auto outline = job.outline_segments.find(number);
+  if (outline == job.outline_segments.end() || !HasOutputs(results)) return;
+  const auto [first, end] = outline->second;
+  if (results.size() != end - first) return;
+  std::move(results.begin(), results.end(),
+            job.results.begin() + static_cast<std::ptrdiff_t>(first));
+  job.outline_segments.erase(outline);
+}
+
 bool JobTable::AddSegment(const std::string& id, uint32_t number,
                           std::vector<ItemResult>&& results) {
   BatchJob* job = Find(id);
   if (!job || number > job->segments) {
-    pending_segments_[id].emplace(number, std::move(results));
+    auto& pending = pending_segments_[id];
+    const bool replaces = HasOutputs(results) || !pending.contains(number);
+    if (replaces) pending.insert_or_assign(number, std::move(results));
     return false;
   }
-  if (number < job->segments) return true;
+  if (number < job->segments) {
+    CompleteSegment(*job, number, std::move(results));
+    return true;
+  }
   AppendSegment(*job, std::move(results));
   const auto pending = pending_segments_.find(id);
   if (pending == pending_segments_.end()) return true;
@@ -50,6 +81,10 @@
 }
 
 void JobTable::AppendSegment(BatchJob& job, std::vector<ItemResult>&& results) {
+  if (!HasOutputs(results)) {
+    const size_t first = job.results.size();
+    job.outline_segments[job.segments] = {first, first + results.size()};
+  }
   ++job.segments;
   for (ItemResult& result : results) {
     const auto index = job.item_index.find(result.item);
@@ -133,9 +168,9 @@
   }
 }
 
-void JobTable::RepublishProgress(std::string_view creator) {
+void JobTable::RepublishProgress(std::string_view holder) {
   for (auto& [id, job] : jobs_) {
-    if (job.creator != creator) continue;
+    if (job.creator != holder && job.second_holder != holder) continue;
     for (ItemProgress& progress : job.progress) progress.published_event = 0;
   }
 }
@@ -177,6 +212,17 @@
   return pending != pending_segments_.end() && pending->second.contains(number);
 }
 
+bool JobTable::HasFullSegment(const std::string& id, uint32_t number) const {
+  const BatchJob* job = Find(id);
+  if (job && number < job->segments) {
+    return !job->outline_segments.contains(number);
+  }
+  const auto pending = pending_segments_.find(id);
+  if (pending == pending_segments_.end()) return false;
+  const auto segment = pending->second.find(number);
+  return segment != pending->second.end() && HasOutputs(segment->second);
+}
+
 uint64_t JobTable::WaitingTokens(const QuotaScope& scope) const {
   uint64_t tokens = 0;
   for (const auto& [id, job] : jobs_) {
--- a/libs/serving/tests/job_table_test.cc
+++ b/libs/serving/tests/job_table_test.cc
@@ -230,4 +230,43 @@
   CHECK_FALSE(table.HasSegment("a", 2));
 }
 
+// Replays the records of a job at a gateway that does not hold it: outlines
+// count, order and end the job, and full records complete them later, in any
+// order. Guards against outputs that are taken for empty ones.
+TEST_CASE("an outline is completed by the full records") {
+  JobTable table;
+  BatchJob outline = MakeJob("a", 4, seconds(9));
+  outline.has_bodies = false;
+  BatchJob full = MakeJob("a", 4, seconds(9));
+  full.items[2].body = "prompt";
+  const auto outline_of = [](const std::string& item) {
+    return std::vector<ItemResult>{{.item = item, .has_output = false}};
+  };
+  table.AddSegment("a", 1, outline_of("a1"));
+  table.AddJob(std::move(outline));
+  const BatchJob& job = *table.Find("a");
+  CHECK_FALSE(job.has_bodies);
+  table.AddSegment("a", 0, ResultOf("a0"));
+  table.AddSegment("a", 2, outline_of("a2"));
+  table.AddSegment("a", 3,
+                   {{.item = "a3", .state = ItemState::kFailed, .output = ""}});
+  CHECK(job.complete());
+  CHECK(table.WaitingTokens({.route = "summaries"}) == 0);
+  CHECK(job.MissingSegment(0) == 1);
+  CHECK(job.MissingSegment(2) == 2);
+  CHECK_FALSE(job.MissingSegment(3));
+  CHECK(table.HasSegment("a", 1));
+  CHECK_FALSE(table.HasFullSegment("a", 1));
+  table.AddSegment("a", 2, ResultOf("a2"));
+  table.AddSegment("a", 2, outline_of("a2"));
+  table.AddSegment("a", 1, ResultOf("a1"));
+  CHECK_FALSE(job.MissingSegment(0));
+  CHECK(job.results[1].output == "text of a1");
+  CHECK(job.results[2].output == "text of a2");
+  table.AddJob(std::move(full));
+  CHECK(job.has_bodies);
+  CHECK(job.items[2].body == "prompt");
+  CHECK(job.results.size() == 4);
+}
+
 }  // namespace knapweedstile::serving
--- a/tests/users_platform/object_store.cc
+++ b/tests/users_platform/object_store.cc
@@ -130,6 +130,14 @@
                                          : object->second.status;
 }
 
+json::value ObjectStore::Spec(const std::string& kind,
+                              const std::string& name) const {
+  const auto objects = kinds_.find(kind);
+  if (objects == kinds_.end()) return nullptr;
+  const auto object = objects->second.find(name);
+  return object == objects->second.end() ? json::value() : object->second.spec;
+}
+
 void ObjectStore::RecordChange(const std::string& kind, const std::string& name,
                                bool deleted) {
   ++revision_;
--- a/tests/users_platform/object_store.h
+++ b/tests/users_platform/object_store.h
@@ -62,6 +62,8 @@
   size_t Count(const std::string& kind, const std::string& prefix) const;
   boost::json::value Status(const std::string& kind,
                             const std::string& name) const;
+  boost::json::value Spec(const std::string& kind,
+                          const std::string& name) const;
   // Whether the spec of any object of the kind contains the text.
   bool ContainsText(const std::string& kind, const std::string& text) const;
   int writes() const noexcept { return writes_; }
