Serving: a placement that is returned is not const

Cause: clang-tidy performance-no-automatic-move on the queued placement. Change: the local is not const; no behaviour changes.

--- a/libs/serving/src/slot_scheduler.cc
+++ b/libs/serving/src/slot_scheduler.cc
@@ -329,7 +329,7 @@
     return {.outcome = PlacementOutcome::kNoServer,
             .retry_after = settings_.min_backoff};
   }
-  const Placement queued = PlaceInQueue(*least, objective);
+  Placement queued = PlaceInQueue(*least, objective);
   if (queued.outcome != PlacementOutcome::kSaturated || !pace_.differs())
     return queued;
   // Rather than reject, use the slots that servers on probation have free.
