--- /dev/null
+++ b/libs/admission/src/freeing_rate.cc
@@ -0,0 +1,56 @@
+#include "admission/freeing_rate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace knapweedstile::admission {
+namespace {
+
+// Longer than the pauses between two rejections in a peak, shorter than a
+// valley.
+constexpr std::chrono::milliseconds kSaturationHold{200};
+// Memory, in saturated time.
+constexpr double kMemorySeconds = 1.0;
+// Saturated time before the rate is used.
+constexpr double kMinObservedSeconds = 0.15;
+
+}  // namespace
+
+FreeingRate::Sums FreeingRate::At(TimePoint now) const {
+  const TimePoint end = std::min(now, saturated_until_);
+  if (end <= as_of_) return sums_;
+  const double kept = std::exp(-ToSeconds(end - as_of_) / kMemorySeconds);
+  return {.freed_per_slot = sums_.freed_per_slot * kept,
+          .offered = sums_.offered * kept,
+          .seconds = sums_.seconds * kept + kMemorySeconds * (1 - kept)};
+}
+
+void FreeingRate::OnSaturated(uint32_t slots, TimePoint now) {
+  sums_ = At(now);
+  as_of_ = now;
+  slots_ = slots;
+  saturated_until_ = now + kSaturationHold;
+}
+
+void FreeingRate::OnFreed(TimePoint now) {
+  if (!IsSaturated(now) || slots_ == 0) return;
+  sums_ = At(now);
+  as_of_ = now;
+  sums_.freed_per_slot += 1.0 / slots_;
+}
+
+void FreeingRate::OnOffered(TimePoint now) {
+  if (!IsSaturated(now)) return;
+  sums_ = At(now);
+  as_of_ = now;
+  sums_.offered += 1;
+}
+
+SlotFlow FreeingRate::Flow(uint32_t slots, TimePoint now) const {
+  const Sums sums = At(now);
+  if (sums.seconds < kMinObservedSeconds) return {};
+  return {.freed_per_second = slots * sums.freed_per_slot / sums.seconds,
+          .offered_per_second = sums.offered / sums.seconds};
+}
+
+}  // namespace knapweedstile::admission
