gateway: requests wait for a slot that is free in time, returns are scheduled

Cause: without a slot every request was rejected at once and asked back at random, also into the next peak; gateways did not know each other's promises. Change: OnlineCalls offers such a request to WaitingCalls. It waits at most a quarter of its latency objective, and only if the observed rate serves it by then; slots that become free go to waiting requests first. RetryAfterPolicy is superseded and removed; its two tests stand unchanged in what they ask, in return_schedule_test.cc, the second also with a rhythm. burst_model_test: its model waits by the gateway's check each 20 ms.

--- a/libs/admission/tests/burst_model.h
+++ b/libs/admission/tests/burst_model.h
@@ -158,7 +158,7 @@
         .start_by = At(start_by)};
     if (settings_.waits &&
         gateway.queue.Offer(request, rate, Now()) == WaitVerdict::kWaits) {
-      return Serve(gateway);
+      return Serve(gateway, now_);
     }
     Reject(id);
   }
@@ -205,23 +205,24 @@
     StartQueued();
     Gateway& gateway = gateways_[callers_[id].gateway];
     gateway.rate.OnFreed(Now());
-    Serve(gateway);
+    Serve(gateway, now_);
   }
 
-  void Serve(Gateway& gateway) {
+  // `next_check`: those whose time ends before are rejected now.
+  void Serve(Gateway& gateway, double next_check) {
     if (!gateway.queue.empty()) gateway.rate.OnSaturated(Slots(), Now());
     for (const ExchangeId id : gateway.queue.Ids()) {
       if (!Place(id.value() - 1)) break;
       gateway.queue.Remove(id);
     }
     const SlotFlow rate = gateway.rate.Flow(Slots(), Now());
-    for (const auto& one : gateway.queue.TakeHopeless(rate, Now())) {
+    for (const auto& one : gateway.queue.TakeHopeless(rate, At(next_check))) {
       Reject(one.id.value() - 1);
     }
   }
 
   void Tick() {
-    for (Gateway& gateway : gateways_) Serve(gateway);
+    for (Gateway& gateway : gateways_) Serve(gateway, now_ + kTick);
     if (now_ < reported_at_ + kReportEvery) return;
     reported_at_ = now_;
     for (size_t from = 0; from < gateways_.size(); ++from) {
@@ -236,8 +237,7 @@
 
   void Reject(size_t id) {
     Caller& caller = callers_[id];
-    const bool in_vain =
-        now_ - caller.attempt > settings_.objective / 4 + kTick;
+    const bool in_vain = now_ - caller.attempt > settings_.objective / 4 + 1e-6;
     if (in_vain) ++outcome_.waited_in_vain;
     if (caller.again) {
       ++outcome_.rejected;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -193,6 +193,7 @@
   scheduler_.ObserveDemand(now);
   crash_tracker_.Expire(now);
   runner_.PreemptBlockingItems(now);
+  online_.Run(now, now + kTick);
   RunBatch(now);
   committer_.Run(now);
   collector_.Run(now);
@@ -261,6 +262,9 @@
   metrics_.Set("knap_store_reader", follower_.IsReader() ? 1 : 0);
   metrics_.Set("knap_cell_entries", static_cast<double>(gateways_in_cell_));
   metrics_.Set("knap_online_open", static_cast<double>(online_.open()));
+  metrics_.Set("knap_waiting", static_cast<double>(online_.waiting()));
+  metrics_.Set("knap_returns_promised",
+               static_cast<double>(online_.promised_returns()));
   metrics_.Set("knap_items_running", static_cast<double>(runner_.running()));
   metrics_.Set("knap_fleet_members",
                static_cast<double>(fleet_.members().size()));
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -19,6 +19,19 @@
   metrics.DeclareHistogram("knap_first_event_seconds",
                            "from arrival to a stream's first event",
                            {"route", "policy"});
+  metrics.DeclareGauge("knap_waiting",
+                       "online requests that wait at this gateway for a slot");
+  metrics.DeclareHistogram("knap_waited_seconds",
+                           "wait at this gateway of requests that got a slot");
+  metrics.DeclareCounter(
+      "knap_wait_rejected_total",
+      "requests without a slot that did not wait, or no longer, by cause",
+      {"cause"});
+  metrics.DeclareGauge("knap_returns_promised",
+                       "rejected callers that were asked to return later");
+  metrics.DeclareCounter("knap_returns_total",
+                         "callers that returned as asked, or not here",
+                         {"outcome"});
   metrics.DeclareCounter("knap_jobs_total", "submissions by outcome",
                          {"outcome"});
   metrics.DeclareCounter("knap_items_total",
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -24,9 +24,11 @@
                        state.partial, now);
   if (state.partial) {
     scheduler_.UpdatePeerUsage(state.gateway, state.usage, now);
+    online_.OnPeerUsage();
   } else {
     scheduler_.SetPeerUsage(state.gateway, state.usage, now);
     crash_tracker_.SetPeerCounts(state.gateway, state.crashes);
+    online_.OnPeerReturns(state.gateway, state.returns);
     ConfirmRecoveredRecords(state);
   }
   sync_tracker_.OnAdvertisedCount(state.gateway, state.start, state.records,
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -131,6 +131,7 @@
                  state.running_items = runner_.RunningItemHashes();
                  state.crashes = crash_tracker_.OwnCounts();
                  state.filled = sync_tracker_.RecentlyRecovered(now);
+                 state.returns = online_.PromisedReturns(now);
                },
            .summary = [this](TimePoint now) { return BuildSummary(now); }}),
       follower_(io, settings_, store_, peers_,
--- a/libs/gateway/src/online/online_answers.cc
+++ b/libs/gateway/src/online/online_answers.cc
@@ -103,6 +103,7 @@
                      ToSeconds(call.first_byte_at - call.request.received_at),
                      {call.route.name,
                       std::string(scheduler_.SharingPolicyName(call.server))});
+    waiting_.OnResponse(call, call.first_byte_at);
   }
   callbacks_.to_caller(http::StreamChunkCommand{.exchange = call.caller,
                                                 .data = std::move(data)});
@@ -155,6 +156,7 @@
     return OnAttemptBroken(call, "server_error");
   }
   if (!failed) {
+    waiting_.OnResponse(call, MonotonicNow());
     scheduler_.MarkReachable(call.server);
     scheduler_.ObserveDuration(call.server, MonotonicNow() - call.sent_at);
   }
--- a/libs/gateway/src/online/online_call.h
+++ b/libs/gateway/src/online/online_call.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/wait_verdict.h"
 #include "base/id.h"
 #include "base/time.h"
 #include "http/header_list.h"
@@ -30,6 +31,13 @@
   std::string service;         // chosen among the route's services
   TimePoint deadline;  // of the caller or the route, whichever is earlier
 
+  // Waiting at the gateway for a slot.
+  bool returns_as_asked = false;   // was rejected here, and came back then
+  TimePoint waits_since = kNever;  // never: does not wait
+  Duration waited{};               // over all attempts
+  // Why it did not wait, or no longer.
+  admission::WaitVerdict wait_verdict = admission::WaitVerdict::kWaits;
+
   // The attempt in progress.
   ExchangeId upstream;
   BackendServerId server;
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -23,15 +23,6 @@
 // A request that crashes servers is not served until its quarantine ends.
 constexpr std::chrono::seconds kQuarantineRetry{60};
 
-// Answers traffic beyond all slots of which a part is less urgent. Less urgent
-// requests may wait in a queue half as long, so that the rest of each queue is
-// left to the urgent ones, which are then rejected last.
-Duration QueueObjective(const OnlineCall& call) {
-  constexpr int kLessUrgentDivisor = 2;
-  const Duration objective = call.route.latency_objective;
-  return call.less_urgent ? objective / kLessUrgentDivisor : objective;
-}
-
 const std::string& PickService(const serving::Route& route, Rng& rng) {
   uint64_t total = 0;
   for (const auto& share : route.services) total += share.weight;
@@ -45,6 +36,15 @@
 
 }  // namespace
 
+// Answers traffic beyond all slots of which a part is less urgent. Less urgent
+// requests may wait in a queue half as long, so that the rest of each queue is
+// left to the urgent ones, which are then rejected last.
+Duration OnlineCalls::QueueObjective(const OnlineCall& call) {
+  constexpr int kLessUrgentDivisor = 2;
+  const Duration objective = call.route.latency_objective;
+  return call.less_urgent ? objective / kLessUrgentDivisor : objective;
+}
+
 OnlineCalls::OnlineCalls(ServerConnections& connections,
                          serving::SlotScheduler& scheduler,
                          serving::CrashTracker& crash_tracker,
@@ -55,7 +55,7 @@
       metrics_(metrics),
       timeline_(timeline),
       rng_(seed),
-      retry_delay_(seed + 1),
+      waiting_(metrics, seed + 1),
       callbacks_(std::move(callbacks)),
       connections_(connections),
       sink_([this](http::ClientEvent&& event) {
@@ -84,6 +84,7 @@
       HashCombine(HashCombine(Hash64(caller.host), Hash64(request.target)),
                   Hash64(request.body));
   call.request = std::move(request);
+  waiting_.OnArrival(call, call.admitted_at);
   call.excluded =
       callbacks_.excluded_servers(call.route, call.service, caller.workspace);
   if (crashes_.IsQuarantined(call.fingerprint)) {
@@ -98,6 +99,9 @@
     if (call.runs > 0) return Fail(call, kGatewayTimeout, "deadline");
     return Reject(call, kRetryAfterFailedAttempts, "deadline");
   }
+  // Requests that wait go before those that come. What they leave is of no use
+  // to them, since policies exclude it or they are less urgent.
+  if (waiting_.HasWaiting(call.service)) ServeWaiting(call.service);
   const auto placement = scheduler_.PlaceOnline(
       call.service, QueueObjective(call), call.excluded, now);
   // A stream that is resumed on another server has already started: it is never
@@ -106,14 +110,16 @@
   if (placement.outcome != serving::PlacementOutcome::kPlaced &&
       !resumes_stream) {
     if (call.runs > 0) return Fail(call, kBadGateway, "no_server_to_repeat");
-    const bool saturated =
-        placement.outcome == serving::PlacementOutcome::kSaturated;
-    const Duration after =
-        saturated ? retry_delay_.DelayFor(Remaining(call.deadline, now),
-                                          placement.retry_after)
-                  : placement.retry_after;
-    return Reject(call, after, NameOf(placement.outcome));
+    if (placement.outcome == serving::PlacementOutcome::kSaturated) {
+      return WaitOrReject(call, placement.retry_after);
+    }
+    return Reject(call, placement.retry_after, NameOf(placement.outcome));
   }
+  SendToPlacement(call, placement);
+}
+
+void OnlineCalls::SendToPlacement(OnlineCall& call,
+                                  const serving::Placement& placement) {
   call.preempted_batch = placement.preempts_batch;
   SendTo(call, placement.server);
   if (placement.preempts_batch) {
@@ -200,6 +206,7 @@
 
 void OnlineCalls::Finish(OnlineCall& call, unsigned status,
                          std::string_view outcome) {
+  waiting_.Remove(call, MonotonicNow());
   const Duration age = MonotonicNow() - call.request.received_at;
   const bool answered = outcome == "answered";
   if (answered) crashes_.OnAnswered(call.fingerprint);
@@ -223,6 +230,10 @@
        {"batch", call.usage_at_send.batch},
        {"displaced", call.preempted_batch},
        {"first_ms", ToMillis(first_byte)},
+       {"wait_ms", ToMillis(call.waited)},
+       {"wait", call.wait_verdict == admission::WaitVerdict::kWaits
+                    ? "-"
+                    : NameOf(call.wait_verdict)},
        {"runs", call.runs},
        {"not_run", call.unexecuted_attempts}});
   timeline_.Record(
@@ -234,8 +245,12 @@
                 {"outcome", std::string(outcome)},
                 {"server", call.address},
                 {"first_ms", std::to_string(ToMillis(first_byte))}}});
+  const bool frees_slot = static_cast<bool>(call.server);
   EndAttempt(call);
+  const std::string service = std::move(call.service);
   calls_.erase(call.caller);
+  if (frees_slot) waiting_.OnFreed(service, MonotonicNow());
+  if (waiting_.HasWaiting(service)) ServeWaiting(service);
 }
 
 void OnlineCalls::OnServerRestarted(BackendServerId previous) {
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -7,6 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/standing.h"
+#include "admission/wait_verdict.h"
 #include "base/rng.h"
 #include "base/time.h"
 #include "callers/caller_identity.h"
@@ -16,10 +18,10 @@
 #include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "online/online_call.h"
+#include "online/waiting_calls.h"
 #include "servers/server_connections.h"
 #include "serving/crash_tracker.h"
 #include "serving/placement.h"
-#include "serving/retry_after_policy.h"
 #include "serving/route.h"
 #include "serving/slot_scheduler.h"
 
@@ -51,6 +53,11 @@
                                                const std::string& service,
                                                const std::string& workspace)>
         excluded_servers;
+    // Standing of a workspace that asks for a slot of the service; empty: all
+    // are within their share.
+    std::function<admission::Standing(const std::string& service,
+                                      const std::string& workspace)>
+        standing;
   };
 
   OnlineCalls(ServerConnections& connections, serving::SlotScheduler& scheduler,
@@ -64,9 +71,25 @@
   // The process of the server was replaced. Requests on it are lost and may
   // have been executed.
   void OnServerRestarted(BackendServerId previous);
+  // A peer has reported its usage of slots, or its promised returns.
+  void OnPeerUsage();
+  void OnPeerReturns(const std::string& peer, const ReturnsByService& returns);
+  // Places waiting requests, and rejects those whose time ends before the next
+  // call.
+  void Run(TimePoint now, TimePoint next_run);
+
   size_t open() const noexcept { return calls_.size(); }
+  size_t waiting() const { return waiting_.size(); }
+  size_t promised_returns() const { return waiting_.promised(); }
+  ReturnsByService PromisedReturns(TimePoint now) {
+    return waiting_.Promised(now);
+  }
 
  private:
+  // Minimum time between two placements of waiting requests after reports of
+  // peers, of which there are many.
+  static constexpr std::chrono::milliseconds kServePause{5};
+
   void OnUpstream(http::ClientEvent&& event);
   void OnHead(OnlineCall& call, http::HeadEvent&& event);
   void OnBody(OnlineCall& call, http::BodyEvent&& event);
@@ -75,7 +98,24 @@
   void OnAttemptBroken(OnlineCall& call, std::string_view reason);
 
   void Dispatch(OnlineCall& call);
+  void SendToPlacement(OnlineCall& call, const serving::Placement& placement);
   void SendTo(OnlineCall& call, BackendServerId server);
+
+  // Time that a request may spend in a server's queue is derived from this.
+  static Duration QueueObjective(const OnlineCall& call);
+  uint32_t SlotsOf(const std::string& service) const;
+  admission::Standing StandingOf(const OnlineCall& call) const;
+  // For requests that were not executed and for which there is no slot.
+  // `backlog`: time until one may be free.
+  void WaitOrReject(OnlineCall& call, Duration backlog);
+  void RejectSaturated(OnlineCall& call, admission::WaitVerdict verdict,
+                       Duration backlog);
+  // Places the waiting requests of the service for which there are slots, and
+  // rejects those that will get none in time.
+  void ServeWaiting(const std::string& service);
+  void ServeAllWaiting();
+  void RejectHopeless(const std::string& service, TimePoint next_check);
+
   // Ends the attempt in the scheduler; the call has no server afterwards.
   void EndAttempt(OnlineCall& call);
   // After an attempt that was certainly not executed.
@@ -95,7 +135,9 @@
   observe::Metrics& metrics_;
   observe::Timeline& timeline_;
   Rng rng_;
-  serving::RetryAfterPolicy retry_delay_;
+  WaitingCalls waiting_;
+  bool serving_waiting_ = false;  // ServeWaiting() is running
+  TimePoint served_at_{};         // after a report of a peer
   Callbacks callbacks_;
   std::unordered_map<ExchangeId, OnlineCall> calls_;  // by caller
   std::unordered_map<ExchangeId, ExchangeId> upstreams_;
--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -118,6 +118,11 @@
     filled.set_start(count.start);
     filled.set_count(count.count);
   }
+  for (const auto& [service, in_spans] : state.returns) {
+    wire::ReturnsMessage& returns = *message.add_returns();
+    returns.set_service(service);
+    returns.mutable_in_spans()->Add(in_spans.begin(), in_spans.end());
+  }
   WriteRate(state.rate, *message.mutable_rate());
   message.set_yield_instance(state.yield_instance);
   return message.SerializeAsString();
@@ -152,6 +157,10 @@
   for (const wire::CrashCountMessage& crash : message.crashes()) {
     state.crashes.push_back({crash.fingerprint(), crash.breaks()});
   }
+  for (const wire::ReturnsMessage& returns : message.returns()) {
+    state.returns[returns.service()].assign(returns.in_spans().begin(),
+                                            returns.in_spans().end());
+  }
   for (const wire::FilledMessage& filled : message.filled()) {
     state.filled[filled.entry()] = {filled.start(), filled.count()};
   }
--- a/libs/gateway/src/peers/peer_state.h
+++ b/libs/gateway/src/peers/peer_state.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "admission/return_schedule.h"
 #include "peers/record_count.h"
 #include "serving/crash_count.h"
 #include "serving/usage_by_process.h"
@@ -49,6 +50,9 @@
   // Gateways whose records the sender recently read from the store because a
   // push was lost; full messages only.
   std::map<std::string, RecordCount> filled;
+  // Moments at which the sender has asked rejected callers to return, by hash
+  // of the service; full messages only.
+  std::map<uint64_t, admission::PromisedReturns> returns;
   // Requests that the sender has admitted, by workspace.
   workspaces::RateReport rate;
   // If not empty, requests that the receiver preempt one batch item on this
--- a/libs/gateway/tests/peer_state_test.cc
+++ b/libs/gateway/tests/peer_state_test.cc
@@ -22,6 +22,7 @@
           .running_items = {1, ~0ULL},
           .crashes = {{.fingerprint = 8, .breaks = 2}},
           .filled = {{"entry-2", {.start = 4, .count = 6}}},
+          .returns = {{77, {0, 3, 1}}},
           .yield_instance = "i-1"};
 }
 
@@ -50,6 +51,7 @@
   CHECK(received->crashes[0].breaks == 2);
   CHECK(received->filled.at("entry-2").start == 4);
   CHECK(received->filled.at("entry-2").count == 6);
+  CHECK(received->returns == sent.returns);
   CHECK(received->yield_instance == "i-1");
 }
 
--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -26,9 +26,16 @@
     "short_queue": [(SCHEDULER, "queue_share_of_objective = 0.5;",
                      "queue_share_of_objective = 0.0;")],
     # Rejected callers retry after the queue's time.
-    "return_time": [(GATEWAY + "online/online_calls.cc",
-                     "saturated ? retry_delay_.DelayFor(",
-                     "saturated && now == kNever ? retry_delay_.DelayFor(")],
+    "return_time": [(GATEWAY + "online/online_waiting.cc",
+                     "Reject(call, promised, ", "Reject(call, backlog, ")],
+    # Requests without a slot are rejected at once.
+    "wait_queue": [("libs/admission/src/wait_queue.cc",
+                    "if (rate < kMinRate) return WaitVerdict::kNoRate;",
+                    "if (now < kNever) return WaitVerdict::kNoRate;")],
+    # Callers return at random, late in the time they have left.
+    "rhythm": [("libs/admission/src/return_schedule.cc",
+                "if (rate > 0 && rhythm_.Period(now)) {",
+                "if (rate > 0 && now == kNever) {")],
     "jobs_in_time_first": [("libs/serving/src/job_table.cc",
                             "return overdue_a != overdue_b ? overdue_b : a.due_at < b.due_at;",
                             "return a.due_at < b.due_at;")],
