--- a/apps/knapctl/src/log_explanation.cc
+++ b/apps/knapctl/src/log_explanation.cc
@@ -60,6 +60,36 @@
   });
 }
 
+struct WaitReason {
+  std::string_view verdict;  // of the gateway, in the line's `wait` field
+  std::string_view text;
+};
+
+constexpr std::array<WaitReason, 5> kWaitReasons = {{
+    {"too_long", "by the observed rate, no slot would be free in time"},
+    {"overload", "over twice as many requests came as slots became free"},
+    {"no_rate", "no slots were seen to become free lately, or too few"},
+    {"queue_full", "the queue at the gateway was full"},
+    {"beyond_share", "its workspace was beyond its share, and others waited"},
+}};
+
+// Why a request waited at the gateway or was rejected for want of a slot; empty
+// if neither.
+std::string ExplainWait(std::string_view line) {
+  if (FieldOf(line, "event") != "request_done") return {};
+  const std::string waited(FieldOf(line, "wait_ms"));
+  const std::string_view verdict = FieldOf(line, "wait");
+  const auto* reason = std::find_if(
+      kWaitReasons.begin(), kWaitReasons.end(),
+      [&](const WaitReason& known) { return known.verdict == verdict; });
+  const bool has_waited = !waited.empty() && waited != "0";
+  std::string text;
+  if (has_waited) text = "waited " + waited + " ms at the gateway for a slot";
+  if (reason == kWaitReasons.end()) return text;
+  text += has_waited ? "; then rejected: " : "rejected at once: ";
+  return text + std::string(reason->text);
+}
+
 // Gateways, backend servers and time span of the lines that mention an id.
 struct Scope {
   std::set<std::string, std::less<>> nodes;
@@ -108,6 +138,8 @@
   for (const std::string& line : logs) {
     if (Mentions(line, id)) {
       lines.push_back("* " + line);
+      const std::string wait = ExplainWait(line);
+      if (!wait.empty()) lines.back() += "\n    = " + wait;
     } else if (IsRelated(line, scope, seconds)) {
       lines.push_back("  " + line);
     }
