--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -139,6 +139,7 @@
                  state.crashes = crash_tracker_.OwnCounts();
                  state.observations = scheduler_.pace().TakeObservations(now);
                  state.filled = sync_tracker_.RecentlyRecovered(now);
+                 state.returns = online_.PromisedReturns(now);
                },
            .summary = [this](TimePoint now) { return BuildSummary(now); }}),
       follower_(io, settings_, store_, peers_,
--- a/libs/gateway/src/online/online_answers.cc
+++ b/libs/gateway/src/online/online_answers.cc
@@ -106,6 +106,7 @@
                      ToSeconds(call.first_byte_at - call.request.received_at),
                      {call.route.name,
                       std::string(scheduler_.SharingPolicyName(call.server))});
+    waiting_.OnResponse(call, call.first_byte_at);
   }
   callbacks_.to_caller(http::StreamChunkCommand{.exchange = call.caller,
                                                 .data = std::move(data)});
@@ -162,6 +163,7 @@
   if (failed) {
     ObserveFailure(call, call.status == kGatewayTimeout);
   } else {
+    waiting_.OnResponse(call, MonotonicNow());
     scheduler_.MarkReachable(call.server);
     scheduler_.ObserveDuration(call.server, MonotonicNow() - call.sent_at);
     ObserveResponse(call);
--- a/libs/gateway/tests/peer_state_test.cc
+++ b/libs/gateway/tests/peer_state_test.cc
@@ -26,6 +26,7 @@
                             .attempts = 12,
                             .failures = 3}},
           .filled = {{"entry-2", {.start = 4, .count = 6}}},
+          .returns = {{77, {0, 3, 1}}},
           .yield_instance = "i-1"};
 }
 
@@ -59,6 +60,7 @@
   CHECK(received->observations[0].failures == 3);
   CHECK(received->filled.at("entry-2").start == 4);
   CHECK(received->filled.at("entry-2").count == 6);
+  CHECK(received->returns == sent.returns);
   CHECK(received->yield_instance == "i-1");
 }
 
