gateway: headroom of its processor; short of it, batch gives way

Cause: a gateway with a tenth of a core, or one that is slowed for seconds, kept starting items and reading the store for its cell while its callers waited. Short of it and with online requests open, a gateway starts only items due within 6 s; short ones come last in the choice of store readers, as if they had no cores. Metrics knap_processor_headroom, knap_processor_short_total; lines processor_short, processor_regained.

--- a/libs/gateway/src/batch/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -37,6 +37,9 @@
 constexpr std::chrono::milliseconds kMissingRouteTimeout{4000};
 // Median duration of an item's run on a busy backend server.
 constexpr std::chrono::milliseconds kTypicalRunDuration{4500};
+// An item whose job is due sooner than this starts also while starts are held
+// back.
+constexpr std::chrono::milliseconds kUrgentBefore{6000};
 // Deadline of one run; the longest items take about ten seconds.
 constexpr std::chrono::seconds kMaxRunDuration{30};
 
@@ -69,8 +72,11 @@
     PreemptItem(server);
   }
   std::set<std::string, std::less<>> full_routes;  // routes without capacity
+  const TimePoint urgent_until =
+      callbacks_.holds_starts() ? now + kUrgentBefore : kNever;
   const auto is_startable = [&](const serving::BatchJob& job) {
-    return !full_routes.contains(job.route) && callbacks_.owns(job);
+    return job.due_at <= urgent_until && !full_routes.contains(job.route) &&
+           callbacks_.owns(job);
   };
   const auto not_on_peer = [&](const serving::BatchItem& item) {
     return !callbacks_.runs_on_peer(Hash64(item.id));
--- a/libs/gateway/src/batch/batch_runner.h
+++ b/libs/gateway/src/batch/batch_runner.h
@@ -38,6 +38,8 @@
     std::function<bool(uint64_t item_hash)> runs_on_peer;
     std::function<void(const std::string& job)> item_finished;
     std::function<void()> usage_changed;
+    // Whether items start only where they would otherwise be late.
+    std::function<bool()> holds_starts;
     // Backend servers that operators' policies exclude for items of the route.
     std::function<std::vector<BackendServerId>(const serving::Route& route,
                                                const std::string& service)>
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -178,15 +178,34 @@
 }
 
 void Gateway::ScheduleTick() {
-  tick_timer_.expires_after(kTick);
+  tick_due_at_ = MonotonicNow() + kTick;
+  tick_timer_.expires_at(tick_due_at_);
   tick_timer_.async_wait([this](const boost::system::error_code& ec) {
     if (!ec) Tick();
   });
 }
 
+void Gateway::MeasureLoad(TimePoint now) {
+  load_meter_.OnTimer(tick_due_at_, now);
+  const bool is_short = IsShortOfProcessor(load_meter_.headroom());
+  if (is_short == std::exchange(short_of_processor_, is_short)) return;
+  if (is_short) metrics_.Add("knap_processor_short_total");
+  if (!load_log_budget_.TryAcquire(now)) return;
+  LogInfo(is_short ? "processor_short" : "processor_regained",
+          {{"headroom", fmt::format("{:.2f}", load_meter_.headroom())},
+           {"online", online_.open()},
+           {"items", runner_.running()}});
+}
+
+double Gateway::HeadroomOf(const std::string& gateway) const {
+  if (gateway == settings_.name) return load_meter_.headroom();
+  return peers_.HeadroomOf(gateway).value_or(1);
+}
+
 void Gateway::Tick() {
   CheckForPause();
   const TimePoint now = MonotonicNow();
+  MeasureLoad(now);
   if (servers_.Expire(now)) policies_.UpdateServerPolicies();
   RefreshFleet(now);
   peers_.Expire(now);
@@ -272,6 +291,7 @@
   metrics_.Set("knap_returns_promised",
                static_cast<double>(online_.promised_returns()));
   metrics_.Set("knap_items_running", static_cast<double>(runner_.running()));
+  metrics_.Set("knap_processor_headroom", load_meter_.headroom());
   metrics_.Set("knap_fleet_members",
                static_cast<double>(fleet_.members().size()));
   metrics_.Set("knap_fleet_shards",
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/log_budget.h"
 #include "batch/batch_api.h"
 #include "batch/batch_runner.h"
 #include "batch/job_forwarder.h"
@@ -25,6 +26,7 @@
 #include "cluster/job_holders.h"
 #include "gateway/gateway_settings.h"
 #include "http/server.h"
+#include "load_meter.h"
 #include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "online/online_calls.h"
@@ -138,6 +140,9 @@
   void CheckForPause();
   void ScheduleTick();
   void Tick();
+  void MeasureLoad(TimePoint now);
+  // Share of its processor time that a gateway, also this one, has left.
+  double HeadroomOf(const std::string& gateway) const;
   PeerState OwnState() const;
   // Sends the progress of each running item to the gateway that would take over
   // its job. `step`: minimum number of new events to report.
@@ -193,6 +198,10 @@
   RecordMirrors record_mirrors_;
   boost::asio::steady_timer tick_timer_;
 
+  TimePoint tick_due_at_{};
+  LoadMeter load_meter_;
+  bool short_of_processor_ = false;
+  LogBudget load_log_budget_{0.1, 4};
   PauseDetector pause_detector_;
   size_t gateways_in_cell_ = 1;  // including this one
   bool members_listed_ = false;
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -70,6 +70,10 @@
                        "gateways in this cell, including this one");
   metrics.DeclareGauge("knap_online_open", "online requests in progress");
   metrics.DeclareGauge("knap_items_running", "batch items in progress");
+  metrics.DeclareGauge("knap_processor_headroom",
+                       "share of the processor time left, 0 to 1");
+  metrics.DeclareCounter("knap_processor_short_total",
+                         "times this process became short of processor time");
   metrics.DeclareGauge("knap_entries_heard", "active peers");
   metrics.DeclareGauge("knap_fleet_members", "registered gateways");
   metrics.DeclareGauge("knap_fleet_shards",
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -180,6 +180,7 @@
                  .configuration_version = [this] { return routes_.version; },
                  .cores =
                      [this](const std::string& gateway) {
+                       if (IsShortOfProcessor(HeadroomOf(gateway))) return 0.0;
                        return fleet_.ProcessorShareOf(gateway);
                      }}),
       ownership_(settings.name, started_at_, peers_, jobs_),
@@ -226,6 +227,9 @@
                  committer_.OnItemFinished(job, MonotonicNow());
                },
            .usage_changed = [this] { publisher_.OnUsageChanged(); },
+           // Only online requests profit from items that start later.
+           .holds_starts =
+               [this] { return short_of_processor_ && online_.open() > 0; },
            .excluded_servers =
                [this](const serving::Route& route, const std::string& service) {
                  return policies_.ExcludedServers(route, service, "");
--- a/libs/gateway/tests/batch_runner_test.cc
+++ b/libs/gateway/tests/batch_runner_test.cc
@@ -42,6 +42,7 @@
   observe::Metrics metrics;
   observe::Timeline timeline{16};
   TimePoint now = MonotonicNow();
+  bool holds_starts = false;
   ServerConnections connections{io};
   BatchRunner runner{connections,
                      scheduler,
@@ -54,6 +55,7 @@
                       .runs_on_peer = [](uint64_t) { return false; },
                       .item_finished = [](const std::string&) {},
                       .usage_changed = [] {},
+                      .holds_starts = [this] { return holds_starts; },
                       .excluded_servers =
                           [](const auto&, const auto&) {
                             return std::vector<BackendServerId>();
@@ -93,4 +95,21 @@
   CHECK(fixture.Phase() == ItemPhase::kFinished);
 }
 
+// Guards against items that are late because every gateway is short of
+// processor time for long.
+TEST_CASE("starts are held back until an item would be late") {
+  Fixture fixture;
+  fixture.holds_starts = true;
+  fixture.routes = OtherRoutes(7);
+  const auto was_started = [&fixture] {
+    return fixture.jobs.Find("job-1")->progress[0].unrouted_since.has_value();
+  };
+  fixture.runner.Run(fixture.now);
+  CHECK_FALSE(was_started());
+  fixture.runner.Run(fixture.now + std::chrono::seconds(11));
+  CHECK_FALSE(was_started());
+  fixture.runner.Run(fixture.now + std::chrono::seconds(13));
+  CHECK(was_started());
+}
+
 }  // namespace knapweedstile::gateway
