Batch: a record is read from the store again only after a pause

Cause: RunsItemsOf asks for a missing job record on every pass over the jobs; while the store refuses quickly, or the record is gone or not decodable, each pass started up to four new reads, also while no store was reachable. Change: RecordFetcher takes the time and callbacks instead of the store; it keeps a time of retry for each record (250 ms, 5 s once the store has answered) and starts no background read while the store cannot be reached. Reads for a caller do not wait for the pause.

--- a/libs/gateway/src/batch/outline_calls.cc
+++ b/libs/gateway/src/batch/outline_calls.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "base/clock.h"
 #include "batch/job_forwarder.h"
 #include "batch/record_fetcher.h"
 #include "serving/job_table.h"
@@ -40,15 +41,17 @@
   const serving::BatchJob* known = jobs_.Find(job);
   const auto name = known ? missing(*known) : std::nullopt;
   if (!name) return answer(known != nullptr);
-  fetcher_.Fetch(*name, [this, job, missing, answer, name = *name](bool read) {
-    const serving::BatchJob* after = jobs_.Find(job);
-    // A record that is still missing after its read would be read forever.
-    if (read && after && missing(*after) != name) {
-      return ReadMissing(job, missing, answer);
-    }
-    metrics_.Add("knap_outline_calls_total", {"unanswered"});
-    answer(false);
-  });
+  fetcher_.Fetch(*name, MonotonicNow(),
+                 [this, job, missing, answer, name = *name](bool read) {
+                   const serving::BatchJob* after = jobs_.Find(job);
+                   // A record that is still missing after its read would be
+                   // read forever.
+                   if (read && after && missing(*after) != name) {
+                     return ReadMissing(job, missing, answer);
+                   }
+                   metrics_.Add("knap_outline_calls_total", {"unanswered"});
+                   answer(false);
+                 });
 }
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -298,7 +298,24 @@
                                  [this](const std::string& job) {
                                    batch_api_.OnProgress(job);
                                  }}),
-      record_fetcher_(store_, record_kinds_, record_reader_),
+      record_fetcher_(
+          {.store_reachable = [this] { return store_.reachable(); },
+           .read =
+               [this](const std::string& name, TimePoint deadline,
+                      RecordFetcher::AnswerCallback done) {
+                 const std::string job = ParseRecordName(name).id;
+                 store_.CallDirectOrRelayed(
+                     platform::ReadRequest{.kind = record_kinds_.KindOfJob(job),
+                                           .name = name},
+                     deadline,
+                     [done = std::move(done)](platform::StoreAnswer&& answer) {
+                       done(answer, MonotonicNow());
+                     });
+               },
+           .apply =
+               [this](const platform::StoredObject& object) {
+                 record_reader_.ApplyRecord(object, RecordOrigin::kFull);
+               }}),
       outline_calls_(forwarder_, record_fetcher_, jobs_, metrics_,
                      {.holders =
                           [this](const std::string& job) {
