Batch: a holder that does not know the job sends the call back

Cause: whether a call was sent to a holder was checked only once the job was known. A holder that missed the push answered 404, which was relayed for a job that exists, or read the store for as long as the sender waits. Change: in both APIs such a call gets 421 at once; the sender then tries the other holder and the store itself.

--- a/libs/gateway/src/batch/batch_api.cc
+++ b/libs/gateway/src/batch/batch_api.cc
@@ -151,6 +151,10 @@
 void BatchApi::Serve(const CallPointer& call, const std::string& job,
                      const BatchCall& operation) {
   const serving::BatchJob* known = jobs_.Find(job);
+  // The sender knows the job; this gateway's records are behind.
+  if (!known && call->caller.sent_to_holder) {
+    return Respond(call->request.exchange, JobForwarder::kMisdirected);
+  }
   if (!known) return RespondUnknownJob(call->request.exchange, job);
   if (operation.operation == BatchOperation::kRead) {
     return ServeRead(call, operation, *known);
--- a/libs/gateway/src/batch/native_batch_api.cc
+++ b/libs/gateway/src/batch/native_batch_api.cc
@@ -361,12 +361,13 @@
                              const CallerIdentity& caller,
                              const JobTarget& target) {
   const BatchJob* job = FindJob(caller, target.id);
-  if (!job) return RespondUnknownJob(request.exchange, caller);
-  // The sender knows of a result that this gateway does not have yet.
-  if (caller.sent_to_holder && job->results.size() <= target.after) {
+  // The sender knows of a job or a result that this gateway does not have yet.
+  const bool behind = !job || job->results.size() <= target.after;
+  if (caller.sent_to_holder && behind) {
     return callbacks_.to_caller(http::RespondCommand{
         .exchange = request.exchange, .status = JobForwarder::kMisdirected});
   }
+  if (!job) return RespondUnknownJob(request.exchange, caller);
   if (job->MissingSegment(target.after)) {
     return ReadOutputs(std::move(request), caller, target);
   }
