Batch: a read reaches the store before its reader leaves

Cause: with two silent holders that still count as live, a read spent 800 ms at each, and each later read again; readers leave 1.5 s after their poll's wait. Change: a holder has 300 ms to answer a read, and holders that did not answer in the last two seconds are left out of reads. Result: job_holders passes; its case of silent holders now gives the reader 1.5 s for the results and for a body, where it had no limit before.

--- a/libs/gateway/src/batch/job_forwarder.cc
+++ b/libs/gateway/src/batch/job_forwarder.cc
@@ -24,8 +24,9 @@
 // A read may wait one second at the holder, and a write takes as long if the
 // store is slow. A stalled holder must leave enough time to try the next one.
 constexpr std::chrono::milliseconds kMaxTryDuration{1900};
-// A holder answers a read of a known result at once.
-constexpr std::chrono::milliseconds kMaxReadDuration{800};
+// A holder answers a read of a known result at once. Readers wait 1.5 s beyond
+// the time for which they poll: enough for two holders and then the store.
+constexpr std::chrono::milliseconds kMaxReadDuration{300};
 constexpr std::chrono::milliseconds kUnreachableDuration{2000};
 constexpr std::chrono::milliseconds kRetryAfter{300};
 constexpr size_t kMaxTries = 4;
@@ -79,11 +80,15 @@
                              const std::string& job,
                              const CallerIdentity& caller,
                              std::function<void()> unanswered) {
+  const TimePoint now = MonotonicNow();
+  std::erase_if(addresses, [&](const std::string& address) {
+    return IsUnreachable(address, now);
+  });
   Start({.caller = request.exchange,
          .job = job,
          .message = EncodeJobCall(request, caller),
          .holders = std::move(addresses),
-         .give_up_at = MonotonicNow() + 2 * kMaxReadDuration,
+         .give_up_at = now + 2 * kMaxReadDuration,
          .max_try = kMaxReadDuration,
          .unanswered = std::move(unanswered)});
 }
--- a/libs/gateway/src/batch/job_forwarder.h
+++ b/libs/gateway/src/batch/job_forwarder.h
@@ -44,8 +44,8 @@
 
   void Forward(const http::RequestEvent& request, const std::string& job,
                const CallerIdentity& caller);
-  // Forwards a read to the holders at `addresses`. Calls `unanswered` if none
-  // of them can answer it.
+  // Forwards a read to those holders at `addresses` that were not unreachable
+  // lately. Calls `unanswered` if none of them can answer it.
   void ForwardTo(std::vector<std::string> addresses,
                  const http::RequestEvent& request, const std::string& job,
                  const CallerIdentity& caller,
--- a/tests/users_platform/job_holders_test.cc
+++ b/tests/users_platform/job_holders_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "base/clock.h"
 #include "users_platform/site.h"
 
 namespace knapweedstile::users_site {
@@ -10,6 +11,8 @@
 namespace json = boost::json;
 using std::chrono::milliseconds;
 
+// How long a reader that does not poll waits for an answer.
+constexpr milliseconds kReaderTimeout{1500};
 constexpr char kFiveWords[] = "word 1\nword 2\nword 3\nword 4\nword 5";
 
 // Three zones with two gateways each: each job is held by two of the six.
@@ -53,11 +56,13 @@
                  holders.end();
         });
   }
-  http::EndEvent Body(const std::string& gateway, const std::string& job) {
+  http::EndEvent Body(const std::string& gateway, const std::string& job,
+                      Duration timeout = std::chrono::seconds(10)) {
     http::ClientRequest request;
     request.address = site.caller_address(gateway);
     request.target = "/-/items/" + job + "?id=" + job + "-1";
     request.headers.Add("Host", kHost);
+    request.deadline = MonotonicNow() + timeout;
     return site.Call(std::move(request));
   }
   size_t Runs() const { return first.runs().size() + second.runs().size(); }
@@ -145,10 +150,15 @@
   for (const std::string& holder : fleet.Holders("job-a")) {
     fleet.site.process(holder).Pause();
   }
-  const auto end = fleet.site.Results(reader, "job-a", 0);
-  CHECK(end.status == 200);
+  http::ClientRequest read;
+  read.address = fleet.site.caller_address(reader);
+  read.target = "/-/lots/job-a?after=0";
+  read.headers.Add("Host", kHost);
+  read.deadline = MonotonicNow() + kReaderTimeout;
+  const auto end = fleet.site.Call(std::move(read));
+  REQUIRE(end.status == 200);
   CheckComplete(json::parse(end.body).as_object(), 3);
-  CHECK(fleet.Body(reader, "job-a").body == "hello");
+  CHECK(fleet.Body(reader, "job-a", kReaderTimeout).body == "hello");
   CHECK(fleet.site.Metrics(reader).find("outcome=\"from_store\"") !=
         std::string::npos);
   for (const std::string& holder : fleet.Holders("job-a")) {
