Cluster: no outlines while a gateway of an older version is live

Cause: in a rolling upgrade a gateway on the old binary ignores the mark of an outline and takes it for the record; it also does not know second holders, and would run their jobs as well once the owner is gone. The choice and the field have tests; the push in full to an old peer has none.

--- a/libs/cluster/include/cluster/job_holders.h
+++ b/libs/cluster/include/cluster/job_holders.h
@@ -13,6 +13,7 @@
   std::string availability_zone;
   double processor_share = 1;  // cores
   double headroom = 1;         // share of them that is free, 0 to 1
+  bool takes_outlines = true;  // false: its version needs every job in full
 };
 
 // The gateways that hold the bytes of a job.
@@ -38,8 +39,9 @@
   explicit JobHolders(std::vector<HolderCandidate> candidates);
 
   // The holders of a job that is accepted in the zone. With only one zone, both
-  // are in it. `second` is empty if the fleet is so small that every gateway
-  // holds every job; `owner` is then empty as well.
+  // are in it. `second` is empty if every gateway holds every job, as in a
+  // small fleet, and until the last gateway of an upgrade takes outlines;
+  // `owner` is then empty as well.
   HolderPair Choose(std::string_view job, std::string_view zone) const;
 
  private:
@@ -53,6 +55,8 @@
   const Weighted* Best(std::string_view job, Predicate may_hold) const;
 
   std::vector<Weighted> gateways_;
+  // A gateway that does not know second holders would run their jobs as well.
+  bool all_hold_all_ = false;
 };
 
 }  // namespace knapweedstile::cluster
--- a/libs/cluster/src/job_holders.cc
+++ b/libs/cluster/src/job_holders.cc
@@ -41,6 +41,7 @@
         std::max(candidate.processor_share, kMinProcessorShare) *
         std::clamp(candidate.headroom, kMinHeadroom, 1.0);
     totals[candidate.availability_zone] += weight;
+    if (!candidate.takes_outlines) all_hold_all_ = true;
     gateways_.push_back({std::move(candidate.name),
                          std::move(candidate.availability_zone), weight});
   }
@@ -70,7 +71,7 @@
 
 HolderPair JobHolders::Choose(std::string_view job,
                               std::string_view zone) const {
-  if (gateways_.size() <= kMaxGatewaysHoldingAll) return {};
+  if (all_hold_all_ || gateways_.size() <= kMaxGatewaysHoldingAll) return {};
   const Weighted* owner =
       Best(job, [zone](const auto& g) { return g.availability_zone == zone; });
   if (!owner) owner = Best(job, [](const auto&) { return true; });
--- a/libs/cluster/tests/job_holders_test.cc
+++ b/libs/cluster/tests/job_holders_test.cc
@@ -91,6 +91,16 @@
   }
 }
 
+// Guards against an old gateway that takes an outline for the job, and runs it
+// beside its second holder, during a rolling upgrade.
+TEST_CASE("all gateways hold all jobs while one takes no outlines") {
+  auto fleet = UnevenFleet();
+  fleet.back().takes_outlines = false;
+  CHECK(JobHolders(fleet).Choose("job", "a") == HolderPair());
+  fleet.back().takes_outlines = true;
+  CHECK_FALSE(JobHolders(fleet).Choose("job", "a").second.empty());
+}
+
 TEST_CASE("one zone holds both copies, and a small fleet holds all jobs") {
   auto fleet = UnevenFleet();
   for (HolderCandidate& candidate : fleet) candidate.availability_zone = "a";
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -97,7 +97,8 @@
       .records = record_push_.count(),
       .configuration = routes_.version,
       .servers_revision = follower_.newest_server_change(),
-      .members_revision = follower_.newest_member_change()};
+      .members_revision = follower_.newest_member_change(),
+      .takes_outlines = true};
 }
 
 void Gateway::SendProgress(TimePoint now, uint64_t step) {
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -20,8 +20,12 @@
     }
   }
   if (outline) {
+    std::vector<std::string> in_full = ownership_.HoldersOf(*job);
+    for (const auto& [peer, address] : addresses) {
+      if (!peers_.TakesOutlines(peer)) in_full.push_back(peer);
+    }
     record_push_.Push(record, {record.name, std::move(*outline), true},
-                      addresses, ownership_.HoldersOf(*job));
+                      addresses, in_full);
   } else {
     record_push_.Push(record, addresses);
   }
@@ -43,7 +47,8 @@
     candidates.push_back({.name = peer,
                           .availability_zone = zones.at(peer),
                           .processor_share = fleet_.ProcessorShareOf(peer),
-                          .headroom = peers_.HeadroomOf(peer).value_or(1)});
+                          .headroom = peers_.HeadroomOf(peer).value_or(1),
+                          .takes_outlines = peers_.TakesOutlines(peer)});
   }
   if (stop_began_at_ == kNever) {
     candidates.push_back({.name = settings_.name,
--- a/libs/gateway/src/peers/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -264,6 +264,11 @@
   return peer == peers_.end() ? std::nullopt : peer->second.state.headroom;
 }
 
+bool PeerLink::TakesOutlines(const std::string& name) const {
+  const auto peer = peers_.find(name);
+  return peer != peers_.end() && peer->second.state.takes_outlines;
+}
+
 bool PeerLink::IsActivePeer(const std::string& name) const {
   const auto peer = peers_.find(name);
   return peer != peers_.end() && !peer->second.state.draining;
--- a/libs/gateway/src/peers/peer_link.h
+++ b/libs/gateway/src/peers/peer_link.h
@@ -86,6 +86,8 @@
   // Share of its processor time that a live peer has left, 0 to 1, by its last
   // report; none: unknown.
   std::optional<double> HeadroomOf(const std::string& name) const;
+  // Whether a live peer can be sent a job's records in outline.
+  bool TakesOutlines(const std::string& name) const;
   // Addresses ("IP:PORT") of all live peers, by name.
   std::map<std::string, std::string> LiveAddresses() const;
   // Address of a live peer that can reach the store, preferably one of
--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -98,6 +98,7 @@
   message.set_partial(state.partial);
   message.set_summary(state.summary);
   message.set_members_revision(state.members_revision);
+  message.set_takes_outlines(state.takes_outlines);
   if (state.headroom) message.set_headroom(EncodeHeadroom(*state.headroom));
   for (const auto& [process, counts] : state.usage) {
     message.add_usage_process(process.value());
@@ -142,6 +143,7 @@
       .servers_revision = message.servers_revision(),
       .members_revision = message.members_revision(),
       .headroom = DecodeHeadroom(message.headroom()),
+      .takes_outlines = message.takes_outlines(),
       .partial = message.partial(),
       .summary = message.summary(),
       .yield_instance = message.yield_instance()};
--- a/libs/gateway/src/peers/peer_state.h
+++ b/libs/gateway/src/peers/peer_state.h
@@ -34,6 +34,9 @@
   // Share of its processor time that the sender has left, 0 to 1; none:
   // unknown.
   std::optional<double> headroom;
+  // The sender can be sent a job's records in outline. False: an older version,
+  // which would take the outline for the record.
+  bool takes_outlines = false;
   // True for a delta: `usage` holds only what changed since the last message,
   // and `running_items` is empty. Periodic full messages compensate for lost
   // deltas.
--- a/libs/gateway/tests/peer_state_test.cc
+++ b/libs/gateway/tests/peer_state_test.cc
@@ -17,6 +17,7 @@
           .configuration = 40,
           .servers_revision = 99,
           .members_revision = 98,
+          .takes_outlines = true,
           .usage = {{serving::ServerProcessId(~0ULL), {3, 1}},
                     {serving::ServerProcessId(5), {0, 2}}},
           .running_items = {1, ~0ULL},
@@ -43,6 +44,7 @@
   CHECK(received->configuration == sent.configuration);
   CHECK(received->servers_revision == sent.servers_revision);
   CHECK(received->members_revision == sent.members_revision);
+  CHECK(received->takes_outlines);
   CHECK(received->usage == sent.usage);
   CHECK(received->running_items == sent.running_items);
   REQUIRE(received->crashes.size() == 1);
