--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -104,7 +104,8 @@
       .configuration = routes_.version,
       .servers_revision = follower_.newest_server_change(),
       .members_revision = follower_.newest_member_change(),
-      .headroom = load_meter_.headroom()};
+      .headroom = load_meter_.headroom(),
+      .takes_outlines = true};
 }
 
 void Gateway::SendProgress(TimePoint now, uint64_t step) {
