Progress goes in parts, and peers' answers are packed

Reads at holders in other zones came uncompressed too. Change: an update continues the previous one; a receiver that lacks that asks for the whole output, which also follows a failed send and is sent when a gateway stops. Progress and answers of over 1 kB to forwarded calls are compressed. A reader's gateway asks a holder in its own zone first. Passed: serving and gateway tests, job_holders, gateway_batch, gateway_restart.

--- a/libs/cluster/tests/job_holders_test.cc
+++ b/libs/cluster/tests/job_holders_test.cc
@@ -23,7 +23,7 @@
                                        {"small-2", 0.07},
                                        {"small-3", 0.07},
                                        {"small-4", 0.07}}) {
-      fleet.push_back({.name = zone + "-" + name,
+      fleet.push_back({.name = std::string(zone).append("-").append(name),
                        .availability_zone = zone,
                        .processor_share = cores});
     }
--- a/libs/gateway/src/batch/job_call.cc
+++ b/libs/gateway/src/batch/job_call.cc
@@ -3,12 +3,16 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
+#include <utility>
 
+#include "peers/record_codec.h"
 #include "proto/job_call.pb.h"
 
 namespace knapweedstile::gateway {
 namespace {
 
+constexpr size_t kMinPackedBytes = 1 << 10;
+
 // The API key, and headers that apply to a single connection.
 constexpr std::array<std::string_view, 6> kNotForwarded = {
     "Authorization",     "Connection", "Content-Length",
@@ -65,4 +69,17 @@
   return call;
 }
 
+void PackResponse(http::RespondCommand& response) {
+  if (response.body.size() < kMinPackedBytes) return;
+  response.body = PackText(response.body);
+  response.headers.Add(kPackedHeader, "deflate");
+}
+
+bool UnpackResponse(http::EndEvent& response) {
+  if (response.headers.Find(kPackedHeader).empty()) return true;
+  auto body = UnpackText(response.body);
+  if (body) response.body = std::move(*body);
+  return body.has_value();
+}
+
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/batch/job_call.h
+++ b/libs/gateway/src/batch/job_call.h
@@ -6,6 +6,8 @@
 #include <string_view>
 
 #include "callers/caller_identity.h"
+#include "http/client_event.h"
+#include "http/server_command.h"
 #include "http/server_event.h"
 
 namespace knapweedstile::gateway {
@@ -23,6 +25,14 @@
 // Returns nullopt if the bytes are not a valid call.
 std::optional<JobCall> DecodeJobCall(std::string_view bytes);
 
+// Compresses the body of a response to a forwarded call if it is large: outputs
+// are a tenth of their size then.
+void PackResponse(http::RespondCommand& response);
+// Undoes it. False if the body is not valid.
+bool UnpackResponse(http::EndEvent& response);
+// Header of a compressed response.
+inline constexpr char kPackedHeader[] = "Knap-Packed";
+
 }  // namespace knapweedstile::gateway
 
 #endif  // KNAPWEEDSTILE_GATEWAY_JOB_CALL_H_
--- a/libs/gateway/src/batch/job_forwarder.cc
+++ b/libs/gateway/src/batch/job_forwarder.cc
@@ -31,8 +31,9 @@
 constexpr size_t kMaxTries = 4;
 
 // Headers that this gateway's own server sets.
-constexpr std::array<std::string_view, 5> kConnectionHeaders = {
-    "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "Date"};
+constexpr std::array<std::string_view, 6> kConnectionHeaders = {
+    "Connection", "Content-Length", "Transfer-Encoding",
+    "Keep-Alive", "Date",           kPackedHeader};
 
 bool IsConnectionHeader(std::string_view name) {
   return std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
@@ -122,7 +123,8 @@
   auto found = calls_.extract(end->exchange);
   if (found.empty()) return;
   Call& call = found.mapped();
-  const bool answered = end->outcome == http::ClientOutcome::kComplete;
+  const bool answered =
+      end->outcome == http::ClientOutcome::kComplete && UnpackResponse(*end);
   // A holder that does not have all records yet is no reason to let the caller
   // of a read wait.
   const bool behind = call.unanswered && end->status == kUnavailable;
--- a/libs/gateway/src/batch/outline_calls.h
+++ b/libs/gateway/src/batch/outline_calls.h
@@ -21,9 +21,8 @@
 class RecordFetcher;
 
 // Answers callers' reads that need bytes of a job that this gateway holds in
-// outline only. The call goes to the job's holders, the owner first. If none of
-// them answers, the missing records are read from the store and the call is
-// answered here.
+// outline only. The call goes to the job's holders. If none of them answers,
+// the missing records are read from the store and the call is answered here.
 //
 // Designed for readers who poll twice a second at any gateway: most polls find
 // nothing new, which the outline tells, and each result is read about once. No
@@ -31,7 +30,7 @@
 class OutlineCalls {
  public:
   struct Callbacks {
-    // Addresses of the job's live holders, the owner first.
+    // Addresses of the job's live holders, in the order in which to try them.
     std::function<std::vector<std::string>(const std::string& job)> holders;
     // Responds that this gateway cannot answer a peer's call.
     std::function<void(ExchangeId exchange)> misdirected;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "batch/job_call.h"
 #include "batch/job_records.h"
 #include "users_platform/configuration.h"
 #include "users_platform/store_names.h"
@@ -60,7 +61,8 @@
   if (StoreUpdateLink::IsTarget(request.target)) {
     follower_.OnStoreUpdateRequest(request);
   } else if (ProgressLink::IsTarget(request.target)) {
-    progress_link_.OnRequest(request);
+    return record_push_.Respond(request.exchange,
+                                progress_link_.OnRequest(request));
   } else {
     return store_relay_.OnRequest(request);
   }
@@ -71,6 +73,9 @@
   const ExchangeId exchange =
       std::visit([](const auto& c) { return c.exchange; }, command);
   if (RecordPush::IsPeerExchange(exchange)) {
+    if (auto* response = std::get_if<http::RespondCommand>(&command)) {
+      PackResponse(*response);
+    }
     return record_push_.Execute(std::move(command));
   }
   caller_server_.Execute(std::move(command));
@@ -217,7 +222,9 @@
                        {"items", runner_.running()},
                        {"grace_ms", settings_.stop_grace.count()}});
   caller_server_.BeginDraining();
-  // Peers take over waiting items at once, at their current progress.
+  // Peers take over waiting items at once, at their current progress. There is
+  // no time to resend what does not fit.
+  jobs_.ForgetPublishedOutputs();
   progress_sent_at_ = TimePoint{};
   SendProgress(stop_began_at_, 1);
   publisher_.PublishFull(stop_began_at_);
@@ -232,6 +239,7 @@
   if (!batch_runs_ended_ && now >= kill_at - kLastWrites - kLastPushes) {
     batch_runs_ended_ = true;
     runner_.EndAll();
+    jobs_.ForgetPublishedOutputs();
     progress_sent_at_ = TimePoint{};
     SendProgress(now, 1);
     publisher_.PublishFull(now);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -112,7 +112,8 @@
   bool RunsItemsOf(const serving::BatchJob& job);
   // The gateways that are to hold a job that this gateway accepts now.
   cluster::HolderPair ChooseHolders(const std::string& job) const;
-  // Addresses of the other gateways that have the job's bytes.
+  // Addresses of the other gateways that have the job's bytes, those in this
+  // zone first, then its owner.
   std::vector<std::string> AddressesOfHolders(const std::string& job) const;
   void OnRecordsAcknowledged();
   void OnPeerState(const PeerState& state);
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "base/clock.h"
@@ -59,8 +60,17 @@
   std::vector<std::string> found;
   const serving::BatchJob* known = jobs_.Find(job);
   if (!known) return found;
+  std::vector<std::string> holders = ownership_.HoldersOf(*known);
+  // One in this zone has the results some milliseconds after the owner.
+  const auto zones = peers_.Zones();
+  std::stable_partition(holders.begin(), holders.end(),
+                        [&](const std::string& holder) {
+                          const auto zone = zones.find(holder);
+                          return zone != zones.end() &&
+                                 zone->second == settings_.availability_zone;
+                        });
   const auto addresses = peers_.LiveAddresses();
-  for (const std::string& holder : ownership_.HoldersOf(*known)) {
+  for (const std::string& holder : holders) {
     const auto address = addresses.find(holder);
     if (address != addresses.end()) found.push_back(address->second);
   }
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -123,12 +123,15 @@
                    [this](ExchangeId exchange, std::string body) {
                      record_push_.Respond(exchange, std::move(body));
                    }}),
-      progress_link_(io,
-                     [this](ProgressLink::Updates&& updates) {
-                       for (serving::ProgressUpdate& update : updates) {
-                         jobs_.MergeProgress(std::move(update));
-                       }
-                     }),
+      progress_link_(
+          io, {.received =
+                   [this](serving::ProgressUpdate&& update) {
+                     return jobs_.MergeProgress(std::move(update));
+                   },
+               .not_applied =
+                   [this](const std::string& job, const std::string& item) {
+                     jobs_.RepublishItem(job, item);
+                   }}),
       publisher_(
           io, peers_, scheduler_, rate_quota_,
           {.base_state = [this] { return OwnState(); },
--- a/libs/gateway/src/peers/progress_link.cc
+++ b/libs/gateway/src/peers/progress_link.cc
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "peers/peer_client_settings.h"
+#include "peers/record_codec.h"
 
 namespace knapweedstile::gateway {
 namespace {
@@ -14,6 +15,8 @@
 namespace json = boost::json;
 
 constexpr char kTarget[] = "/progress";
+// Response to an update that continues an output which is not known.
+constexpr char kNotKnown[] = "not_known";
 // The item's next update, which replaces this one, is sent within a second.
 constexpr std::chrono::milliseconds kSendTimeout{600};
 
@@ -24,6 +27,7 @@
     updates.push_back({.job = std::string(update.at("job").as_string()),
                        .item = std::string(update.at("item").as_string()),
                        .last_event = update.at("last").to_number<uint64_t>(),
+                       .after_event = update.at("after").to_number<uint64_t>(),
                        .output = std::string(update.at("output").as_string())});
   }
   return updates;
@@ -31,34 +35,49 @@
 
 }  // namespace
 
-ProgressLink::ProgressLink(boost::asio::io_context& io,
-                           std::function<void(Updates&&)> received)
-    : received_(std::move(received)),
-      client_(io, PeerClientSettings(), [](http::ClientEvent&& event) {
-        const auto* end = std::get_if<http::EndEvent>(&event);
-        if (!end || end->outcome == http::ClientOutcome::kComplete) return;
-        // Not retried: the item's next update replaces this one.
-        LogInfo("progress_not_sent",
-                {{"outcome", NameOf(end->outcome)}, {"reason", end->message}});
-      }) {}
+ProgressLink::ProgressLink(boost::asio::io_context& io, Callbacks callbacks)
+    : callbacks_(std::move(callbacks)),
+      client_(io, PeerClientSettings(),
+              [this](http::ClientEvent&& event) { OnEvent(event); }) {}
+
+void ProgressLink::OnEvent(const http::ClientEvent& event) {
+  const auto* end = std::get_if<http::EndEvent>(&event);
+  if (!end) return;
+  const auto sent = sent_.extract(end->exchange);
+  if (sent.empty()) return;
+  const bool complete = end->outcome == http::ClientOutcome::kComplete;
+  if (complete && end->body.empty()) return;
+  // Not retried: the item's next update replaces this one.
+  LogInfo("progress_not_applied",
+          {{"outcome", complete ? "not_known" : NameOf(end->outcome)},
+           {"items", sent.mapped().size()},
+           {"reason", end->message}});
+  for (const auto& [job, item] : sent.mapped()) {
+    callbacks_.not_applied(job, item);
+  }
+}
 
 bool ProgressLink::IsTarget(std::string_view target) {
   return target == kTarget;
 }
 
 size_t ProgressLink::Send(const std::string& address, const Updates& updates) {
+  const ExchangeId exchange(++last_exchange_);
+  std::vector<SentItem>& sent = sent_[exchange];
   json::array list;
   for (const serving::ProgressUpdate& update : updates) {
+    sent.push_back({update.job, update.item});
     list.push_back(json::object{{"job", update.job},
                                 {"item", update.item},
                                 {"last", update.last_event},
+                                {"after", update.after_event},
                                 {"output", update.output}});
   }
-  http::ClientRequest request{.exchange = ExchangeId(++last_exchange_),
+  http::ClientRequest request{.exchange = exchange,
                               .address = address,
                               .method = "POST",
                               .target = kTarget,
-                              .body = json::serialize(list),
+                              .body = PackText(json::serialize(list)),
                               .deadline = MonotonicNow() + kSendTimeout};
   request.headers.Add("Host", address);
   const size_t bytes = request.body.size();
@@ -66,16 +85,21 @@
   return bytes;
 }
 
-void ProgressLink::OnRequest(const http::RequestEvent& request) {
+std::string ProgressLink::OnRequest(const http::RequestEvent& request) {
+  const std::string text = UnpackText(request.body).value_or(std::string());
   json::error_code ec;
-  const json::value parsed = json::parse(request.body, ec);
+  const json::value parsed = json::parse(text, ec);
+  bool fits = true;
   // Boost.JSON throws on a missing field or one of another type.
   try {
     if (ec) throw boost::system::system_error(ec);
-    received_(ParseUpdates(parsed.as_array()));
+    for (serving::ProgressUpdate& update : ParseUpdates(parsed.as_array())) {
+      if (!callbacks_.received(std::move(update))) fits = false;
+    }
   } catch (const std::exception& error) {
     LogWarning("progress_invalid", {{"reason", error.what()}});
   }
+  return fits ? std::string() : kNotKnown;
 }
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/peers/progress_link.h
+++ b/libs/gateway/src/peers/progress_link.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "http/client.h"
@@ -15,9 +16,11 @@
 namespace knapweedstile::gateway {
 
 // Sends the progress of batch items to peers, and passes the progress that
-// peers send to `received`. Updates are best effort: each holds the whole
-// output of the item so far and replaces the previous one. If an update is lost
-// and the gateway then ends, a peer resumes the item after the previous update.
+// peers send to `received`. Updates are best effort. Each holds the output
+// since the item's previous update; the receiver of one that does not fit asks
+// for the whole output, which is also sent after an update that was not
+// answered. If an update is lost and the gateway then ends, a peer resumes the
+// item after the previous update.
 //
 // Guards against losing the output of running items when their gateway is
 // killed or stopped. During a rolling restart an item would be restarted from
@@ -26,20 +29,34 @@
 class ProgressLink {
  public:
   using Updates = std::vector<serving::ProgressUpdate>;
+  struct Callbacks {
+    // Returns whether the update fits what is known here.
+    std::function<bool(serving::ProgressUpdate&&)> received;
+    // The peer may not have the update that was sent.
+    std::function<void(const std::string& job, const std::string& item)>
+        not_applied;
+  };
 
-  ProgressLink(boost::asio::io_context& io,
-               std::function<void(Updates&&)> received);
+  ProgressLink(boost::asio::io_context& io, Callbacks callbacks);
 
   // Returns the size of the message.
   size_t Send(const std::string& address, const Updates& updates);
   // Whether peers send progress to this request target.
   static bool IsTarget(std::string_view target);
-  // Handles a peer's request to that target. The caller sends the response.
-  void OnRequest(const http::RequestEvent& request);
+  // Handles a peer's request to that target. Returns the body of the response.
+  std::string OnRequest(const http::RequestEvent& request);
 
  private:
-  std::function<void(Updates&&)> received_;
+  struct SentItem {
+    std::string job;
+    std::string item;
+  };
+
+  void OnEvent(const http::ClientEvent& event);
+
+  Callbacks callbacks_;
   uint64_t last_exchange_ = 0;
+  std::unordered_map<ExchangeId, std::vector<SentItem>> sent_;
   http::Client client_;
 };
 
--- a/libs/gateway/src/peers/record_codec.cc
+++ b/libs/gateway/src/peers/record_codec.cc
@@ -64,6 +64,20 @@
   return message.SerializeAsString();
 }
 
+std::string PackText(std::string_view text) {
+  wire::PackedRecordMessage packed;
+  packed.set_packed(Compress(text));
+  packed.set_size(text.size());
+  return packed.SerializeAsString();
+}
+
+std::optional<std::string> UnpackText(std::string_view packed) {
+  wire::PackedRecordMessage message;
+  const int size = static_cast<int>(packed.size());
+  if (!message.ParseFromArray(packed.data(), size)) return std::nullopt;
+  return Decompress(message.packed(), message.size());
+}
+
 std::string EncodePush(std::string_view gateway, uint64_t start, uint64_t count,
                        std::string_view packed_records) {
   wire::RecordPushMessage message;
--- a/libs/gateway/src/peers/record_codec.h
+++ b/libs/gateway/src/peers/record_codec.h
@@ -27,6 +27,10 @@
 // a small VM for a tenth of a second.
 std::string PackRecord(const StoreRecord& record);
 
+// Compresses a text by itself.
+std::string PackText(std::string_view text);
+std::optional<std::string> UnpackText(std::string_view packed);
+
 // Builds a message from concatenated results of PackRecord().
 std::string EncodePush(std::string_view gateway, uint64_t start, uint64_t count,
                        std::string_view packed_records);
--- a/libs/gateway/tests/record_codec_test.cc
+++ b/libs/gateway/tests/record_codec_test.cc
@@ -27,6 +27,8 @@
       EncodePush("entry-1", 7, 1, PackRecord({"job.a", "{}", true})));
   REQUIRE(outline);
   CHECK(outline->records[0].is_outline);
+  CHECK(UnpackText(PackText(text)) == text);
+  CHECK_FALSE(UnpackText("no packed text"));
 }
 
 // Guards against bytes that no gateway sent and truncated messages. Decoded as
--- a/libs/serving/include/serving/item_progress.h
+++ b/libs/serving/include/serving/item_progress.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDSTILE_SERVING_ITEM_PROGRESS_H_
 #define KNAPWEEDSTILE_SERVING_ITEM_PROGRESS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,6 +35,8 @@
   std::optional<uint64_t> last_event;
   // The last event that was sent to, or received from, another gateway.
   uint64_t published_event = 0;
+  // Size of the output up to it; zero: the next update has the whole output.
+  size_t published_bytes = 0;
 };
 
 }  // namespace knapweedstile::serving
--- a/libs/serving/include/serving/job_table.h
+++ b/libs/serving/include/serving/job_table.h
@@ -53,13 +53,18 @@
 
   // Updates for items that are at least `step` events past their last published
   // event, at most `max_bytes` of output (but at least one update). They count
-  // as published from now on.
+  // as published from now on: an item's next update continues this one.
   std::vector<ProgressUpdate> TakeProgressUpdates(uint64_t step,
                                                   size_t max_bytes);
   // Merges the progress of an item on another gateway. It is applied if it is
   // ahead of the progress known here and the item is not running here. An
-  // update for an unknown job is kept until the job is added.
-  void MergeProgress(ProgressUpdate&& update);
+  // update for an unknown job is kept until the job is added. False: it
+  // continues an output that is not known here, so the whole one is needed.
+  bool MergeProgress(ProgressUpdate&& update);
+  // The update of the item was not applied: the whole output is sent again.
+  void RepublishItem(const std::string& job, const std::string& item);
+  // The next update of each item has its whole output.
+  void ForgetPublishedOutputs();
   // The gateway `holder` has restarted and lost its state: the progress of the
   // jobs that it holds counts as unpublished, so that it is sent again.
   void RepublishProgress(std::string_view holder);
--- a/libs/serving/include/serving/progress_update.h
+++ b/libs/serving/include/serving/progress_update.h
@@ -11,7 +11,10 @@
   std::string job;
   std::string item;
   uint64_t last_event = 0;
-  std::string output;  // data of all events up to it, joined by line feeds
+  // The output continues the one up to this event; zero: it is the whole one.
+  uint64_t after_event = 0;
+  std::string output;  // data of the events up to `last_event`, each after the
+                       // first preceded by a line feed
 };
 
 }  // namespace knapweedstile::serving
--- a/libs/serving/src/job_table.cc
+++ b/libs/serving/src/job_table.cc
@@ -11,6 +11,11 @@
 // from the beginning.
 constexpr size_t kMaxPendingUpdateBytes = 4 << 20;
 
+void Unpublish(ItemProgress& progress) {
+  progress.published_event = 0;
+  progress.published_bytes = 0;
+}
+
 bool HasOutputs(const std::vector<ItemResult>& results) {
   return std::all_of(results.begin(), results.end(),
                      [](const ItemResult& r) { return r.has_output; });
@@ -93,6 +98,7 @@
       progress.phase = ItemPhase::kCommitted;
       progress.output.clear();
       progress.output.shrink_to_fit();
+      progress.published_bytes = 0;
       uncommitted_states_[job.id].erase(index->second);
     }
     job.results.push_back(std::move(result));
@@ -147,13 +153,16 @@
                               progress.phase == ItemPhase::kRunning;
       const uint64_t last_event = progress.last_event.value_or(0);
       if (!unfinished || last_event < progress.published_event + step) continue;
-      bytes += progress.output.size();
+      const size_t from = progress.published_bytes;
+      bytes += progress.output.size() - from;
       if (!updates.empty() && bytes > max_bytes) return updates;
-      progress.published_event = last_event;
       updates.push_back({.job = id,
                          .item = job.items[i].id,
                          .last_event = last_event,
-                         .output = progress.output});
+                         .after_event = from > 0 ? progress.published_event : 0,
+                         .output = progress.output.substr(from)});
+      progress.published_event = last_event;
+      progress.published_bytes = progress.output.size();
     }
   }
   return updates;
@@ -171,28 +180,51 @@
 void JobTable::RepublishProgress(std::string_view holder) {
   for (auto& [id, job] : jobs_) {
     if (job.creator != holder && job.second_holder != holder) continue;
-    for (ItemProgress& progress : job.progress) progress.published_event = 0;
+    for (ItemProgress& progress : job.progress) Unpublish(progress);
+  }
+}
+
+void JobTable::RepublishItem(const std::string& id, const std::string& item) {
+  BatchJob* job = Find(id);
+  if (!job) return;
+  const auto index = job->item_index.find(item);
+  if (index != job->item_index.end()) Unpublish(job->progress[index->second]);
+}
+
+void JobTable::ForgetPublishedOutputs() {
+  for (auto& [id, job] : jobs_) {
+    for (ItemProgress& progress : job.progress) progress.published_bytes = 0;
   }
 }
 
-void JobTable::MergeProgress(ProgressUpdate&& update) {
+bool JobTable::MergeProgress(ProgressUpdate&& update) {
   BatchJob* job = Find(update.job);
   if (!job) {
-    if (pending_update_bytes_ >= kMaxPendingUpdateBytes) return;
+    if (pending_update_bytes_ >= kMaxPendingUpdateBytes) return true;
     pending_update_bytes_ += update.output.size();
     pending_updates_[update.job].push_back(std::move(update));
-    return;
+    return true;
   }
   const auto index = job->item_index.find(update.item);
-  if (index == job->item_index.end()) return;
+  if (index == job->item_index.end()) return true;
   ItemProgress& progress = job->progress[index->second];
-  const bool is_ahead = update.last_event > progress.last_event.value_or(0);
-  if (progress.phase != ItemPhase::kWaiting || !is_ahead) return;
-  progress.output = std::move(update.output);
+  const uint64_t known = progress.last_event.value_or(0);
+  if (progress.phase != ItemPhase::kWaiting || update.last_event <= known) {
+    return true;
+  }
+  if (update.after_event == 0) {
+    progress.output = std::move(update.output);
+  } else if (update.after_event == known) {
+    progress.output += update.output;
+  } else {
+    return false;
+  }
   progress.last_event = update.last_event;
   // Not to be published again: the gateway that sent it sends it to the next
   // gateway as well.
   progress.published_event = update.last_event;
+  progress.published_bytes = progress.output.size();
+  return true;
 }
 
 const BatchJob* JobTable::Find(std::string_view id) const {
--- a/libs/serving/tests/job_table_test.cc
+++ b/libs/serving/tests/job_table_test.cc
@@ -203,6 +203,40 @@
   CHECK(restarted.Find("j")->progress[1].output == "40");
 }
 
+// Guards against an output with a hole: an update continues the previous one,
+// which the receiver may have missed.
+TEST_CASE("progress is sent in parts that the receiver joins") {
+  JobTable owner;
+  JobTable standby;
+  owner.AddJob(MakeJob("j", 1, seconds(18)));
+  standby.AddJob(MakeJob("j", 1, seconds(18)));
+  ItemProgress& own = owner.Find("j")->progress[0];
+  const auto advance = [&](uint64_t event, const std::string& data) {
+    own.output += own.output.empty() ? data : "\n" + data;
+    own.last_event = event;
+    auto updates = owner.TakeProgressUpdates(1, 1000);
+    REQUIRE(updates.size() == 1);
+    return updates[0];
+  };
+  const ItemProgress& received = standby.Find("j")->progress[0];
+  CHECK(standby.MergeProgress(advance(1, "one")));
+  const ProgressUpdate second = advance(2, "two");
+  CHECK(second.output == "\ntwo");
+  CHECK(standby.MergeProgress(ProgressUpdate(second)));
+  CHECK(standby.MergeProgress(ProgressUpdate(second)));
+  CHECK(received.output == "one\ntwo");
+  advance(3, "three");  // lost
+  CHECK_FALSE(standby.MergeProgress(advance(4, "four")));
+  CHECK(received.last_event == 2);
+  owner.RepublishItem("j", "j0");
+  CHECK(standby.MergeProgress(advance(5, "five")));
+  CHECK(received.output == own.output);
+  CHECK(received.last_event == 5);
+  owner.ForgetPublishedOutputs();
+  CHECK(owner.TakeProgressUpdates(1, 1000).empty());
+  CHECK(advance(6, "six").output == own.output);
+}
+
 TEST_CASE("progress updates are bounded in bytes; the rest follows later") {
   JobTable table;
   table.AddJob(MakeJob("j", 3, seconds(18)));
