--- a/libs/gateway/src/batch/job_forwarder.cc
+++ b/libs/gateway/src/batch/job_forwarder.cc
@@ -161,8 +161,8 @@
 }
 
 void JobForwarder::GiveUp(const Call& call) {
-  metrics_.Add("knap_job_calls_forwarded_total", {"no_holder"});
   if (call.unanswered) return call.unanswered();
+  metrics_.Add("knap_job_calls_forwarded_total", {"no_holder"});
   LogWarning("job_call_given_up",
              {{"job", call.job}, {"maybe_taken", call.maybe_accepted}});
   http::RespondCommand command{
--- a/libs/gateway/src/batch/record_fetcher.cc
+++ b/libs/gateway/src/batch/record_fetcher.cc
@@ -17,6 +17,7 @@
 // After both holders of many jobs have failed, so that the records do not
 // occupy the link of a small VM at once.
 constexpr size_t kMaxBackgroundReads = 4;
+constexpr std::chrono::milliseconds kBackgroundRetry{1000};
 
 }  // namespace
 
@@ -31,8 +32,11 @@
       [this, name](platform::StoreAnswer&& answer) { OnRead(name, answer); });
 }
 
-void RecordFetcher::FetchInBackground(const std::string& name) {
+void RecordFetcher::FetchInBackground(const std::string& name, TimePoint now) {
   if (waiting_.contains(name) || waiting_.size() >= kMaxBackgroundReads) return;
+  std::erase_if(retry_at_, [now](const auto& e) { return e.second <= now; });
+  if (retry_at_.contains(name) || !store_.reachable()) return;
+  retry_at_[name] = now + kBackgroundRetry;
   Fetch(name, [](bool) {});
 }
 
--- a/libs/gateway/src/batch/record_fetcher.h
+++ b/libs/gateway/src/batch/record_fetcher.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "platform/store_answer.h"
 
 namespace knapweedstile::gateway {
@@ -28,8 +29,9 @@
 
   // Reads the record, for example "job.ID".
   void Fetch(const std::string& name, Callback done);
-  // Reads the record unless a read is in flight or too many are.
-  void FetchInBackground(const std::string& name);
+  // Reads the record, unless that was tried a moment ago, too many reads are in
+  // flight or the store cannot be reached. May be called at every tick.
+  void FetchInBackground(const std::string& name, TimePoint now);
 
  private:
   void OnRead(const std::string& name, const platform::StoreAnswer& answer);
@@ -38,6 +40,8 @@
   const RecordKinds& kinds_;
   RecordReader& reader_;
   std::map<std::string, std::vector<Callback>> waiting_;  // by record name
+  // When a background read may be tried again, by record name.
+  std::map<std::string, TimePoint> retry_at_;
 };
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -30,9 +30,10 @@
 }
 
 bool Gateway::RunsItemsOf(const serving::BatchJob& job) {
-  if (!ownership_.Owns(job, MonotonicNow())) return false;
+  const TimePoint now = MonotonicNow();
+  if (!ownership_.Owns(job, now)) return false;
   if (job.has_bodies) return true;
-  record_fetcher_.FetchInBackground(JobName(job.id));
+  record_fetcher_.FetchInBackground(JobName(job.id), now);
   return false;
 }
 
--- a/scripts/guards_off.py
+++ b/scripts/guards_off.py
@@ -131,10 +131,12 @@
     ],
     "unknown_job_is_asked_for": [
         (GATEWAY + "batch/batch_api.cc",
-         "if (!known) return RespondUnknownJob(caller, job);",
-         "if (!known) return Respond(caller, 404);"),
+         "if (!known) return RespondUnknownJob(call->request.exchange, job);",
+         "if (!known) return Respond(call->request.exchange, 404);"),
         (GATEWAY + "gateway_records.cc",
-         "record_push_.Push(record, peers_.LiveAddresses());", ""),
+         "const auto addresses = peers_.LiveAddresses();\n  const RecordName",
+         "const std::map<std::string, std::string> addresses;\n"
+         "  const RecordName"),
     ],
 }
 
