Waiting: checks that fail for the failure they name

Cause: the silent peer's counts were the same in every span, waits were counted as in vain only beyond the bound that makes them impossible, and nothing showed that anybody waits when a server is removed or a caller leaves.

--- a/bench/waiting_bench.cc
+++ b/bench/waiting_bench.cc
@@ -32,9 +32,10 @@
     for (settings.seed = 1; settings.seed <= kSeeds; ++settings.seed) {
       sum += BurstModel(settings).Run();
     }
-    fmt::print("{:<22} {:<15} {:>8} {:>8} {:>6} {:>6} {:>8} {:>8} {:>7.4f}\n",
-               load, way.name, sum.requests, sum.in_time, sum.in_time_again,
-               sum.late, sum.rejected, sum.waited_in_vain, sum.Worth());
+    fmt::print(
+        "{:<22} {:<15} {:>8} {:>8} {:>6} {:>6} {:>8} {:>8} {:>7} {:>7.4f}\n",
+        load, way.name, sum.requests, sum.in_time, sum.in_time_again, sum.late,
+        sum.rejected, sum.waited_in_vain, sum.waited, sum.Worth());
   }
 }
 
@@ -44,9 +45,9 @@
 int main() {
   using knapweedstile::admission::BurstModel;
   using knapweedstile::admission::Print;
-  fmt::print("{:<22} {:<15} {:>8} {:>8} {:>6} {:>6} {:>8} {:>8} {:>7}\n",
+  fmt::print("{:<22} {:<15} {:>8} {:>8} {:>6} {:>6} {:>8} {:>8} {:>7} {:>7}\n",
              "load", "way", "requests", "in time", "again", "late", "rejected",
-             "in vain", "worth");
+             "in vain", "waited", "worth");
   for (const size_t gateways : {4, 12}) {
     for (const double factor : {2.0, 3.0, 4.0}) {
       Print(fmt::format("burst x{}, {} gateways", factor, gateways),
--- a/libs/admission/tests/burst_model.h
+++ b/libs/admission/tests/burst_model.h
@@ -44,8 +44,10 @@
     int in_time = 0;        // at the first attempt
     int in_time_again = 0;  // within the objective of the second attempt
     int late = 0;
-    int rejected = 0;        // for good
-    int waited_in_vain = 0;  // longer than a quarter of the objective
+    int rejected = 0;            // for good
+    int waited = 0;              // attempts that were not placed at once
+    int waited_in_vain = 0;      // of these, rejected in the end
+    double longest_in_vain = 0;  // seconds
 
     // A late response is worth little, one in time at the second attempt the
     // mean of both.
@@ -60,7 +62,9 @@
       in_time_again += other.in_time_again;
       late += other.late;
       rejected += other.rejected;
+      waited += other.waited;
       waited_in_vain += other.waited_in_vain;
+      longest_in_vain = std::max(longest_in_vain, other.longest_in_vain);
       return *this;
     }
   };
@@ -213,6 +217,7 @@
     if (!gateway.queue.empty()) gateway.rate.OnSaturated(Slots(), Now());
     for (const ExchangeId id : gateway.queue.Ids()) {
       if (!Place(id.value() - 1)) break;
+      if (now_ > callers_[id.value() - 1].attempt) ++outcome_.waited;
       gateway.queue.Remove(id);
     }
     const SlotFlow rate = gateway.rate.Flow(Slots(), Now());
@@ -237,8 +242,12 @@
 
   void Reject(size_t id) {
     Caller& caller = callers_[id];
-    const bool in_vain = now_ - caller.attempt > settings_.objective / 4 + 1e-6;
-    if (in_vain) ++outcome_.waited_in_vain;
+    if (now_ > caller.attempt) {
+      ++outcome_.waited;
+      ++outcome_.waited_in_vain;
+      outcome_.longest_in_vain =
+          std::max(outcome_.longest_in_vain, now_ - caller.attempt);
+    }
     if (caller.again) {
       ++outcome_.rejected;
       return;
--- a/libs/admission/tests/return_schedule_test.cc
+++ b/libs/admission/tests/return_schedule_test.cc
@@ -149,7 +149,11 @@
 // or not at all, and its counts must not keep others away for good.
 TEST_CASE("the promises of a silent peer expire") {
   ReturnSchedule schedule(1);
-  schedule.SetPeerReturns("peer", PromisedReturns(60, 50), kStart);
+  // The silent peer has sent far more to the second half of the later window
+  // than the other one to the first.
+  PromisedReturns second_half(64, 0);
+  for (size_t span = 29; span < 64; ++span) second_half[span] = 5000;
+  schedule.SetPeerReturns("peer", second_half, kStart);
   const TimePoint later = kStart + milliseconds(1600);
   schedule.Expire(later);
   PromisedReturns half(17, 0);
--- a/tests/users_platform/gateway_waiting_test.cc
+++ b/tests/users_platform/gateway_waiting_test.cc
@@ -36,6 +36,29 @@
       site.caller().RunFor(milliseconds(16));
     }
   }
+  // Streams go on so slowly that no slot becomes free.
+  void Freeze() { server.event_interval = milliseconds(300); }
+  void Unfreeze() { server.event_interval = milliseconds(10); }
+  bool OverloadUntilOneWaits() {
+    for (int i = 0; i < 60; ++i) {
+      if (Metric("knap_waiting") > 0) return true;
+      Overload(1);
+    }
+    return false;
+  }
+  bool Ran(const std::string& id) const {
+    return std::any_of(server.runs().begin(), server.runs().end(),
+                       [&](const auto& run) { return run.request_id == id; });
+  }
+  // The last one without an answer that has not reached the server.
+  size_t LastThatWaits() {
+    size_t i = sent.size();
+    while (i-- > 0) {
+      const bool open = !site.caller().answer(sent[i]).end.has_value();
+      if (open && !Ran("r" + std::to_string(i))) break;
+    }
+    return i;
+  }
   bool AllEnded() {
     return site.caller().RunUntil([&] {
       return std::all_of(sent.begin(), sent.end(), [&](ExchangeId exchange) {
@@ -85,12 +108,34 @@
   }
 }
 
-// Guards against waiting for a server that is no longer there, and against
-// slots for callers who have left.
-TEST_CASE("nobody waits for a removed server, or after leaving") {
+// Guards against slots for callers who have left.
+TEST_CASE("a caller that leaves while it waits is never served") {
   FullServer fleet;
   fleet.Overload(60);
+  fleet.Freeze();
+  REQUIRE(fleet.OverloadUntilOneWaits());
+  const size_t left = fleet.LastThatWaits();
+  REQUIRE(left < fleet.sent.size());
+  fleet.site.caller().Cancel(fleet.sent[left]);
+  const std::string id = "r" + std::to_string(left);
+  fleet.Unfreeze();
+  fleet.Overload(60);
+  fleet.sent.erase(fleet.sent.begin() + static_cast<ptrdiff_t>(left));
+  REQUIRE(fleet.AllEnded());
+  CHECK_FALSE(fleet.Ran(id));
+  CHECK(fleet.CountStatus(200) == fleet.server.runs().size());
+  CHECK(fleet.Metric("knap_waiting") == 0);
+  CHECK(fleet.Metric("knap_online_open") == 0);
+}
+
+// Guards against waiting for a server that is no longer there.
+TEST_CASE("nobody waits for a removed server") {
+  FullServer fleet;
+  fleet.Overload(60);
+  fleet.Freeze();
+  REQUIRE(fleet.OverloadUntilOneWaits());
   fleet.site.RemoveServer(fleet.server);
+  fleet.Unfreeze();
   for (int i = 0; i < 20; ++i) {
     const ExchangeId exchange = fleet.Send();
     if (i % 4 == 0) {
@@ -105,4 +150,19 @@
   CHECK(fleet.Metric("knap_online_open") == 0);
 }
 
+// Guards against a backoff that is taken for a service without slots: one
+// rejection as full would end the waiting of all.
+TEST_CASE("others wait on while the only server is in backoff") {
+  FullServer fleet;
+  const std::string no_rate = "knap_wait_rejected_total{cause=\"no_rate\"}";
+  fleet.Overload(60);
+  const double before = fleet.Metric(no_rate);
+  fleet.server.reject_next = 3;
+  fleet.Overload(40);
+  REQUIRE(fleet.server.reject_next == 0);
+  REQUIRE(fleet.AllEnded());
+  CHECK(fleet.Metric("knap_waited_seconds_count") > 0);
+  CHECK(fleet.Metric(no_rate) == before);
+}
+
 }  // namespace knapweedstile::users_site
