--- a/libs/admission/include/admission/return_schedule.h
+++ b/libs/admission/include/admission/return_schedule.h
@@ -51,6 +51,8 @@
   uint32_t Expire(TimePoint now);
 
   size_t open() const noexcept { return places_.size(); }
+  // Whether arrivals have a rhythm by which moments with room are chosen.
+  bool HasRhythm(TimePoint now) { return rhythm_.Period(now).has_value(); }
 
  private:
   using Spans = std::map<int64_t, uint32_t>;  // by span of time
--- a/libs/admission/src/return_schedule.cc
+++ b/libs/admission/src/return_schedule.cc
@@ -75,7 +75,7 @@
   const int64_t first = SpanOf(now + soonest);
   const int64_t last = SpanOf(now + longest);
   int64_t span = -1;
-  if (rate > 0 && rhythm_.Period(now)) {
+  if (rate > 0 && HasRhythm(now)) {
     span = PickWithRoom(first, last, rate, now);
     const int64_t at_once = SpanOf(now + std::min(backlog, longest));
     if (span < 0 && at_once < first) {
--- a/libs/admission/tests/return_schedule_test.cc
+++ b/libs/admission/tests/return_schedule_test.cc
@@ -47,7 +47,9 @@
 };
 
 // Requests take a free slot, or are rejected and retry once.
-Outcome Replay(const std::function<double(double at)>& retry_after) {
+Outcome Replay(
+    const std::function<double(double at)>& retry_after,
+    const std::function<void(double at)>& on_arrival = [](double) {}) {
   Outcome outcome;
   std::priority_queue<double, std::vector<double>, std::greater<>> ends;
   std::multimap<double, bool> retries;
@@ -63,16 +65,28 @@
     const double at = step * kStep;
     while (!retries.empty() && retries.begin()->first <= at) {
       retries.erase(retries.begin());
+      on_arrival(at);
       if (!try_start(at)) ++outcome.rejected;
     }
     for (due += ArrivalsPerSecond(at) * kStep; due >= 1; due -= 1) {
       ++outcome.requests;
+      on_arrival(at);
       if (!try_start(at)) retries.emplace(at + retry_after(at), true);
     }
   }
   return outcome;
 }
 
+// The usual peaks and valleys before the burst, which begins at kStart.
+void LearnUsualPeaks(ReturnSchedule& schedule) {
+  Rng rng(7);
+  for (double at = -36; at < 0;) {
+    schedule.OnArrival(kStart + FromSeconds(at));
+    const bool peak = std::fmod(at + 36, 6.0) < 2.4;
+    at += -std::log(1 - UniformUnit(rng)) / (peak ? 136 : 28);
+  }
+}
+
 }  // namespace
 
 // Guards against callers that retry too soon: traffic triples for five seconds,
@@ -94,10 +108,34 @@
   CHECK(timeout_based.rejected * 100 < queue_based.rejected * 80);
 }
 
+// Guards against the same where the rhythm of arrivals and the rate are known.
+TEST_CASE("with a rhythm too, callers retry after a burst") {
+  constexpr double kRate = kSlots / kRequestSeconds;
+  Rng rng(1);
+  ReturnSchedule schedule(1);
+  LearnUsualPeaks(schedule);
+  REQUIRE(schedule.HasRhythm(kStart));
+  uint64_t caller = 0;
+  const auto queue_based =
+      Replay([&](double) { return 0.3 * (0.5 + UniformUnit(rng)); });
+  const auto scheduled = Replay(
+      [&](double at) {
+        return ToSeconds(
+            schedule.Promise(++caller, FromSeconds(kCallerTimeoutSeconds),
+                             kBacklog, kRate, kStart + FromSeconds(at)));
+      },
+      [&](double at) { schedule.OnArrival(kStart + FromSeconds(at)); });
+  CAPTURE(queue_based.requests, queue_based.rejected, scheduled.rejected);
+  REQUIRE(queue_based.rejected * 100 > queue_based.requests * 15);
+  CHECK(scheduled.rejected * 100 < queue_based.rejected * 80);
+}
+
 TEST_CASE("Retry-After never exceeds what the caller would wait") {
   ReturnSchedule unknown(1);
   ReturnSchedule rhythmic(1);
   const TimePoint now = LearnPeaks(rhythmic);
+  REQUIRE(rhythmic.HasRhythm(now));
+  REQUIRE_FALSE(unknown.HasRhythm(now));
   uint64_t caller = 0;
   for (const int left : {0, 10, 500, 5000, 60000}) {
     const Duration longest = milliseconds(left) / 3 + milliseconds(1);
@@ -107,6 +145,14 @@
                                 milliseconds(backlog), 20, now) <= longest);
       }
     }
+    // With a rhythm, not before a slot may be free.
+    for (const int backlog : {0, 100, 1000, 20000}) {
+      const Duration after = rhythmic.Promise(++caller, milliseconds(left),
+                                              milliseconds(backlog), 20, now);
+      CHECK(after >=
+            std::min<Duration>(milliseconds(backlog), milliseconds(left) / 3) -
+                milliseconds(1));
+    }
     // Without a rhythm, late in the caller's time.
     CHECK(unknown.Promise(++caller, milliseconds(left), milliseconds(0), 20,
                           now) >= milliseconds(left) / 6 - milliseconds(1));
@@ -118,6 +164,7 @@
   ReturnSchedule schedule(1);
   const TimePoint valley_begins = LearnPeaks(schedule);
   const TimePoint now = valley_begins - milliseconds(1300);
+  REQUIRE(schedule.HasRhythm(now));
   int in_valley = 0;
   for (uint64_t caller = 1; caller <= 40; ++caller) {
     const TimePoint at =
--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -34,7 +34,7 @@
                     "if (now < kNever) return WaitVerdict::kNoRate;")],
     # Callers return at random, late in the time they have left.
     "rhythm": [("libs/admission/src/return_schedule.cc",
-                "if (rate > 0 && rhythm_.Period(now)) {",
+                "if (rate > 0 && HasRhythm(now)) {",
                 "if (rate > 0 && now == kNever) {")],
     "jobs_in_time_first": [("libs/serving/src/job_table.cc",
                             "return overdue_a != overdue_b ? overdue_b : a.due_at < b.due_at;",
