Waiting: who is rejected after a wait keeps the backlog in Retry-After

Cause: a call that was found hopeless in the queue was rejected with a backlog of zero, so that its caller could be asked back at once where arrivals have a rhythm; the ablation return_time gave such callers 0 s. Change: the call keeps the scheduler's retry_after of its last attempt, and Promise and the ablation use that. The way from the placement to the promise has no test of its own.

--- a/libs/gateway/src/online/online_call.h
+++ b/libs/gateway/src/online/online_call.h
@@ -36,6 +36,7 @@
   bool returns_as_asked = false;   // was rejected here, and came back then
   TimePoint waits_since = kNever;  // never: does not wait
   Duration waited{};               // over all attempts
+  Duration backlog{};  // time until a slot may be free, as of the last attempt
   // Why it did not wait, or no longer.
   admission::WaitVerdict wait_verdict = admission::WaitVerdict::kWaits;
 
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -114,7 +114,8 @@
       !resumes_stream) {
     if (call.runs > 0) return Fail(call, kBadGateway, "no_server_to_repeat");
     if (placement.outcome == serving::PlacementOutcome::kSaturated) {
-      return WaitOrReject(call, placement.retry_after);
+      call.backlog = placement.retry_after;
+      return WaitOrReject(call);
     }
     return Reject(call, placement.retry_after, NameOf(placement.outcome));
   }
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -111,10 +111,8 @@
   uint32_t SlotsOf(const std::string& service) const;
   admission::Standing StandingOf(const OnlineCall& call) const;
   // For requests that were not executed and for which there is no slot.
-  // `backlog`: time until one may be free.
-  void WaitOrReject(OnlineCall& call, Duration backlog);
-  void RejectSaturated(OnlineCall& call, admission::WaitVerdict verdict,
-                       Duration backlog);
+  void WaitOrReject(OnlineCall& call);
+  void RejectSaturated(OnlineCall& call, admission::WaitVerdict verdict);
   // Places the waiting requests of the service for which there are slots, and
   // rejects those that will get none in time.
   void ServeWaiting(const std::string& service);
--- a/libs/gateway/src/online/online_waiting.cc
+++ b/libs/gateway/src/online/online_waiting.cc
@@ -35,22 +35,21 @@
                              : admission::Standing::kWithinShare;
 }
 
-void OnlineCalls::WaitOrReject(OnlineCall& call, Duration backlog) {
+void OnlineCalls::WaitOrReject(OnlineCall& call) {
   const WaitVerdict verdict = waiting_.Offer(
       call, StandingOf(call), SlotsOf(call.service), MonotonicNow());
   if (verdict != WaitVerdict::kWaits) {
-    return RejectSaturated(call, verdict, backlog);
+    return RejectSaturated(call, verdict);
   }
   // Those behind it may no longer fit.
   RejectHopeless(std::string(call.service), MonotonicNow());
 }
 
-void OnlineCalls::RejectSaturated(OnlineCall& call, WaitVerdict verdict,
-                                  Duration backlog) {
+void OnlineCalls::RejectSaturated(OnlineCall& call, WaitVerdict verdict) {
   call.wait_verdict = verdict;
   metrics_.Add("knap_wait_rejected_total", {std::string(NameOf(verdict))});
   const Duration promised = waiting_.PromiseReturn(
-      call, backlog, SlotsOf(call.service), MonotonicNow());
+      call, call.backlog, SlotsOf(call.service), MonotonicNow());
   Reject(call, promised, NameOf(PlacementOutcome::kSaturated));
 }
 
@@ -66,6 +65,7 @@
     const auto placement = scheduler_.PlaceOnline(service, QueueObjective(call),
                                                   call.excluded, now);
     if (placement.outcome == PlacementOutcome::kSaturated) {
+      call.backlog = placement.retry_after;
       if (call.excluded.empty() || ++unplaced == kMaxUnplaced) break;
       continue;
     }
@@ -89,7 +89,7 @@
     const auto found = calls_.find(one.id);
     if (found == calls_.end()) continue;
     waiting_.Remove(found->second, now);
-    RejectSaturated(found->second, one.cause, Duration::zero());
+    RejectSaturated(found->second, one.cause);
   }
 }
 
--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -27,7 +27,7 @@
                      "queue_share_of_objective = 0.0;")],
     # Rejected callers retry after the queue's time.
     "return_time": [(GATEWAY + "online/online_waiting.cc",
-                     "Reject(call, promised, ", "Reject(call, backlog, ")],
+                     "Reject(call, promised, ", "Reject(call, call.backlog, ")],
     # Requests without a slot are rejected at once.
     "wait_queue": [("libs/admission/src/wait_queue.cc",
                     "if (rate < kMinRate) return WaitVerdict::kNoRate;",
