Wait queue: the rate is checked at the present, the time at the next check

Cause: each 20 ms the whole check of the queue was made as of the next one: a request that had been taken with just enough slots was rejected at once. Change: Offer and TakeHopeless both compare slots as of now and only the end of a request's time with the next check; Offer takes none whose time ends before.

--- a/libs/admission/include/admission/wait_queue.h
+++ b/libs/admission/include/admission/wait_queue.h
@@ -37,13 +37,16 @@
     WaitVerdict cause = WaitVerdict::kTooLong;
   };
 
-  // After kWaits, the request is in the queue.
+  // After kWaits, the request is in the queue. None is taken whose time ends
+  // before `next_check`.
   WaitVerdict Offer(const WaitRequest& request, const SlotFlow& flow,
-                    TimePoint now);
+                    TimePoint now, TimePoint next_check);
   // The request is placed, or its caller has left.
   bool Remove(ExchangeId id);
-  // Removes the requests that will not be served in time.
-  std::vector<Rejected> TakeHopeless(const SlotFlow& flow, TimePoint now);
+  // Removes the requests that will not be served in time, and those whose time
+  // ends before `next_check`.
+  std::vector<Rejected> TakeHopeless(const SlotFlow& flow, TimePoint now,
+                                     TimePoint next_check);
   // In the order in which they are served.
   std::vector<ExchangeId> Ids() const;
 
--- a/libs/admission/src/wait_queue.cc
+++ b/libs/admission/src/wait_queue.cc
@@ -23,7 +23,7 @@
 }  // namespace
 
 WaitVerdict WaitQueue::Offer(const WaitRequest& request, const SlotFlow& flow,
-                             TimePoint now) {
+                             TimePoint now, TimePoint next_check) {
   const double rate = flow.freed_per_second;
   if (rate < kMinRate) return WaitVerdict::kNoRate;
   if (flow.offered_per_second > kMaxOverload * rate) {
@@ -41,7 +41,8 @@
                     .arrival = ++arrivals_};
   const auto ahead = static_cast<size_t>(
       std::distance(by_order_.begin(), by_order_.lower_bound(order)));
-  if (!BecomeFree(ahead + 1, request.start_by, rate, now)) {
+  if (next_check >= request.start_by ||
+      !BecomeFree(ahead + 1, request.start_by, rate, now)) {
     return WaitVerdict::kTooLong;
   }
   by_order_.emplace(order, request);
@@ -61,7 +62,8 @@
 // own: when it came, that one was expected within its time, and rejecting it at
 // each short pause of the rate would serve nobody.
 std::vector<WaitQueue::Rejected> WaitQueue::TakeHopeless(const SlotFlow& flow,
-                                                         TimePoint now) {
+                                                         TimePoint now,
+                                                         TimePoint next_check) {
   const double rate = flow.freed_per_second;
   std::vector<Rejected> rejected;
   size_t ahead = 0;
@@ -72,7 +74,7 @@
       rejected.push_back({request.id, WaitVerdict::kBeyondShare});
     } else if (rate < kMinRate) {
       rejected.push_back({request.id, WaitVerdict::kNoRate});
-    } else if (now >= request.start_by ||
+    } else if (next_check >= request.start_by ||
                !BecomeFree(ahead, request.start_by, rate, now)) {
       rejected.push_back({request.id, WaitVerdict::kTooLong});
     } else {
--- a/libs/admission/tests/burst_model.h
+++ b/libs/admission/tests/burst_model.h
@@ -161,7 +161,8 @@
         .deadline = At(caller.came + settings_.caller_seconds),
         .start_by = At(start_by)};
     if (settings_.waits &&
-        gateway.queue.Offer(request, rate, Now()) == WaitVerdict::kWaits) {
+        gateway.queue.Offer(request, rate, Now(), At(next_tick_)) ==
+            WaitVerdict::kWaits) {
       return Serve(gateway, now_);
     }
     Reject(id);
@@ -221,12 +222,14 @@
       gateway.queue.Remove(id);
     }
     const SlotFlow rate = gateway.rate.Flow(Slots(), Now());
-    for (const auto& one : gateway.queue.TakeHopeless(rate, At(next_check))) {
+    for (const auto& one :
+         gateway.queue.TakeHopeless(rate, Now(), At(next_check))) {
       Reject(one.id.value() - 1);
     }
   }
 
   void Tick() {
+    next_tick_ = now_ + kTick;
     for (Gateway& gateway : gateways_) Serve(gateway, now_ + kTick);
     if (now_ < reported_at_ + kReportEvery) return;
     reported_at_ = now_;
@@ -268,6 +271,7 @@
   Rng rng_;
   double now_ = 0;
   double reported_at_ = 0;
+  double next_tick_ = 0;
   std::priority_queue<Event> events_;
   std::vector<Caller> callers_;
   std::vector<Gateway> gateways_;
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -141,6 +141,7 @@
   WaitingCalls waiting_;
   bool serving_waiting_ = false;  // ServeWaiting() is running
   TimePoint served_at_{};         // after a report of a peer
+  TimePoint next_run_{};
   Callbacks callbacks_;
   std::unordered_map<ExchangeId, OnlineCall> calls_;  // by caller
   std::unordered_map<ExchangeId, ExchangeId> upstreams_;
--- a/libs/gateway/src/online/online_waiting.cc
+++ b/libs/gateway/src/online/online_waiting.cc
@@ -37,7 +37,7 @@
 
 void OnlineCalls::WaitOrReject(OnlineCall& call) {
   const WaitVerdict verdict = waiting_.Offer(
-      call, StandingOf(call), SlotsOf(call.service), MonotonicNow());
+      call, StandingOf(call), SlotsOf(call.service), MonotonicNow(), next_run_);
   if (verdict != WaitVerdict::kWaits) {
     return RejectSaturated(call, verdict);
   }
@@ -112,6 +112,7 @@
 }
 
 void OnlineCalls::Run(TimePoint now, TimePoint next_run) {
+  next_run_ = next_run;
   for (const std::string& service : waiting_.ServicesWithWaiting()) {
     ServeWaiting(service);
     RejectHopeless(service, next_run);
--- a/libs/gateway/src/online/waiting_calls.cc
+++ b/libs/gateway/src/online/waiting_calls.cc
@@ -63,7 +63,8 @@
 }
 
 WaitVerdict WaitingCalls::Offer(OnlineCall& call, admission::Standing standing,
-                                uint32_t slots, TimePoint now) {
+                                uint32_t slots, TimePoint now,
+                                TimePoint next_check) {
   Service& service = ServiceOf(call.service);
   service.rate.OnSaturated(slots, now);
   const WaitVerdict verdict =
@@ -73,7 +74,7 @@
                            .returns_as_asked = call.returns_as_asked,
                            .deadline = call.deadline,
                            .start_by = StartBy(call)},
-                          service.rate.Flow(slots, now), now);
+                          service.rate.Flow(slots, now), now, next_check);
   if (verdict == WaitVerdict::kWaits) call.waits_since = now;
   return verdict;
 }
@@ -91,7 +92,8 @@
   Service& service = ServiceOf(name);
   if (service.queue.empty()) return {};
   service.rate.OnSaturated(slots, now);
-  return service.queue.TakeHopeless(service.rate.Flow(slots, now), next_check);
+  return service.queue.TakeHopeless(service.rate.Flow(slots, now), now,
+                                    next_check);
 }
 
 Duration WaitingCalls::PromiseReturn(const OnlineCall& call, Duration backlog,
--- a/libs/gateway/src/online/waiting_calls.h
+++ b/libs/gateway/src/online/waiting_calls.h
@@ -48,9 +48,11 @@
   // A request of the service has ended.
   void OnFreed(const std::string& service, TimePoint now);
 
-  // Decisions. `slots`: of the service. Offer: after kWaits the call waits.
+  // Decisions. `slots`: of the service; `next_check`: when TakeHopeless() is
+  // called next at the latest. Offer: after kWaits the call waits.
   admission::WaitVerdict Offer(OnlineCall& call, admission::Standing standing,
-                               uint32_t slots, TimePoint now);
+                               uint32_t slots, TimePoint now,
+                               TimePoint next_check);
   // Removes a call that is placed, rejected, or whose caller has left.
   void Remove(OnlineCall& call, TimePoint now);
   // Removes those that will not be placed in time, or whose time ends before
--- a/libs/gateway/tests/waiting_calls_test.cc
+++ b/libs/gateway/tests/waiting_calls_test.cc
@@ -37,7 +37,7 @@
     return call;
   }
   WaitVerdict Offer(OnlineCall& call) {
-    return waiting.Offer(call, Standing::kWithinShare, kSlots, now);
+    return waiting.Offer(call, Standing::kWithinShare, kSlots, now, now);
   }
   // Half a second of saturation, in which a slot becomes free each 20 ms.
   void Saturate() {
@@ -92,6 +92,7 @@
   REQUIRE(rejected.size() == 1);
   CHECK(rejected[0].cause == WaitVerdict::kNoRate);
   CHECK(service.waiting.Offer(service.Arrive(2), Standing::kWithinShare, 0,
+                              service.now,
                               service.now) == WaitVerdict::kNoRate);
 }
 
