Waiting: a promised place belongs to a workspace's request

Cause: the fingerprint by which a returning caller is known has no workspace: the same request of another workspace took the place. Change: the book of places combines it with the workspace; the fingerprint itself, by which crashes are tracked, stays as it is. Result: gateway_tests pass (37 cases), with a test of two workspaces.

--- a/libs/gateway/src/online/waiting_calls.cc
+++ b/libs/gateway/src/online/waiting_calls.cc
@@ -16,6 +16,11 @@
 // next attempt; what is left of the objective is for the queue at the server.
 constexpr int kWaitDivisor = 4;
 
+// Workspaces may send the same request: each has its own place.
+uint64_t PlaceOf(const OnlineCall& call) {
+  return HashCombine(call.fingerprint, Hash64(call.workspace));
+}
+
 }  // namespace
 
 WaitingCalls::WaitingCalls(observe::Metrics& metrics, uint64_t seed)
@@ -40,7 +45,7 @@
   Service& service = ServiceOf(call.service);
   service.rate.OnOffered(now);
   service.returns.OnArrival(now);
-  call.returns_as_asked = service.returns.TakeReturn(call.fingerprint, now);
+  call.returns_as_asked = service.returns.TakeReturn(PlaceOf(call), now);
   if (call.returns_as_asked) metrics_.Add("knap_returns_total", {"as_asked"});
 }
 
@@ -100,7 +105,7 @@
                                      uint32_t slots, TimePoint now) {
   Service& service = ServiceOf(call.service);
   return service.returns.Promise(
-      call.fingerprint, Remaining(call.deadline, now), backlog,
+      PlaceOf(call), Remaining(call.deadline, now), backlog,
       service.rate.Flow(slots, now).freed_per_second, now);
 }
 
--- a/libs/gateway/tests/waiting_calls_test.cc
+++ b/libs/gateway/tests/waiting_calls_test.cc
@@ -126,4 +126,21 @@
             "knap_returns_total{outcome=\"as_asked\"} 1") != std::string::npos);
 }
 
+// Guards against a workspace that takes the place of another one, whose callers
+// send the same request.
+TEST_CASE("a place belongs to the workspace whose caller was rejected") {
+  OneService service;
+  OnlineCall& rejected = service.Arrive(7);
+  rejected.workspace = "north";
+  service.now +=
+      service.waiting.PromiseReturn(rejected, {}, kSlots, service.now);
+  OnlineCall& stranger = service.calls[8];
+  stranger.workspace = "south";
+  stranger.fingerprint = 7;
+  stranger.service = "llm";
+  service.waiting.OnArrival(stranger, service.now);
+  CHECK_FALSE(stranger.returns_as_asked);
+  CHECK(service.Arrive(7).returns_as_asked);
+}
+
 }  // namespace knapweedstile::gateway
