--- a/libs/admission/tests/burst_model.h
+++ b/libs/admission/tests/burst_model.h
@@ -44,8 +44,10 @@
     int in_time = 0;        // at the first attempt
     int in_time_again = 0;  // within the objective of the second attempt
     int late = 0;
-    int rejected = 0;        // for good
-    int waited_in_vain = 0;  // longer than a quarter of the objective
+    int rejected = 0;            // for good
+    int waited = 0;              // attempts that were not placed at once
+    int waited_in_vain = 0;      // of these, rejected in the end
+    double longest_in_vain = 0;  // seconds
 
     // A late response is worth little, one in time at the second attempt the
     // mean of both.
@@ -60,7 +62,9 @@
       in_time_again += other.in_time_again;
       late += other.late;
       rejected += other.rejected;
+      waited += other.waited;
       waited_in_vain += other.waited_in_vain;
+      longest_in_vain = std::max(longest_in_vain, other.longest_in_vain);
       return *this;
     }
   };
@@ -157,7 +161,8 @@
         .deadline = At(caller.came + settings_.caller_seconds),
         .start_by = At(start_by)};
     if (settings_.waits &&
-        gateway.queue.Offer(request, rate, Now()) == WaitVerdict::kWaits) {
+        gateway.queue.Offer(request, rate, Now(), At(next_tick_)) ==
+            WaitVerdict::kWaits) {
       return Serve(gateway, now_);
     }
     Reject(id);
@@ -213,15 +218,18 @@
     if (!gateway.queue.empty()) gateway.rate.OnSaturated(Slots(), Now());
     for (const ExchangeId id : gateway.queue.Ids()) {
       if (!Place(id.value() - 1)) break;
+      if (now_ > callers_[id.value() - 1].attempt) ++outcome_.waited;
       gateway.queue.Remove(id);
     }
     const SlotFlow rate = gateway.rate.Flow(Slots(), Now());
-    for (const auto& one : gateway.queue.TakeHopeless(rate, At(next_check))) {
+    for (const auto& one :
+         gateway.queue.TakeHopeless(rate, Now(), At(next_check))) {
       Reject(one.id.value() - 1);
     }
   }
 
   void Tick() {
+    next_tick_ = now_ + kTick;
     for (Gateway& gateway : gateways_) Serve(gateway, now_ + kTick);
     if (now_ < reported_at_ + kReportEvery) return;
     reported_at_ = now_;
@@ -237,8 +245,12 @@
 
   void Reject(size_t id) {
     Caller& caller = callers_[id];
-    const bool in_vain = now_ - caller.attempt > settings_.objective / 4 + 1e-6;
-    if (in_vain) ++outcome_.waited_in_vain;
+    if (now_ > caller.attempt) {
+      ++outcome_.waited;
+      ++outcome_.waited_in_vain;
+      outcome_.longest_in_vain =
+          std::max(outcome_.longest_in_vain, now_ - caller.attempt);
+    }
     if (caller.again) {
       ++outcome_.rejected;
       return;
@@ -259,6 +271,7 @@
   Rng rng_;
   double now_ = 0;
   double reported_at_ = 0;
+  double next_tick_ = 0;
   std::priority_queue<Event> events_;
   std::vector<Caller> callers_;
   std::vector<Gateway> gateways_;
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -111,10 +111,8 @@
   uint32_t SlotsOf(const std::string& service) const;
   admission::Standing StandingOf(const OnlineCall& call) const;
   // For requests that were not executed and for which there is no slot.
-  // `backlog`: time until one may be free.
-  void WaitOrReject(OnlineCall& call, Duration backlog);
-  void RejectSaturated(OnlineCall& call, admission::WaitVerdict verdict,
-                       Duration backlog);
+  void WaitOrReject(OnlineCall& call);
+  void RejectSaturated(OnlineCall& call, admission::WaitVerdict verdict);
   // Places the waiting requests of the service for which there are slots, and
   // rejects those that will get none in time.
   void ServeWaiting(const std::string& service);
@@ -143,6 +141,7 @@
   WaitingCalls waiting_;
   bool serving_waiting_ = false;  // ServeWaiting() is running
   TimePoint served_at_{};         // after a report of a peer
+  TimePoint next_run_{};
   Callbacks callbacks_;
   std::unordered_map<ExchangeId, OnlineCall> calls_;  // by caller
   std::unordered_map<ExchangeId, ExchangeId> upstreams_;
--- a/libs/gateway/src/online/online_waiting.cc
+++ b/libs/gateway/src/online/online_waiting.cc
@@ -17,8 +17,17 @@
 
 }  // namespace
 
+// Servers in backoff count: after a rejection as full, their slots still run
+// and become free. Of one that does not answer, the ends are missing.
 uint32_t OnlineCalls::SlotsOf(const std::string& service) const {
-  return scheduler_.CountSlots(service, MonotonicNow()).all;
+  uint32_t slots = 0;
+  for (const BackendServerId id : scheduler_.Servers()) {
+    const serving::ServerRecord* record = scheduler_.Record(id);
+    const bool counts = record->service == service && !record->draining &&
+                        scheduler_.Find(record->instance) == id;
+    if (counts) slots += record->slots;
+  }
+  return slots;
 }
 
 admission::Standing OnlineCalls::StandingOf(const OnlineCall& call) const {
@@ -26,22 +35,21 @@
                              : admission::Standing::kWithinShare;
 }
 
-void OnlineCalls::WaitOrReject(OnlineCall& call, Duration backlog) {
+void OnlineCalls::WaitOrReject(OnlineCall& call) {
   const WaitVerdict verdict = waiting_.Offer(
-      call, StandingOf(call), SlotsOf(call.service), MonotonicNow());
+      call, StandingOf(call), SlotsOf(call.service), MonotonicNow(), next_run_);
   if (verdict != WaitVerdict::kWaits) {
-    return RejectSaturated(call, verdict, backlog);
+    return RejectSaturated(call, verdict);
   }
   // Those behind it may no longer fit.
   RejectHopeless(std::string(call.service), MonotonicNow());
 }
 
-void OnlineCalls::RejectSaturated(OnlineCall& call, WaitVerdict verdict,
-                                  Duration backlog) {
+void OnlineCalls::RejectSaturated(OnlineCall& call, WaitVerdict verdict) {
   call.wait_verdict = verdict;
   metrics_.Add("knap_wait_rejected_total", {std::string(NameOf(verdict))});
   const Duration promised = waiting_.PromiseReturn(
-      call, backlog, SlotsOf(call.service), MonotonicNow());
+      call, call.backlog, SlotsOf(call.service), MonotonicNow());
   Reject(call, promised, NameOf(PlacementOutcome::kSaturated));
 }
 
@@ -57,6 +65,7 @@
     const auto placement = scheduler_.PlaceOnline(service, QueueObjective(call),
                                                   call.excluded, now);
     if (placement.outcome == PlacementOutcome::kSaturated) {
+      call.backlog = placement.retry_after;
       if (call.excluded.empty() || ++unplaced == kMaxUnplaced) break;
       continue;
     }
@@ -80,7 +89,7 @@
     const auto found = calls_.find(one.id);
     if (found == calls_.end()) continue;
     waiting_.Remove(found->second, now);
-    RejectSaturated(found->second, one.cause, Duration::zero());
+    RejectSaturated(found->second, one.cause);
   }
 }
 
@@ -103,6 +112,7 @@
 }
 
 void OnlineCalls::Run(TimePoint now, TimePoint next_run) {
+  next_run_ = next_run;
   for (const std::string& service : waiting_.ServicesWithWaiting()) {
     ServeWaiting(service);
     RejectHopeless(service, next_run);
--- a/libs/gateway/tests/waiting_calls_test.cc
+++ b/libs/gateway/tests/waiting_calls_test.cc
@@ -37,7 +37,7 @@
     return call;
   }
   WaitVerdict Offer(OnlineCall& call) {
-    return waiting.Offer(call, Standing::kWithinShare, kSlots, now);
+    return waiting.Offer(call, Standing::kWithinShare, kSlots, now, now);
   }
   // Half a second of saturation, in which a slot becomes free each 20 ms.
   void Saturate() {
@@ -92,6 +92,7 @@
   REQUIRE(rejected.size() == 1);
   CHECK(rejected[0].cause == WaitVerdict::kNoRate);
   CHECK(service.waiting.Offer(service.Arrive(2), Standing::kWithinShare, 0,
+                              service.now,
                               service.now) == WaitVerdict::kNoRate);
 }
 
@@ -125,4 +126,21 @@
             "knap_returns_total{outcome=\"as_asked\"} 1") != std::string::npos);
 }
 
+// Guards against a workspace that takes the place of another one, whose callers
+// send the same request.
+TEST_CASE("a place belongs to the workspace whose caller was rejected") {
+  OneService service;
+  OnlineCall& rejected = service.Arrive(7);
+  rejected.workspace = "north";
+  service.now +=
+      service.waiting.PromiseReturn(rejected, {}, kSlots, service.now);
+  OnlineCall& stranger = service.calls[8];
+  stranger.workspace = "south";
+  stranger.fingerprint = 7;
+  stranger.service = "llm";
+  service.waiting.OnArrival(stranger, service.now);
+  CHECK_FALSE(stranger.returns_as_asked);
+  CHECK(service.Arrive(7).returns_as_asked);
+}
+
 }  // namespace knapweedstile::gateway
