Serving: failures that many gateways see one by one are pooled

Cause: with 23 gateways each makes less than one attempt a second at a server; a view of fewer than three attempts did not count, so a server that failed four in ten was hardly found. An item's strong preference for slow servers held slots for longer.

--- a/libs/serving/include/serving/server_pace.h
+++ b/libs/serving/include/serving/server_pace.h
@@ -117,7 +117,9 @@
     // Estimates.
     double own_slowness = 0;  // zero: unknown
     double slowness = 1;
-    double failure_share = 0;
+    double failure_share = 0;   // beyond the median server's
+    double known_attempts = 0;  // on which the share rests
+    double known_failures = 0;
     bool in_slow_stretch = false;
     // Standing.
     ServerStanding standing = ServerStanding::kTrusted;
@@ -126,6 +128,10 @@
     TimePoint avoided_until{};
     TimePoint restored_at{};
   };
+  struct FailureView {
+    double attempts = 0;
+    double failures = 0;
+  };
   struct PeerReport {
     std::map<ServerProcessId, ServerObservation> observations;
     TimePoint expires_at{};
@@ -145,8 +151,11 @@
                        TimePoint now);
   // Median over the views; zero: no view.
   double CombinedSlowness(ServerProcessId process, const Server& server) const;
-  double CombinedFailureShare(ServerProcessId process,
-                              const Server& server) const;
+  std::vector<FailureView> FailureViews(ServerProcessId process,
+                                        const Server& server) const;
+  static FailureView PoolFailures(const std::vector<FailureView>& views);
+  // Whether the share of failures is high and rests on more than chance.
+  static bool FailsOften(const Server& server);
   bool IsReportable(const ServerObservation& observation) const;
   // Whether many servers of the service fail at once, or as many as may be are
   // avoided already.
--- a/libs/serving/src/server_pace.cc
+++ b/libs/serving/src/server_pace.cc
@@ -31,6 +31,8 @@
 constexpr double kSlownessExponent = 2.0;
 constexpr double kMinSlownessWeight = 0.1;
 constexpr double kMaxSlownessWeight = 2.0;
+// Little, since slots are held for longer on slow servers.
+constexpr double kMaxSlowPreference = 1.6;
 
 // A difference below this many standard errors is taken as chance.
 constexpr double kSignificantErrors = 3.5;
@@ -47,8 +49,10 @@
 
 constexpr std::chrono::seconds kFailureMemory{30};
 // Attempts without failure that every server is assumed to have had.
-constexpr double kPriorAttempts = 10;
-constexpr double kMinViewAttempts = 3;
+constexpr double kPriorAttempts = 6;
+constexpr double kMinViewAttempts = 0.5;
+// A view counts for no more, so that a single one does not hide the others.
+constexpr double kMaxViewAttempts = 50;
 // Excess of the share of failures over the median server that is ignored.
 constexpr double kIgnoredFailureShare = 0.04;
 constexpr double kFailureExponent = 8.0;
@@ -288,7 +292,10 @@
   std::vector<double> shares;
   for (const ServerProcessId process : group) {
     Server& server = servers_[process];
-    server.failure_share = CombinedFailureShare(process, server);
+    const FailureView pool = PoolFailures(FailureViews(process, server));
+    server.known_attempts = pool.attempts;
+    server.known_failures = pool.failures;
+    server.failure_share = pool.failures / (pool.attempts + kPriorAttempts);
     shares.push_back(server.failure_share);
   }
   const double median = Median(shares);
@@ -299,39 +306,50 @@
   }
 }
 
-double ServerPace::CombinedFailureShare(ServerProcessId process,
-                                        const Server& server) const {
-  double attempts = 0;
-  double failures = 0;
-  int views = 0;
-  double worst_share = -1;
-  double worst_attempts = 0;
-  double worst_failures = 0;
-  const auto add = [&](double view_attempts, double view_failures) {
-    if (view_attempts < kMinViewAttempts) return;
-    ++views;
-    attempts += view_attempts;
-    failures += view_failures;
-    const double share = view_failures / view_attempts;
-    if (share <= worst_share) return;
-    worst_share = share;
-    worst_attempts = view_attempts;
-    worst_failures = view_failures;
+std::vector<ServerPace::FailureView> ServerPace::FailureViews(
+    ServerProcessId process, const Server& server) const {
+  std::vector<FailureView> views;
+  const auto add = [&](double attempts, double failures) {
+    const double scale = std::min(1.0, kMaxViewAttempts / attempts);
+    views.push_back({attempts * scale, failures * scale});
   };
-  add(server.attempts, server.failures);
-  const bool has_own_view = views > 0;
+  if (server.attempts >= kMinViewAttempts)
+    add(server.attempts, server.failures);
+  const bool has_own_view = !views.empty();
   for (const auto& [peer, report] : peer_reports_) {
     const auto view = report.observations.find(process);
     if (view == report.observations.end()) continue;
+    if (view->second.attempts == 0) continue;
     add(view->second.attempts, view->second.failures);
   }
   // Alone, this gateway believes itself, but no single peer.
-  if (views > 1 || !has_own_view) {
-    attempts -= worst_attempts;
-    failures -= worst_failures;
+  if (views.size() == 1 && !has_own_view) views.clear();
+  return views;
+}
+
+// The views are pooled, since each of many gateways makes few attempts at a
+// server, but the one that adds most failures is left out. Of a single view one
+// failure is left out, since it proves nothing.
+ServerPace::FailureView ServerPace::PoolFailures(
+    const std::vector<FailureView>& views) {
+  FailureView pool;
+  for (const FailureView& view : views) {
+    pool.attempts += view.attempts;
+    pool.failures += view.failures;
   }
-  // One failure alone proves nothing.
-  return std::max(0.0, failures - 1) / (attempts + kPriorAttempts);
+  if (views.empty()) return pool;
+  if (views.size() == 1) {
+    pool.failures = std::max(0.0, pool.failures - 1);
+    return pool;
+  }
+  const double share = pool.failures / pool.attempts;
+  const auto excess = [share](const FailureView& view) {
+    return view.failures - share * view.attempts;
+  };
+  const FailureView worst = *std::max_element(
+      views.begin(), views.end(),
+      [&](const auto& a, const auto& b) { return excess(a) < excess(b); });
+  return {pool.attempts - worst.attempts, pool.failures - worst.failures};
 }
 
 void ServerPace::UpdateDiffers() {
@@ -352,10 +370,11 @@
   double weight = 1;
   const bool prefers_fast = preferred == PreferredPace::kFast;
   if (server.slowness != 1) {
-    const double exponent =
-        prefers_fast ? -kSlownessExponent : kSlownessExponent;
-    weight = std::clamp(std::pow(server.slowness, exponent), kMinSlownessWeight,
-                        kMaxSlownessWeight);
+    weight = prefers_fast
+                 ? std::clamp(std::pow(server.slowness, -kSlownessExponent),
+                              kMinSlownessWeight, kMaxSlownessWeight)
+                 : std::clamp(server.slowness, 1 / kMaxSlowPreference,
+                              kMaxSlowPreference);
   }
   if (prefers_fast && server.in_slow_stretch) weight *= kStretchWeight;
   if (server.failure_share > 0)
