Waiting: less work at rejections and for the rhythm

Cause: each rejection, which frees no slot, placed and checked the whole queue again; the usual level of arrivals was computed anew for each span of a promise. Change: Finish serves the queue only after a call that had a slot, hopeless ones are looked for only if some wait, and ArrivalRhythm keeps its level until a span passes or it learns. Processor time not measured.

--- a/libs/admission/include/admission/arrival_rhythm.h
+++ b/libs/admission/include/admission/arrival_rhythm.h
@@ -38,6 +38,9 @@
   void Learn();
   // Mean count around the span, over the periods before `span_now`.
   double Profile(int64_t span, int64_t span_now) const;
+  // What came lately, as a multiple of what usually comes at that point of the
+  // period.
+  double Level();
   // Mean count of the few spans around `span`.
   double Smoothed(int64_t span, int64_t half_width) const;
   uint32_t CountIn(int64_t span) const;
@@ -47,6 +50,8 @@
   int64_t last_ = 0;
   int64_t learned_at_ = 0;
   int64_t period_ = 0;  // in spans; zero: none
+  double level_ = 1;
+  int64_t level_at_ = 0;  // the last span when it was computed; zero: not yet
 };
 
 }  // namespace knapweedstile::admission
--- a/libs/admission/src/arrival_rhythm.cc
+++ b/libs/admission/src/arrival_rhythm.cc
@@ -34,6 +34,7 @@
   if (first_ == 0 || span - last_ >= kSpans) {
     counts_.fill(0);
     first_ = last_ = span;
+    level_at_ = 0;
     period_ = 0;
   }
   while (last_ < span) counts_[++last_ % kSpans] = 0;
@@ -62,6 +63,7 @@
 
 void ArrivalRhythm::Learn() {
   learned_at_ = last_;
+  level_at_ = 0;
   period_ = 0;
   std::vector<double> values;
   double mean = 0;
@@ -116,18 +118,22 @@
   return periods == 0 ? 0 : sum / periods;
 }
 
-std::optional<double> ArrivalRhythm::Expected(TimePoint at, TimePoint now) {
-  if (!Period(now)) return std::nullopt;
-  // What came lately, beside what comes at this point of the period.
+double ArrivalRhythm::Level() {
+  if (level_at_ == last_) return level_;
   double usual = 0;
   double lately = 0;
   for (int64_t s = last_ - kLevelWidth; s < last_; ++s) {
     usual += Profile(s, last_ - kLevelWidth);
     lately += CountIn(s);
   }
-  const double level =
-      usual > 0 ? std::clamp(lately / usual, 1.0, kMaxLevel) : 1.0;
-  return level * Profile(SpanOf(at), last_);
+  level_ = usual > 0 ? std::clamp(lately / usual, 1.0, kMaxLevel) : 1.0;
+  level_at_ = last_;
+  return level_;
+}
+
+std::optional<double> ArrivalRhythm::Expected(TimePoint at, TimePoint now) {
+  if (!Period(now)) return std::nullopt;
+  return Level() * Profile(SpanOf(at), last_);
 }
 
 }  // namespace knapweedstile::admission
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -252,11 +252,12 @@
                 {"server", call.address},
                 {"first_ms", std::to_string(ToMillis(first_byte))}}});
   const bool frees_slot = static_cast<bool>(call.server);
+  const bool had_slot = frees_slot || call.runs > 0;
   EndAttempt(call);
   const std::string service = std::move(call.service);
   calls_.erase(call.caller);
   if (frees_slot) waiting_.OnFreed(service, MonotonicNow());
-  if (waiting_.HasWaiting(service)) ServeWaiting(service);
+  if (had_slot && waiting_.HasWaiting(service)) ServeWaiting(service);
 }
 
 void OnlineCalls::OnServerRestarted(BackendServerId previous) {
--- a/libs/gateway/src/online/online_waiting.cc
+++ b/libs/gateway/src/online/online_waiting.cc
@@ -83,6 +83,7 @@
 
 void OnlineCalls::RejectHopeless(const std::string& service,
                                  TimePoint next_check) {
+  if (!waiting_.HasWaiting(service)) return;
   const TimePoint now = MonotonicNow();
   for (const auto& one :
        waiting_.TakeHopeless(service, SlotsOf(service), now, next_check)) {
