Waiting: a request that comes is placed in the stated order

Cause: before a new request was placed, all who waited were, also the less urgent ones and those beyond their share. Change: only those who go before it by standing, urgency and return as asked; of the same rank, those who wait are first. WaitQueue::IdsBefore names them. Servers excluded for a waiting call are still those of its arrival.

--- a/libs/admission/include/admission/wait_queue.h
+++ b/libs/admission/include/admission/wait_queue.h
@@ -49,6 +49,9 @@
                                      TimePoint next_check);
   // In the order in which they are served.
   std::vector<ExchangeId> Ids() const;
+  // Of these, the ones that go before a request that comes now: of the same
+  // rank, those who wait are first.
+  std::vector<ExchangeId> IdsBefore(const WaitRequest& request) const;
 
   size_t size() const noexcept { return by_order_.size(); }
   bool empty() const noexcept { return by_order_.empty(); }
@@ -66,6 +69,9 @@
     auto operator<=>(const Order&) const = default;
   };
 
+  static Order OrderOf(const WaitRequest& request, TimePoint deadline,
+                       uint64_t arrival);
+
   std::map<Order, WaitRequest> by_order_;
   std::unordered_map<ExchangeId, Order> orders_;
   uint64_t arrivals_ = 0;
--- a/libs/admission/src/wait_queue.cc
+++ b/libs/admission/src/wait_queue.cc
@@ -22,6 +22,15 @@
 
 }  // namespace
 
+WaitQueue::Order WaitQueue::OrderOf(const WaitRequest& request,
+                                    TimePoint deadline, uint64_t arrival) {
+  return {.standing = request.standing,
+          .less_urgent = request.less_urgent,
+          .is_new = !request.returns_as_asked,
+          .deadline = deadline,
+          .arrival = arrival};
+}
+
 WaitVerdict WaitQueue::Offer(const WaitRequest& request, const SlotFlow& flow,
                              TimePoint now, TimePoint next_check) {
   const double rate = flow.freed_per_second;
@@ -34,11 +43,7 @@
       by_order_.begin()->first.standing == Standing::kWithinShare) {
     return WaitVerdict::kBeyondShare;
   }
-  const Order order{.standing = request.standing,
-                    .less_urgent = request.less_urgent,
-                    .is_new = !request.returns_as_asked,
-                    .deadline = request.deadline,
-                    .arrival = ++arrivals_};
+  const Order order = OrderOf(request, request.deadline, ++arrivals_);
   const auto ahead = static_cast<size_t>(
       std::distance(by_order_.begin(), by_order_.lower_bound(order)));
   if (next_check >= request.start_by ||
@@ -92,4 +97,12 @@
   return ids;
 }
 
+std::vector<ExchangeId> WaitQueue::IdsBefore(const WaitRequest& request) const {
+  const auto end = by_order_.lower_bound(OrderOf(request, kNever, 0));
+  std::vector<ExchangeId> ids;
+  for (auto at = by_order_.begin(); at != end; ++at)
+    ids.push_back(at->second.id);
+  return ids;
+}
+
 }  // namespace knapweedstile::admission
--- a/libs/admission/tests/wait_queue_test.cc
+++ b/libs/admission/tests/wait_queue_test.cc
@@ -35,6 +35,13 @@
     REQUIRE(queue.Offer(request, kFlow, kNow, kNow) == WaitVerdict::kWaits);
   }
   CHECK(Order(queue) == std::vector<uint64_t>{8, 4, 5, 6, 1});
+  // Guards against slots for less urgent requests while urgent ones come.
+  CHECK(queue.IdsBefore(Request(9)).size() == 4);
+  CHECK(queue.IdsBefore(returns).size() == 1);
+  CHECK(queue.IdsBefore(less_urgent).size() == 5);
+  WaitRequest beyond = less_urgent;
+  beyond.standing = Standing::kBeyondShare;
+  CHECK(queue.IdsBefore(beyond).size() == 5);
 }
 
 // Guards against a queue in which most wait in vain.
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -102,9 +102,10 @@
     if (call.runs > 0) return Fail(call, kGatewayTimeout, "deadline");
     return Reject(call, kRetryAfterFailedAttempts, "deadline");
   }
-  // Requests that wait go before those that come. What they leave is of no use
-  // to them, since policies exclude it or they are less urgent.
-  if (waiting_.HasWaiting(call.service)) ServeWaiting(call.service);
+  // Requests that wait go before those of the same rank that come. What they
+  // leave is of no use to them, since policies exclude it.
+  if (waiting_.HasWaiting(call.service))
+    PlaceWaiting(waiting_.WaitingBefore(call, StandingOf(call)));
   const auto placement = scheduler_.PlaceOnline(
       call.service, QueueObjective(call), call.excluded, now);
   // A stream that is resumed on another server has already started: it is never
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -116,6 +116,8 @@
   // Places the waiting requests of the service for which there are slots, and
   // rejects those that will get none in time.
   void ServeWaiting(const std::string& service);
+  // The first part of it, for some of the waiting requests, in their order.
+  void PlaceWaiting(const std::vector<ExchangeId>& waiting);
   void ServeAllWaiting();
   void RejectHopeless(const std::string& service, TimePoint next_check);
 
--- a/libs/gateway/src/online/online_waiting.cc
+++ b/libs/gateway/src/online/online_waiting.cc
@@ -54,16 +54,22 @@
 }
 
 void OnlineCalls::ServeWaiting(const std::string& service) {
+  if (serving_waiting_) return;
+  PlaceWaiting(waiting_.Waiting(service));
+  RejectHopeless(service, MonotonicNow());
+}
+
+void OnlineCalls::PlaceWaiting(const std::vector<ExchangeId>& waiting) {
   if (serving_waiting_) return;
   serving_waiting_ = true;
   int unplaced = 0;
-  for (const ExchangeId id : waiting_.Waiting(service)) {
+  for (const ExchangeId id : waiting) {
     const auto found = calls_.find(id);
     if (found == calls_.end()) continue;
     OnlineCall& call = found->second;
     const TimePoint now = MonotonicNow();
-    const auto placement = scheduler_.PlaceOnline(service, QueueObjective(call),
-                                                  call.excluded, now);
+    const auto placement = scheduler_.PlaceOnline(
+        call.service, QueueObjective(call), call.excluded, now);
     if (placement.outcome == PlacementOutcome::kSaturated) {
       call.backlog = placement.retry_after;
       if (call.excluded.empty() || ++unplaced == kMaxUnplaced) break;
@@ -77,7 +83,6 @@
       Reject(call, placement.retry_after, NameOf(placement.outcome));
     }
   }
-  RejectHopeless(service, MonotonicNow());
   serving_waiting_ = false;
 }
 
--- a/libs/gateway/src/online/waiting_calls.cc
+++ b/libs/gateway/src/online/waiting_calls.cc
@@ -67,18 +67,23 @@
                    received + objective - typical, call.deadline - typical});
 }
 
+admission::WaitRequest WaitingCalls::RequestOf(
+    const OnlineCall& call, admission::Standing standing) const {
+  return {.id = call.caller,
+          .standing = standing,
+          .less_urgent = call.less_urgent,
+          .returns_as_asked = call.returns_as_asked,
+          .deadline = call.deadline,
+          .start_by = StartBy(call)};
+}
+
 WaitVerdict WaitingCalls::Offer(OnlineCall& call, admission::Standing standing,
                                 uint32_t slots, TimePoint now,
                                 TimePoint next_check) {
   Service& service = ServiceOf(call.service);
   service.rate.OnSaturated(slots, now);
   const WaitVerdict verdict =
-      service.queue.Offer({.id = call.caller,
-                           .standing = standing,
-                           .less_urgent = call.less_urgent,
-                           .returns_as_asked = call.returns_as_asked,
-                           .deadline = call.deadline,
-                           .start_by = StartBy(call)},
+      service.queue.Offer(RequestOf(call, standing),
                           service.rate.Flow(slots, now), now, next_check);
   if (verdict == WaitVerdict::kWaits) call.waits_since = now;
   return verdict;
@@ -150,6 +155,13 @@
   return found ? found->queue.Ids() : std::vector<ExchangeId>();
 }
 
+std::vector<ExchangeId> WaitingCalls::WaitingBefore(
+    const OnlineCall& call, admission::Standing standing) const {
+  const Service* found = FindService(call.service);
+  return found ? found->queue.IdsBefore(RequestOf(call, standing))
+               : std::vector<ExchangeId>();
+}
+
 std::vector<std::string> WaitingCalls::ServicesWithWaiting() const {
   std::vector<std::string> names;
   for (const auto& [hash, service] : services_) {
--- a/libs/gateway/src/online/waiting_calls.h
+++ b/libs/gateway/src/online/waiting_calls.h
@@ -74,6 +74,9 @@
   bool HasWaiting(const std::string& service) const;
   // In the order in which they are served.
   std::vector<ExchangeId> Waiting(const std::string& service) const;
+  // Of these, the ones that go before a call that comes now.
+  std::vector<ExchangeId> WaitingBefore(const OnlineCall& call,
+                                        admission::Standing standing) const;
   std::vector<std::string> ServicesWithWaiting() const;
   size_t size() const;
   size_t promised() const;
@@ -88,6 +91,8 @@
 
   Service& ServiceOf(const std::string& name);
   const Service* FindService(const std::string& name) const;
+  admission::WaitRequest RequestOf(const OnlineCall& call,
+                                   admission::Standing standing) const;
   // Later, the request is of no use to its caller.
   TimePoint StartBy(const OnlineCall& call) const;
 
