Waiting: when the server set empties, callers return at different moments

Cause: up to 256 who waited were rejected at once with the same Retry-After. Change: each gets a place of the schedule; the code stays no_server. The spread itself is tested for the schedule, not at a removed server.

--- a/libs/gateway/src/online/online_waiting.cc
+++ b/libs/gateway/src/online/online_waiting.cc
@@ -80,7 +80,10 @@
       metrics_.Observe("knap_waited_seconds", ToSeconds(call.waited));
       SendToPlacement(call, placement);
     } else {
-      Reject(call, placement.retry_after, NameOf(placement.outcome));
+      // All leave at the same moment: they do not return together.
+      const Duration promised = waiting_.PromiseReturn(
+          call, placement.retry_after, SlotsOf(call.service), now);
+      Reject(call, promised, NameOf(placement.outcome));
     }
   }
   serving_waiting_ = false;
