Waiting calls: a test of slots that stop becoming free

Cause: the test of that name let the requests' own time end, so that it passed whatever the rate did. Change: that test keeps its check under its true comment; a new one replays half a second of checks without an end, within the requests' time.

--- a/libs/gateway/tests/waiting_calls_test.cc
+++ b/libs/gateway/tests/waiting_calls_test.cc
@@ -67,7 +67,7 @@
 }
 
 // Guards against callers that are held until they can no longer be served
-// elsewhere: slots stop becoming free while many wait.
+// elsewhere.
 TEST_CASE("waiting requests are rejected long before their deadline") {
   OneService service;
   service.Saturate();
@@ -82,6 +82,28 @@
   CHECK(service.waiting.size() == 0);
 }
 
+// Guards against waiting for servers that stand still: the rate falls, and
+// those who no longer fit leave before their own time ends.
+TEST_CASE("when slots stop becoming free, the last in the queue leave early") {
+  OneService service;
+  service.Saturate();
+  uint64_t id = 0;
+  while (service.Offer(service.Arrive(++id, milliseconds(4000))) ==
+         WaitVerdict::kWaits) {
+  }
+  const size_t waiting = service.waiting.size();
+  REQUIRE(waiting >= 10);
+  size_t left_early = 0;
+  for (int check = 0; check < 25; ++check) {
+    service.now += milliseconds(20);
+    left_early +=
+        service.waiting.TakeHopeless("llm", kSlots, service.now, service.now)
+            .size();
+  }
+  CHECK(left_early > waiting / 4);
+  CHECK(service.waiting.size() > 0);
+}
+
 // Guards against waiting for servers that are gone.
 TEST_CASE("when the last server has gone, nobody waits") {
   OneService service;
