--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -102,9 +102,10 @@
     if (call.runs > 0) return Fail(call, kGatewayTimeout, "deadline");
     return Reject(call, kRetryAfterFailedAttempts, "deadline");
   }
-  // Requests that wait go before those that come. What they leave is of no use
-  // to them, since policies exclude it or they are less urgent.
-  if (waiting_.HasWaiting(call.service)) ServeWaiting(call.service);
+  // Requests that wait go before those of the same rank that come. What they
+  // leave is of no use to them, since policies exclude it.
+  if (waiting_.HasWaiting(call.service))
+    PlaceWaiting(waiting_.WaitingBefore(call, StandingOf(call)));
   const auto placement = scheduler_.PlaceOnline(
       call.service, QueueObjective(call), call.excluded, now);
   // A stream that is resumed on another server has already started: it is never
@@ -252,11 +253,12 @@
                 {"server", call.address},
                 {"first_ms", std::to_string(ToMillis(first_byte))}}});
   const bool frees_slot = static_cast<bool>(call.server);
+  const bool had_slot = frees_slot || call.runs > 0;
   EndAttempt(call);
   const std::string service = std::move(call.service);
   calls_.erase(call.caller);
   if (frees_slot) waiting_.OnFreed(service, MonotonicNow());
-  if (waiting_.HasWaiting(service)) ServeWaiting(service);
+  if (had_slot && waiting_.HasWaiting(service)) ServeWaiting(service);
 }
 
 void OnlineCalls::OnServerRestarted(BackendServerId previous) {
--- a/libs/gateway/src/online/online_waiting.cc
+++ b/libs/gateway/src/online/online_waiting.cc
@@ -54,16 +54,22 @@
 }
 
 void OnlineCalls::ServeWaiting(const std::string& service) {
+  if (serving_waiting_) return;
+  PlaceWaiting(waiting_.Waiting(service));
+  RejectHopeless(service, MonotonicNow());
+}
+
+void OnlineCalls::PlaceWaiting(const std::vector<ExchangeId>& waiting) {
   if (serving_waiting_) return;
   serving_waiting_ = true;
   int unplaced = 0;
-  for (const ExchangeId id : waiting_.Waiting(service)) {
+  for (const ExchangeId id : waiting) {
     const auto found = calls_.find(id);
     if (found == calls_.end()) continue;
     OnlineCall& call = found->second;
     const TimePoint now = MonotonicNow();
-    const auto placement = scheduler_.PlaceOnline(service, QueueObjective(call),
-                                                  call.excluded, now);
+    const auto placement = scheduler_.PlaceOnline(
+        call.service, QueueObjective(call), call.excluded, now);
     if (placement.outcome == PlacementOutcome::kSaturated) {
       call.backlog = placement.retry_after;
       if (call.excluded.empty() || ++unplaced == kMaxUnplaced) break;
@@ -74,15 +80,18 @@
       metrics_.Observe("knap_waited_seconds", ToSeconds(call.waited));
       SendToPlacement(call, placement);
     } else {
-      Reject(call, placement.retry_after, NameOf(placement.outcome));
+      // All leave at the same moment: they do not return together.
+      const Duration promised = waiting_.PromiseReturn(
+          call, placement.retry_after, SlotsOf(call.service), now);
+      Reject(call, promised, NameOf(placement.outcome));
     }
   }
-  RejectHopeless(service, MonotonicNow());
   serving_waiting_ = false;
 }
 
 void OnlineCalls::RejectHopeless(const std::string& service,
                                  TimePoint next_check) {
+  if (!waiting_.HasWaiting(service)) return;
   const TimePoint now = MonotonicNow();
   for (const auto& one :
        waiting_.TakeHopeless(service, SlotsOf(service), now, next_check)) {
