gateway: candidates for store readers are ordered as tuples

Cause: clang-tidy took the defaulted comparison of a local class for a null pointer. Change: a tuple of weakness, hash and position; same order. Measured: gateway_tests pass, clang-tidy clean for the file.

--- a/libs/gateway/src/peers/reader_choice.cc
+++ b/libs/gateway/src/peers/reader_choice.cc
@@ -1,9 +1,9 @@
 #include "peers/reader_choice.h"
 
 #include <algorithm>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <tuple>
 #include <utility>
 
 #include "base/hash.h"
@@ -22,17 +22,11 @@
   }
   // Orders by hash, since the largest and smallest VMs of a deployment tend to
   // have consecutive names.
-  struct Candidate {
-    bool is_weak;
-    uint64_t hash;
-    size_t index;
-    auto operator<=>(const Candidate&) const = default;
-  };
-  std::vector<Candidate> candidates;
+  std::vector<std::tuple<bool, uint64_t, size_t>> candidates;
   candidates.reserve(gateways.size());
   for (size_t i = 0; i < gateways.size(); ++i) {
-    candidates.push_back(
-        {2 * own_cores[i] < strongest, Hash64(gateways[i]), i});
+    candidates.emplace_back(2 * own_cores[i] < strongest, Hash64(gateways[i]),
+                            i);
   }
   const size_t count = std::min(max_readers, candidates.size());
   std::partial_sort(candidates.begin(),
@@ -40,7 +34,7 @@
                     candidates.end());
   std::vector<std::string> readers;
   for (size_t i = 0; i < count; ++i) {
-    readers.push_back(std::move(gateways[candidates[i].index]));
+    readers.push_back(std::move(gateways[std::get<2>(candidates[i])]));
   }
   return readers;
 }
