Batch: a late answer of the store does not bring a deleted job back

Cause: a read of a job's record began, the watch reported the deletion, and the older answer added the job again. Change: RecordFetcher applies an answer only if the job is still known. Result: gateway tests pass (38 cases, one new).

--- a/libs/gateway/src/batch/record_fetcher.cc
+++ b/libs/gateway/src/batch/record_fetcher.cc
@@ -50,8 +50,9 @@
 void RecordFetcher::OnRead(const std::string& name,
                            const platform::StoreAnswer& answer,
                            TimePoint answered_at) {
-  const bool read =
-      answer.outcome == platform::StoreOutcome::kOk && !answer.objects.empty();
+  // A job that was deleted since the call began stays deleted.
+  const bool read = answer.outcome == platform::StoreOutcome::kOk &&
+                    !answer.objects.empty() && callbacks_.job_known(name);
   LogInfo("record_fetched",
           {{"name", name}, {"outcome", NameOf(answer.outcome)}});
   retry_at_[name] = answered_at + PauseAfter(answer.outcome);
--- a/libs/gateway/src/batch/record_fetcher.h
+++ b/libs/gateway/src/batch/record_fetcher.h
@@ -32,6 +32,8 @@
                        AnswerCallback done)>
         read;
     std::function<void(const platform::StoredObject& object)> apply;
+    // Whether the job of the record is known.
+    std::function<bool(const std::string& name)> job_known;
   };
 
   explicit RecordFetcher(Callbacks callbacks);
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -315,6 +315,10 @@
            .apply =
                [this](const platform::StoredObject& object) {
                  record_reader_.ApplyRecord(object, RecordOrigin::kFull);
+               },
+           .job_known =
+               [this](const std::string& name) {
+                 return jobs_.Find(ParseRecordName(name).id) != nullptr;
                }}),
       outline_calls_(forwarder_, record_fetcher_, jobs_, metrics_,
                      {.holders =
--- a/libs/gateway/tests/record_fetcher_test.cc
+++ b/libs/gateway/tests/record_fetcher_test.cc
@@ -15,6 +15,7 @@
 // A store that answers at once with `outcome`, or not at all if there is none.
 struct Fixture {
   bool reachable = true;
+  bool job_known = true;
   std::optional<StoreOutcome> outcome = StoreOutcome::kOk;
   size_t reads = 0;
   size_t applied = 0;
@@ -29,7 +30,8 @@
              unanswered = std::move(done);
              if (outcome) Answer(name, *outcome);
            },
-       .apply = [this](const platform::StoredObject&) { ++applied; }}};
+       .apply = [this](const platform::StoredObject&) { ++applied; },
+       .job_known = [this](const std::string&) { return job_known; }}};
 
   void Answer(const std::string& name, StoreOutcome with) {
     StoreAnswer answer{.outcome = with};
@@ -85,6 +87,18 @@
   CHECK(fixture.applied == 1);
 }
 
+// Guards against a job that returns after its deletion was seen: an answer that
+// is older than the deletion arrives after it.
+TEST_CASE("a late answer does not bring a deleted job back") {
+  Fixture fixture;
+  fixture.outcome.reset();
+  fixture.AskFor("job.a", kPass);
+  fixture.job_known = false;
+  fixture.Answer("job.a", StoreOutcome::kOk);
+  CHECK(fixture.reads == 1);
+  CHECK(fixture.applied == 0);
+}
+
 // Guards against a caller who waits for a pause after a failed read.
 TEST_CASE("a caller's read shares a call and does not wait for a pause") {
   Fixture fixture;
