Batch: a page of results waits only for the segment it begins with

Cause: MissingSegment() named every outline segment up to the end of the job, so that a page waited for segments that it does not return. The end of a page before a missing output has no test of its own yet.

--- a/libs/gateway/src/batch/native_batch_api.cc
+++ b/libs/gateway/src/batch/native_batch_api.cc
@@ -403,17 +403,18 @@
                                     const CallerIdentity& caller,
                                     const JobTarget& target,
                                     const BatchJob& job) {
-  const size_t end = std::min(job.results.size(), target.after + target.limit);
+  const size_t limit =
+      std::min(job.results.size(), target.after + target.limit);
   http::RespondCommand command{.exchange = exchange, .status = 200};
-  for (size_t at = target.after; at < end; ++at) {
-    command.body += ResultLine(job, at);
+  size_t end = target.after;
+  while (end < limit && job.results[end].has_output) {
+    command.body += ResultLine(job, end++);
   }
   command.headers.Add("Content-Type", "application/jsonl");
   command.headers.Add("X-Request-Id", caller.request_id);
   command.headers.Add("X-Job-State", std::string(StateOf(job)));
   if (job.open() || end < job.results.size()) {
-    command.headers.Add("X-Next-After",
-                        std::to_string(std::max(end, target.after)));
+    command.headers.Add("X-Next-After", std::to_string(end));
   }
   callbacks_.to_caller(std::move(command));
 }
--- a/libs/serving/include/serving/batch_job.h
+++ b/libs/serving/include/serving/batch_job.h
@@ -49,11 +49,11 @@
 
   bool complete() const noexcept { return results.size() >= items.size(); }
   bool open() const noexcept { return !ended && !complete(); }
-  // The first segment with a result at `position` or later whose output is
-  // missing.
+  // The segment of the result at `position` if its outputs are missing. A page
+  // of results may end before the first result without output.
   std::optional<uint32_t> MissingSegment(uint64_t position) const {
     for (const auto& [number, range] : outline_segments) {
-      if (range.end > position) return number;
+      if (range.first <= position && position < range.end) return number;
     }
     return std::nullopt;
   }
