Batch: only named holders are asked for a job's bytes

Cause: with both holders gone, a reader's call went to the rendezvous choice, which reads no finished job, and only its 421 led on to the store. The name HoldersOf also means a cell in FleetView. Change: JobOwnership::LiveHoldersOf() lists the live holders that the record names, perhaps none; RecordPush uses an if instead of a conditional expression.

--- a/libs/gateway/src/batch/job_ownership.cc
+++ b/libs/gateway/src/batch/job_ownership.cc
@@ -54,13 +54,12 @@
   return gateway == own_name_ ? !stopping_ : peers_.IsActivePeer(gateway);
 }
 
-std::vector<std::string> JobOwnership::HoldersOf(
+std::vector<std::string> JobOwnership::LiveHoldersOf(
     const serving::BatchJob& job) const {
   std::vector<std::string> holders;
   for (const std::string& holder : {job.creator, job.second_holder}) {
     if (IsLive(holder)) holders.push_back(holder);
   }
-  if (holders.empty()) holders.push_back(RendezvousOwner(job.id));
   return holders;
 }
 
--- a/libs/gateway/src/batch/job_ownership.h
+++ b/libs/gateway/src/batch/job_ownership.h
@@ -42,10 +42,10 @@
   // live, otherwise its second holder, otherwise one chosen by rendezvous
   // hashing. Empty if there are no peers.
   std::string SuccessorOf(const std::string& job) const;
-  // Names of the live gateways that have the job's bytes, in the order in which
-  // they would run it; may include this one. If both holders are gone, the
-  // gateway that takes the job over.
-  std::vector<std::string> HoldersOf(const serving::BatchJob& job) const;
+  // Those of the two gateways that the job's record names as its holders which
+  // are live, the owner first; may include this one. Not to be confused with
+  // the cell that holds the job (FleetView::HoldersOf()).
+  std::vector<std::string> LiveHoldersOf(const serving::BatchJob& job) const;
 
  private:
   // One of the live gateways, chosen by rendezvous hashing.
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -20,7 +20,7 @@
     }
   }
   if (outline) {
-    std::vector<std::string> in_full = ownership_.HoldersOf(*job);
+    std::vector<std::string> in_full = ownership_.LiveHoldersOf(*job);
     for (const auto& [peer, address] : addresses) {
       if (!peers_.TakesOutlines(peer)) in_full.push_back(peer);
     }
@@ -66,7 +66,7 @@
   const serving::BatchJob* known = jobs_.Find(job);
   if (!known) return found;
   const auto addresses = peers_.LiveAddresses();
-  for (const std::string& holder : ownership_.HoldersOf(*known)) {
+  for (const std::string& holder : ownership_.LiveHoldersOf(*known)) {
     const auto address = addresses.find(holder);
     if (address != addresses.end()) found.push_back(address->second);
   }
--- a/libs/gateway/src/peers/record_push.cc
+++ b/libs/gateway/src/peers/record_push.cc
@@ -99,8 +99,11 @@
   for (const auto& [peer, address] : addresses) {
     const bool holds =
         std::find(holders.begin(), holders.end(), peer) != holders.end();
-    holds ? Queue(address, packed, kRecords)
-          : Queue(address, packed_outline, kOutlines);
+    if (holds) {
+      Queue(address, packed, kRecords);
+    } else {
+      Queue(address, packed_outline, kOutlines);
+    }
   }
 }
 
