--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -21,7 +21,7 @@
     }
   }
   if (outline) {
-    std::vector<std::string> in_full = ownership_.HoldersOf(*job);
+    std::vector<std::string> in_full = ownership_.LiveHoldersOf(*job);
     for (const auto& [peer, address] : addresses) {
       if (!peers_.TakesOutlines(peer)) in_full.push_back(peer);
     }
@@ -66,7 +66,7 @@
   std::vector<std::string> found;
   const serving::BatchJob* known = jobs_.Find(job);
   if (!known) return found;
-  std::vector<std::string> holders = ownership_.HoldersOf(*known);
+  std::vector<std::string> holders = ownership_.LiveHoldersOf(*known);
   // One in this zone has the results some milliseconds after the owner.
   const auto zones = peers_.Zones();
   std::stable_partition(holders.begin(), holders.end(),
