--- a/libs/gateway/src/online/online_waiting.cc
+++ b/libs/gateway/src/online/online_waiting.cc
@@ -81,9 +81,9 @@
       SendToPlacement(call, placement);
     } else {
       // All leave at the same moment: they do not return together.
-      const Duration promised = waiting_.PromiseReturn(
-          call, placement.retry_after, SlotsOf(call.service), now);
-      Reject(call, promised, NameOf(placement.outcome));
+      const Duration after = waiting_.PromiseReturn(call, placement.retry_after,
+                                                    SlotsOf(call.service), now);
+      Reject(call, after, NameOf(placement.outcome));
     }
   }
   serving_waiting_ = false;
