--- a/libs/gateway/src/batch/job_forwarder.cc
+++ b/libs/gateway/src/batch/job_forwarder.cc
@@ -72,8 +72,7 @@
          .job = job,
          .message = EncodeJobCall(request, caller),
          .holders = callbacks_.holders(job),
-         .give_up_at = MonotonicNow() + kMaxCallDuration,
-         .max_try = kMaxTryDuration});
+         .give_up_at = MonotonicNow() + kMaxCallDuration});
 }
 
 void JobForwarder::ForwardTo(std::vector<std::string> addresses,
@@ -90,7 +89,6 @@
          .message = EncodeJobCall(request, caller),
          .holders = std::move(addresses),
          .give_up_at = now + 2 * kMaxReadDuration,
-         .max_try = kMaxReadDuration,
          .unanswered = std::move(unanswered)});
 }
 
@@ -110,13 +108,14 @@
   const ExchangeId exchange(++last_exchange_);
   call.current_holder = std::move(call.holders.back());
   call.holders.pop_back();
+  const Duration max_try = call.unanswered ? kMaxReadDuration : kMaxTryDuration;
   http::ClientRequest request{
       .exchange = exchange,
       .address = call.current_holder,
       .method = "POST",
       .target = kTarget,
       .body = call.message,
-      .deadline = std::min(call.give_up_at, now + call.max_try)};
+      .deadline = std::min(call.give_up_at, now + max_try)};
   request.headers.Add("Host", request.address);
   calls_.emplace(exchange, std::move(call));
   client_.Send(std::move(request));
--- a/libs/gateway/src/batch/job_forwarder.h
+++ b/libs/gateway/src/batch/job_forwarder.h
@@ -61,7 +61,6 @@
     std::vector<std::string> holders;  // not yet tried, in reverse order
     bool maybe_accepted = false;
     TimePoint give_up_at;
-    Duration max_try{};
     std::function<void()> unanswered;  // if set, called instead of a response
   };
 
--- a/libs/gateway/src/batch/job_records.h
+++ b/libs/gateway/src/batch/job_records.h
@@ -67,9 +67,8 @@
 Result<std::vector<serving::ItemResult>> DecodeSegment(std::string_view value);
 
 // Outlines of the records of a job and of a segment, which are decoded like
-// them: items without headers and bodies, and results without outputs. They are
-// a fiftieth of a record whose items are some kilobytes. Nothing if the value
-// is not a valid record.
+// them: items without headers and bodies, and results without outputs. Nothing
+// if the value is not a valid record.
 std::optional<std::string> OutlineOfJob(std::string_view value);
 std::optional<std::string> OutlineOfSegment(std::string_view value);
 // Mark what was decoded from an outline.
