Pace: bounded work with thousands of servers and many peers

Change: peers' views are collected once an update; updates and observations come less often with the number of servers and peers; servers that do not differ cost one look-up in a hash set. Up to 100 servers and 25 peers all decisions are as before.

--- a/libs/serving/include/serving/server_pace.h
+++ b/libs/serving/include/serving/server_pace.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "base/time.h"
@@ -64,17 +65,18 @@
                            TimePoint now);
   void RemovePeer(const std::string& peer);
 
-  // Computes the estimates anew, at most every 100 ms.
+  // Computes the estimates anew, at most every 100 ms and once a millisecond
+  // for each server.
   void Update(TimePoint now);
-  // What peers should know, once a second, of at most 24 servers; nothing while
-  // no gateway sees a server that differs.
+  // What peers should know, once a second or less often in large fleets, of at
+  // most 24 servers; nothing while no gateway sees a server that differs.
   std::vector<ServerObservation> TakeObservations(TimePoint now);
   // The changes of standing since the last call.
   std::vector<StandingChange> TakeChanges();
 
   // Queries.
   // False while all servers look equal: every weight and slowness is then one.
-  bool differs() const noexcept { return differs_; }
+  bool differs() const noexcept { return !differing_.empty(); }
   // Factor on the server's weight for one more request, of which this gateway
   // has `in_flight` there. Zero for a server that is avoided.
   double WeightOf(ServerProcessId process, uint32_t in_flight,
@@ -165,6 +167,9 @@
   void SetStanding(ServerProcessId process, Server& server,
                    ServerStanding standing);
   void UpdateDiffers();
+  Duration ObservationPeriod() const;
+  void CollectPeerViews();
+  std::span<const ServerObservation> PeerViewsOf(ServerProcessId process) const;
 
   std::map<ServerProcessId, Server> servers_;
   std::map<std::string, References, std::less<>> references_;  // by service
@@ -172,7 +177,11 @@
   std::vector<StandingChange> changes_;
   TimePoint updated_at_{};
   TimePoint observations_taken_at_{};
-  bool differs_ = false;
+  // What peers observed of each server, as of the last update.
+  std::unordered_map<ServerProcessId, std::vector<ServerObservation>>
+      peer_views_;
+  // The servers that do not look like the others.
+  std::unordered_set<ServerProcessId> differing_;
 };
 
 }  // namespace knapweedstile::serving
--- a/libs/serving/src/server_pace.cc
+++ b/libs/serving/src/server_pace.cc
@@ -8,7 +8,9 @@
 namespace knapweedstile::serving {
 namespace {
 
-constexpr std::chrono::milliseconds kUpdatePeriod{100};
+constexpr std::chrono::milliseconds kMinUpdatePeriod{100};
+// Bounds the work of updates where a gateway knows thousands of servers.
+constexpr std::chrono::milliseconds kUpdatePeriodPerServer{1};
 
 // Weight of one sample in a server's running means, by PaceStep: the events of
 // about fifty update periods, or twenty requests.
@@ -59,8 +61,10 @@
 
 constexpr double kProbationWeight = 0.5;
 
-constexpr std::chrono::seconds kObservationPeriod{1};
-constexpr std::chrono::seconds kPeerReportLifetime{4};
+constexpr std::chrono::seconds kMinObservationPeriod{1};
+// Bounds the bytes of observations, which go to all peers, in large fleets.
+constexpr std::chrono::milliseconds kObservationPeriodPerPeer{40};
+constexpr int kReportLifetimePeriods = 4;
 constexpr size_t kMaxObservations = 24;
 
 size_t ReferenceIndex(const PaceSample& sample) {
@@ -165,7 +169,7 @@
     const std::string& peer, std::span<const ServerObservation> observations,
     TimePoint now) {
   PeerReport& report = peer_reports_[peer];
-  report.expires_at = now + kPeerReportLifetime;
+  report.expires_at = now + kReportLifetimePeriods * ObservationPeriod();
   report.observations.clear();
   for (const ServerObservation& observation : observations) {
     report.observations[observation.process] = observation;
@@ -185,11 +189,15 @@
 }
 
 void ServerPace::Update(TimePoint now) {
-  if (now - updated_at_ < kUpdatePeriod) return;
+  const Duration period = std::max<Duration>(
+      kMinUpdatePeriod,
+      kUpdatePeriodPerServer * static_cast<int64_t>(servers_.size()));
+  if (now - updated_at_ < period) return;
   updated_at_ = now;
   // Guards against estimates that stay after the reports of a peer were lost.
   std::erase_if(peer_reports_,
                 [now](const auto& r) { return r.second.expires_at <= now; });
+  CollectPeerViews();
   for (auto& [process, server] : servers_) {
     Decay(server, now);
     SampleEvents(server, now);
@@ -206,6 +214,28 @@
   UpdateDiffers();
 }
 
+Duration ServerPace::ObservationPeriod() const {
+  return std::max<Duration>(
+      kMinObservationPeriod,
+      kObservationPeriodPerPeer * static_cast<int64_t>(peer_reports_.size()));
+}
+
+void ServerPace::CollectPeerViews() {
+  peer_views_.clear();
+  for (const auto& [peer, report] : peer_reports_) {
+    for (const auto& [process, observation] : report.observations) {
+      peer_views_[process].push_back(observation);
+    }
+  }
+}
+
+std::span<const ServerObservation> ServerPace::PeerViewsOf(
+    ServerProcessId process) const {
+  const auto views = peer_views_.find(process);
+  if (views == peer_views_.end()) return {};
+  return views->second;
+}
+
 void ServerPace::UpdateOwnSlowness(const std::vector<ServerProcessId>& group) {
   struct Sum {
     double logs = 0;
@@ -254,10 +284,8 @@
                                     const Server& server) const {
   std::vector<double> views;
   if (server.own_slowness > 0) views.push_back(server.own_slowness);
-  for (const auto& [peer, report] : peer_reports_) {
-    const auto view = report.observations.find(process);
-    if (view == report.observations.end()) continue;
-    if (view->second.slowness > 0) views.push_back(view->second.slowness);
+  for (const ServerObservation& view : PeerViewsOf(process)) {
+    if (view.slowness > 0) views.push_back(view.slowness);
   }
   if (views.empty()) return 0;
   return std::clamp(Median(views), kMinSlowness, kMaxSlowness);
@@ -316,11 +344,8 @@
   if (server.attempts >= kMinViewAttempts)
     add(server.attempts, server.failures);
   const bool has_own_view = !views.empty();
-  for (const auto& [peer, report] : peer_reports_) {
-    const auto view = report.observations.find(process);
-    if (view == report.observations.end()) continue;
-    if (view->second.attempts == 0) continue;
-    add(view->second.attempts, view->second.failures);
+  for (const ServerObservation& view : PeerViewsOf(process)) {
+    if (view.attempts > 0) add(view.attempts, view.failures);
   }
   // Alone, this gateway believes itself, but no single peer.
   if (views.size() == 1 && !has_own_view) views.clear();
@@ -353,18 +378,20 @@
 }
 
 void ServerPace::UpdateDiffers() {
-  differs_ = std::any_of(servers_.begin(), servers_.end(), [](const auto& s) {
-    const Server& server = s.second;
-    return server.slowness != 1 || server.failure_share > 0 ||
-           server.in_slow_stretch ||
-           server.standing != ServerStanding::kTrusted;
-  });
+  differing_.clear();
+  for (const auto& [process, server] : servers_) {
+    const bool differs = server.slowness != 1 || server.failure_share > 0 ||
+                         server.in_slow_stretch ||
+                         server.standing != ServerStanding::kTrusted;
+    if (differs) differing_.insert(process);
+  }
 }
 
 double ServerPace::WeightOf(ServerProcessId process, uint32_t in_flight,
                             PreferredPace preferred) const {
+  if (!differing_.contains(process)) return 1;
   const auto found = servers_.find(process);
-  if (!differs_ || found == servers_.end()) return 1;
+  if (found == servers_.end()) return 1;
   const Server& server = found->second;
   if (server.standing == ServerStanding::kAvoided) return 0;
   double weight = 1;
@@ -399,16 +426,13 @@
   };
   if (differs(observation)) return true;
   // A peer that sees a difference needs the views that see none.
-  return std::any_of(
-      peer_reports_.begin(), peer_reports_.end(), [&](const auto& r) {
-        const auto view = r.second.observations.find(observation.process);
-        return view != r.second.observations.end() && differs(view->second);
-      });
+  const auto views = PeerViewsOf(observation.process);
+  return std::any_of(views.begin(), views.end(), differs);
 }
 
 std::vector<ServerObservation> ServerPace::TakeObservations(TimePoint now) {
   std::vector<ServerObservation> observations;
-  if (now - observations_taken_at_ < kObservationPeriod) return observations;
+  if (now - observations_taken_at_ < ObservationPeriod()) return observations;
   observations_taken_at_ = now;
   for (const auto& [process, server] : servers_) {
     const ServerObservation observation = {
--- a/libs/serving/src/server_pace_standing.cc
+++ b/libs/serving/src/server_pace_standing.cc
@@ -109,7 +109,7 @@
   changes_.push_back({.process = process,
                       .standing = standing,
                       .failure_share = server.failure_share});
-  differs_ = differs_ || standing != ServerStanding::kTrusted;
+  if (standing != ServerStanding::kTrusted) differing_.insert(process);
 }
 
 void ServerPace::UpdateStandings(const std::vector<ServerProcessId>& group,
