--- a/libs/serving/src/slot_scheduler.cc
+++ b/libs/serving/src/slot_scheduler.cc
@@ -240,9 +240,9 @@
 // They cannot take the slot of one of this gateway's own batch items. Free
 // slots are scarce if there are fewer than a multiple of what peers are
 // expected to take within the report delay, by their observed rate of starts. A
-// fixed threshold of a tenth of the slots, which is about what batch leaves
-// free, made almost every online request of four gateways preempt an item
-// although slots were free: 843 preemptions for 380 items in one replayed day.
+// fixed threshold of a tenth of the slots would be about what batch leaves
+// free: almost every online request would preempt an item although slots are
+// free.
 bool SlotScheduler::FreeSlotsAreScarce(std::string_view service,
                                        TimePoint now) const {
   const auto rate = peer_start_rate_.find(std::string(service));
