Rate quota: one request a window is the minimum of each gateway, not two

Callers of a hot workspace with a low limit were admitted beyond it where many gateways have no contact to any other.

Cause: each gateway admitted two requests in the window whatever its share, and the fleet's overage does not grow with the number of gateways.

Fix: the minimum is the one request that every bound allows. The new test failed before by 7.88 and passes. Not run with more gateways than 120.

--- a/libs/workspaces/src/rate_quota.cc
+++ b/libs/workspaces/src/rate_quota.cc
@@ -30,11 +30,6 @@
 constexpr double kMaxGrowthFactor = 4;
 // Used until a peer has reported the size of the fleet.
 constexpr double kAssumedFleetSize = 64;
-// Requests of each workspace in the window that are admitted whatever the
-// gateway's share: the first callers after a start are not rejected because of
-// what peers may have admitted.
-constexpr double kMinRequestsPerWindow = 2;
-
 constexpr double kUnbounded = std::numeric_limits<double>::infinity();
 
 constexpr std::chrono::seconds kMaxRetryAfter{30};
@@ -164,6 +159,8 @@
                               const AdmittedTotals& totals,
                               TimePoint now) const {
   const double window_limit = WindowLimit(limit);
+  // One request is always admitted: the first caller after a start is not
+  // rejected because of what peers may have admitted.
   const auto fits = [](double count, double max_requests) {
     return count + 1 <= std::max(1.0, max_requests);
   };
@@ -177,9 +174,7 @@
   const double available =
       std::min(max_since_start,
                window_limit + Overage(kPartitionOverageShare, window_limit));
-  const double max_requests =
-      std::max(kMinRequestsPerWindow, share * available);
-  if (share < 1 && !fits(totals.reachable, max_requests)) {
+  if (share < 1 && !fits(totals.reachable, share * available)) {
     return RateVerdict::kPartitioned;
   }
   return RateVerdict::kAdmitted;
--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -167,6 +167,21 @@
   CHECK(RunAllSeeds(model, SuddenlyHot()).over <= 0);
 }
 
+// Guards against many gateways without contact to any other that each admit a
+// minimum number of requests: together they exceed a low limit.
+TEST_CASE("isolated gateways of a large fleet keep to a low limit") {
+  Model model;
+  for (size_t side = 1; side <= 24; ++side) {
+    model.cuts.push_back({Time(6000), Time(14000), side, false});
+  }
+  Model::Load load = Hot(7.5, 1);
+  load.gateways = 60;
+  load.limit = {.per_second = 3.2, .burst = 3.2};
+  load.usual_per_second = 2;
+  load.cells = 4;
+  CHECK(RunAllSeeds(model, load).over <= 0);
+}
+
 // The only gateway that a workspace's callers reach is killed and restarted.
 // Only its peers still have the counts of its previous process.
 TEST_CASE("a gateway gets the counts of its previous process from peers") {
