Rate quota: a peer that was never reachable keeps its equal share

Callers of a hot workspace were admitted beyond its limit when a partition ended that had begun with a restart of all gateways.

Cause: a peer that has never been heard counts with the equal share of the limit, one whose demand is known with a mean of both. The first report that crossed the healed partition made the peer a known one with a demand of zero while it was still unreachable (it did not receive our reports yet). Each half then took 17/23 instead of 11/23 of the limit for up to one report interval.

Fix: the demand is unknown until the peer has been reachable, not until it has sent anything.

--- a/libs/workspaces/include/workspaces/rate_quota.h
+++ b/libs/workspaces/include/workspaces/rate_quota.h
@@ -98,6 +98,7 @@
     bool full_report_received = false;  // from this process
     bool receives_our_reports = false;
     bool unreachable = true;
+    bool was_reachable = false;  // at any time; its demand is unknown before
     TimePoint unreachable_since{};
     TimePoint last_report_at{};
     Duration uptime{};  // at `last_report_at`
--- a/libs/workspaces/src/rate_quota.cc
+++ b/libs/workspaces/src/rate_quota.cc
@@ -137,8 +137,7 @@
   for (const auto& [gateway, peer] : peers_) {
     if (!peer.unreachable) continue;
     const auto share = peer.demand_share.find(workspace);
-    const bool never_reported = peer.start == 0;
-    const double assumed = never_reported ? equal_share : 0;
+    const double assumed = peer.was_reachable ? 0 : equal_share;
     const double demand =
         share == peer.demand_share.end() ? assumed : share->second;
     unreachable_share +=
@@ -358,6 +357,7 @@
       MarkUnreachable(peer, now);
     } else {
       peer.unreachable = false;
+      peer.was_reachable = true;
       peer.demand_share.clear();
       --unreachable_peer_count_;
     }
--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -229,6 +229,26 @@
   }
 }
 
+// Guards against gateways that take a larger share of the limit as soon as the
+// first reports cross a partition that has just ended.
+TEST_CASE("a peer that was never reachable keeps its equal share") {
+  const TimePoint start = TimePoint{} + std::chrono::hours(1);
+  const TimePoint now = start + std::chrono::seconds(10);
+  RateQuota quota({}, 1, 1, start);
+  quota.SetMembers({2}, start);
+  RateReport report;
+  report.uptime = std::chrono::seconds(10);
+  report.unreachable = {1};
+  quota.OnReport(2, 1, report, false, now);
+  quota.Expire(now);
+  const RateLimit limit{.per_second = 1, .burst = 95};
+  int admitted = 0;
+  while (quota.Admit(7, limit, now).verdict == RateVerdict::kAdmitted) {
+    ++admitted;
+  }
+  CHECK(admitted <= (100 * 1.1 + 20) / 2);
+}
+
 TEST_CASE("gateways that restart in turn keep to the limit") {
   Model model;
   for (size_t gateway = 0; gateway < 23; ++gateway) {
