Rate quota: counts of previous processes are demand of their gateway

Cause: in a partition each group has the share of the limit that it had before. The total held what previous processes of the restarted gateways had admitted, but no gateway's demand did. The group that had not restarted saw almost no demand on the other side and took 0.80 of the limit, the restarted group saw 0.75 of the demand there and took 0.32.

The model reproduces it.

Fix: MarkUnreachable credits previous counts to the gateway that reported them.

The new test failed before at all 6 combinations, by 153 to 176 requests; it passes.

--- a/libs/workspaces/include/workspaces/rate_quota.h
+++ b/libs/workspaces/include/workspaces/rate_quota.h
@@ -138,7 +138,7 @@
   void KeepPreviousCounts(GatewayHash gateway, const Peer& peer);
   double OwnGrowth(WorkspaceHash workspace, TimePoint since,
                    TimePoint now) const;
-  void MarkUnreachable(Peer& peer, TimePoint now);
+  void MarkUnreachable(GatewayHash gateway, Peer& peer, TimePoint now);
   AdmittedCount CountOf(WorkspaceHash workspace, const OwnCounts& own,
                         TimePoint now) const;
   size_t fleet_size() const noexcept { return peers_.size() + 1; }
--- a/libs/workspaces/src/rate_quota.cc
+++ b/libs/workspaces/src/rate_quota.cc
@@ -329,19 +329,36 @@
   return std::clamp(count / std::max(1.0, before), 1.0, kMaxGrowthFactor);
 }
 
-void RateQuota::MarkUnreachable(Peer& peer, TimePoint now) {
-  peer.unreachable_since = now;
-  peer.demand_share.clear();
+void RateQuota::MarkUnreachable(GatewayHash gateway, Peer& peer,
+                                TimePoint now) {
+  struct Demand {
+    double reported = 0;
+    double estimated = 0;  // including requests since the last report
+  };
+  std::unordered_map<WorkspaceHash, Demand> demands;
   for (const auto& [workspace, count] : peer.counts) {
-    const double all = TotalsOf(workspace, now).all;
-    // The peer's requests since its last report are unknown: its count is
-    // assumed to have grown by the same factor as the own count. The peer
-    // assumes the same of this gateway.
+    // The peer's count is assumed to have grown by the same factor as the own
+    // count. The peer assumes the same of this gateway.
     const double reported = count.in_window();
-    const double grown =
-        reported * OwnGrowth(workspace, peer.last_report_at, now);
-    if (grown > 0)
-      peer.demand_share[workspace] = grown / (all - reported + grown);
+    demands[workspace] = {
+        reported, reported * OwnGrowth(workspace, peer.last_report_at, now)};
+  }
+  // What previous processes of the peer admitted is its demand as well. All
+  // gateways that have these counts credit them to the same gateway, so that
+  // the shares of all groups add up to one.
+  for (const auto& [key, previous] : previous_counts_) {
+    if (key.second != gateway) continue;
+    const uint32_t remaining =
+        CountStillInWindow(previous.count, previous.counted_at, now);
+    Demand& demand = demands[key.first];
+    demand.reported += remaining;
+    demand.estimated += remaining;
+  }
+  for (const auto& [workspace, demand] : demands) {
+    if (demand.estimated <= 0) continue;
+    const double others = TotalsOf(workspace, now).all - demand.reported;
+    peer.demand_share[workspace] =
+        demand.estimated / (others + demand.estimated);
   }
   peer.unreachable = true;
   ++unreachable_peer_count_;
@@ -354,7 +371,7 @@
                              now - peer.last_report_at > kReportTimeout;
     if (unreachable == peer.unreachable) continue;
     if (unreachable) {
-      MarkUnreachable(peer, now);
+      MarkUnreachable(gateway, peer, now);
     } else {
       peer.unreachable = false;
       peer.was_reachable = true;
--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -229,6 +229,26 @@
   }
 }
 
+// Guards against groups whose shares of the limit add up to more than one: one
+// group has just been restarted, and what its former processes admitted counts
+// as demand of neither group.
+TEST_CASE("gateways that are cut off soon after a restart keep to the limit") {
+  for (const size_t side : {6U, 9U, 14U}) {
+    for (const int cut_after : {1600, 2600}) {
+      CAPTURE(side, cut_after);
+      Model model;
+      model.kills.push_back({Time(7000), Time(500), 0, 9, Time(0), Time(20)});
+      model.cuts.push_back(
+          {Time(7000 + cut_after), Time(13000 + cut_after), side, false});
+      Model::Load load = Hot(7.5, 1);
+      load.limit = {.per_second = 190, .burst = 190};
+      load.usual_per_second = 119;
+      load.cells = 4;
+      CHECK(RunAllSeeds(model, load).over <= 0);
+    }
+  }
+}
+
 // Guards against gateways that take a larger share of the limit as soon as the
 // first reports cross a partition that has just ended.
 TEST_CASE("a peer that was never reachable keeps its equal share") {
