Rate quota: a group's share covers what its former processes admitted

Callers of a hot workspace were admitted beyond its limit when some gateways were cut off at the moment of their restart.

Cause: during a partition a group admits up to its share of the limit by the counts of the processes that run now. The rest of the group still has the counts of the former processes, which are part of the same share and window. Only the bound on all known counts held them back, and that lacks the other group, which the restarted gateways have never heard.

Evidence (model): of the combinations in the new test only those fail in which restarted gateways share a group with others that were not restarted, and all windows begin before the kill.

Fix: previous counts of this gateway and of reachable peers are in the total that is compared with the share.

--- a/libs/workspaces/include/workspaces/rate_quota.h
+++ b/libs/workspaces/include/workspaces/rate_quota.h
@@ -115,16 +115,19 @@
   };
   struct AdmittedTotals {
     double all = 0;
-    double reachable = 0;  // own and of peers that exchange reports with us
+    // By this gateway and the peers that exchange reports with it, including
+    // their previous processes.
+    double reachable = 0;
     // By processes that started within the window, own included.
     double by_new_processes = 0;
-    // The same in each span. Spans end now and are 1/n, 2/n, ... n/n of the
-    // window, with n = kRateSpans.
+    // By this gateway and the same peers in each span. Spans end now and are
+    // 1/n, 2/n, ... n/n of the window, with n = kRateSpans.
     std::array<double, kRateSpans> reachable_in_spans{};
     uint32_t own = 0;
   };
 
   AdmittedTotals TotalsOf(WorkspaceHash workspace, TimePoint now) const;
+  bool IsReachable(GatewayHash gateway) const;
   // The most requests that may be admitted while counts of the last seconds are
   // missing after a start.
   double MaxSinceStart(const RateLimit& limit, TimePoint now) const;
--- a/libs/workspaces/src/rate_quota.cc
+++ b/libs/workspaces/src/rate_quota.cc
@@ -96,12 +96,20 @@
   const auto first = previous_counts_.lower_bound({workspace, 0});
   for (auto at = first;
        at != previous_counts_.end() && at->first.first == workspace; ++at) {
-    totals.all +=
+    const uint32_t remaining =
         CountStillInWindow(at->second.count, at->second.counted_at, now);
+    totals.all += remaining;
+    if (IsReachable(at->first.second)) totals.reachable += remaining;
   }
   return totals;
 }
 
+bool RateQuota::IsReachable(GatewayHash gateway) const {
+  if (gateway == own_gateway_) return true;
+  const auto peer = peers_.find(gateway);
+  return peer != peers_.end() && !peer->second.unreachable;
+}
+
 // Guards against a second burst after a restart of all gateways: they are
 // killed while a workspace is at its limit, restart within a second and have no
 // counts of what was admitted before. The time before the start of the oldest
--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -249,6 +249,26 @@
   }
 }
 
+// Guards against restarted gateways that use their group's share of the limit
+// again: they are cut off at the moment of their restart, and the rest of their
+// group has the counts of their former processes.
+TEST_CASE("gateways that are cut off as they restart keep to the limit") {
+  for (const size_t killed : {9U, 11U, 16U}) {
+    for (const size_t side : {6U, 9U, 14U}) {
+      CAPTURE(killed, side);
+      Model model;
+      model.kills.push_back(
+          {Time(7000), Time(500), 0, killed, Time(0), Time(20)});
+      model.cuts.push_back({Time(7500), Time(13500), side, false});
+      Model::Load load = Hot(7.5, 1);
+      load.limit = {.per_second = 190, .burst = 190};
+      load.usual_per_second = 119;
+      load.cells = 4;
+      CHECK(RunAllSeeds(model, load).over <= 0);
+    }
+  }
+}
+
 // Guards against gateways that take a larger share of the limit as soon as the
 // first reports cross a partition that has just ended.
 TEST_CASE("a peer that was never reachable keeps its equal share") {
