Rate quota: the limit of each span is shared in a partition as well

Callers of a hot workspace were admitted beyond its limit some seconds after the start of a partition.

Cause: a group keeps to its share of the limit in the whole window, but each group could use the whole limit of one second. The last counts of the other group expire in both groups at the same moment, after which each admitted up to a full burst at once, faster than reports cross cells.

Fix: during a partition the limits of shorter spans are multiplied by the share.

--- a/libs/workspaces/include/workspaces/rate_quota.h
+++ b/libs/workspaces/include/workspaces/rate_quota.h
@@ -149,8 +149,10 @@
   Duration SpanLength(size_t index) const noexcept {
     return settings_.window * static_cast<int64_t>(index + 1) / kRateSpans;
   }
-  // Whether one more request fits each span of the window.
-  bool FitsAllSpans(const RateLimit& limit, const AdmittedTotals& totals) const;
+  // Whether one more request fits a share of the limit in each span of the
+  // window.
+  bool FitsAllSpans(const RateLimit& limit, double share,
+                    const AdmittedTotals& totals) const;
   // The most requests of a workspace in the window, without overage.
   double WindowLimit(const RateLimit& limit) const noexcept;
   // A share of the requests that may be admitted beyond the limit.
--- a/libs/workspaces/src/rate_quota.cc
+++ b/libs/workspaces/src/rate_quota.cc
@@ -159,13 +159,13 @@
 // gateways then restarted and lost their counts, what they admit after the
 // restart would fall into the same window and exceed the limit. With each span
 // limited, the requests before and after the restart fit the window together.
-bool RateQuota::FitsAllSpans(const RateLimit& limit,
+bool RateQuota::FitsAllSpans(const RateLimit& limit, double share,
                              const AdmittedTotals& totals) const {
   const double counting_overage =
       Overage(kCountingOverageShare, WindowLimit(limit));
   for (size_t span = 0; span < kRateSpans; ++span) {
-    const double max_requests =
-        limit.MaxRequestsIn(ToSeconds(SpanLength(span))) + counting_overage;
+    const double span_limit = limit.MaxRequestsIn(ToSeconds(SpanLength(span)));
+    const double max_requests = share * (span_limit + counting_overage);
     if (totals.reachable_in_spans[span] + 1 > std::max(1.0, max_requests))
       return false;
   }
@@ -184,7 +184,7 @@
   const double counting_overage = Overage(kCountingOverageShare, window_limit);
   if (!fits(totals.all, window_limit + counting_overage))
     return RateVerdict::kOverRate;
-  if (!FitsAllSpans(limit, totals)) return RateVerdict::kOverRate;
+  if (!FitsAllSpans(limit, 1, totals)) return RateVerdict::kOverRate;
   const double max_since_start = MaxSinceStart(limit, now);
   if (!fits(totals.by_new_processes, max_since_start))
     return RateVerdict::kStarting;
@@ -192,9 +192,9 @@
   const double available =
       std::min(max_since_start,
                window_limit + Overage(kPartitionOverageShare, window_limit));
-  if (share < 1 && !fits(totals.reachable, share * available)) {
-    return RateVerdict::kPartitioned;
-  }
+  const bool fits_share = fits(totals.reachable, share * available) &&
+                          FitsAllSpans(limit, share, totals);
+  if (share < 1 && !fits_share) return RateVerdict::kPartitioned;
   return RateVerdict::kAdmitted;
 }
 
--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -269,6 +269,20 @@
   }
 }
 
+// Guards against groups that each admit the requests of a whole second at once:
+// five seconds after the start of a partition the last counts of the other
+// group expire in both groups at the same moment.
+TEST_CASE("groups of a partitioned fleet do not admit a burst each") {
+  Model model;
+  model.kills.push_back({Time(7000), Time(500), 0, 16, Time(0), Time(20)});
+  model.cuts.push_back({Time(8600), Time(14600), 9, false});
+  Model::Load load = Hot(7.5, 1);
+  load.limit = {.per_second = 190, .burst = 190};
+  load.usual_per_second = 119;
+  load.cells = 4;
+  CHECK(RunAllSeeds(model, load).over <= 0);
+}
+
 // Guards against gateways that take a larger share of the limit as soon as the
 // first reports cross a partition that has just ended.
 TEST_CASE("a peer that was never reachable keeps its equal share") {
