Store availability: an old watch without a response does not lose the store

Callers of a removed route or with an unknown key got 503 for 0.3 s where 404 and 401 were due, long after a fault had ended; all kinds were listed anew.

Cause: StoreCalls took every call without a response for a sign that the store is away now. A watch of the configuration waits 15 s; one that is lost on a connection gone silent reaches its deadline long after newer calls have been answered.

Fix: a call without a response does not count while one that was sent later was answered within the last second.

--- a/libs/gateway/src/store/store_calls.cc
+++ b/libs/gateway/src/store/store_calls.cc
@@ -11,6 +11,13 @@
 using platform::StoreAnswer;
 using platform::StoreOutcome;
 
+namespace {
+
+// How long an answer shows that the store is available.
+constexpr std::chrono::seconds kAnswerValidity{1};
+
+}  // namespace
+
 StoreCalls::StoreCalls(boost::asio::io_context& io, const std::string& address)
     : client_(io, address,
               [this](StoreAnswer&& answer) { OnAnswer(std::move(answer)); }) {}
@@ -52,6 +59,18 @@
   const bool failed = answer.outcome == StoreOutcome::kNotSent ||
                       answer.outcome == StoreOutcome::kUnknown ||
                       answer.outcome == StoreOutcome::kThrottled;
+  if (!failed && answer.token > last_answered_.token) {
+    last_answered_ = {.token = answer.token, .at = MonotonicNow()};
+  }
+  // Guards against a watch that is lost on a connection gone silent: its
+  // deadline passes many seconds later, when other calls are answered again.
+  const bool outdated = answer.outcome == StoreOutcome::kUnknown &&
+                        answer.token < last_answered_.token &&
+                        MonotonicNow() - last_answered_.at < kAnswerValidity;
+  if (outdated && available_) {
+    return LogInfo("store_call_lost", {{"outcome", NameOf(answer.outcome)},
+                                       {"reason", answer.message}});
+  }
   if (available_ != failed) return;
   available_ = !failed;
   if (failed) {
--- a/libs/gateway/src/store/store_calls.h
+++ b/libs/gateway/src/store/store_calls.h
@@ -46,7 +46,8 @@
   // Whether calls can reach the store, directly or through a peer.
   bool reachable() const;
   // False if the latest direct call could not be sent, got no response or was
-  // throttled.
+  // throttled. A call without a response does not count if one that was sent
+  // later has just been answered.
   bool available() const noexcept { return available_; }
   // When the store last became available after an outage; zero if there was no
   // outage since the start.
@@ -58,7 +59,13 @@
   void OnAnswer(platform::StoreAnswer&& answer);
   void UpdateAvailability(const platform::StoreAnswer& answer);
 
+  struct AnsweredCall {
+    uint64_t token = 0;  // increases from call to call
+    TimePoint at{};      // of its answer
+  };
+
   std::unordered_map<uint64_t, Callback> callbacks_;
+  AnsweredCall last_answered_;  // of all answered calls the one sent last
   uint64_t last_token_ = 0;
   bool available_ = true;
   TimePoint available_since_{};
--- a/tests/users_platform/kind_mirror_test.cc
+++ b/tests/users_platform/kind_mirror_test.cc
@@ -1,10 +1,12 @@
 #include "store/kind_mirror.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <set>
 
 #include "base/clock.h"
 #include "harness/caller.h"
+#include "harness/proxy.h"
 #include "store/store_calls.h"
 #include "users_platform/object_store.h"
 
@@ -13,6 +15,7 @@
 
 constexpr char kKind[] = "records";
 constexpr size_t kRecordCount = 1300;
+constexpr std::chrono::seconds kListTimeout{1};
 
 }  // namespace
 
@@ -184,4 +187,51 @@
   CHECK(mirror.newest_change() == previous + 1);
 }
 
+// Guards against a gateway that takes the whole store for unavailable, and
+// rejects callers, because a watch on a connection that went silent long ago
+// reaches its deadline while other calls are answered.
+TEST_CASE("a watch lost on a silent connection does not lose the store") {
+  harness::Caller caller;
+  users_site::ObjectStore store(caller.io());
+  harness::Proxy proxy(caller.io(), "127.0.0.1:0", store.address());
+  StoreCalls calls(caller.io(), "127.0.0.1:" + std::to_string(proxy.port()));
+  bool regained = false;
+  calls.SetRegainedHandler([&] { regained = true; });
+  int lists = 0;
+  uint64_t revision = 0;
+  const auto list = [&] {
+    calls.Call(platform::ListRequest{.kind = kKind},
+               MonotonicNow() + kListTimeout,
+               [&](platform::StoreAnswer&& answer) {
+                 REQUIRE(answer.outcome == platform::StoreOutcome::kOk);
+                 revision = answer.revision;
+                 ++lists;
+               });
+  };
+  list();
+  REQUIRE(caller.RunUntil([&] { return lists == 1; }));
+  std::optional<platform::StoreOutcome> watched;
+  const TimePoint wait_until = MonotonicNow() + std::chrono::milliseconds(800);
+  calls.Call(
+      platform::WatchRequest{
+          .kind = kKind,
+          .after = revision,
+          .wait_until = wait_until,
+          .response_deadline = wait_until + std::chrono::milliseconds(200)},
+      kNever,
+      [&](platform::StoreAnswer&& answer) { watched = answer.outcome; });
+  caller.RunFor(std::chrono::milliseconds(100));
+  proxy.Inject({.mode = harness::FaultMode::kFreeze, .permanent = true});
+  while (!watched) {
+    list();
+    caller.RunFor(std::chrono::milliseconds(50));
+  }
+  CHECK(watched == platform::StoreOutcome::kUnknown);
+  CHECK(lists > 1);
+  list();
+  caller.RunFor(std::chrono::milliseconds(200));
+  CHECK(calls.available());
+  CHECK_FALSE(regained);
+}
+
 }  // namespace knapweedstile::gateway
