Store availability: an answer proves the store for 600 ms, not a second

Cause: with a second, a call sent just before an outage and lost in it could be taken for an old one, and the outage be found a second later. A watch may be 700 ms late; with 600 ms every answer from before the outage is too old by then.

--- a/libs/gateway/src/store/store_calls.cc
+++ b/libs/gateway/src/store/store_calls.cc
@@ -13,8 +13,10 @@
 
 namespace {
 
-// How long an answer shows that the store is available.
-constexpr std::chrono::seconds kAnswerValidity{1};
+// How long an answer shows that the store is available. Less than the time by
+// which a response may be late: when the first call of an outage fails, all
+// answers are older.
+constexpr std::chrono::milliseconds kAnswerValidity{600};
 
 }  // namespace
 
--- a/libs/gateway/src/store/store_calls.h
+++ b/libs/gateway/src/store/store_calls.h
@@ -56,14 +56,14 @@
   uint64_t call_count() const noexcept { return last_token_; }
 
  private:
-  void OnAnswer(platform::StoreAnswer&& answer);
-  void UpdateAvailability(const platform::StoreAnswer& answer);
-
   struct AnsweredCall {
     uint64_t token = 0;  // increases from call to call
     TimePoint at{};      // of its answer
   };
 
+  void OnAnswer(platform::StoreAnswer&& answer);
+  void UpdateAvailability(const platform::StoreAnswer& answer);
+
   std::unordered_map<uint64_t, Callback> callbacks_;
   AnsweredCall last_answered_;  // of all answered calls the one sent last
   uint64_t last_token_ = 0;
