Store availability: only an abandoned watch is ignored when it is lost

Change: a mirror abandons a call that it replaces.

The test in kind_mirror now also checks that a watch which is still needed makes the store count as lost when it gets no response.

--- a/libs/gateway/src/store/kind_mirror.cc
+++ b/libs/gateway/src/store/kind_mirror.cc
@@ -81,6 +81,11 @@
   };
 }
 
+void KindMirror::SupersedeCall() {
+  ++generation_;
+  store_.Abandon(call_);
+}
+
 void KindMirror::EndPause() {
   ++pause_number_;
   timer_.cancel();
@@ -89,7 +94,7 @@
 
 void KindMirror::Stop() {
   stopped_ = true;
-  ++generation_;
+  SupersedeCall();
   EndPause();
 }
 
@@ -139,7 +144,7 @@
   if (waiting_for_updates_) return ReadNow();
   if (pausing_) return SkipPause();
   if (!watching_) return;
-  ++generation_;
+  SupersedeCall();
   ReadNow();
 }
 
@@ -157,7 +162,7 @@
   // responses arrive late, and the store is considered lost and regained
   // several times a second. Each time, all records would be listed again.
   if (settings_.large_kind && listing_) return;
-  ++generation_;
+  SupersedeCall();
   EndPause();
   if (settings_.large_kind && revision_ != 0) return ReadNow();
   List();
@@ -169,7 +174,7 @@
   refreshed_at_ = now;
   LogInfo("mirror_refreshed",
           {{"kind", settings_.kind}, {"newest_change", newest_change_}});
-  ++generation_;
+  SupersedeCall();
   EndPause();
   ReadNow();
 }
@@ -184,7 +189,7 @@
       settings_.large_kind ? kLargeResponseTimeout : kListTimeout;
   const bool stale =
       settings_.stale_first_list && revision_ == 0 && failures_ == 0;
-  store_.Call(
+  call_ = store_.Call(
       platform::ListRequest{.kind = settings_.kind, .allow_stale = stale},
       call_began_ + timeout, IfCurrent(&KindMirror::OnListed));
 }
@@ -241,7 +246,7 @@
   watching_ = true;
   const Duration grace =
       settings_.large_kind ? kLargeResponseTimeout : kWatchGrace;
-  store_.Call(
+  call_ = store_.Call(
       platform::WatchRequest{.kind = settings_.kind,
                              .after = revision_,
                              .wait_until = call_began_ + wait,
--- a/libs/gateway/src/store/kind_mirror.h
+++ b/libs/gateway/src/store/kind_mirror.h
@@ -128,6 +128,7 @@
   auto IfCurrent(void (KindMirror::*handler)(platform::StoreAnswer&&));
   // Whether the update holds all changes since the mirrored state.
   bool IsContiguous(const StoreUpdate& update) const;
+  void SupersedeCall();
   void EndPause();
   void ScheduleAfter(Duration pause, void (KindMirror::*next)());
   void Retry(void (KindMirror::*next)(), const platform::StoreAnswer& answer);
@@ -140,6 +141,7 @@
   uint64_t newest_change_ = 0;
   KindDigest digest_;        // of the mirrored state
   uint64_t generation_ = 0;  // counts superseded calls
+  uint64_t call_ = 0;        // the latest call to the store
   bool pausing_ = false;
   bool retrying_ = false;  // waits to retry after a failed call
   uint64_t pause_number_ = 0;
--- a/libs/gateway/src/store/store_calls.cc
+++ b/libs/gateway/src/store/store_calls.cc
@@ -1,5 +1,6 @@
 #include "store/store_calls.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/clock.h"
@@ -11,32 +12,24 @@
 using platform::StoreAnswer;
 using platform::StoreOutcome;
 
-namespace {
-
-// How long an answer shows that the store is available. Less than the time by
-// which a response may be late: when the first call of an outage fails, all
-// answers are older.
-constexpr std::chrono::milliseconds kAnswerValidity{600};
-
-}  // namespace
-
 StoreCalls::StoreCalls(boost::asio::io_context& io, const std::string& address)
     : client_(io, address,
               [this](StoreAnswer&& answer) { OnAnswer(std::move(answer)); }) {}
 
-void StoreCalls::Call(platform::StoreCall&& call, TimePoint deadline,
-                      Callback callback) {
+uint64_t StoreCalls::Call(platform::StoreCall&& call, TimePoint deadline,
+                          Callback callback) {
   const uint64_t token = ++last_token_;
   callbacks_.emplace(token, std::move(callback));
   client_.Call({.token = token, .call = std::move(call), .deadline = deadline});
+  return token;
 }
 
 void StoreCalls::CallDirectOrRelayed(platform::StoreCall&& call,
                                      TimePoint deadline, Callback callback) {
   const bool relayed =
       !available_ && relay_ && relay_->usable() && StoreRelay::MayRelay(call);
-  if (!relayed) return Call(std::move(call), deadline, std::move(callback));
-  relay_->Call(call, deadline, std::move(callback));
+  if (relayed) return relay_->Call(call, deadline, std::move(callback));
+  Call(std::move(call), deadline, std::move(callback));
 }
 
 bool StoreCalls::reachable() const {
@@ -53,23 +46,23 @@
 
 void StoreCalls::OnAnswer(StoreAnswer&& answer) {
   auto found = callbacks_.extract(answer.token);
-  UpdateAvailability(answer);
-  if (!found.empty()) found.mapped()(std::move(answer));
+  const bool abandoned = found.empty();
+  UpdateAvailability(answer, abandoned);
+  if (!abandoned) found.mapped()(std::move(answer));
 }
 
-void StoreCalls::UpdateAvailability(const StoreAnswer& answer) {
+void StoreCalls::UpdateAvailability(const StoreAnswer& answer, bool abandoned) {
   const bool failed = answer.outcome == StoreOutcome::kNotSent ||
                       answer.outcome == StoreOutcome::kUnknown ||
                       answer.outcome == StoreOutcome::kThrottled;
-  if (!failed && answer.token > last_answered_.token) {
-    last_answered_ = {.token = answer.token, .at = MonotonicNow()};
+  if (!failed) {
+    last_answered_token_ = std::max(last_answered_token_, answer.token);
   }
   // Guards against a watch that is lost on a connection gone silent: its
-  // deadline passes many seconds later, when other calls are answered again.
-  const bool outdated = answer.outcome == StoreOutcome::kUnknown &&
-                        answer.token < last_answered_.token &&
-                        MonotonicNow() - last_answered_.at < kAnswerValidity;
-  if (outdated && available_) {
+  // deadline passes many seconds after the store has answered later calls.
+  const bool outdated = abandoned && answer.outcome == StoreOutcome::kUnknown &&
+                        answer.token < last_answered_token_;
+  if (outdated) {
     return LogInfo("store_call_lost", {{"outcome", NameOf(answer.outcome)},
                                        {"reason", answer.message}});
   }
--- a/libs/gateway/src/store/store_calls.h
+++ b/libs/gateway/src/store/store_calls.h
@@ -25,7 +25,11 @@
 
   StoreCalls(boost::asio::io_context& io, const std::string& address);
 
-  void Call(platform::StoreCall&& call, TimePoint deadline, Callback callback);
+  // Returns the number of the call, for Abandon(). Numbers increase.
+  uint64_t Call(platform::StoreCall&& call, TimePoint deadline,
+                Callback callback);
+  // The caller no longer needs the answer; its callback is not run.
+  void Abandon(uint64_t call) { callbacks_.erase(call); }
   // Like Call(), but while the store is unavailable to this gateway, calls that
   // StoreRelay::MayRelay() allows are relayed through a peer, if there is one.
   void CallDirectOrRelayed(platform::StoreCall&& call, TimePoint deadline,
@@ -46,8 +50,8 @@
   // Whether calls can reach the store, directly or through a peer.
   bool reachable() const;
   // False if the latest direct call could not be sent, got no response or was
-  // throttled. A call without a response does not count if one that was sent
-  // later has just been answered.
+  // throttled. An abandoned call without a response does not count if a later
+  // call was answered.
   bool available() const noexcept { return available_; }
   // When the store last became available after an outage; zero if there was no
   // outage since the start.
@@ -56,17 +60,12 @@
   uint64_t call_count() const noexcept { return last_token_; }
 
  private:
-  struct AnsweredCall {
-    uint64_t token = 0;  // increases from call to call
-    TimePoint at{};      // of its answer
-  };
-
   void OnAnswer(platform::StoreAnswer&& answer);
-  void UpdateAvailability(const platform::StoreAnswer& answer);
+  void UpdateAvailability(const platform::StoreAnswer& answer, bool abandoned);
 
   std::unordered_map<uint64_t, Callback> callbacks_;
-  AnsweredCall last_answered_;  // of all answered calls the one sent last
   uint64_t last_token_ = 0;
+  uint64_t last_answered_token_ = 0;
   bool available_ = true;
   TimePoint available_since_{};
   std::function<void()> regained_handler_;
--- a/tests/users_platform/kind_mirror_test.cc
+++ b/tests/users_platform/kind_mirror_test.cc
@@ -1,7 +1,6 @@
 #include "store/kind_mirror.h"
 
 #include <catch2/catch.hpp>
-#include <optional>
 #include <set>
 
 #include "base/clock.h"
@@ -16,6 +15,7 @@
 constexpr char kKind[] = "records";
 constexpr size_t kRecordCount = 1300;
 constexpr std::chrono::seconds kListTimeout{1};
+constexpr std::chrono::milliseconds kWatchGrace{200};
 
 }  // namespace
 
@@ -188,9 +188,9 @@
 }
 
 // Guards against a gateway that takes the whole store for unavailable, and
-// rejects callers, because a watch on a connection that went silent long ago
-// reaches its deadline while other calls are answered.
-TEST_CASE("a watch lost on a silent connection does not lose the store") {
+// rejects callers, because a watch that it has replaced long ago reaches its
+// deadline on a silent connection.
+TEST_CASE("an abandoned watch without a response does not lose the store") {
   harness::Caller caller;
   users_site::ObjectStore store(caller.io());
   harness::Proxy proxy(caller.io(), "127.0.0.1:0", store.address());
@@ -210,28 +210,36 @@
   };
   list();
   REQUIRE(caller.RunUntil([&] { return lists == 1; }));
-  std::optional<platform::StoreOutcome> watched;
-  const TimePoint wait_until = MonotonicNow() + std::chrono::milliseconds(800);
-  calls.Call(
-      platform::WatchRequest{
-          .kind = kKind,
-          .after = revision,
-          .wait_until = wait_until,
-          .response_deadline = wait_until + std::chrono::milliseconds(200)},
-      kNever,
-      [&](platform::StoreAnswer&& answer) { watched = answer.outcome; });
+  const auto watch = [&](TimePoint response_deadline, bool& lost) {
+    return calls.Call(
+        platform::WatchRequest{.kind = kKind,
+                               .after = revision,
+                               .wait_until = response_deadline - kWatchGrace,
+                               .response_deadline = response_deadline},
+        kNever, [&lost](platform::StoreAnswer&& answer) {
+          lost = answer.outcome == platform::StoreOutcome::kUnknown;
+        });
+  };
+  const TimePoint sent_at = MonotonicNow();
+  bool abandoned_lost = false;
+  bool current_lost = false;
+  const uint64_t abandoned =
+      watch(sent_at + std::chrono::milliseconds(600), abandoned_lost);
+  watch(sent_at + std::chrono::milliseconds(1200), current_lost);
   caller.RunFor(std::chrono::milliseconds(100));
   proxy.Inject({.mode = harness::FaultMode::kFreeze, .permanent = true});
-  while (!watched) {
-    list();
-    caller.RunFor(std::chrono::milliseconds(50));
-  }
-  CHECK(watched == platform::StoreOutcome::kUnknown);
-  CHECK(lists > 1);
+  calls.Abandon(abandoned);
   list();
-  caller.RunFor(std::chrono::milliseconds(200));
+  REQUIRE(caller.RunUntil([&] { return lists == 2; }));
+  caller.RunUntil([&] {
+    return MonotonicNow() > sent_at + std::chrono::milliseconds(900);
+  });
   CHECK(calls.available());
   CHECK_FALSE(regained);
+  CHECK_FALSE(abandoned_lost);
+  // One that is still needed shows that the store may be unavailable.
+  REQUIRE(caller.RunUntil([&] { return current_lost; }));
+  CHECK_FALSE(calls.available());
 }
 
 }  // namespace knapweedstile::gateway
