guards_off: two guards find their lines again

The lines of 'quota' and 'caller_gone' had been renamed since, so that the script ended with an error there. Checked that each edit of the script matches exactly once; the two builds were not run.

--- a/scripts/guards_off.py
+++ b/scripts/guards_off.py
@@ -86,8 +86,8 @@
     ],
     "caller_gone": [
         (GATEWAY + "online/online_calls.cc",
-         "connections_.Cancel(found->second.upstream);\n  Finish",
-         "Finish"),
+         "connections_.Cancel(call.upstream);\n  // Callers leave",
+         "// Callers leave"),
     ],
     "ended_job": [
         (GATEWAY + "batch/batch_runner.cc", "!job || job->ended || committed",
@@ -97,7 +97,7 @@
     ],
     "quota": [
         ("libs/serving/src/quota_limiter.cc",
-         "return static_cast<double>(unheard + tokens) <= share",
+         "return static_cast<double>(unacknowledged + tokens) <= share",
          "return share >= 0"),
     ],
     "quota_at_all": [
