--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -271,8 +271,7 @@
 }
 
 // Guards against groups that each admit the requests of a whole second at once:
-// five seconds after the start of a partition the last counts of the other
-// group expire in both groups at the same moment.
+// counts from before the partition leave the window in both groups together.
 TEST_CASE("groups of a partitioned fleet do not admit a burst each") {
   Model model;
   model.kills.push_back({Time(7000), Time(500), 0, 16, Time(0), Time(20)});
