--- a/libs/workspaces/tests/rate_quota_test.cc
+++ b/libs/workspaces/tests/rate_quota_test.cc
@@ -239,8 +239,8 @@
 }
 
 // Guards against groups whose shares of the limit add up to more than one: one
-// group has just been restarted, and what its former processes admitted counts
-// as demand of neither group.
+// group has just been restarted, and what its previous processes admitted
+// counts as demand of neither group.
 TEST_CASE("gateways that are cut off soon after a restart keep to the limit") {
   for (const size_t side : {6U, 9U, 14U}) {
     for (const int cut_after : {1600, 2600}) {
@@ -256,7 +256,7 @@
 
 // Guards against restarted gateways that use their group's share of the limit
 // again: they are cut off at the moment of their restart, and the rest of their
-// group has the counts of their former processes.
+// group has the counts of their previous processes.
 TEST_CASE("gateways that are cut off as they restart keep to the limit") {
   for (const size_t killed : {9U, 11U, 16U}) {
     for (const size_t side : {6U, 9U, 14U}) {
