--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -376,7 +376,7 @@
           << " (of rejections " << rejection_copies << "), run twice " << twice
           << ", answered 503 though run " << refused;
   Record(summary.str());
-  std::cout << summary.str() << '\n';
+  std::cout << summary.str() << std::endl;
   for (auto& engine : engines) engine.release();  // its threads go on
   // A run that shows nothing: no load, or nothing was served.
   if (served < static_cast<int>(statuses.size()) / 4 || statuses.empty())
