The layout is created once, before the first job, and never replaced

What callers saw: six jobs were accepted, completed and read at 126 gateways.

Cause: where a job's records are follows from the layout, which could be created after jobs had been accepted without one. The check that no job exists looked at the own job table, which is empty at a gateway that has just started and waits for a layout. Ruled out as a fix: a list of the store before the write, since another gateway may accept a job between the two, or later, until it hears of the layout.

Change: a conditional create decides the layout of every fleet, also of a small one, before its first job is accepted. No gateway accepts a job without knowing the layout, or calls a job unknown before it has looked for the layout in the store; a layout in force is not replaced. This also covers restarts in a fleet that has grown, jobs during a large start, shrinking, and forwarded calls at a gateway that has not heard of the layout. A fleet with jobs of a version that wrote no layout stays undivided. The bound of 128 is a setting (fleet.max_undivided), so that tests show growth with a few processes.

Two cases of gateway_batch submit a job first now: the write whose answer they lose, or withhold, would be the layout's otherwise. What they check is the same.

--- a/libs/cluster/include/cluster/fleet_layout.h
+++ b/libs/cluster/include/cluster/fleet_layout.h
@@ -6,8 +6,11 @@
 
 namespace knapweedstile::cluster {
 
+inline constexpr uint32_t kDefaultMaxUndividedGateways = 128;
+
 // Division of a fleet's batch jobs among its gateways. Written to the store
-// once, so that all gateways use the same layout at all times.
+// once, before the first job is accepted, and never changed: where a job's
+// records are follows from it.
 struct FleetLayout {
   // One: every gateway holds every job.
   uint32_t shards = 1;
@@ -16,8 +19,10 @@
   bool operator==(const FleetLayout&) const = default;
 };
 
-// The layout for a new fleet of this many gateways.
-FleetLayout LayoutFor(size_t gateways);
+// The layout for a new fleet of this many gateways, which is divided if there
+// are more than `max_undivided`.
+FleetLayout LayoutFor(size_t gateways,
+                      size_t max_undivided = kDefaultMaxUndividedGateways);
 
 }  // namespace knapweedstile::cluster
 
--- a/libs/cluster/include/cluster/fleet_view.h
+++ b/libs/cluster/include/cluster/fleet_view.h
@@ -32,13 +32,16 @@
   // Commands.
   void SetMember(const std::string& name, const Member& member);
   void RemoveMember(const std::string& name);
-  void SetLayout(const FleetLayout& layout);
+  // Returns false if another layout is in force, which stays.
+  bool SetLayout(const FleetLayout& layout);
   // Recomputes cells and shards if anything has changed; returns whether so.
   bool Refresh();
 
   // Queries, as of the last Refresh().
   const Members& members() const noexcept { return members_; }
   const FleetLayout& layout() const noexcept { return layout_; }
+  // False until SetLayout(); layout() is then that of an undivided fleet.
+  bool layout_known() const noexcept { return layout_known_; }
   bool divided() const noexcept { return layout_.divided(); }
   const CellMap& cells() const noexcept { return cells_; }
   serving::Cell own_cell() const { return cells_.CellOf(own_name_); }
@@ -66,6 +69,7 @@
   std::string own_name_;
   Members members_;
   FleetLayout layout_;
+  bool layout_known_ = false;
   CellMap cells_;
   ShardMap shards_;
   bool changed_ = true;
--- a/libs/cluster/src/fleet_view.cc
+++ b/libs/cluster/src/fleet_view.cc
@@ -26,10 +26,12 @@
   if (members_.erase(name) > 0) changed_ = true;
 }
 
-void FleetView::SetLayout(const FleetLayout& layout) {
-  if (layout_ == layout) return;
+bool FleetView::SetLayout(const FleetLayout& layout) {
+  if (layout_known_) return layout_ == layout;
   layout_ = layout;
+  layout_known_ = true;
   changed_ = true;
+  return true;
 }
 
 bool FleetView::Refresh() {
--- a/libs/cluster/tests/fleet_view_test.cc
+++ b/libs/cluster/tests/fleet_view_test.cc
@@ -32,6 +32,26 @@
 
 }  // namespace
 
+// Guards against jobs whose records are no longer found: their place follows
+// from the layout.
+TEST_CASE("a layout that is in force is not replaced") {
+  FleetView view(NameOf(1), MemberOf(1));
+  CHECK_FALSE(view.layout_known());
+  CHECK(view.SetLayout({}));
+  CHECK(view.layout_known());
+  CHECK_FALSE(view.SetLayout({.shards = 8}));
+  CHECK(view.SetLayout({}));
+  view.Refresh();
+  CHECK_FALSE(view.divided());
+}
+
+TEST_CASE("a fleet beyond the size of an undivided one has several shards") {
+  for (const size_t max_undivided : {1, 4, 128}) {
+    CHECK_FALSE(LayoutFor(max_undivided, max_undivided).divided());
+    CHECK(LayoutFor(max_undivided + 1, max_undivided).divided());
+  }
+}
+
 TEST_CASE("the number of peers does not grow with the fleet") {
   for (const int count : {300, 315, 1000, 3191}) {
     CAPTURE(count);
--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/log.h"
+#include "cluster/fleet_layout.h"
 #include "settings/schema.h"
 #include "workspaces/rate_quota_settings.h"
 
@@ -21,6 +22,9 @@
   std::string readiness_address;  // readiness and metrics
   std::string metrics_address;    // metrics only; empty: no second address
   uint32_t peer_port = 0;
+  // Up to this size of the fleet, messages between all gateways cost less than
+  // forwarding calls to the gateways that hold a job.
+  uint32_t max_undivided_gateways = cluster::kDefaultMaxUndividedGateways;
   std::string store_address;
   // How long the store keeps its change history.
   std::chrono::milliseconds store_history{20000};
--- a/libs/gateway/src/batch/native_batch_api.cc
+++ b/libs/gateway/src/batch/native_batch_api.cc
@@ -136,6 +136,15 @@
   return json::serialize(line) + "\n";
 }
 
+// Segments of the target's path; empty if the target is not valid.
+std::vector<std::string> PathOf(const http::RequestEvent& request) {
+  std::vector<std::string> path;
+  const auto url = boost::urls::parse_origin_form(request.target);
+  if (!url) return path;
+  for (const auto& segment : url->segments()) path.push_back(segment);
+  return path;
+}
+
 // Without an idempotency key, a resubmission cannot be distinguished from a new
 // job.
 std::string IdOfSubmission(const http::RequestEvent& request,
@@ -177,12 +186,13 @@
   return batch ? route : nullptr;
 }
 
+bool NativeBatchApi::IsSubmission(const http::RequestEvent& request) {
+  return request.method == "POST" && PathOf(request).size() == 2;
+}
+
 std::string NativeBatchApi::JobIdOf(const http::RequestEvent& request,
                                     const CallerIdentity& caller) {
-  const auto url = boost::urls::parse_origin_form(request.target);
-  if (!url) return {};
-  std::vector<std::string> path;
-  for (const auto& segment : url->segments()) path.push_back(segment);
+  const std::vector<std::string> path = PathOf(request);
   if (path.size() == 2) return IdOfSubmission(request, caller);
   return path.size() > 2 ? path[2] : std::string();
 }
@@ -190,10 +200,9 @@
 void NativeBatchApi::OnRequest(http::RequestEvent&& request,
                                const CallerIdentity& caller) {
   const auto url = boost::urls::parse_origin_form(request.target);
-  std::vector<std::string> path;
+  const std::vector<std::string> path = PathOf(request);
   JobTarget target;
   if (url) {
-    for (const auto& segment : url->segments()) path.push_back(segment);
     for (const auto& parameter : url->params()) {
       const size_t number = std::strtoull(parameter.value.c_str(), nullptr, 10);
       if (parameter.key == "after") target.after = number;
--- a/libs/gateway/src/batch/native_batch_api.h
+++ b/libs/gateway/src/batch/native_batch_api.h
@@ -49,6 +49,7 @@
   // Id of the job that the request refers to or would submit; empty if none.
   static std::string JobIdOf(const http::RequestEvent& request,
                              const CallerIdentity& caller);
+  static bool IsSubmission(const http::RequestEvent& request);
   void OnRequest(http::RequestEvent&& request, const CallerIdentity& caller);
 
  private:
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +37,7 @@
 #include "operators/policy_view.h"
 #include "pause_detector.h"
 #include "peers/gateway_registration.h"
+#include "peers/layout_record.h"
 #include "peers/peer_link.h"
 #include "peers/progress_link.h"
 #include "peers/record_push.h"
@@ -94,6 +96,9 @@
   // hold every job. Each job then belongs to one shard, which one cell holds,
   // and FleetView::divided() is true.
   void ProposeLayout(TimePoint now);
+  // Creates the layout for the fleet as it is now, unless it exists.
+  void CreateLayout(LayoutRecord::Callback done);
+  void OnLayoutLearned(const cluster::FleetLayout& layout);
   // Whether this gateway has just started and still waits for the layout before
   // it exchanges state and accepts jobs.
   bool AwaitsLayout(TimePoint now) const;
@@ -103,10 +108,16 @@
   std::optional<PeerState> BuildSummary(TimePoint now);
   void OnPeerSummary(const PeerState& state);
   void SendToCaller(http::ServerCommand&& command);
-  // Returns true if this gateway holds the job. Otherwise forwards the call to
-  // a gateway that holds it, or responds with an error, and returns false.
+  using JobCallHandler = std::function<void(http::RequestEvent&&)>;
+  // Calls `serve` if this gateway holds the job. Otherwise forwards the call to
+  // a gateway that holds it, or responds with an error. `submits`: the call may
+  // create the job.
+  void ServeIfHolder(http::RequestEvent&& request, const std::string& job,
+                     const CallerIdentity& caller, bool submits,
+                     JobCallHandler serve);
   bool HoldsJobOrForwards(const http::RequestEvent& request,
                           const std::string& job, const CallerIdentity& caller);
+  void RespondFleetUnknown(ExchangeId exchange, const CallerIdentity& caller);
   void OnJobCall(const http::RequestEvent& request);
   void OnPeerRequest(http::RequestEvent&& request);
   // Sends the record to the live peers, in full to the holders of its job.
@@ -190,6 +201,7 @@
   SyncTracker sync_tracker_;
   JobOwnership ownership_;
   GatewayRegistration registration_;
+  LayoutRecord layout_record_;
   ServerConnections connections_;
   OnlineCalls online_;
   BatchRunner runner_;
@@ -218,6 +230,7 @@
   bool members_listed_ = false;
   bool is_new_member_ = false;
   bool awaits_layout_ = false;
+  bool exceeds_layout_ = false;  // the fleet is too large to be undivided
   TimePoint members_changed_at_{};
   TimePoint layout_proposed_at_{};
   TimePoint summary_sent_at_{};
--- a/libs/gateway/src/gateway_fleet.cc
+++ b/libs/gateway/src/gateway_fleet.cc
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "batch/job_call.h"
+#include "batch/job_records.h"
 #include "callers/error_response.h"
 #include "gateway.h"
 #include "peers/member_records.h"
@@ -22,7 +23,7 @@
 // write is enough.
 constexpr std::chrono::milliseconds kProposalRankDelay{200};
 constexpr std::chrono::milliseconds kProposalPause{3000};
-constexpr std::chrono::milliseconds kProposalTimeout{1500};
+constexpr std::chrono::milliseconds kRecordListTimeout{1500};
 // For this long after its start, a gateway of a fleet that will be divided
 // waits for the layout instead of exchanging state with all others.
 constexpr std::chrono::seconds kAwaitLayout{10};
@@ -70,7 +71,7 @@
     if (member) return fleet_.SetMember(*gateway, *member);
   } else if (object.name == kLayoutName) {
     const auto layout = DecodeLayout(object.value);
-    if (layout) return fleet_.SetLayout(*layout);
+    if (layout) return OnLayoutLearned(*layout);
   }
   LogWarning("member_record_invalid", {{"name", object.name}});
 }
@@ -86,10 +87,23 @@
 // A gateway that registers for the first time has no pending work, so it waits
 // to see how many others register.
 bool Gateway::AwaitsLayout(TimePoint now) const {
-  if (fleet_.divided()) return false;
+  if (fleet_.layout_known()) return false;
   if (is_new_member_ && now < started_at_ + kMembersSettle) return true;
   return now < started_at_ + kAwaitLayout &&
-         cluster::LayoutFor(fleet_.members().size()).divided();
+         cluster::LayoutFor(fleet_.members().size(),
+                            settings_.max_undivided_gateways)
+             .divided();
+}
+
+void Gateway::OnLayoutLearned(const cluster::FleetLayout& layout) {
+  const bool is_new = !fleet_.layout_known();
+  if (!fleet_.SetLayout(layout)) {
+    LogError("layout_refused",
+             {{"shards", layout.shards}, {"in_force", fleet_.layout().shards}});
+  } else if (is_new) {
+    LogInfo("layout_known", {{"shards", layout.shards}});
+    if (members_listed_) RefreshFleet(MonotonicNow());
+  }
 }
 
 void Gateway::UpdatePeers() {
@@ -130,33 +144,47 @@
   UpdatePeers();
   UpdateCells();
   if (!awaits_layout_) record_mirrors_.Follow(record_kinds_.OwnKinds());
-  LogInfo("fleet", {{"members", fleet_.members().size()},
+  const size_t members = fleet_.members().size();
+  const bool exceeds_layout = fleet_.layout_known() && !fleet_.divided() &&
+                              members > settings_.max_undivided_gateways;
+  if (exceeds_layout != std::exchange(exceeds_layout_, exceeds_layout) &&
+      exceeds_layout) {
+    LogWarning("fleet_exceeds_layout", {{"members", members}});
+  }
+  LogInfo("fleet", {{"members", members},
                     {"shards", fleet_.layout().shards},
                     {"peers", fleet_.Peers().size()},
                     {"cell", fleet_.own_cell().availability_zone},
                     {"part", fleet_.own_cell().part}});
 }
 
-// Guards against gateways that disagree on the layout and look for a job on
-// different gateways. The layout is created once, by the first gateway to write
-// it, and only while no job exists, so that no job ends up on a gateway where
-// it is not looked for.
 void Gateway::ProposeLayout(TimePoint now) {
-  const cluster::FleetLayout layout =
-      cluster::LayoutFor(fleet_.members().size());
-  if (fleet_.divided() || !layout.divided() || !jobs_.jobs().empty()) return;
+  const cluster::FleetLayout layout = cluster::LayoutFor(
+      fleet_.members().size(), settings_.max_undivided_gateways);
+  if (fleet_.layout_known() || !layout.divided()) return;
   const Duration turn =
       kProposalRankDelay * static_cast<int64_t>(fleet_.OwnRank());
   if (now < members_changed_at_ + kMembersSettle + turn) return;
   if (now < layout_proposed_at_ + kProposalPause) return;
   layout_proposed_at_ = now;
+  CreateLayout([](bool) {});
+}
+
+// Gateways of older versions accept jobs without a layout. A fleet that has
+// such jobs stays undivided, so that they are found.
+void Gateway::CreateLayout(LayoutRecord::Callback done) {
+  const cluster::FleetLayout layout = cluster::LayoutFor(
+      fleet_.members().size(), settings_.max_undivided_gateways);
+  if (!layout.divided() || !jobs_.jobs().empty()) {
+    return layout_record_.Create({}, std::move(done));
+  }
   store_.Call(
-      platform::WriteRequest{.kind = kMemberKind,
-                             .name = kLayoutName,
-                             .if_version = 0,
-                             .value = EncodeLayout(layout)},
-      now + kProposalTimeout, [](platform::StoreAnswer&& answer) {
-        LogInfo("layout_proposed", {{"outcome", NameOf(answer.outcome)}});
+      platform::ListRequest{.kind = kRecordKind},
+      MonotonicNow() + kRecordListTimeout,
+      [this, layout, done = std::move(done)](platform::StoreAnswer&& answer) {
+        if (answer.outcome != platform::StoreOutcome::kOk) return done(false);
+        const bool has_jobs = !answer.objects.empty();
+        layout_record_.Create(has_jobs ? cluster::FleetLayout() : layout, done);
       });
 }
 
@@ -168,6 +196,34 @@
   return addresses;
 }
 
+// Guards against a job that is accepted or looked for where its records are
+// not: this gateway may not have heard of the layout yet.
+void Gateway::ServeIfHolder(http::RequestEvent&& request,
+                            const std::string& job,
+                            const CallerIdentity& caller, bool submits,
+                            JobCallHandler serve) {
+  const bool knows_members = members_listed_ && !awaits_layout_;
+  const bool needs_layout =
+      !fleet_.layout_known() && !job.empty() && !jobs_.Find(job);
+  if (!needs_layout || !knows_members) {
+    if (HoldsJobOrForwards(request, job, caller)) serve(std::move(request));
+    return;
+  }
+  const auto call = std::make_shared<http::RequestEvent>(std::move(request));
+  auto go_on = [this, call, job, caller, submits,
+                serve = std::move(serve)](bool answered) {
+    if (submits ? !fleet_.layout_known() : !answered) {
+      return RespondFleetUnknown(call->exchange, caller);
+    }
+    if (HoldsJobOrForwards(*call, job, caller)) serve(std::move(*call));
+  };
+  if (submits) {
+    CreateLayout(std::move(go_on));
+  } else {
+    layout_record_.Read(std::move(go_on));
+  }
+}
+
 bool Gateway::HoldsJobOrForwards(const http::RequestEvent& request,
                                  const std::string& job,
                                  const CallerIdentity& caller) {
@@ -182,17 +238,21 @@
   } else if (knows_fleet) {
     forwarder_.Forward(request, job, caller);
   } else {
-    SendToCaller(
-        ToCommand(request.exchange, {.status = 503,
-                                     .code = "fleet_unknown",
-                                     .message = "this gateway has just started",
-                                     .request_id = caller.request_id,
-                                     .execution = ExecutionStatus::kNotExecuted,
-                                     .retry_after = kUnknownFleetRetry}));
+    RespondFleetUnknown(request.exchange, caller);
   }
   return false;
 }
 
+void Gateway::RespondFleetUnknown(ExchangeId exchange,
+                                  const CallerIdentity& caller) {
+  SendToCaller(ToCommand(exchange, {.status = 503,
+                                    .code = "fleet_unknown",
+                                    .message = "this gateway has just started",
+                                    .request_id = caller.request_id,
+                                    .execution = ExecutionStatus::kNotExecuted,
+                                    .retry_after = kUnknownFleetRetry}));
+}
+
 void Gateway::OnJobCall(const http::RequestEvent& request) {
   auto call = DecodeJobCall(request.body);
   if (!call) {
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -24,6 +24,10 @@
   schema.Integer("listen.peer_port", "port",
                  "UDP port for messages between entries", &settings->peer_port,
                  0, 65535);
+  schema.Integer("fleet.max_undivided", "gateways",
+                 "in a fleet of which each holds every job; a fleet that has "
+                 "more before its first job is divided",
+                 &settings->max_undivided_gateways, 1, 1000);
   schema.Address("store.address", "the platform's object store",
                  &settings->store_address, Presence::kRequired);
   schema.Seconds("store.history", "how long the store keeps what has changed",
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -206,6 +206,10 @@
       ownership_(settings.name, started_at_, peers_, jobs_),
       registration_(io, store_, settings.name,
                     fleet_.members().at(settings.name)),
+      layout_record_(store_,
+                     [this](const cluster::FleetLayout& layout) {
+                       OnLayoutLearned(layout);
+                     }),
       connections_(io),
       online_(
           connections_, scheduler_, crash_tracker_, crashing_parts_, metrics_,
@@ -388,24 +392,34 @@
                       const CallerIdentity& caller) {
                  const std::string job =
                      JobKey(caller.workspace, caller.request_id);
-                 if (!HoldsJobOrForwards(request, job, caller)) return;
-                 batch_api_.Submit(std::move(request), route, caller);
+                 ServeIfHolder(std::move(request), job, caller, true,
+                               [this, route, caller](auto&& call) {
+                                 batch_api_.Submit(std::move(call), route,
+                                                   caller);
+                               });
                },
            .call_job =
                [this](http::RequestEvent&& request,
                       const users_platform::BatchCall& call,
                       const CallerIdentity& caller) {
                  const std::string job = JobKey(caller.workspace, call.job);
-                 if (!HoldsJobOrForwards(request, job, caller)) return;
-                 batch_api_.Call(std::move(request), call, caller);
+                 ServeIfHolder(std::move(request), job, caller, false,
+                               [this, call, caller](auto&& event) {
+                                 batch_api_.Call(std::move(event), call,
+                                                 caller);
+                               });
                },
            .own_batches =
                [this](http::RequestEvent&& request,
                       const CallerIdentity& caller) {
                  const std::string job =
                      NativeBatchApi::JobIdOf(request, caller);
-                 if (!HoldsJobOrForwards(request, job, caller)) return;
-                 native_batch_api_.OnRequest(std::move(request), caller);
+                 const bool submits = NativeBatchApi::IsSubmission(request);
+                 ServeIfHolder(std::move(request), job, caller, submits,
+                               [this, caller](auto&& event) {
+                                 native_batch_api_.OnRequest(std::move(event),
+                                                             caller);
+                               });
                },
            .configuration_age =
                [this] { return follower_.ConfigurationAge(MonotonicNow()); },
--- a/tests/users_platform/gateway_batch_test.cc
+++ b/tests/users_platform/gateway_batch_test.cc
@@ -22,6 +22,12 @@
     site.AddGateway("entry-1");
     site.AddGateway("entry-2");
   }
+  // The first job of a fleet also writes the layout to the store.
+  void AcceptFirstJob() {
+    REQUIRE(site.Call(site.JobRequest("entry-1", "first-job", 1)).status ==
+            202);
+    site.WaitForResults("entry-1", "first-job", 1);
+  }
   size_t Runs() const { return first.runs().size() + second.runs().size(); }
 };
 
@@ -89,6 +95,7 @@
 // and lists each result once.
 TEST_CASE("lost responses of the store cause no lost or duplicate records") {
   TwoGateways fleet;
+  fleet.AcceptFirstJob();
   fleet.site.store().LoseAnswers(1);
   CHECK(fleet.site.Call(fleet.site.JobRequest("entry-1", "job-a", 2)).status ==
         202);
@@ -117,6 +124,7 @@
 TEST_CASE(
     "a job whose record may have been written is not reported as rejected") {
   TwoGateways fleet;
+  fleet.AcceptFirstJob();
   fleet.site.store().SetHealth(ObjectStore::Health::kUnresponsive);
   const auto end =
       fleet.site.Call(fleet.site.JobRequest("entry-1", "job-a", 2));
--- a/tests/users_platform/site.cc
+++ b/tests/users_platform/site.cc
@@ -222,6 +222,7 @@
   text = Replace(text, "bounds.revoke_ms", "5000");
   const std::string section = "[workspaces]\n";
   text.insert(text.find(section) + section.size(), workspace_settings);
+  text += further_settings;
   std::string file = folder_.File(name + ".toml");
   std::ofstream(file) << text;
   return file;
--- a/tests/users_platform/site.h
+++ b/tests/users_platform/site.h
@@ -74,6 +74,9 @@
   // Lines added to [workspaces] in the settings of gateways that are started
   // from now on.
   std::string workspace_settings;
+  // Lines added at the end of the settings of gateways that are started from
+  // now on.
+  std::string further_settings;
   // Whether configurations contain the routes of the native API.
   bool native_api = false;
   // Additional stream routes in configurations from now on.
