A response with another request's id is skipped, whatever its status

Streams that a late copy of another stream preceded ended with 502 though they ran.

Cause: a server's late copy of a 503 with Not-Executed, where the answer to the next request on the connection is due, was believed before its id was compared with the request's: OnlineCalls::OnComplete and BatchRunner::OnComplete asked for the status first, OnHead compared ids for 2xx only. The HTTP client took the copy for a complete exchange and kept the connection, on which the true answer was still to come.

Change: the HTTP client skips responses whose echoed id is another one before anything is taken from their heads, and goes on to the request's own response on the same connection. Such a connection, and one with a response without an id, is not used again, nor is a connection for the same id twice in a row: an item is sent again under its own id, and a copy of its 500 would count as a second failure. Online calls and items take a response without their id for no answer at any status, and close the connection. If only foreign answers come until the deadline, the caller gets 502 as before. Skipped responses are logged and counted (knap_foreign_responses_total).

The stand-in servers echo the id in rejections now, as the platform's do.

--- a/libs/gateway/src/batch/batch_answers.cc
+++ b/libs/gateway/src/batch/batch_answers.cc
@@ -54,14 +54,14 @@
 }
 
 void BatchRunner::OnHead(ItemRun& run, http::HeadEvent&& event) {
-  run.status = event.status;
-  run.head = std::move(event.headers);
-  const ServerAnswer answer = DecodeAnswer(run.status, run.head);
-  if (answer.ok() &&
-      (answer.request_id != run.item_id || !answer.signed_answer)) {
+  const ServerAnswer answer = DecodeAnswer(event.status, event.headers);
+  const bool unsigned_output = answer.ok() && !answer.signed_answer;
+  if (answer.request_id != run.item_id || unsigned_output) {
     connections_.Cancel(run.exchange);
-    OnAttemptBroken(run, "foreign_answer");
+    return OnAttemptBroken(run, kForeignAnswer);
   }
+  run.status = event.status;
+  run.head = std::move(event.headers);
 }
 
 void BatchRunner::OnBody(ItemRun& run, std::string_view data) {
@@ -121,8 +121,6 @@
     }
     return Requeue(run, kNotExecutedPause, "not_executed");
   }
-  if (answer.request_id != run.item_id)
-    return OnAttemptBroken(run, "foreign_answer");
   if (!answer.ok()) return OnErrorResponse(run);
   if (EndsEarly(run.head, run.reader, run.received_event))
     return OnAttemptBroken(run, kPartialEvent);
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -55,6 +55,9 @@
   metrics.DeclareGauge("knap_configuration_version",
                        "configuration version in effect");
   metrics.DeclareGauge("knap_servers", "backend servers known");
+  metrics.DeclareCounter(
+      "knap_foreign_responses_total",
+      "responses of backend servers to other requests than the one sent");
   metrics.DeclareGauge("knap_servers_avoided",
                        "backend servers avoided because they fail");
   metrics.DeclareGauge(
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -210,7 +210,7 @@
                      [this](const cluster::FleetLayout& layout) {
                        OnLayoutLearned(layout);
                      }),
-      connections_(io),
+      connections_(io, metrics_),
       online_(
           connections_, scheduler_, crash_tracker_, crashing_parts_, metrics_,
           timeline_, seed + 1,
--- a/libs/gateway/src/online/online_answers.cc
+++ b/libs/gateway/src/online/online_answers.cc
@@ -61,14 +61,14 @@
 }
 
 void OnlineCalls::OnHead(OnlineCall& call, http::HeadEvent&& event) {
+  const ServerAnswer response = DecodeAnswer(event.status, event.headers);
+  if (!response.RespondsTo(call.request_id)) {
+    connections_.Cancel(call.upstream);
+    return OnAttemptBroken(call, kForeignAnswer);
+  }
   call.status = event.status;
   call.head = std::move(event.headers);
-  const ServerAnswer response = DecodeAnswer(call.status, call.head);
   if (!response.ok() || response.not_executed) return;
-  if (response.request_id != call.request_id || !response.signed_answer) {
-    connections_.Cancel(call.upstream);
-    return OnAttemptBroken(call, "foreign_answer");
-  }
   scheduler_.MarkReachable(call.server);
   crashing_parts_.OnServerResponded(scheduler_.Process(call.server),
                                     call.sent_at);
@@ -145,9 +145,16 @@
     return RetryNotExecuted(call);
   }
   if (event.outcome != http::ClientOutcome::kComplete) {
-    return OnAttemptBroken(call, NameOf(event.outcome));
+    const bool only_foreign = event.skipped_responses > 0 &&
+                              event.outcome == http::ClientOutcome::kDeadline;
+    return OnAttemptBroken(
+        call, only_foreign ? kForeignAnswer : NameOf(event.outcome));
   }
   if (!call.response_started || call.status == 0) {
+    const ServerAnswer response = DecodeAnswer(event.status, event.headers);
+    if (!response.RespondsTo(call.request_id)) {
+      return OnAttemptBroken(call, kForeignAnswer);
+    }
     call.status = event.status;
     call.head = std::move(event.headers);
     if (call.body.empty()) call.body = std::move(event.body);
@@ -174,9 +181,6 @@
         http::StreamChunkCommand{.exchange = call.caller, .last = true});
     return Finish(call, call.status, "answered");
   }
-  if (response.request_id != call.request_id || !response.signed_answer) {
-    return OnAttemptBroken(call, "foreign_answer");
-  }
   const bool failed = call.status >= kServerError;
   if (failed && (call.response_started || CanRetryElsewhere(call))) {
     return OnAttemptBroken(call, "server_error");
@@ -246,7 +250,8 @@
     return Fail(call, kBadGateway, "crashes_servers");
   }
   if (retry) return Dispatch(call);
-  const bool timeout = MonotonicNow() >= call.deadline;
+  const bool timeout =
+      reason != kForeignAnswer && MonotonicNow() >= call.deadline;
   Fail(call, timeout ? kGatewayTimeout : kBadGateway, reason);
 }
 
--- a/libs/gateway/src/servers/server_connections.cc
+++ b/libs/gateway/src/servers/server_connections.cc
@@ -3,12 +3,16 @@
 #include <utility>
 #include <variant>
 
+#include "base/log.h"
 #include "servers/upstream_settings.h"
+#include "users_platform/request_headers.h"
 
 namespace knapweedstile::gateway {
 
-ServerConnections::ServerConnections(boost::asio::io_context& io)
-    : client_(io, UpstreamClientSettings(), [this](http::ClientEvent&& event) {
+ServerConnections::ServerConnections(boost::asio::io_context& io,
+                                     observe::Metrics& metrics)
+    : metrics_(metrics),
+      client_(io, UpstreamClientSettings(), [this](http::ClientEvent&& event) {
         OnEvent(std::move(event));
       }) {}
 
@@ -19,6 +23,7 @@
 }
 
 void ServerConnections::Send(http::ClientRequest&& request) {
+  request.echoed_field = users_platform::RequestIdField();
   client_.Send(std::move(request));
 }
 
@@ -31,13 +36,23 @@
   client_.CloseIdle(address);
 }
 
+void ServerConnections::RecordSkipped(const http::EndEvent& end) {
+  metrics_.Add("knap_foreign_responses_total", {}, end.skipped_responses);
+  LogWarning("foreign_responses_skipped", {{"responses", end.skipped_responses},
+                                           {"outcome", NameOf(end.outcome)},
+                                           {"status", end.status}});
+}
+
 void ServerConnections::OnEvent(http::ClientEvent&& event) {
   const ExchangeId exchange =
       std::visit([](const auto& e) { return e.exchange; }, event);
   const auto found = sinks_.find(exchange);
   if (found == sinks_.end()) return;
   const EventSink& sink = *found->second;
-  if (std::holds_alternative<http::EndEvent>(event)) sinks_.erase(found);
+  if (const auto* end = std::get_if<http::EndEvent>(&event)) {
+    sinks_.erase(found);
+    if (end->skipped_responses > 0) RecordSkipped(*end);
+  }
   sink(std::move(event));
 }
 
--- a/libs/gateway/src/servers/server_connections.h
+++ b/libs/gateway/src/servers/server_connections.h
@@ -8,16 +8,19 @@
 
 #include "base/id.h"
 #include "http/client.h"
+#include "observe/metrics.h"
 
 namespace knapweedstile::gateway {
 
 // The connections to backend servers. Online requests and batch items share
-// them, so that fewer are opened.
+// them, so that fewer are opened. A response with another request's id is not
+// passed on: a faulty server may send a response twice, and the second one
+// arrives where that of the next request is expected.
 class ServerConnections {
  public:
   using EventSink = std::function<void(http::ClientEvent&&)>;
 
-  explicit ServerConnections(boost::asio::io_context& io);
+  ServerConnections(boost::asio::io_context& io, observe::Metrics& metrics);
 
   // Returns the ID of the request that is sent next. Its events go to `sink`,
   // which must outlive this object.
@@ -30,7 +33,9 @@
 
  private:
   void OnEvent(http::ClientEvent&& event);
+  void RecordSkipped(const http::EndEvent& end);
 
+  observe::Metrics& metrics_;
   uint64_t last_exchange_ = 0;
   std::unordered_map<ExchangeId, const EventSink*> sinks_;
   http::Client client_;
--- a/libs/gateway/tests/batch_runner_test.cc
+++ b/libs/gateway/tests/batch_runner_test.cc
@@ -44,7 +44,7 @@
   observe::Timeline timeline{16};
   TimePoint now = MonotonicNow();
   bool holds_starts = false;
-  ServerConnections connections{io};
+  ServerConnections connections{io, metrics};
   BatchRunner runner{connections,
                      scheduler,
                      crashing_parts,
--- a/libs/http/include/http/client_event.h
+++ b/libs/http/include/http/client_event.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDSTILE_HTTP_CLIENT_EVENT_H_
 
 #include <array>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -40,6 +41,8 @@
   HeaderList headers;
   std::string body;     // full body when not stream_body
   std::string message;  // for humans, when not kComplete
+  // Responses to earlier requests that arrived in place of this one's.
+  uint32_t skipped_responses = 0;
 };
 
 using ClientEvent = std::variant<HeadEvent, BodyEvent, EndEvent>;
--- a/libs/http/include/http/client_request.h
+++ b/libs/http/include/http/client_request.h
@@ -20,6 +20,10 @@
   TimePoint deadline = kNever;
   // True: the response body arrives in BodyEvents; false: in the EndEvent.
   bool stream_body = false;
+  // Name of a header field of this request that the server echoes. A response
+  // in which it has another value answers an earlier request on the connection
+  // and is skipped. Empty: every response is taken for this request's.
+  std::string echoed_field;
 };
 
 }  // namespace knapweedstile::http
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -56,6 +56,11 @@
   bool stream_body = false;
   bool head_delivered = false;
   bool head_request = false;
+  std::string echoed_field;
+  std::string echoed_value;  // empty: responses are not identified
+  bool identified = false;   // the response that is being parsed
+  bool skipping = false;     // it answers another request
+  uint32_t skipped_responses = 0;
   std::string failure;  // for humans, when phase is kFailed
 };
 
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -81,7 +81,7 @@
 }
 
 void Client::Impl::Send(ClientRequest&& request) {
-  Connection* connection = AcquireIdle(request.address);
+  Connection* connection = AcquireIdle(request);
   const bool reused = connection != nullptr;
   if (!reused) connection = &CreateConnection(request.address);
   const bool sendable = IsSendable(request);
@@ -106,6 +106,9 @@
   connection.head_request = request.method == "HEAD";
   connection.head_delivered = false;
   connection.any_written = false;
+  connection.echoed_field = request.echoed_field;
+  connection.echoed_value = request.headers.Find(request.echoed_field);
+  connection.skipped_responses = 0;
   connection.out = RequestHead(request);
   connection.out += request.body;
   connection.out_offset = 0;
@@ -115,6 +118,7 @@
 }
 
 void Client::Impl::ResetParser(Connection& connection) {
+  connection.identified = connection.skipping = false;
   connection.parser.emplace();
   connection.parser->eager(true);
   connection.parser->header_limit(kMaxHeaderBytes);
@@ -123,9 +127,10 @@
 }
 
 Client::Impl::Connection* Client::Impl::AcquireIdle(
-    const std::string& address) {
-  const auto found = idle_.find(address);
+    const ClientRequest& request) {
+  const auto found = idle_.find(request.address);
   if (found == idle_.end()) return nullptr;
+  const std::string_view id = request.headers.Find(request.echoed_field);
   while (!found->second.empty()) {
     Connection* connection = Find(found->second.back());
     found->second.pop_back();
@@ -134,7 +139,10 @@
     error_code ec;
     connection->socket.receive(asio::buffer(scratch_, 1),
                                asio::socket_base::message_peek, ec);
-    if (ec == asio::error::would_block) return connection;
+    // A late copy of the previous response could not be told from the response
+    // to a request with the same id.
+    const bool distinct = id.empty() || id != connection->echoed_value;
+    if (ec == asio::error::would_block && distinct) return connection;
     connections_.erase(connection->id);
   }
   idle_.erase(found);
@@ -273,6 +281,11 @@
       ResetParser(connection);
       continue;
     }
+    if (parser.is_header_done()) IdentifyResponse(connection);
+    if (connection.skipping) {
+      if (!DiscardResponse(connection) || used == 0) return;
+      continue;
+    }
     if (parser.is_header_done() && !DeliverHead(connection)) return;
     if (!DeliverBody(connection)) return;
     if (parser.is_done()) return Complete(connection);
@@ -280,6 +293,27 @@
   }
 }
 
+void Client::Impl::IdentifyResponse(Connection& connection) {
+  if (std::exchange(connection.identified, true)) return;
+  if (connection.echoed_value.empty()) return;
+  const auto& message = connection.parser->get();
+  const auto field = message.find(connection.echoed_field);
+  if (field == message.end()) return;
+  connection.skipping = field->value() != connection.echoed_value;
+  if (connection.skipping) ++connection.skipped_responses;
+}
+
+bool Client::Impl::DiscardResponse(Connection& connection) {
+  auto& parser = *connection.parser;
+  if (parser.need_eof()) {
+    Fail(connection, "a response to another request has no length", false);
+    return false;
+  }
+  parser.get().body().clear();
+  if (parser.is_done()) ResetParser(connection);
+  return true;
+}
+
 bool Client::Impl::DeliverHead(Connection& connection) {
   if (!connection.stream_body || connection.head_delivered) return true;
   connection.head_delivered = true;
@@ -310,9 +344,14 @@
                  .outcome = ClientOutcome::kComplete,
                  .status = message.result_int(),
                  .headers = ToHeaderList(message),
-                 .body = std::move(message.body())};
+                 .body = std::move(message.body()),
+                 .skipped_responses = connection.skipped_responses};
+  // After a response that was not this request's, more may follow.
+  const bool in_step =
+      connection.skipped_responses == 0 &&
+      message[connection.echoed_field] == connection.echoed_value;
   const bool reusable = message.keep_alive() && connection.out.empty() &&
-                        connection.unparsed.empty();
+                        connection.unparsed.empty() && in_step;
   connection.idle_limit = std::min<Duration>(settings_.idle_timeout,
                                              IdleLimitFromKeepAlive(message));
   exchanges_.erase(connection.exchange);
@@ -342,11 +381,12 @@
   if (!connection.exchange) return Erase(connection);
   EndEvent event{.exchange = connection.exchange,
                  .outcome = ClientOutcome::kNotSent,
-                 .message = std::move(message)};
+                 .message = std::move(message),
+                 .skipped_responses = connection.skipped_responses};
   if (connection.any_written) {
     event.outcome =
         by_deadline ? ClientOutcome::kDeadline : ClientOutcome::kLost;
-    if (connection.parser->is_header_done()) {
+    if (connection.parser->is_header_done() && !connection.skipping) {
       event.status = connection.parser->get().result_int();
       event.headers = ToHeaderList(connection.parser->get());
     }
--- a/libs/http/src/client_impl.h
+++ b/libs/http/src/client_impl.h
@@ -32,9 +32,9 @@
   Connection* Find(ClientConnectionId id) noexcept;
   auto MakeHandler(ClientConnectionId id, Member member);
 
-  // Removes an idle connection to `address` that the server has not closed from
-  // the pool; null when there is none.
-  Connection* AcquireIdle(const std::string& address);
+  // Removes from the pool an idle connection on which the request can be sent;
+  // null when there is none.
+  Connection* AcquireIdle(const ClientRequest& request);
   Connection& CreateConnection(const std::string& address);
   void Connect(Connection& connection);
   void OnConnected(Connection& connection);
@@ -50,6 +50,11 @@
   // May erase the connection.
   void Parse(Connection& connection);
   void ResetParser(Connection& connection);
+  // Decides whether the response that is being parsed answers this request.
+  static void IdentifyResponse(Connection& connection);
+  // Discards what was parsed of a response that is skipped. Returns false if
+  // the connection was erased.
+  bool DiscardResponse(Connection& connection);
   // These return false when the connection was erased or is now used for
   // another exchange.
   bool DeliverHead(Connection& connection);
--- a/libs/http/tests/client_test.cc
+++ b/libs/http/tests/client_test.cc
@@ -12,8 +12,111 @@
   return ClientRequest{.exchange = ExchangeId(exchange), .address = address};
 }
 
+ClientRequest IdentifiedRequest(const std::string& address, uint64_t exchange) {
+  ClientRequest request = RequestTo(address, exchange);
+  request.headers.Add("Request-Id", "r" + std::to_string(exchange));
+  request.echoed_field = "Request-Id";
+  return request;
+}
+
+std::string Answer(unsigned status, const std::string& id,
+                   const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+std::string ChunkedAnswer(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+         "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n";
+}
+
 }  // namespace
 
+// Guards against a late copy of a response that is taken for the response to
+// the next request on the connection.
+TEST_CASE("a response with the id of another request is skipped") {
+  for (const bool streamed : {false, true}) {
+    for (const std::string& copy :
+         {Answer(503, "r1", ""), Answer(200, "r1", "old"), ChunkedAnswer("r1"),
+          Answer(500, "r1", "a") + ChunkedAnswer("r0")}) {
+      CAPTURE(streamed, copy);
+      io_context io;
+      ScriptedServer server(io);
+      server.answers = {Answer(200, "r1", "one"),
+                        copy + Answer(200, "r2", "two")};
+      TestClient client(io);
+      for (uint64_t i = 1; i <= 2; ++i) {
+        ClientRequest request = IdentifiedRequest(server.address(), i);
+        request.stream_body = streamed;
+        client.client.Send(std::move(request));
+        REQUIRE(RunUntil(io, [&] { return client.ends.size() == i; }));
+      }
+      CHECK(server.connections == 1);
+      CHECK(client.ends[0].skipped_responses == 0);
+      CHECK(client.ends[1].outcome == ClientOutcome::kComplete);
+      CHECK(client.ends[1].status == 200);
+      CHECK(client.ends[1].skipped_responses > 0);
+      CHECK((streamed ? client.streamed : client.ends[1].body) ==
+            (streamed ? "onetwo" : "two"));
+      CHECK(client.heads.size() == (streamed ? 2 : 0));
+    }
+  }
+}
+
+// Guards against a connection on which each response is that of the request
+// before.
+TEST_CASE("a connection with a response of unknown origin is not reused") {
+  io_context io;
+  ScriptedServer server(io);
+  server.answers = {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+                    Answer(200, "r2", "two"),
+                    Answer(200, "r1", "") + Answer(200, "r3", "three"),
+                    Answer(200, "r4", "four")};
+  TestClient client(io);
+  for (uint64_t i = 1; i <= 4; ++i) {
+    client.client.Send(IdentifiedRequest(server.address(), i));
+    REQUIRE(RunUntil(io, [&] { return client.ends.size() == i; }));
+    CHECK(client.ends.back().outcome == ClientOutcome::kComplete);
+  }
+  CHECK(client.ends[2].body == "three");
+  // Requests 2 and 3 share a connection.
+  CHECK(server.connections == 3);
+}
+
+// Guards against a late copy of a response that is taken for the response to
+// the same request when it is sent again.
+TEST_CASE("a request that is sent again uses another connection") {
+  io_context io;
+  ScriptedServer server(io);
+  server.answers = {Answer(503, "r1", ""), Answer(200, "r1", "one")};
+  TestClient client(io);
+  for (uint64_t i = 1; i <= 2; ++i) {
+    client.client.Send(IdentifiedRequest(server.address(), 1));
+    REQUIRE(RunUntil(io, [&] { return client.ends.size() == i; }));
+  }
+  CHECK(client.ends[1].status == 200);
+  CHECK(server.connections == 2);
+}
+
+TEST_CASE("a skipped response is not reported as that of a lost request") {
+  io_context io;
+  ScriptedServer server(io);
+  server.answers = {Answer(503, "r0", ""),
+                    "HTTP/1.1 503 X\r\nRequest-Id: r0\r\n\r\nno length"};
+  TestClient client(io);
+  ClientRequest request = IdentifiedRequest(server.address(), 1);
+  request.deadline = MonotonicNow() + milliseconds(100);
+  client.client.Send(std::move(request));
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+  CHECK(client.ends[0].outcome == ClientOutcome::kDeadline);
+  CHECK(client.ends[0].status == 0);
+  client.client.Send(IdentifiedRequest(server.address(), 2));
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == 2; }));
+  CHECK(client.ends[1].outcome == ClientOutcome::kLost);
+  CHECK(client.ends[1].status == 0);
+}
+
 TEST_CASE("a connection is reused after a complete response") {
   io_context io;
   TestServer server(io);
--- a/libs/http/tests/loopback.h
+++ b/libs/http/tests/loopback.h
@@ -3,7 +3,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +64,51 @@
   std::string address;
 };
 
+// A server that answers the requests on each connection with scripted bytes.
+class ScriptedServer {
+ public:
+  explicit ScriptedServer(boost::asio::io_context& io)
+      : acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    Accept();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+  // Bytes for the next requests, over all connections, in order.
+  std::vector<std::string> answers;
+  size_t connections = 0;
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void Accept() {
+    acceptor_.async_accept([this](const auto& ec, Socket accepted) {
+      if (ec) return;
+      ++connections;
+      Serve(std::make_shared<Socket>(std::move(accepted)),
+            std::make_shared<std::string>());
+      Accept();
+    });
+  }
+  void Serve(std::shared_ptr<Socket> socket,
+             std::shared_ptr<std::string> input) {
+    boost::asio::async_read_until(
+        *socket, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
+        [this, socket, input](const auto& ec, size_t bytes) {
+          if (ec || answers.empty()) return;
+          input->erase(0, bytes);
+          boost::system::error_code write_ec;
+          boost::asio::write(*socket, boost::asio::buffer(answers.front()),
+                             write_ec);
+          answers.erase(answers.begin());
+          Serve(socket, input);
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+};
+
 // A client that records its events.
 struct TestClient {
   explicit TestClient(boost::asio::io_context& io, ClientSettings settings = {})
--- a/tests/users_platform/gateway_online_test.cc
+++ b/tests/users_platform/gateway_online_test.cc
@@ -86,6 +86,111 @@
   boost::asio::ip::tcp::acceptor acceptor_;
 };
 
+// A server that answers each request with a whole stream, but rejects the next
+// ones first if asked to. It sends some answers a second time, in the place of
+// the next answer on the connection.
+class RepeatingServer {
+ public:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  explicit RepeatingServer(boost::asio::io_context& io)
+      : acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    Accept();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+  int reject_next = 0;           // 503 with Not-Executed
+  int repeat_next = 0;           // answers
+  int kept = 0;                  // answers to send again so far
+  int copies = 0;                // of these, sent again
+  std::vector<std::string> ran;  // request ids
+
+  bool HoldsCopy() const { return kept > copies; }
+
+ private:
+  struct Connection {
+    Socket socket;
+    std::string input;
+    std::string copy;  // of the answer before, still to be sent
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](const auto& ec, Socket accepted) {
+      if (ec) return;
+      Serve(std::make_shared<Connection>(Connection{std::move(accepted)}));
+      Accept();
+    });
+  }
+  void Serve(const std::shared_ptr<Connection>& connection) {
+    boost::asio::async_read_until(
+        connection->socket, boost::asio::dynamic_buffer(connection->input),
+        "\r\n\r\n", [this, connection](const auto& ec, size_t bytes) {
+          if (ec) return;
+          const std::string head = connection->input.substr(0, bytes);
+          connection->input.erase(0, bytes);
+          Answer(*connection, head);
+          Serve(connection);
+        });
+  }
+  void Answer(Connection& connection, const std::string& head) {
+    const size_t at = head.find("Request-Id: ") + 12;
+    const std::string id = head.substr(at, head.find('\r', at) - at);
+    std::string answer = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n";
+    std::string body;
+    if (reject_next > 0) {
+      --reject_next;
+    } else {
+      ran.push_back(id);
+      body = kFiveEvents;
+      answer = "HTTP/1.1 200 OK\r\nResponse-Signature: signed\r\n";
+    }
+    answer += "Request-Id: " + id +
+              "\r\nContent-Length: " + std::to_string(body.size()) +
+              "\r\n\r\n" + body;
+    if (!connection.copy.empty()) ++copies;
+    boost::system::error_code ec;
+    boost::asio::write(connection.socket,
+                       boost::asio::buffer(connection.copy + answer), ec);
+    connection.copy.clear();
+    if (repeat_next == 0) return;
+    --repeat_next;
+    ++kept;
+    connection.copy = std::move(answer);
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+};
+
+// One gateway in front of two such servers.
+struct RepeatingFleet {
+  Site site;
+  RepeatingServer first{site.caller().io()};
+  RepeatingServer second{site.caller().io()};
+
+  RepeatingFleet() {
+    for (const RepeatingServer* server : {&first, &second}) {
+      site.store().Put("servers", server == &first ? "i-1" : "i-2",
+                       boost::json::object{{"service", "llm"},
+                                           {"address", server->address()},
+                                           {"zone", "zone-a"},
+                                           {"version", "v1"},
+                                           {"slots", 8},
+                                           {"state", "ready"},
+                                           {"sequence", 1}});
+    }
+    site.Configure(2);
+    site.AddGateway("entry-1");
+  }
+  int Runs(const std::string& request) const {
+    return static_cast<int>(
+        std::count(first.ran.begin(), first.ran.end(), request) +
+        std::count(second.ran.begin(), second.ran.end(), request));
+  }
+  int Copies() const { return first.copies + second.copies; }
+};
+
 // One gateway in front of one such server.
 struct UnframedFleet {
   Site site;
@@ -111,6 +216,53 @@
 
 }  // namespace
 
+// Guards against a request that runs twice, or is rejected as not run although
+// it runs, because a server's late copy of a rejection is taken for its answer.
+TEST_CASE("a late copy of a rejection is not the answer to the next request") {
+  RepeatingFleet fleet;
+  for (int i = 0; i < 40; ++i) {
+    if (!fleet.first.HoldsCopy()) {
+      fleet.first.reject_next = fleet.first.repeat_next = 1;
+    }
+    const std::string id = "r" + std::to_string(i);
+    const auto end = fleet.site.Call(
+        fleet.site.OnlineRequest("entry-1", "POST", "/query/1", id));
+    CAPTURE(i);
+    CHECK(end.status == 200);
+    CHECK(end.body == kFiveEvents);
+    CHECK(fleet.Runs(id) == 1);
+    // Until the server that was full is tried again.
+    fleet.site.caller().RunFor(std::chrono::milliseconds(20));
+  }
+  CHECK(fleet.Copies() > 0);
+}
+
+TEST_CASE("a late copy of a stream is not the answer to the next request") {
+  RepeatingFleet fleet;
+  fleet.first.repeat_next = fleet.second.repeat_next = 100;
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto end = fleet.site.Call(
+        fleet.site.OnlineRequest("entry-1", "POST", "/query/1", id));
+    CHECK(end.status == 200);
+    CHECK(fleet.Runs(id) == 1);
+  }
+  CHECK(fleet.Copies() > 0);
+}
+
+TEST_CASE("late copies of a server's responses run no item twice") {
+  RepeatingFleet fleet;
+  constexpr int kItems = 12;
+  fleet.first.reject_next = 2;
+  fleet.first.repeat_next = fleet.second.repeat_next = 100;
+  REQUIRE(fleet.site.Call(fleet.site.JobRequest("entry-1", "job-a", kItems))
+              .status == 202);
+  const auto page = fleet.site.WaitForResults("entry-1", "job-a", kItems);
+  CHECK(page.at("results").as_array().size() == kItems);
+  CHECK(fleet.first.ran.size() + fleet.second.ran.size() == kItems);
+  CHECK(fleet.Copies() > 0);
+}
+
 TEST_CASE("a stream without a length that ends after an event is complete") {
   UnframedFleet fleet;
   fleet.server.body = kFiveEvents;
--- a/tests/users_platform/model_server.cc
+++ b/tests/users_platform/model_server.cc
@@ -36,6 +36,12 @@
   return words;
 }
 
+http::HeaderList RejectionHeaders(const std::string& request_id) {
+  http::HeaderList headers;
+  headers.Add("Request-Id", request_id);
+  return headers;
+}
+
 bool ConsumeOne(int& count) {
   if (count == 0) return false;
   --count;
@@ -91,10 +97,10 @@
   };
   const std::string_view expected = request.headers.Find("Expect-Instance");
   if (address_reused || (!expected.empty() && expected != instance_)) {
-    return respond(421, {});
+    return respond(421, RejectionHeaders(id));
   }
   if (queued_.size() >= kMaxQueuedStreams || ConsumeOne(reject_next)) {
-    http::HeaderList headers;
+    http::HeaderList headers = RejectionHeaders(id);
     headers.Add("Not-Executed", "1");
     return respond(503, std::move(headers));
   }
