The layout names the cells that hold the shards

What callers saw: one gateway added to each of three zones of 39 made reads empty at positions that had been read (257 of 3,252) and ran items up to 20 s after the end of their job (52), since zones of 40 have four cells instead of two and most shards moved. Gateways that lost a shard went on answering and running its jobs from what they last knew.

The directory counts gateways that are gone for good, so replaced VMs alone would have done it.

Change: the layout, which is created once, names its cells. A zone in it keeps its number of cells at any size; the gateways of other zones hold no shard. A layout that is not valid in any part is refused as a whole. Layouts without cells, of older versions, work as before.

Ruled out: taking jobs over when shards move. A gateway that has not heard of the move goes on writing and answering for seconds, which the new cell cannot tell.

--- a/libs/cluster/include/cluster/cell_map.h
+++ b/libs/cluster/include/cluster/cell_map.h
@@ -27,11 +27,12 @@
   // Availability zones by gateway name.
   explicit CellMap(const std::map<std::string, std::string>& zones);
   CellMap() = default;
-  // The cells of a divided fleet, from all registered gateways. The cell of a
-  // gateway depends only on its name and zone while the zone keeps about its
-  // size, so that a gateway that joins or leaves moves no other.
+  // The cells of a divided fleet, from all registered gateways. A zone that has
+  // some of the cells `fixed` keeps their number, so that the cell of a gateway
+  // depends only on its name and zone; others are divided by their size.
   static CellMap ForDividedFleet(
-      const std::map<std::string, std::string>& zones);
+      const std::map<std::string, std::string>& zones,
+      const std::vector<Cell>& fixed);
 
   // The cell of a gateway; the whole fleet if the gateway is unknown.
   Cell CellOf(const std::string& gateway) const;
--- a/libs/cluster/include/cluster/fleet_layout.h
+++ b/libs/cluster/include/cluster/fleet_layout.h
@@ -3,6 +3,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
+
+#include "serving/cell.h"
 
 namespace knapweedstile::cluster {
 
@@ -14,6 +17,9 @@
 struct FleetLayout {
   // One: every gateway holds every job.
   uint32_t shards = 1;
+  // The cells among which the shards are divided. Empty in layouts of older
+  // versions: the cells that the fleet has at the moment.
+  std::vector<serving::Cell> cells;
 
   bool divided() const noexcept { return shards > 1; }
   bool operator==(const FleetLayout&) const = default;
--- a/libs/cluster/include/cluster/fleet_view.h
+++ b/libs/cluster/include/cluster/fleet_view.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,10 @@
   // Recomputes cells and shards if anything has changed; returns whether so.
   bool Refresh();
 
+  // The layout for the registered gateways as a new fleet, which is divided if
+  // there are more than `max_undivided`.
+  FleetLayout NewLayout(size_t max_undivided) const;
+
   // Queries, as of the last Refresh().
   const Members& members() const noexcept { return members_; }
   const FleetLayout& layout() const noexcept { return layout_; }
@@ -66,6 +71,8 @@
   size_t OwnRank() const;
 
  private:
+  std::map<std::string, std::string> ZonesByGateway() const;
+
   std::string own_name_;
   Members members_;
   FleetLayout layout_;
--- a/libs/cluster/include/cluster/shard_map.h
+++ b/libs/cluster/include/cluster/shard_map.h
@@ -9,14 +9,12 @@
 
 namespace knapweedstile::cluster {
 
-class CellMap;
-
 // Assigns the shards of batch jobs to cells by rendezvous hashing, so that a
 // cell that is added or removed moves only its own shards.
 class ShardMap {
  public:
   ShardMap() = default;
-  ShardMap(uint32_t shards, const CellMap& cells);
+  ShardMap(uint32_t shards, const std::vector<serving::Cell>& cells);
 
   uint32_t ShardOf(std::string_view job) const;
   // With a single shard, the cell of all gateways.
--- a/libs/cluster/src/cell_map.cc
+++ b/libs/cluster/src/cell_map.cc
@@ -60,13 +60,17 @@
 }
 
 CellMap CellMap::ForDividedFleet(
-    const std::map<std::string, std::string>& zones) {
+    const std::map<std::string, std::string>& zones,
+    const std::vector<Cell>& fixed) {
   std::map<std::string, size_t> gateways_by_zone;
   for (const auto& [gateway, zone] : zones) ++gateways_by_zone[zone];
   CellMap map;
   for (const auto& [zone, gateways] : gateways_by_zone) {
     map.parts_by_zone_[zone] = DividedPartsOf(gateways);
   }
+  for (const Cell& cell : fixed) {
+    map.parts_by_zone_[cell.availability_zone] = cell.parts;
+  }
   for (const auto& [gateway, zone] : zones) {
     map.cells_[gateway] = map.ComputeCell(gateway, zone);
   }
--- a/libs/cluster/src/fleet_view.cc
+++ b/libs/cluster/src/fleet_view.cc
@@ -37,13 +37,26 @@
 bool FleetView::Refresh() {
   if (!std::exchange(changed_, false)) return false;
   if (!divided()) return true;
+  cells_ = CellMap::ForDividedFleet(ZonesByGateway(), layout_.cells);
+  shards_ = ShardMap(layout_.shards,
+                     layout_.cells.empty() ? cells_.Cells() : layout_.cells);
+  return true;
+}
+
+FleetLayout FleetView::NewLayout(size_t max_undivided) const {
+  FleetLayout layout = LayoutFor(members_.size(), max_undivided);
+  if (layout.divided()) {
+    layout.cells = CellMap::ForDividedFleet(ZonesByGateway(), {}).Cells();
+  }
+  return layout;
+}
+
+std::map<std::string, std::string> FleetView::ZonesByGateway() const {
   std::map<std::string, std::string> zones;
   for (const auto& [name, member] : members_) {
     zones[name] = member.availability_zone;
   }
-  cells_ = CellMap::ForDividedFleet(zones);
-  shards_ = ShardMap(layout_.shards, cells_);
-  return true;
+  return zones;
 }
 
 bool FleetView::IsPeer(const std::string& name, const std::string& zone) const {
--- a/libs/cluster/src/shard_map.cc
+++ b/libs/cluster/src/shard_map.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "base/hash.h"
-#include "cluster/cell_map.h"
 
 namespace knapweedstile::cluster {
 namespace {
@@ -15,13 +14,12 @@
 
 }  // namespace
 
-ShardMap::ShardMap(uint32_t shards, const CellMap& cells) {
-  const std::vector<serving::Cell> all = cells.Cells();
-  if (shards <= 1 || all.empty()) return;
+ShardMap::ShardMap(uint32_t shards, const std::vector<serving::Cell>& cells) {
+  if (shards <= 1 || cells.empty()) return;
   cell_by_shard_.clear();
   for (uint32_t shard = 0; shard < shards; ++shard) {
     cell_by_shard_.push_back(*std::max_element(
-        all.begin(), all.end(), [shard](const auto& a, const auto& b) {
+        cells.begin(), cells.end(), [shard](const auto& a, const auto& b) {
           return Score(a, shard) < Score(b, shard);
         }));
   }
--- a/libs/cluster/tests/fleet_view_test.cc
+++ b/libs/cluster/tests/fleet_view_test.cc
@@ -23,7 +23,7 @@
   for (int gateway = 0; gateway < count; ++gateway) {
     view.SetMember(NameOf(gateway), MemberOf(gateway));
   }
-  view.SetLayout(LayoutFor(static_cast<size_t>(count)));
+  view.SetLayout(view.NewLayout(kDefaultMaxUndividedGateways));
   view.Refresh();
   return view;
 }
@@ -135,6 +135,56 @@
   CHECK_FALSE(view.Refresh());
 }
 
+// Guards against jobs that are not found, and run after their end, when a zone
+// is divided anew because its size has changed.
+TEST_CASE("zones that grow, shrink or appear move no job") {
+  FleetView view = MakeView(195, 7);
+  std::map<std::string, serving::Cell> cell_by_gateway;
+  for (const auto& [name, member] : view.members()) {
+    cell_by_gateway[name] = view.cells().CellOf(name);
+  }
+  std::map<std::string, std::vector<std::string>> holders_by_job;
+  for (int job = 0; job < 200; ++job) {
+    holders_by_job[JobOf(job)] = view.HoldersOf(JobOf(job));
+    REQUIRE_FALSE(holders_by_job[JobOf(job)].empty());
+  }
+  const auto check = [&] {
+    REQUIRE(view.Refresh());
+    for (const auto& [name, cell] : cell_by_gateway) {
+      CHECK(view.cells().CellOf(name) == cell);
+    }
+    for (const auto& [job, holders] : holders_by_job) {
+      for (const std::string& holder : view.HoldersOf(job)) {
+        CHECK(view.cells().CellOf(holder) ==
+              cell_by_gateway.at(holders.front()));
+      }
+    }
+  };
+  for (int gateway = 195; gateway < 700; ++gateway) {
+    view.SetMember(NameOf(gateway), MemberOf(gateway));
+  }
+  check();
+  for (int gateway = 700; gateway < 760; ++gateway) {
+    view.SetMember(NameOf(gateway),
+                   {.address = "10.0.0.3:1", .availability_zone = "new-zone"});
+  }
+  check();
+  for (int gateway = 0; gateway < 760; ++gateway) {
+    if (gateway % 9 == 0 || gateway == 7) continue;
+    view.RemoveMember(NameOf(gateway));
+    cell_by_gateway.erase(NameOf(gateway));
+  }
+  for (auto& [job, holders] : holders_by_job) {
+    std::erase_if(holders, [&](const auto& holder) {
+      return !cell_by_gateway.contains(holder);
+    });
+  }
+  std::erase_if(holders_by_job,
+                [](const auto& entry) { return entry.second.empty(); });
+  REQUIRE_FALSE(holders_by_job.empty());
+  check();
+}
+
 TEST_CASE("a peer is recognized by its zone before it is registered") {
   const FleetView view = MakeView(315, 7);
   for (const std::string& peer : view.Peers()) {
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -102,6 +102,7 @@
   // Whether this gateway has just started and still waits for the layout before
   // it exchanges state and accepts jobs.
   bool AwaitsLayout(TimePoint now) const;
+  bool IsTooLargeToBeUndivided() const;
   std::vector<std::string> HolderAddresses(std::string_view job) const;
   // Returns the state for other cells, or none if there is nothing to send. A
   // store reader also advertises its state to them.
--- a/libs/gateway/src/gateway_fleet.cc
+++ b/libs/gateway/src/gateway_fleet.cc
@@ -89,10 +89,11 @@
 bool Gateway::AwaitsLayout(TimePoint now) const {
   if (fleet_.layout_known()) return false;
   if (is_new_member_ && now < started_at_ + kMembersSettle) return true;
-  return now < started_at_ + kAwaitLayout &&
-         cluster::LayoutFor(fleet_.members().size(),
-                            settings_.max_undivided_gateways)
-             .divided();
+  return now < started_at_ + kAwaitLayout && IsTooLargeToBeUndivided();
+}
+
+bool Gateway::IsTooLargeToBeUndivided() const {
+  return fleet_.members().size() > settings_.max_undivided_gateways;
 }
 
 void Gateway::OnLayoutLearned(const cluster::FleetLayout& layout) {
@@ -145,8 +146,8 @@
   UpdateCells();
   if (!awaits_layout_) record_mirrors_.Follow(record_kinds_.OwnKinds());
   const size_t members = fleet_.members().size();
-  const bool exceeds_layout = fleet_.layout_known() && !fleet_.divided() &&
-                              members > settings_.max_undivided_gateways;
+  const bool exceeds_layout =
+      fleet_.layout_known() && !fleet_.divided() && IsTooLargeToBeUndivided();
   if (exceeds_layout != std::exchange(exceeds_layout_, exceeds_layout) &&
       exceeds_layout) {
     LogWarning("fleet_exceeds_layout", {{"members", members}});
@@ -159,9 +160,7 @@
 }
 
 void Gateway::ProposeLayout(TimePoint now) {
-  const cluster::FleetLayout layout = cluster::LayoutFor(
-      fleet_.members().size(), settings_.max_undivided_gateways);
-  if (fleet_.layout_known() || !layout.divided()) return;
+  if (fleet_.layout_known() || !IsTooLargeToBeUndivided()) return;
   const Duration turn =
       kProposalRankDelay * static_cast<int64_t>(fleet_.OwnRank());
   if (now < members_changed_at_ + kMembersSettle + turn) return;
@@ -173,8 +172,8 @@
 // Gateways of older versions accept jobs without a layout. A fleet that has
 // such jobs stays undivided, so that they are found.
 void Gateway::CreateLayout(LayoutRecord::Callback done) {
-  const cluster::FleetLayout layout = cluster::LayoutFor(
-      fleet_.members().size(), settings_.max_undivided_gateways);
+  const cluster::FleetLayout layout =
+      fleet_.NewLayout(settings_.max_undivided_gateways);
   if (!layout.divided() || !jobs_.jobs().empty()) {
     return layout_record_.Create({}, std::move(done));
   }
--- a/libs/gateway/src/peers/member_records.cc
+++ b/libs/gateway/src/peers/member_records.cc
@@ -27,6 +27,27 @@
   return field ? field->if_string() : nullptr;
 }
 
+std::optional<uint32_t> FindNumber(const json::object& object,
+                                   std::string_view name, int64_t min,
+                                   int64_t max) {
+  const json::value* field = object.if_contains(name);
+  if (!field || !field->is_int64()) return std::nullopt;
+  const int64_t number = field->get_int64();
+  if (number < min || number > max) return std::nullopt;
+  return static_cast<uint32_t>(number);
+}
+
+std::optional<serving::Cell> DecodeCell(const json::value& value) {
+  if (!value.is_object()) return std::nullopt;
+  const json::object& object = value.get_object();
+  const json::string* zone = FindString(object, "zone");
+  const auto parts = FindNumber(object, "parts", 1, kMaxShards);
+  const auto part = FindNumber(object, "part", 0, kMaxShards);
+  if (!zone || !parts || !part || *part >= *parts) return std::nullopt;
+  return serving::Cell{
+      .availability_zone = std::string(*zone), .parts = *parts, .part = *part};
+}
+
 }  // namespace
 
 std::string MemberRecordName(std::string_view gateway) {
@@ -60,16 +81,32 @@
 }
 
 std::string EncodeLayout(const cluster::FleetLayout& layout) {
-  return json::serialize(json::object{{"shards", layout.shards}});
+  json::object object = {{"shards", layout.shards}};
+  json::array cells;
+  for (const serving::Cell& cell : layout.cells) {
+    cells.push_back(json::object{{"zone", cell.availability_zone},
+                                 {"parts", cell.parts},
+                                 {"part", cell.part}});
+  }
+  if (!cells.empty()) object["cells"] = std::move(cells);
+  return json::serialize(object);
 }
 
 std::optional<cluster::FleetLayout> DecodeLayout(std::string_view value) {
   const auto object = ParseObject(value);
-  const json::value* shards = object ? object->if_contains("shards") : nullptr;
-  if (!shards || !shards->is_int64()) return std::nullopt;
-  const int64_t count = shards->get_int64();
-  if (count < 1 || count > kMaxShards) return std::nullopt;
-  return cluster::FleetLayout{.shards = static_cast<uint32_t>(count)};
+  if (!object) return std::nullopt;
+  const auto shards = FindNumber(*object, "shards", 1, kMaxShards);
+  if (!shards) return std::nullopt;
+  cluster::FleetLayout layout{.shards = *shards};
+  const json::value* cells = object->if_contains("cells");
+  if (!cells) return layout;
+  if (!cells->is_array()) return std::nullopt;
+  for (const json::value& element : cells->get_array()) {
+    const auto cell = DecodeCell(element);
+    if (!cell) return std::nullopt;
+    layout.cells.push_back(*cell);
+  }
+  return layout;
 }
 
 }  // namespace knapweedstile::gateway
--- a/tests/users_platform/fleet_growth_test.cc
+++ b/tests/users_platform/fleet_growth_test.cc
@@ -138,7 +138,8 @@
   fleet.Start({"c-1", "c-2"});
   REQUIRE(
       fleet.site.caller().RunUntil([&] { return !fleet.Layout().is_null(); }));
-  CHECK(fleet.Layout() == json::value{{"shards", 2}});
+  CHECK(fleet.Layout().at("shards") == 2);
+  CHECK(fleet.Layout().at("cells").as_array().size() == 3);
   for (const std::string& gateway : fleet.gateways) {
     fleet.SubmitUntilAccepted(gateway, "job-of-" + gateway);
   }
