Progress of an item is appended only to the output that it continues

Cause: an update of an item's progress was appended if its first event followed the last one known. Two runs of an item count their events alike. An update that was not ahead was dropped but answered as applied, so its sender went on with the part after it, and the numbers met by chance.

Change: an update names the output that it continues by its hash. The response lists the updates that were not applied: those that continue another output, whose whole output is then sent, and those that were declined because the item runs, is finished or is further there. Gateways of older versions send no hash, and are asked for the whole output; to them any response means that.

--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -135,8 +135,13 @@
                      return jobs_.MergeProgress(std::move(update));
                    },
                .not_applied =
-                   [this](const std::string& job, const std::string& item) {
-                     jobs_.RepublishItem(job, item);
+                   [this](const std::string& job, const std::string& item,
+                          serving::ProgressOutcome outcome) {
+                     if (outcome == serving::ProgressOutcome::kNotKnown) {
+                       jobs_.RepublishItem(job, item);
+                     } else {
+                       jobs_.ForgetPublishedOutput(job, item);
+                     }
                    }}),
       publisher_(
           io, peers_, scheduler_, rate_quota_,
--- a/libs/gateway/src/peers/progress_link.h
+++ b/libs/gateway/src/peers/progress_link.h
@@ -11,16 +11,17 @@
 
 #include "http/client.h"
 #include "http/server_event.h"
+#include "serving/progress_outcome.h"
 #include "serving/progress_update.h"
 
 namespace knapweedstile::gateway {
 
 // Sends the progress of batch items to peers, and passes the progress that
 // peers send to `received`. Updates are best effort. Each holds the output
-// since the item's previous update; the receiver of one that does not fit asks
-// for the whole output, which is also sent after an update that was not
-// answered. If an update is lost and the gateway then ends, a peer resumes the
-// item after the previous update.
+// since the item's previous update; the receiver of one that does not continue
+// what it has asks for the whole output, which is also sent after an update
+// that was not answered. If an update is lost and the gateway then ends, a peer
+// resumes the item after the previous update.
 //
 // Guards against losing the output of running items when their gateway is
 // killed or stopped. During a rolling restart an item would be restarted from
@@ -30,10 +31,10 @@
  public:
   using Updates = std::vector<serving::ProgressUpdate>;
   struct Callbacks {
-    // Returns whether the update fits what is known here.
-    std::function<bool(serving::ProgressUpdate&&)> received;
-    // The peer may not have the update that was sent.
-    std::function<void(const std::string& job, const std::string& item)>
+    std::function<serving::ProgressOutcome(serving::ProgressUpdate&&)> received;
+    // The peer has not applied the update that was sent, or may not have.
+    std::function<void(const std::string& job, const std::string& item,
+                       serving::ProgressOutcome outcome)>
         not_applied;
   };
 
@@ -53,6 +54,8 @@
   };
 
   void OnEvent(const http::ClientEvent& event);
+  void ReportNotApplied(const std::vector<SentItem>& sent,
+                        const std::string& response);
 
   Callbacks callbacks_;
   uint64_t last_exchange_ = 0;
--- a/libs/serving/include/serving/job_table.h
+++ b/libs/serving/include/serving/job_table.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "serving/batch_job.h"
 #include "serving/item_ref.h"
+#include "serving/progress_outcome.h"
 #include "serving/progress_update.h"
 #include "serving/quota_scope.h"
 
@@ -60,11 +61,13 @@
                                                   size_t max_bytes);
   // Merges the progress of an item on another gateway. It is applied if it is
   // ahead of the progress known here and the item is not running here. An
-  // update for an unknown job is kept until the job is added. False: it
-  // continues an output that is not known here, so the whole one is needed.
-  bool MergeProgress(ProgressUpdate&& update);
-  // The update of the item was not applied: the whole output is sent again.
+  // update for an unknown job is kept until the job is added.
+  ProgressOutcome MergeProgress(ProgressUpdate&& update);
+  // The update of the item was not applied, but the whole output would be: it
+  // is sent again.
   void RepublishItem(const std::string& job, const std::string& item);
+  // The item's next update has its whole output.
+  void ForgetPublishedOutput(const std::string& job, const std::string& item);
   // The next update of each item has its whole output.
   void ForgetPublishedOutputs();
   // The gateway `holder` has restarted and lost its state: the progress of the
--- a/libs/serving/include/serving/progress_update.h
+++ b/libs/serving/include/serving/progress_update.h
@@ -13,6 +13,9 @@
   uint64_t last_event = 0;
   // The output continues the one up to this event; zero: it is the whole one.
   uint64_t after_event = 0;
+  // Hash of the output up to that event: two runs of an item count their events
+  // alike, but an output consists of the events of one.
+  uint64_t after_hash = 0;
   std::string software;  // version of the servers that produced the output
   std::string output;  // data of the events up to `last_event`, each after the
                        // first preceded by a line feed
--- a/libs/serving/src/job_table.cc
+++ b/libs/serving/src/job_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace knapweedstile::serving {
 namespace {
 
@@ -16,6 +18,22 @@
   progress.published_bytes = 0;
 }
 
+uint64_t HashOfPrefix(std::string_view output, size_t size) {
+  return Hash64(output.substr(0, size));
+}
+
+// Whether the update, which is not ahead of the progress, is of the same run.
+bool Includes(const ItemProgress& progress, const ProgressUpdate& update) {
+  if (update.after_event == 0)
+    return progress.output.starts_with(update.output);
+  if (update.last_event != progress.last_event ||
+      !progress.output.ends_with(update.output)) {
+    return false;
+  }
+  const size_t before = progress.output.size() - update.output.size();
+  return update.after_hash == HashOfPrefix(progress.output, before);
+}
+
 bool HasOutputs(const std::vector<ItemResult>& results) {
   return std::all_of(results.begin(), results.end(),
                      [](const ItemResult& r) { return r.has_output; });
@@ -160,6 +178,7 @@
                          .item = job.items[i].id,
                          .last_event = last_event,
                          .after_event = from > 0 ? progress.published_event : 0,
+                         .after_hash = HashOfPrefix(progress.output, from),
                          .software = progress.software,
                          .output = progress.output.substr(from)});
       progress.published_event = last_event;
@@ -202,42 +221,57 @@
   if (index != job->item_index.end()) Unpublish(job->progress[index->second]);
 }
 
+void JobTable::ForgetPublishedOutput(const std::string& id,
+                                     const std::string& item) {
+  BatchJob* job = Find(id);
+  if (!job) return;
+  const auto index = job->item_index.find(item);
+  if (index != job->item_index.end())
+    job->progress[index->second].published_bytes = 0;
+}
+
 void JobTable::ForgetPublishedOutputs() {
   for (auto& [id, job] : jobs_) {
     for (ItemProgress& progress : job.progress) progress.published_bytes = 0;
   }
 }
 
-bool JobTable::MergeProgress(ProgressUpdate&& update) {
+ProgressOutcome JobTable::MergeProgress(ProgressUpdate&& update) {
   BatchJob* job = Find(update.job);
   if (!job) {
-    if (pending_update_bytes_ >= kMaxPendingUpdateBytes) return true;
+    if (pending_update_bytes_ >= kMaxPendingUpdateBytes) {
+      return ProgressOutcome::kDeclined;
+    }
     pending_update_bytes_ += update.output.size();
     pending_updates_[update.job].push_back(std::move(update));
-    return true;
+    return ProgressOutcome::kApplied;
   }
   const auto index = job->item_index.find(update.item);
-  if (index == job->item_index.end()) return true;
+  if (index == job->item_index.end()) return ProgressOutcome::kDeclined;
   ItemProgress& progress = job->progress[index->second];
+  if (progress.phase != ItemPhase::kWaiting) return ProgressOutcome::kDeclined;
   const uint64_t known = progress.last_event.value_or(0);
-  if (progress.phase != ItemPhase::kWaiting || update.last_event <= known) {
-    return true;
+  if (update.last_event <= known) {
+    return Includes(progress, update) ? ProgressOutcome::kApplied
+                                      : ProgressOutcome::kDeclined;
   }
   if (update.after_event == 0) {
     progress.output = std::move(update.output);
     progress.software = std::move(update.software);
   } else if (update.after_event == known &&
-             update.software == progress.software) {
+             update.software == progress.software &&
+             update.after_hash ==
+                 HashOfPrefix(progress.output, progress.output.size())) {
     progress.output += update.output;
   } else {
-    return false;
+    return ProgressOutcome::kNotKnown;
   }
   progress.last_event = update.last_event;
   // Not to be published again: the gateway that sent it sends it to the next
   // gateway as well.
   progress.published_event = update.last_event;
   progress.published_bytes = progress.output.size();
-  return true;
+  return ProgressOutcome::kApplied;
 }
 
 const BatchJob* JobTable::Find(std::string_view id) const {
--- a/libs/serving/tests/job_table_test.cc
+++ b/libs/serving/tests/job_table_test.cc
@@ -219,17 +219,20 @@
     return updates[0];
   };
   const ItemProgress& received = standby.Find("j")->progress[0];
-  CHECK(standby.MergeProgress(advance(1, "one")));
+  CHECK(standby.MergeProgress(advance(1, "one")) == ProgressOutcome::kApplied);
   const ProgressUpdate second = advance(2, "two");
   CHECK(second.output == "\ntwo");
-  CHECK(standby.MergeProgress(ProgressUpdate(second)));
-  CHECK(standby.MergeProgress(ProgressUpdate(second)));
+  CHECK(standby.MergeProgress(ProgressUpdate(second)) ==
+        ProgressOutcome::kApplied);
+  CHECK(standby.MergeProgress(ProgressUpdate(second)) ==
+        ProgressOutcome::kApplied);
   CHECK(received.output == "one\ntwo");
   advance(3, "three");  // lost
-  CHECK_FALSE(standby.MergeProgress(advance(4, "four")));
+  CHECK(standby.MergeProgress(advance(4, "four")) ==
+        ProgressOutcome::kNotKnown);
   CHECK(received.last_event == 2);
   owner.RepublishItem("j", "j0");
-  CHECK(standby.MergeProgress(advance(5, "five")));
+  CHECK(standby.MergeProgress(advance(5, "five")) == ProgressOutcome::kApplied);
   CHECK(received.output == own.output);
   CHECK(received.last_event == 5);
   owner.ForgetPublishedOutputs();
@@ -237,6 +240,81 @@
   CHECK(advance(6, "six").output == own.output);
 }
 
+// Guards against an output that is joined from two runs of an item, whose
+// events have the same numbers.
+TEST_CASE("progress of another run is not appended") {
+  JobTable former;   // runs the item first
+  JobTable later;    // runs it anew
+  JobTable standby;  // has the progress of the first run
+  for (JobTable* table : {&former, &later, &standby}) {
+    table->AddJob(MakeJob("j", 1, seconds(18)));
+  }
+  const auto advance = [](JobTable& table, uint64_t to,
+                          const std::string& run) {
+    ItemProgress& progress = table.Find("j")->progress[0];
+    for (uint64_t i = progress.last_event.value_or(0) + 1; i <= to; ++i) {
+      if (i > 1) progress.output += '\n';
+      progress.output += std::to_string(i) + run;
+    }
+    progress.last_event = to;
+    auto updates = table.TakeProgressUpdates(1, 1000);
+    REQUIRE(updates.size() == 1);
+    return updates[0];
+  };
+  const ItemProgress& received = standby.Find("j")->progress[0];
+  CHECK(standby.MergeProgress(advance(former, 4, "a")) ==
+        ProgressOutcome::kApplied);
+  // The update is dropped, as that of the first run is ahead of it, or as far.
+  CHECK(standby.MergeProgress(advance(later, 2, "b")) ==
+        ProgressOutcome::kDeclined);
+  CHECK(standby.MergeProgress(advance(later, 4, "b")) ==
+        ProgressOutcome::kDeclined);
+  CHECK(standby.MergeProgress(advance(later, 6, "b")) ==
+        ProgressOutcome::kNotKnown);
+  CHECK(received.output == former.Find("j")->progress[0].output);
+  later.RepublishItem("j", "j0");
+  CHECK(standby.MergeProgress(advance(later, 7, "b")) ==
+        ProgressOutcome::kApplied);
+  CHECK(received.output == later.Find("j")->progress[0].output);
+  // The first run, which another gateway continues, cannot be appended either.
+  CHECK(standby.MergeProgress(advance(former, 7, "a")) ==
+        ProgressOutcome::kDeclined);
+  CHECK(standby.MergeProgress(advance(former, 8, "a")) ==
+        ProgressOutcome::kNotKnown);
+  CHECK(received.output == later.Find("j")->progress[0].output);
+}
+
+TEST_CASE("progress that is not applied is not reported as applied") {
+  JobTable table;
+  table.AddJob(MakeJob("j", 1, seconds(18)));
+  const ProgressUpdate whole{
+      .job = "j", .item = "j0", .last_event = 2, .output = "one\ntwo"};
+  table.SetRunning({"j", 0});
+  CHECK(table.MergeProgress(ProgressUpdate(whole)) ==
+        ProgressOutcome::kDeclined);
+  table.SetWaiting({"j", 0}, {});
+  CHECK(table.MergeProgress(ProgressUpdate(whole)) ==
+        ProgressOutcome::kApplied);
+  ProgressUpdate older = whole;
+  older.last_event = 1;
+  older.output = "one";
+  CHECK(table.MergeProgress(ProgressUpdate(older)) ==
+        ProgressOutcome::kApplied);
+  older.output = "1";
+  CHECK(table.MergeProgress(ProgressUpdate(older)) ==
+        ProgressOutcome::kDeclined);
+  // Gateways of older versions send no hash.
+  CHECK(table.MergeProgress({.job = "j",
+                             .item = "j0",
+                             .last_event = 3,
+                             .after_event = 2,
+                             .output = "\nthree"}) ==
+        ProgressOutcome::kNotKnown);
+  table.SetFinished({"j", 0}, ItemState::kCompleted);
+  CHECK(table.MergeProgress(ProgressUpdate(whole)) ==
+        ProgressOutcome::kDeclined);
+}
+
 TEST_CASE("progress updates are bounded in bytes; the rest follows later") {
   JobTable table;
   table.AddJob(MakeJob("j", 3, seconds(18)));
@@ -314,20 +392,23 @@
                              .item = "a0",
                              .last_event = 2,
                              .software = "v1",
-                             .output = "one\ntwo"}));
+                             .output = "one\ntwo"}) ==
+        ProgressOutcome::kApplied);
   CHECK(progress.software == "v1");
-  CHECK_FALSE(table.MergeProgress({.job = "a",
-                                   .item = "a0",
-                                   .last_event = 3,
-                                   .after_event = 2,
-                                   .software = "v2",
-                                   .output = "\nthree"}));
+  CHECK(table.MergeProgress({.job = "a",
+                             .item = "a0",
+                             .last_event = 3,
+                             .after_event = 2,
+                             .software = "v2",
+                             .output = "\nthree"}) ==
+        ProgressOutcome::kNotKnown);
   CHECK(progress.output == "one\ntwo");
   CHECK(table.MergeProgress({.job = "a",
                              .item = "a0",
                              .last_event = 3,
                              .software = "v2",
-                             .output = "1\n2\n3"}));
+                             .output = "1\n2\n3"}) ==
+        ProgressOutcome::kApplied);
   CHECK(progress.output == "1\n2\n3");
   CHECK(progress.software == "v2");
   table.ForgetOutput({"a", 0});
