Servers that crash together once do not accuse a part of prompts

Cause: five requests that crashed servers at two moments count as proof against a part that they share. Servers that are ended together end within some milliseconds of each other. A request that was sent to one of the last in that time counted as one of a second moment, also if it seemed so by the error of times that gateways tell each other.

Change: a later moment is one in which a request was sent 300 ms or more after the first crash ended. Three crashes in turn are proof as before.

--- a/libs/serving/src/crashing_parts.cc
+++ b/libs/serving/src/crashing_parts.cc
@@ -12,7 +12,9 @@
 constexpr size_t kCrashesToQuarantine = 3;
 // Proof as well, if they came at two different moments.
 constexpr size_t kManyCrashes = 5;
-constexpr size_t kMoments = 2;
+// Servers that are ended together end within this time, in which a gateway
+// still sends requests to those that it has not seen end.
+constexpr std::chrono::milliseconds kMoment{300};
 // Two intervals of the reports between gateways, with some slack: answers that
 // other gateways have received clear a part in this time.
 constexpr std::chrono::milliseconds kAnswersKnownAfter{700};
@@ -40,17 +42,20 @@
   std::sort(crashes.begin(), crashes.end(), [](const auto& a, const auto& b) {
     return a.ended_at < b.ended_at;
   });
-  size_t moments = 0;
+  size_t in_turn = 0;
   TimePoint previous_end{};
+  bool later_moment = false;
   std::set<uint64_t> requests;
   for (const ServerCrash& crash : crashes) {
     if (!requests.insert(crash.request).second) continue;
+    if (crash.sent_at >= crashes.front().ended_at + kMoment)
+      later_moment = true;
     if (crash.sent_at < previous_end) continue;
     previous_end = crash.ended_at;
-    ++moments;
+    ++in_turn;
   }
-  return moments >= kCrashesToQuarantine ||
-         (moments >= kMoments && requests.size() >= kManyCrashes);
+  return in_turn >= kCrashesToQuarantine ||
+         (later_moment && requests.size() >= kManyCrashes);
 }
 
 }  // namespace
--- a/libs/serving/tests/crashing_parts_test.cc
+++ b/libs/serving/tests/crashing_parts_test.cc
@@ -217,6 +217,23 @@
   CHECK_FALSE(tracker.FindQuarantined(parts));
 }
 
+// Guards against such a quarantine where requests are sent to the last servers
+// after the first ones have ended.
+TEST_CASE("requests sent while all servers end accuse no part") {
+  CrashingParts tracker;
+  const std::vector<uint64_t> parts = {kShared};
+  for (uint64_t server = 1; server <= 9; ++server) {
+    ServerCrash crash = CrashOf(server, server, kNow);
+    if (server > 5) {
+      crash.sent_at = kNow + milliseconds(90);
+      crash.ended_at = kNow + milliseconds(110);
+    }
+    tracker.OnCrash(parts, crash);
+  }
+  CHECK(tracker.Update(kNow + seconds(2)).empty());
+  CHECK_FALSE(tracker.FindQuarantined(parts));
+}
+
 // Guards against a quarantine for one request that is sent again and again: its
 // own count rejects it.
 TEST_CASE("one request that is repeated accuses no shared part") {
