--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -110,12 +110,14 @@
   void OnPeerSummary(const PeerState& state);
   void SendToCaller(http::ServerCommand&& command);
   using JobCallHandler = std::function<void(http::RequestEvent&&)>;
-  // Calls `serve` if this gateway holds the job. Otherwise forwards the call to
-  // a gateway that holds it, or responds with an error. `submits`: the call may
-  // create the job.
+  // Learns the layout if it is needed to locate the job, then calls `serve` if
+  // this gateway holds the job. Otherwise forwards the call or responds with an
+  // error. `submits`: the call may create the job.
   void ServeIfHolder(http::RequestEvent&& request, const std::string& job,
                      const CallerIdentity& caller, bool submits,
                      JobCallHandler serve);
+  // Returns true if this gateway holds the job. Otherwise forwards the call to
+  // a gateway that holds it, or responds with an error, and returns false.
   bool HoldsJobOrForwards(const http::RequestEvent& request,
                           const std::string& job, const CallerIdentity& caller);
   void RespondFleetUnknown(ExchangeId exchange, const CallerIdentity& caller);
--- a/libs/gateway/src/peers/layout_record.h
+++ b/libs/gateway/src/peers/layout_record.h
@@ -25,6 +25,7 @@
   LayoutRecord(StoreCalls& store,
                std::function<void(const cluster::FleetLayout& layout)> learned);
 
+  // Reads the record and passes it to `learned`, if there is one.
   void Read(Callback done);
   // Creates the record if there is none, otherwise reads it.
   void Create(const cluster::FleetLayout& layout, Callback done);
