--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -397,22 +397,22 @@
                       const CallerIdentity& caller) {
                  const std::string job =
                      JobKey(caller.workspace, caller.request_id);
-                 ServeIfHolder(std::move(request), job, caller, true,
-                               [this, route, caller](auto&& call) {
-                                 batch_api_.Submit(std::move(call), route,
-                                                   caller);
-                               });
+                 ServeIfHolder(
+                     std::move(request), job, caller, true,
+                     [this, route, caller](http::RequestEvent&& call) {
+                       batch_api_.Submit(std::move(call), route, caller);
+                     });
                },
            .call_job =
                [this](http::RequestEvent&& request,
                       const users_platform::BatchCall& call,
                       const CallerIdentity& caller) {
                  const std::string job = JobKey(caller.workspace, call.job);
-                 ServeIfHolder(std::move(request), job, caller, false,
-                               [this, call, caller](auto&& event) {
-                                 batch_api_.Call(std::move(event), call,
-                                                 caller);
-                               });
+                 ServeIfHolder(
+                     std::move(request), job, caller, false,
+                     [this, call, caller](http::RequestEvent&& event) {
+                       batch_api_.Call(std::move(event), call, caller);
+                     });
                },
            .own_batches =
                [this](http::RequestEvent&& request,
@@ -421,7 +421,7 @@
                      NativeBatchApi::JobIdOf(request, caller);
                  const bool submits = NativeBatchApi::IsSubmission(request);
                  ServeIfHolder(std::move(request), job, caller, submits,
-                               [this, caller](auto&& event) {
+                               [this, caller](http::RequestEvent&& event) {
                                  native_batch_api_.OnRequest(std::move(event),
                                                              caller);
                                });
--- a/libs/http/tests/loopback.h
+++ b/libs/http/tests/loopback.h
@@ -91,8 +91,8 @@
       Accept();
     });
   }
-  void Serve(std::shared_ptr<Socket> socket,
-             std::shared_ptr<std::string> input) {
+  void Serve(const std::shared_ptr<Socket>& socket,
+             const std::shared_ptr<std::string>& input) {
     boost::asio::async_read_until(
         *socket, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
         [this, socket, input](const auto& ec, size_t bytes) {
--- a/tests/users_platform/fleet_growth_test.cc
+++ b/tests/users_platform/fleet_growth_test.cc
@@ -107,7 +107,7 @@
   fleet.site.caller().RunFor(kLayoutDelay);
   fleet.CheckAllReadable();
 
-  for (const std::string& gateway : {"a-2", "a-3", "b-1", "b-3"}) {
+  for (const char* gateway : {"a-2", "a-3", "b-1", "b-3"}) {
     fleet.Kill(gateway);
   }
   fleet.CheckAllReadable();
