--- a/review/common-2/store_proxy.hpp
+++ b/review/common-2/store_proxy.hpp
@@ -35,6 +35,7 @@
     std::string method;
     std::string name;  // of the object
     std::string body;
+    size_t value_bytes = 0;
   };
   using DelayOf =
       std::function<std::optional<std::chrono::milliseconds>(const Write&)>;
@@ -60,6 +61,8 @@
 
   const std::string& address() const { return address_; }
   int writes() const { return writes_; }
+  // Each object is value_bytes at most: a larger value is refused with 413.
+  size_t max_value_bytes = 0;  // zero: no limit
   // Called when a write that got no answer has been executed.
   std::function<void(const Write&, unsigned status)> on_late_write;
   // Called with each write and the store's status, also of late ones.
@@ -90,6 +93,8 @@
     if (!ec) {
       boost::json::error_code missing;
       const auto* name = parsed.find_pointer("/metadata/name", missing);
+      const auto* value = parsed.find_pointer("/spec", missing);
+      if (value) write.value_bytes = boost::json::serialize(*value).size();
       if (name && name->is_string()) write.name = std::string(name->as_string());
     }
     if (write.name.empty()) {
@@ -126,6 +131,13 @@
     if (request.method != "GET") {
       ++writes_;
       call.write = WriteOf(request);
+      if (max_value_bytes > 0 && call.write->value_bytes > max_value_bytes) {
+        if (on_write) on_write(*call.write, 413, false);
+        server_.Execute(http::RespondCommand{.exchange = request.exchange,
+                                             .status = 413,
+                                             .body = "{}"});
+        return true;
+      }
       if (const auto delay = delay_of_(*call.write)) {
         call.caller = ExchangeId();
         call.late = true;
