--- a/review/common-2/engine.hpp
+++ b/review/common-2/engine.hpp
@@ -13,7 +13,6 @@
 
 #include "base/clock.h"
 #include "http/server.h"
-#include "users_platform/object_store.h"
 
 namespace review {
 
@@ -59,8 +58,8 @@
   const std::vector<Run>& runs() const { return runs_; }
   bool up() const { return server_ != nullptr; }
 
-  void Register(knapweedstile::users_site::ObjectStore& store,
-                const std::string& service, int slots,
+  template <class Store>
+  void Register(Store& store, const std::string& service, int slots,
                 const std::string& state = "ready") const {
     store.Put("servers", instance_,
               boost::json::object{{"service", service},
