--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,7 +11,7 @@
 for library in base http observe; do
   includes="$includes -Ilibs/$library/include"
 done
-for source in review/[4-8]/case.cpp; do
+for source in review/[4-8]/driver.cpp; do
   [ -f "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   # shellcheck disable=SC2086
