--- a/review/5/driver.cpp
+++ b/review/5/driver.cpp
@@ -2,8 +2,8 @@
 #include <set>
 #include <vector>
 
-#include "common-2/record.hpp"
-#include "common-2/store_proxy.hpp"
+#include "record-2.hpp"
+#include "store_proxy-2.hpp"
 #include "users_platform/site.h"
 
 namespace {
@@ -27,8 +27,8 @@
   TimePoint sent_at;
 };
 
-int Run(const std::string& folder) {
-  review::Record record(folder);
+int Run(const std::string& record_file) {
+  review::Record record(record_file);
   const bool trouble = review::WithTrouble();
   record.Line(trouble ? "with the disruption" : "without the disruption");
   Site site;
@@ -200,7 +200,7 @@
 
 int main(int argc, char** argv) {
   try {
-    return Run(argc > 1 ? argv[1] : ".");
+    return Run(argc > 1 ? argv[1] : "record.txt");
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
     return review::kCouldNotRun;
--- a/review/8/driver.cpp
+++ b/review/8/driver.cpp
@@ -3,8 +3,8 @@
 #include <set>
 #include <vector>
 
-#include "common-2/engine.hpp"
-#include "common-2/record.hpp"
+#include "engine-2.hpp"
+#include "record-2.hpp"
 #include "users_platform/site.h"
 
 namespace {
@@ -21,8 +21,8 @@
 constexpr int kItems = 2;
 constexpr char kLeavingZone[] = "zone-d";
 
-int Run(const std::string& folder) {
-  review::Record record(folder);
+int Run(const std::string& record_file) {
+  review::Record record(record_file);
   const bool trouble = review::WithTrouble();
   record.Line(trouble ? "with the disruption" : "without the disruption");
   Site site;
@@ -147,7 +147,7 @@
 
 int main(int argc, char** argv) {
   try {
-    return Run(argc > 1 ? argv[1] : ".");
+    return Run(argc > 1 ? argv[1] : "record.txt");
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
     return review::kCouldNotRun;
--- a/review/common-2/engine.hpp
+++ b/review/engine-2.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_COMMON_2_ENGINE_HPP_
-#define REVIEW_COMMON_2_ENGINE_HPP_
+#ifndef REVIEW_ENGINE_2_HPP_
+#define REVIEW_ENGINE_2_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -166,4 +166,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_2_ENGINE_HPP_
+#endif  // REVIEW_ENGINE_2_HPP_
--- a/review/common-2/record.hpp
+++ b/review/record-2.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_COMMON_2_RECORD_HPP_
-#define REVIEW_COMMON_2_RECORD_HPP_
+#ifndef REVIEW_RECORD_2_HPP_
+#define REVIEW_RECORD_2_HPP_
 
 #include <cstdio>
 #include <cstdlib>
@@ -10,12 +10,12 @@
 
 namespace review {
 
-// Writes what was sent, answered and run to record.txt, with the seconds since
-// the start.
+// Writes what was sent, answered and run to a file, record.txt in the folder of
+// the case, with the seconds since the start.
 class Record {
  public:
-  explicit Record(const std::string& folder)
-      : out_(folder + "/record.txt"), began_(knapweedstile::MonotonicNow()) {}
+  explicit Record(const std::string& file)
+      : out_(file), began_(knapweedstile::MonotonicNow()) {}
 
   double Seconds(knapweedstile::TimePoint at) const {
     return knapweedstile::ToSeconds(at - began_);
@@ -44,4 +44,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_2_RECORD_HPP_
+#endif  // REVIEW_RECORD_2_HPP_
--- a/review/common-2/slow_link.hpp
+++ b/review/slow_link-2.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_COMMON_2_SLOW_LINK_HPP_
-#define REVIEW_COMMON_2_SLOW_LINK_HPP_
+#ifndef REVIEW_SLOW_LINK_2_HPP_
+#define REVIEW_SLOW_LINK_2_HPP_
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -98,4 +98,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_2_SLOW_LINK_HPP_
+#endif  // REVIEW_SLOW_LINK_2_HPP_
--- a/review/common-2/small_store.hpp
+++ b/review/small_store-2.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_COMMON_2_SMALL_STORE_HPP_
-#define REVIEW_COMMON_2_SMALL_STORE_HPP_
+#ifndef REVIEW_SMALL_STORE_2_HPP_
+#define REVIEW_SMALL_STORE_2_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -258,4 +258,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_2_SMALL_STORE_HPP_
+#endif  // REVIEW_SMALL_STORE_2_HPP_
--- a/review/common-2/store_proxy.hpp
+++ b/review/store_proxy-2.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_COMMON_2_STORE_PROXY_HPP_
-#define REVIEW_COMMON_2_STORE_PROXY_HPP_
+#ifndef REVIEW_STORE_PROXY_2_HPP_
+#define REVIEW_STORE_PROXY_2_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -188,4 +188,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_2_STORE_PROXY_HPP_
+#endif  // REVIEW_STORE_PROXY_2_HPP_
