Metrics: items that wait, ready or paused

Accepted items were left lying for 46 s before their job expired (LOST).

knap_items_waiting{state=ready|paused} counts the items of a gateway's own jobs; with knap_prompt_parts_quarantined and knap_items_running it separates the four.

Unit test: "waiting items are counted by whether they may be started".

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -335,6 +335,15 @@
   metrics_.Set("knap_prompt_parts_quarantined",
                static_cast<double>(crashing_parts_.quarantined()));
   metrics_.Set("knap_items_running", static_cast<double>(runner_.running()));
+  const TimePoint now = MonotonicNow();
+  const serving::WaitingItems waiting =
+      jobs_.CountWaiting(now, [this, now](const serving::BatchJob& job) {
+        return ownership_.Owns(job, now);
+      });
+  metrics_.Set("knap_items_waiting", static_cast<double>(waiting.ready),
+               {"ready"});
+  metrics_.Set("knap_items_waiting", static_cast<double>(waiting.paused),
+               {"paused"});
   metrics_.Set("knap_connections_closed_unread",
                static_cast<double>(connection_gate_.closed()));
   metrics_.Set("knap_processor_headroom", load_meter_.headroom());
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -81,6 +81,10 @@
                        "parts of prompts that crash servers; requests with one "
                        "are rejected");
   metrics.DeclareGauge("knap_items_running", "batch items in progress");
+  metrics.DeclareGauge("knap_items_waiting",
+                       "items of this gateway's jobs that wait to be run: "
+                       "ready, or paused after a run that ended early",
+                       {"state"});
   metrics.DeclareGauge("knap_connections_closed_unread",
                        "connections closed unread so far, for peers to take");
   metrics.DeclareGauge("knap_processor_headroom",
--- a/libs/serving/include/serving/job_table.h
+++ b/libs/serving/include/serving/job_table.h
@@ -15,6 +15,7 @@
 #include "serving/progress_outcome.h"
 #include "serving/progress_update.h"
 #include "serving/quota_scope.h"
+#include "serving/waiting_items.h"
 
 namespace knapweedstile::serving {
 
@@ -91,6 +92,9 @@
       TimePoint now, TimePoint feasible_from,
       const std::function<bool(const BatchJob&)>& is_own,
       const std::function<bool(const BatchItem&)>& is_allowed) const;
+  // Of the jobs for which `is_own` is true.
+  WaitingItems CountWaiting(
+      TimePoint now, const std::function<bool(const BatchJob&)>& is_own) const;
   // Segments and ends whose job is unknown, by job id.
   std::map<std::string, std::vector<uint32_t>> Orphans() const;
   // Results of finished items of a job that are not committed yet.
--- a/libs/serving/src/job_table.cc
+++ b/libs/serving/src/job_table.cc
@@ -347,6 +347,19 @@
   return ItemRef{best->id, best_index};
 }
 
+WaitingItems JobTable::CountWaiting(
+    TimePoint now, const std::function<bool(const BatchJob&)>& is_own) const {
+  WaitingItems waiting;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.open() || !is_own(job)) continue;
+    for (const ItemProgress& progress : job.progress) {
+      if (progress.phase != ItemPhase::kWaiting) continue;
+      ++(progress.not_before > now ? waiting.paused : waiting.ready);
+    }
+  }
+  return waiting;
+}
+
 std::map<std::string, std::vector<uint32_t>> JobTable::Orphans() const {
   std::map<std::string, std::vector<uint32_t>> orphans;
   for (const auto& [id, segments] : pending_segments_) {
--- a/libs/serving/tests/job_table_test.cc
+++ b/libs/serving/tests/job_table_test.cc
@@ -50,6 +50,21 @@
   CHECK(NextJob(table) == "overdue");
 }
 
+TEST_CASE("waiting items are counted by whether they may be started") {
+  JobTable table;
+  table.AddJob(MakeJob("own", 4, seconds(8)));
+  table.AddJob(MakeJob("other", 2, seconds(8)));
+  table.AddJob(MakeJob("ended", 2, seconds(8)));
+  table.EndJob("ended");
+  table.SetRunning({"own", 0});
+  table.SetWaiting({"own", 1}, kNow + seconds(1));
+  table.SetFinished({"own", 2}, ItemState::kCompleted);
+  const auto is_own = [](const BatchJob& job) { return job.id != "other"; };
+  CHECK(table.CountWaiting(kNow, is_own).ready == 1);
+  CHECK(table.CountWaiting(kNow, is_own).paused == 1);
+  CHECK(table.CountWaiting(kNow + seconds(1), is_own).ready == 2);
+}
+
 TEST_CASE("segments received early wait for the missing ones") {
   JobTable table;
   CHECK_FALSE(table.AddSegment("a", 1, ResultOf("a1")));
