Items are neither held nor accused by crashes of their servers

What callers saw: accepted items that were not listed and that no server had for the last 46 s before their job expired, with room for them (LOST).

Cause: CrashingParts quarantines a part of prompts under which servers crash and nothing is answered. Items give evidence and were held while their part was quarantined. An item takes seconds and is displaced by online requests, so two waves of crashes, seconds apart, leave a rare part without an answer and look like proof. From then on no item with the part was run, so nothing could answer for it, and each retry of a held item renewed the quarantine at all gateways. Class: a verdict that suppresses the only evidence that could lift it, on work that is owed.

Change: a crash under an item is no evidence against its prompt's parts, and an item is started whatever is quarantined. Items are handed in for later and are never requests that crash servers by themselves; those that do are online requests, which still give all the evidence they gave. A complete answer to an item still clears its parts.

Test: gateway_common_crash listed 0 of 8 items of each of two jobs before, 8 of 8 since, in 8 s. gateway_crashing_part (6 checks), serving and gateway pass unchanged.

--- a/libs/gateway/src/batch/batch_answers.cc
+++ b/libs/gateway/src/batch/batch_answers.cc
@@ -155,13 +155,6 @@
   serving::ItemProgress& progress = Progress(run);
   scheduler_.OnAttemptFailed(run.server, MonotonicNow());
   if (!run.received_event) ++progress.breaks;
-  if (IsCrash(reason)) {
-    crashing_parts_.OnCrash(run.prompt_parts,
-                            {.process = scheduler_.Process(run.server),
-                             .request = run.item_hash,
-                             .sent_at = run.started_at,
-                             .ended_at = MonotonicNow()});
-  }
   const size_t step =
       std::min<size_t>(progress.breaks, kBrokenAttemptPauses.size() - 1);
   Requeue(run, kBrokenAttemptPauses[step], reason);
--- a/libs/gateway/src/batch/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -41,9 +41,6 @@
 // An item whose job is due sooner than this starts also while starts are held
 // back.
 constexpr std::chrono::milliseconds kUrgentBefore{6000};
-// Pause before an item is tried again whose prompt has a part that crashes
-// servers.
-constexpr std::chrono::milliseconds kQuarantinePause{2000};
 // Pause before an item that finds no room at its software version is placed
 // again.
 constexpr std::chrono::milliseconds kVersionRetryPause{100};
@@ -110,15 +107,6 @@
     WaitForRoute(ref, now);
     return StartResult::kHandled;
   }
-  std::vector<uint64_t> prompt_parts =
-      users_platform::SharedPromptParts(item.headers);
-  if (const auto part = crashing_parts_.FindQuarantined(prompt_parts)) {
-    LogInfo("item_held",
-            {{"job", ref.job}, {"item", item.id}, {"part", ToHex(*part)}});
-    crashing_parts_.OnRejected(*part, now);
-    jobs_.SetWaiting(ref, now + kQuarantinePause);
-    return StartResult::kHandled;
-  }
   const std::string& service = route->services.front().service;
   if (!ConsumeBudget(service, now)) return StartResult::kNoCapacity;
   serving::ItemProgress& progress = job.progress[ref.index];
@@ -136,7 +124,7 @@
               .item_id = item.id,
               .route = route->name,
               .item_hash = Hash64(item.id),
-              .prompt_parts = std::move(prompt_parts),
+              .prompt_parts = users_platform::SharedPromptParts(item.headers),
               .server = server,
               .software = scheduler_.Record(server)->software,
               .exchange = connections_.Open(sink_),
--- a/libs/gateway/src/batch/batch_runner.h
+++ b/libs/gateway/src/batch/batch_runner.h
@@ -78,7 +78,7 @@
     std::string item_id;
     std::string route;
     uint64_t item_hash = 0;
-    std::vector<uint64_t> prompt_parts;  // that other requests may share
+    std::vector<uint64_t> prompt_parts;  // cleared by a complete response
     BackendServerId server;
     std::string software;  // its version
     ExchangeId exchange;
--- a/libs/serving/include/serving/crashing_parts.h
+++ b/libs/serving/include/serving/crashing_parts.h
@@ -30,6 +30,10 @@
 // and a sound part may be taken: it is cleared once another part explains its
 // crashes as well.
 //
+// Crashes under items of batch jobs are no evidence, and items with a
+// quarantined part are run: an accepted item is owed whatever happened to its
+// servers. Their answers count like any other.
+//
 // Evidence is merged over all gateways. Pure logic: no I/O, no clock, no
 // threads; the caller passes the time.
 class CrashingParts {
