Items choose among the services of their route like online requests

Weights were ignored too.

Cause: BatchRunner took services.front() for start, budget and placement.

Change: serving::ChooseService, at random by weight among the usable services, for both. Online requests pass over a service without servers, items one without a free slot or start budget. An item that has begun goes on at its service and version while these take requests and the route leads there, else it begins again. Progress and its updates name the service; an update of an older gateway, which does not, counts for the only service of its route. The budget is consumed by a placement only.

--- a/libs/gateway/src/batch/batch_answers.cc
+++ b/libs/gateway/src/batch/batch_answers.cc
@@ -83,6 +83,7 @@
     if (progress.last_event) {
       progress.output += '\n';
     } else {
+      progress.service = run.service;
       progress.software = run.software;
     }
     progress.output += event->data;
--- a/libs/gateway/src/batch/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -8,6 +8,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "servers/attempt_end.h"
+#include "serving/service_choice.h"
 #include "users_platform/request_headers.h"
 
 namespace knapweedstile::gateway {
@@ -21,7 +22,7 @@
 // prompt again, which costs 33 ms of backend server time.
 constexpr std::chrono::milliseconds kRequeuePause{150};
 // Length of the window for which the start budgets are computed (see
-// ConsumeBudget()): peers receive the report of a start within a few
+// BudgetOf()): peers receive the report of a start within a few
 // milliseconds, so the next budget takes their starts into account.
 constexpr std::chrono::milliseconds kStartWindow{25};
 // A run without an event for this long is assumed to be queued at the backend
@@ -50,6 +51,14 @@
 // Deadline of one run; the longest items take about ten seconds.
 constexpr std::chrono::seconds kMaxRunDuration{30};
 
+// The service that the item has begun at. Gateways of older versions, which use
+// one service of each route, do not name it.
+const std::string& ServiceOf(const serving::ItemProgress& progress,
+                             const serving::Route& route) {
+  const bool known = !progress.service.empty() || route.services.size() > 1;
+  return known ? progress.service : route.services.front().service;
+}
+
 }  // namespace
 
 BatchRunner::BatchRunner(ServerConnections& connections,
@@ -58,7 +67,7 @@
                          serving::JobTable& jobs,
                          const serving::RouteTable& routes,
                          observe::Metrics& metrics, observe::Timeline& timeline,
-                         Callbacks callbacks)
+                         uint64_t seed, Callbacks callbacks)
     : scheduler_(scheduler),
       crashing_parts_(crashing_parts),
       jobs_(jobs),
@@ -66,6 +75,7 @@
       metrics_(metrics),
       timeline_(timeline),
       callbacks_(std::move(callbacks)),
+      rng_(seed),
       connections_(connections),
       sink_([this](http::ClientEvent&& event) {
         OnClientEvent(std::move(event));
@@ -107,15 +117,16 @@
     WaitForRoute(ref, now);
     return StartResult::kHandled;
   }
-  const std::string& service = route->services.front().service;
-  if (!ConsumeBudget(service, now)) return StartResult::kNoCapacity;
   serving::ItemProgress& progress = job.progress[ref.index];
-  const BackendServerId server = Place(ref, *route, now);
-  if (!server && !progress.last_event) return StartResult::kNoCapacity;
+  const bool continues = progress.last_event && CanContinue(progress, *route);
+  if (continues && BudgetOf(ServiceOf(progress, *route), now) == 0)
+    return StartResult::kNoCapacity;
+  const BackendServerId server = Place(ref, *route, continues, now);
+  if (!server && !continues) return StartResult::kNoCapacity;
   progress.unrouted_since.reset();
   if (!server) {
-    // Items that have not begun may still find room at other versions.
-    ++start_budgets_[service];
+    // Items that have not begun may still find room at other services or
+    // versions.
     jobs_.SetWaiting(ref, now + kVersionRetryPause);
     return StartResult::kHandled;
   }
@@ -126,6 +137,7 @@
               .item_hash = Hash64(item.id),
               .prompt_parts = users_platform::SharedPromptParts(item.headers),
               .server = server,
+              .service = scheduler_.Record(server)->service,
               .software = scheduler_.Record(server)->software,
               .exchange = connections_.Open(sink_),
               .started_at = now,
@@ -155,41 +167,70 @@
   return StartResult::kHandled;
 }
 
-// Guards against an output that joins events of two software versions. An item
-// whose version has left begins again, as does one that has waited for its
-// version while others have room.
+// Guards against an output that joins events of two services or software
+// versions. An item whose version has left begins again, as does one that has
+// waited for its version while others have room.
 BackendServerId BatchRunner::Place(const ItemRef& ref,
-                                   const serving::Route& route, TimePoint now) {
+                                   const serving::Route& route, bool continues,
+                                   TimePoint now) {
   const serving::BatchJob& job = *jobs_.Find(ref.job);
-  const std::string& service = route.services.front().service;
-  const std::vector<BackendServerId> excluded =
-      callbacks_.excluded_servers(route, service);
   serving::ItemProgress& progress = jobs_.Find(ref.job)->progress[ref.index];
-  const bool begun = progress.last_event.has_value();
-  const bool version_left =
-      begun && (progress.software.empty() ||
-                !scheduler_.HasVersion(service, progress.software));
-  if (begun && !version_left) {
-    const BackendServerId server = scheduler_.PlaceBatch(
-        service, {.excluded = excluded, .software = progress.software}, now,
-        job.due_at);
+  if (continues) {
+    const BackendServerId server =
+        PlaceAt(ServiceOf(progress, route), progress.software, job, route, now);
     if (server) return server;
     if (!progress.awaits_version_since) progress.awaits_version_since = now;
     if (now - *progress.awaits_version_since < kVersionPatience) return {};
   }
-  const BackendServerId server =
-      scheduler_.PlaceBatch(service, {.excluded = excluded}, now, job.due_at);
-  if (server && begun) {
+  BackendServerId server;
+  std::set<std::string, std::less<>> full;
+  while (!server) {
+    const serving::ServiceShare* share = serving::ChooseService(
+        route.services, rng_,
+        [&](const std::string& service) { return !full.contains(service); });
+    if (!share) break;
+    server = PlaceAt(share->service, {}, job, route, now);
+    full.insert(share->service);
+  }
+  if (server && progress.last_event) {
     LogInfo("item_begins_again", {{"job", ref.job},
                                   {"item", job.items[ref.index].id},
+                                  {"service", ServiceOf(progress, route)},
                                   {"software", progress.software},
-                                  {"version_left", version_left},
+                                  {"version_left", !continues},
                                   {"events", *progress.last_event}});
     jobs_.ForgetOutput(ref);
   }
   return server;
 }
 
+BackendServerId BatchRunner::PlaceAt(const std::string& service,
+                                     std::string_view software,
+                                     const serving::BatchJob& job,
+                                     const serving::Route& route,
+                                     TimePoint now) {
+  uint32_t& budget = BudgetOf(service, now);
+  if (budget == 0) return {};
+  const std::vector<BackendServerId> excluded =
+      callbacks_.excluded_servers(route, service);
+  const BackendServerId server = scheduler_.PlaceBatch(
+      service, {.excluded = excluded, .software = software}, now, job.due_at);
+  if (server) --budget;
+  return server;
+}
+
+bool BatchRunner::CanContinue(const serving::ItemProgress& progress,
+                              const serving::Route& route) const {
+  const std::string& service = ServiceOf(progress, route);
+  const bool leads_there = std::any_of(
+      route.services.begin(), route.services.end(), [&](const auto& share) {
+        return share.service == service &&
+               (share.weight > 0 || route.services.size() == 1);
+      });
+  return leads_there && !progress.software.empty() &&
+         scheduler_.HasVersion(service, progress.software);
+}
+
 void BatchRunner::PreemptBlockingItems(TimePoint now) {
   for (const BackendServerId server : scheduler_.ServersToPreempt(now))
     PreemptItem(server);
@@ -215,7 +256,7 @@
   callbacks_.item_finished(item.job);
 }
 
-bool BatchRunner::ConsumeBudget(const std::string& service, TimePoint now) {
+uint32_t& BatchRunner::BudgetOf(const std::string& service, TimePoint now) {
   if (now >= start_window_ends_at_) {
     start_budgets_.clear();
     start_window_ends_at_ = now + kStartWindow;
@@ -225,9 +266,7 @@
     budget->second =
         scheduler_.BatchBudget(service, callbacks_.gateway_count(), now);
   }
-  if (budget->second == 0) return false;
-  --budget->second;
-  return true;
+  return budget->second;
 }
 
 // Withdraws one run from each oversubscribed server that has runs without an
--- a/libs/gateway/src/batch/batch_runner.h
+++ b/libs/gateway/src/batch/batch_runner.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/id.h"
+#include "base/rng.h"
 #include "base/time.h"
 #include "http/client_event.h"
 #include "observe/metrics.h"
@@ -50,7 +51,7 @@
   BatchRunner(ServerConnections& connections, serving::SlotScheduler& scheduler,
               serving::CrashingParts& crashing_parts, serving::JobTable& jobs,
               const serving::RouteTable& routes, observe::Metrics& metrics,
-              observe::Timeline& timeline, Callbacks callbacks);
+              observe::Timeline& timeline, uint64_t seed, Callbacks callbacks);
 
   // Starts items while there is capacity, and ends runs that have stalled or
   // are no longer needed. Called every 20 ms and after events that may let an
@@ -80,6 +81,7 @@
     uint64_t item_hash = 0;
     std::vector<uint64_t> prompt_parts;  // cleared by a complete response
     BackendServerId server;
+    std::string service;   // of the server
     std::string software;  // its version
     ExchangeId exchange;
     TimePoint started_at;
@@ -98,10 +100,18 @@
 
   StartResult Start(const serving::ItemRef& ref, TimePoint now);
   void WaitForRoute(const serving::ItemRef& item, TimePoint now);
-  // Places a run of the item, which continues its output so far if there is
-  // any. Zero if there is no capacity.
+  // Places a run of the item; `continues`: servers that can continue its output
+  // take requests. Zero if there is no capacity.
   BackendServerId Place(const serving::ItemRef& item,
-                        const serving::Route& route, TimePoint now);
+                        const serving::Route& route, bool continues,
+                        TimePoint now);
+  // At that service only, and at that software version unless it is empty.
+  BackendServerId PlaceAt(const std::string& service, std::string_view software,
+                          const serving::BatchJob& job,
+                          const serving::Route& route, TimePoint now);
+  // Whether servers that take requests can continue the item's output.
+  bool CanContinue(const serving::ItemProgress& progress,
+                   const serving::Route& route) const;
   void OnClientEvent(http::ClientEvent&& event);
   void OnHead(ItemRun& run, http::HeadEvent&& event);
   void OnBody(ItemRun& run, std::string_view data);
@@ -112,7 +122,8 @@
   void OnErrorResponse(ItemRun& run);
   // Handles a run that ended without a complete response.
   void OnAttemptBroken(ItemRun& run, std::string_view reason);
-  bool ConsumeBudget(const std::string& service, TimePoint now);
+  // What is left of the service's budget in the current window.
+  uint32_t& BudgetOf(const std::string& service, TimePoint now);
   void WithdrawQueuedRuns(TimePoint now);
   void EndStalledRuns(TimePoint now);
   void EndUnneededRuns();
@@ -130,6 +141,7 @@
   observe::Metrics& metrics_;
   observe::Timeline& timeline_;
   Callbacks callbacks_;
+  Rng rng_;
   StartBudgets start_budgets_;
   TimePoint start_window_ends_at_{};
   std::unordered_map<ExchangeId, ItemRun> runs_;
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -252,7 +252,7 @@
                }}),
       runner_(
           connections_, scheduler_, crashing_parts_, jobs_, routes_, metrics_,
-          timeline_,
+          timeline_, seed + 3,
           {.owns =
                [this](const serving::BatchJob& job) {
                  return RunsItemsOf(job);
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -9,6 +9,7 @@
 #include "callers/error_response.h"
 #include "online/online_limits.h"
 #include "servers/attempt_end.h"
+#include "serving/service_choice.h"
 #include "users_platform/request_headers.h"
 
 namespace knapweedstile::gateway {
@@ -27,17 +28,6 @@
 // A request that crashes servers is not served until its quarantine ends.
 constexpr std::chrono::seconds kQuarantineRetry{60};
 
-const std::string& PickService(const serving::Route& route, Rng& rng) {
-  uint64_t total = 0;
-  for (const auto& share : route.services) total += share.weight;
-  uint64_t remaining = total == 0 ? 0 : UniformBelow(rng, total);
-  for (const auto& share : route.services) {
-    if (remaining < share.weight) return share.service;
-    remaining -= share.weight;
-  }
-  return route.services.front().service;
-}
-
 }  // namespace
 
 // Answers traffic beyond all slots of which a part is less urgent. Less urgent
@@ -82,7 +72,7 @@
   call.continues_stream = caller.continues_stream;
   call.resumes = caller.resumes;
   call.route = route;
-  call.service = PickService(route, rng_);
+  call.service = ChooseService(route);
   call.deadline = request.received_at + route.timeout;
   if (caller.budget) {
     call.deadline =
@@ -105,6 +95,14 @@
   Dispatch(call);
 }
 
+const std::string& OnlineCalls::ChooseService(const serving::Route& route) {
+  const auto* share = serving::ChooseService(
+      route.services, rng_, [this](const std::string& service) {
+        return scheduler_.HasServer(service);
+      });
+  return share ? share->service : route.services.front().service;
+}
+
 std::optional<serving::StreamOrigin> OnlineCalls::OnlyOrigin(
     const OnlineCall& call) const {
   if (call.route.services.size() != 1) return std::nullopt;
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -115,6 +115,8 @@
   void ObserveFailure(const OnlineCall& call, bool by_deadline);
   void ObserveResponse(const OnlineCall& call);
 
+  // A service without servers is passed over while another has some.
+  const std::string& ChooseService(const serving::Route& route);
   // Continues a stream whose caller has events of it, at the version that
   // produced them; rejects it if that is not known.
   void ResumeStream(OnlineCall& call);
--- a/libs/gateway/src/peers/progress_link.cc
+++ b/libs/gateway/src/peers/progress_link.cc
@@ -41,6 +41,7 @@
                        .last_event = update.at("last").to_number<uint64_t>(),
                        .after_event = update.at("after").to_number<uint64_t>(),
                        .after_hash = NumberOf(update.if_contains("after_hash")),
+                       .service = TextOf(update.if_contains("service")),
                        .software = TextOf(update.if_contains("software")),
                        .output = std::string(update.at("output").as_string())});
   }
@@ -114,6 +115,7 @@
                                 {"last", update.last_event},
                                 {"after", update.after_event},
                                 {"after_hash", update.after_hash},
+                                {"service", update.service},
                                 {"software", update.software},
                                 {"output", update.output}});
   }
--- a/libs/gateway/tests/batch_runner_test.cc
+++ b/libs/gateway/tests/batch_runner_test.cc
@@ -52,6 +52,7 @@
                      routes,
                      metrics,
                      timeline,
+                     /*seed=*/1,
                      {.owns = [](const serving::BatchJob&) { return true; },
                       .gateway_count = [] { return size_t{1}; },
                       .runs_on_peer = [](uint64_t) { return false; },
--- a/libs/serving/include/serving/item_progress.h
+++ b/libs/serving/include/serving/item_progress.h
@@ -33,8 +33,9 @@
   // broken run resumes.
   std::string output;
   std::optional<uint64_t> last_event;
-  // Software version of the servers that produced it: another version's output
-  // does not continue it. Empty: unknown.
+  // Service and software version of the servers that produced it: the output of
+  // others does not continue it. Empty: unknown.
+  std::string service;
   std::string software;
   // Since when it waits for a slot at that version; unset while it does not.
   std::optional<TimePoint> awaits_version_since;
--- a/libs/serving/include/serving/progress_update.h
+++ b/libs/serving/include/serving/progress_update.h
@@ -16,7 +16,9 @@
   // Hash of the output up to that event: two runs of an item count their events
   // alike, but an output consists of the events of one.
   uint64_t after_hash = 0;
-  std::string software;  // version of the servers that produced the output
+  // Service and software version of the servers that produced the output.
+  std::string service;
+  std::string software;
   std::string output;  // data of the events up to `last_event`, each after the
                        // first preceded by a line feed
 };
--- a/libs/serving/include/serving/slot_scheduler.h
+++ b/libs/serving/include/serving/slot_scheduler.h
@@ -137,6 +137,8 @@
   // Null when no registered server has that process.
   const ServerRecord* RecordByProcess(ServerProcessId process) const;
   BackendServerId Find(std::string_view instance) const;
+  // Whether a server of the service takes requests.
+  bool HasServer(std::string_view service) const;
   // Whether a server of the service that takes requests has that software
   // version.
   bool HasVersion(std::string_view service, std::string_view software) const;
--- a/libs/serving/src/job_table.cc
+++ b/libs/serving/src/job_table.cc
@@ -179,6 +179,7 @@
                          .last_event = last_event,
                          .after_event = from > 0 ? progress.published_event : 0,
                          .after_hash = HashOfPrefix(progress.output, from),
+                         .service = progress.service,
                          .software = progress.software,
                          .output = progress.output.substr(from)});
       progress.published_event = last_event;
@@ -201,6 +202,7 @@
   ItemProgress& progress = Find(item.job)->progress[item.index];
   progress.output.clear();
   progress.last_event.reset();
+  progress.service.clear();
   progress.software.clear();
   progress.awaits_version_since.reset();
   progress.published_event = 0;
@@ -257,8 +259,10 @@
   }
   if (update.after_event == 0) {
     progress.output = std::move(update.output);
+    progress.service = std::move(update.service);
     progress.software = std::move(update.software);
   } else if (update.after_event == known &&
+             update.service == progress.service &&
              update.software == progress.software &&
              update.after_hash ==
                  HashOfPrefix(progress.output, progress.output.size())) {
--- a/libs/serving/src/slot_scheduler.cc
+++ b/libs/serving/src/slot_scheduler.cc
@@ -158,6 +158,10 @@
              filter.excluded.end();
 }
 
+bool SlotScheduler::HasServer(std::string_view service) const {
+  return HasVersion(service, {});
+}
+
 bool SlotScheduler::HasVersion(std::string_view service,
                                std::string_view software) const {
   return std::any_of(servers_.begin(), servers_.end(), [&](const auto& s) {
