--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -317,6 +317,24 @@
          !waits_for_fleet && stop_began_at_ == kNever;
 }
 
+void Gateway::SetWaitingItems(TimePoint now) {
+  const serving::WaitingItems owned =
+      jobs_.CountWaiting(now, [this, now](const serving::BatchJob& job) {
+        return ownership_.Owns(job, now);
+      });
+  const serving::WaitingItems held =
+      jobs_.CountWaiting(now, [this, now](const serving::BatchJob& job) {
+        return job.creator == settings_.name && !ownership_.Owns(job, now);
+      });
+  const auto set = [this](std::string_view state, size_t count) {
+    metrics_.Set("knap_items_waiting", static_cast<double>(count),
+                 {std::string(state)});
+  };
+  set("ready", owned.ready);
+  set("paused", owned.paused);
+  set("held", held.ready + held.paused);
+}
+
 std::string Gateway::RenderMetrics() {
   metrics_.Set("knap_configuration_version",
                static_cast<double>(routes_.version));
@@ -335,15 +353,7 @@
   metrics_.Set("knap_prompt_parts_quarantined",
                static_cast<double>(crashing_parts_.quarantined()));
   metrics_.Set("knap_items_running", static_cast<double>(runner_.running()));
-  const TimePoint now = MonotonicNow();
-  const serving::WaitingItems waiting =
-      jobs_.CountWaiting(now, [this, now](const serving::BatchJob& job) {
-        return ownership_.Owns(job, now);
-      });
-  metrics_.Set("knap_items_waiting", static_cast<double>(waiting.ready),
-               {"ready"});
-  metrics_.Set("knap_items_waiting", static_cast<double>(waiting.paused),
-               {"paused"});
+  SetWaitingItems(MonotonicNow());
   metrics_.Set("knap_connections_closed_unread",
                static_cast<double>(connection_gate_.closed()));
   metrics_.Set("knap_processor_headroom", load_meter_.headroom());
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -174,6 +174,7 @@
   void ConfirmRecoveredRecords(const PeerState& state);
   // Performs the steps of the shutdown that are due.
   void AdvanceStop(TimePoint now);
+  void SetWaitingItems(TimePoint now);
   std::string RenderMetrics();
 
   boost::asio::io_context& io_;
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -83,7 +83,7 @@
   metrics.DeclareGauge("knap_items_running", "batch items in progress");
   metrics.DeclareGauge("knap_items_waiting",
                        "items of this gateway's jobs that wait to be run: "
-                       "ready, or paused after a run that ended early",
+                       "ready, paused, or held as it starts no items of them",
                        {"state"});
   metrics.DeclareGauge("knap_connections_closed_unread",
                        "connections closed unread so far, for peers to take");
--- a/libs/serving/include/serving/waiting_items.h
+++ b/libs/serving/include/serving/waiting_items.h
@@ -8,7 +8,7 @@
 // Numbers of items of open jobs that neither run nor have a result.
 struct WaitingItems {
   size_t ready = 0;   // may be started
-  size_t paused = 0;  // not yet, after a run that ended without a result
+  size_t paused = 0;  // may be started later
 };
 
 }  // namespace knapweedstile::serving
