Test: items run while online requests with their part are rejected

The first case now asks that an online request with the items' part is served after the second crash, the new one has the part quarantined by online requests and then runs a job with it.

--- a/tests/users_platform/gateway_common_crash_test.cc
+++ b/tests/users_platform/gateway_common_crash_test.cc
@@ -30,6 +30,12 @@
     site.AddGateway("entry-1");
     site.AddGateway("entry-2");
   }
+  http::ClientRequest Online(const std::string& gateway,
+                             const std::string& id) const {
+    auto request = site.OnlineRequest(gateway, "POST", "/reply/" + id, id);
+    request.headers.Add("Prompt-Prefix", "aa01:100,0b03:50");
+    return request;
+  }
   // A job whose items share a part of their prompts.
   http::ClientRequest Job(const std::string& id) const {
     auto request = site.JobRequest("entry-1", id, kItems);
@@ -61,12 +67,18 @@
 }  // namespace
 
 // Guards against accepted items that are never run again after all servers
-// crashed twice while they ran them.
+// crashed twice while they ran them, and against online requests that are
+// rejected because they share a part with such items.
 TEST_CASE("items under which servers crashed twice are run again") {
   CommonCrash fleet;
   REQUIRE(fleet.site.Call(fleet.Job("job-a")).status == 202);
   fleet.CrashAll(TimePoint{});
   fleet.CrashAll(MonotonicNow());
+  // Evidence has been reported by then, and no item is complete.
+  fleet.site.caller().RunFor(std::chrono::milliseconds(1200));
+  REQUIRE(fleet.site.Results("entry-1", "job-a").body.find("completed") ==
+          std::string::npos);
+  CHECK(fleet.site.Call(fleet.Online("entry-1", "r1")).status == 200);
   const auto page = fleet.site.WaitForResults("entry-2", "job-a", kItems);
   const auto& results = page.at("results").as_array();
   CHECK(results.size() == kItems);
@@ -77,4 +89,28 @@
   CHECK(later.at("results").as_array().size() == kItems);
 }
 
+// Guards against accepted items that wait because online requests with a part
+// of their prompts crash servers.
+TEST_CASE("items run while online requests with their part are rejected") {
+  CommonCrash fleet;
+  for (ModelServer* server : fleet.servers) server->crash_body = "boom";
+  const auto quarantined = [&] {
+    return fleet.site.Metrics("entry-1").find(
+               "knap_prompt_parts_quarantined 1") != std::string::npos;
+  };
+  // One attempt each: further crashes of one server are no more evidence.
+  for (int i = 0; i < 30 && !quarantined(); ++i) {
+    auto request = fleet.Online("entry-1", "r" + std::to_string(i));
+    request.target = "/query/r" + std::to_string(i);
+    request.body = "boom";
+    CHECK(fleet.site.Call(std::move(request)).status / 100 == 5);
+    fleet.site.caller().RunFor(std::chrono::milliseconds(100));
+  }
+  REQUIRE(quarantined());
+  CHECK(fleet.site.Call(fleet.Online("entry-1", "sound")).status == 503);
+  REQUIRE(fleet.site.Call(fleet.Job("job-a")).status == 202);
+  const auto page = fleet.site.WaitForResults("entry-2", "job-a", kItems);
+  CHECK(page.at("results").as_array().size() == kItems);
+}
+
 }  // namespace knapweedstile::users_site
