Items under which servers crashed run again within seconds

Cause: runs that break before the first event are counted over the item's life until an event comes, and the pauses by that count were 6, 15 and 40 s from the third on. A sound item that was on three servers when they crashed waited longer than the 18 s in which its job is due. Class: a penalty meant for a guilty request, laid on work that is owed.

Test: "an item under which servers crashed runs again within seconds" crashes eight servers under one item.

Why this works: the longest pause is 3 s. An item is never a request that crashes servers by itself, so a longer one protects nothing; 3 s keep a fleet that is down from getting the same items again at once.

--- a/libs/gateway/src/batch/batch_answers.cc
+++ b/libs/gateway/src/batch/batch_answers.cc
@@ -23,12 +23,12 @@
 constexpr std::chrono::milliseconds kNotExecutedPause{50};
 constexpr std::chrono::milliseconds kFailedPause{100};
 // Indexed by the number of consecutive runs that broke before the first event.
-// An item that is not at fault rarely breaks three times. An item that crashes
-// servers costs three of them, and two or three more until it expires.
-constexpr std::array<std::chrono::milliseconds, 6> kBrokenAttemptPauses = {
-    std::chrono::milliseconds(50),    std::chrono::milliseconds(100),
-    std::chrono::milliseconds(400),   std::chrono::milliseconds(6000),
-    std::chrono::milliseconds(15000), std::chrono::milliseconds(40000)};
+// An item is owed however many servers crashed under it: the longest pause
+// spares a fleet that is down, and is short against the time until the item is
+// due.
+constexpr std::array<std::chrono::milliseconds, 4> kBrokenAttemptPauses = {
+    std::chrono::milliseconds(50), std::chrono::milliseconds(100),
+    std::chrono::milliseconds(400), std::chrono::milliseconds(3000)};
 // After the first event, events arrive every 30 ms.
 constexpr std::chrono::milliseconds kNextEventTimeout{2000};
 
@@ -148,9 +148,8 @@
   Requeue(run, kFailedPause, "server_error");
 }
 
-// Guards against an item that crashes every backend server that starts to run
-// it, which would take the whole fleet down. Its runs break before the first
-// event; after the third, the pauses are long.
+// Guards against items that reach a fleet that is down again and again. Their
+// runs break before the first event; from the third on, the pauses are seconds.
 void BatchRunner::OnAttemptBroken(ItemRun& run, std::string_view reason) {
   serving::ItemProgress& progress = Progress(run);
   scheduler_.OnAttemptFailed(run.server, MonotonicNow());
--- a/libs/gateway/tests/batch_runner_test.cc
+++ b/libs/gateway/tests/batch_runner_test.cc
@@ -1,7 +1,10 @@
 #include "batch/batch_runner.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
+#include <string>
 
 #include "base/clock.h"
 
@@ -33,6 +36,47 @@
   return routes;
 }
 
+serving::RouteTable JobRoutes() {
+  serving::RouteTable routes = OtherRoutes(7);
+  routes.routes.front().name = "summaries";
+  routes.routes.front().path_prefix = "/summaries/";
+  return routes;
+}
+
+// A server that ends each connection when a request has arrived on it.
+class CrashingServer {
+ public:
+  explicit CrashingServer(boost::asio::io_context& io)
+      : acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}),
+        connection_(io) {
+    Accept();
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  int requests() const noexcept { return requests_; }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept(connection_, [this](const auto& ec) {
+      if (ec) return;
+      connection_.async_read_some(
+          boost::asio::buffer(buffer_), [this](const auto& error, size_t) {
+            if (error == boost::asio::error::operation_aborted) return;
+            ++requests_;
+            connection_.close();
+            Accept();
+          });
+    });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::socket connection_;
+  std::array<char, 4096> buffer_{};
+  int requests_ = 0;
+};
+
 // A runner with one job and no backend servers.
 struct Fixture {
   boost::asio::io_context io;
@@ -114,4 +158,36 @@
   CHECK(was_started());
 }
 
+// Guards against an item that is left lying after all is calm because servers
+// crashed by chance while they ran it, and against a pause so short that a
+// fleet that is down gets the item again and again.
+TEST_CASE("an item under which servers crashed runs again within seconds") {
+  constexpr std::chrono::seconds kMaxPause{4};
+  constexpr std::chrono::seconds kMinLaterPause{1};
+  Fixture fixture;
+  fixture.routes = JobRoutes();
+  CrashingServer server(fixture.io);
+  TimePoint now = fixture.now;
+  for (int crash = 1; crash <= 8; ++crash) {
+    CAPTURE(crash);
+    fixture.scheduler.Upsert({.instance = "i-" + std::to_string(crash),
+                              .service = "llm",
+                              .address = server.Address(),
+                              .availability_zone = "zone-a",
+                              .slots = 4});
+    fixture.runner.Run(now);
+    REQUIRE(fixture.Phase() == ItemPhase::kRunning);
+    const TimePoint until = MonotonicNow() + std::chrono::seconds(2);
+    while (fixture.Phase() == ItemPhase::kRunning && MonotonicNow() < until)
+      fixture.io.run_one_for(std::chrono::milliseconds(50));
+    REQUIRE(fixture.Phase() == ItemPhase::kWaiting);
+    REQUIRE(server.requests() == crash);
+    const auto& progress = fixture.jobs.Find("job-1")->progress[0];
+    const Duration pause = progress.not_before - MonotonicNow();
+    CHECK(pause <= kMaxPause);
+    if (crash > 3) CHECK(pause >= kMinLaterPause);
+    now = progress.not_before;
+  }
+}
+
 }  // namespace knapweedstile::gateway
