A quarantined part of prompts is tried again

Cause: only a complete answer lifts a quarantine, no request with the part was sent, and each refusal renewed it at all gateways. Besides, a release was told to the other gateways only within 10 s after the last crash. Class: a verdict that suppresses the only evidence that could lift it.

Change: a quarantined part is tried by a single request 20 s after the quarantine began, and after each trial that crashes its server three times as long later (up to 9 minutes). The time of the next trial and the number of failed ones are in the reports between gateways and merged; refusals don't touch them. Each gateway adds a delay of its own, 0 to 20 s by a hash of its name, spaced so that few are the first whatever the number of gateways. An answer releases the part, and the release is reported for a minute. A crash of the trial's server with more than two others within 300 ms is no evidence. Retry-After is the time to the next trial, 1 to 60 s. prompt_part_trial and knap_prompt_part_trials_total tell of it. Gateways without the new fields learn of the release as of any answer, and their reports set no time of a trial but the first.

--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -80,6 +80,8 @@
   metrics.DeclareGauge("knap_prompt_parts_quarantined",
                        "parts of prompts that crash servers; requests with one "
                        "are rejected");
+  metrics.DeclareCounter("knap_prompt_part_trials_total",
+                         "requests that were sent to try a quarantined part");
   metrics.DeclareGauge("knap_items_running", "batch items in progress");
   metrics.DeclareGauge("knap_items_waiting",
                        "items of this gateway's jobs that wait to be run: "
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -26,6 +26,8 @@
 constexpr int kStalledAfterObjectives = 2;
 // A request that crashes servers is not served until its quarantine ends.
 constexpr std::chrono::seconds kQuarantineRetry{60};
+// Shortest Retry-After of a request with a part that is to be tried again.
+constexpr std::chrono::seconds kMinQuarantineRetry{1};
 
 const std::string& PickService(const serving::Route& route, Rng& rng) {
   uint64_t total = 0;
@@ -153,16 +155,35 @@
 bool OnlineCalls::RejectQuarantined(OnlineCall& call) {
   const auto part = crashing_parts_.FindQuarantined(call.prompt_parts);
   if (!part) return false;
+  const TimePoint now = MonotonicNow();
+  // A request that has broken is not the one to try the part with.
+  const bool has_run = call.runs > 0;
+  if (!has_run && crashing_parts_.MayTry(call.prompt_parts, now)) return false;
   constexpr std::string_view kCause = "prompt_part_crashes_servers";
-  crashing_parts_.OnRejected(*part, MonotonicNow());
-  if (call.runs > 0) {
+  crashing_parts_.OnRejected(*part, now);
+  if (has_run) {
     Fail(call, kBadGateway, kCause);
   } else {
-    Reject(call, kQuarantineRetry, kCause);
+    const Duration until_trial =
+        crashing_parts_.NextTrialAt(call.prompt_parts) - now;
+    Reject(call,
+           std::clamp<Duration>(until_trial, kMinQuarantineRetry,
+                                kQuarantineRetry),
+           kCause);
   }
   return true;
 }
 
+void OnlineCalls::RecordTrial(const OnlineCall& call) {
+  const auto part = crashing_parts_.FindQuarantined(call.prompt_parts);
+  if (!part) return;
+  crashing_parts_.OnTrialSent(call.prompt_parts, call.sent_at);
+  metrics_.Add("knap_prompt_part_trials_total");
+  LogWarning("prompt_part_trial", {{"part", ToHex(*part)},
+                                   {"request", call.request_id},
+                                   {"server", call.address}});
+}
+
 void OnlineCalls::ObserveCrash(const OnlineCall& call) {
   const TimePoint now = MonotonicNow();
   crashes_.OnAttemptBroken(call.fingerprint, now);
@@ -175,7 +196,6 @@
 
 void OnlineCalls::Dispatch(OnlineCall& call) {
   const TimePoint now = MonotonicNow();
-  if (RejectQuarantined(call)) return;
   if (now >= call.deadline) {
     if (call.runs > 0) return Fail(call, kGatewayTimeout, "deadline");
     return Reject(call, kRetryAfterFailedAttempts, "deadline");
@@ -184,6 +204,8 @@
   // leave is of no use to them, since policies exclude it.
   if (waiting_.HasWaiting(call.service))
     PlaceWaiting(waiting_.WaitingBefore(call, StandingOf(call)));
+  // One of those may have become the trial of a part.
+  if (RejectQuarantined(call)) return;
   const auto placement = scheduler_.PlaceOnline(
       call.service, QueueObjective(call), FilterOf(call), now);
   // A stream that continues has already started: it is never rejected because
@@ -219,6 +241,7 @@
   call.software = record.software;
   call.usage_at_send = scheduler_.UsageOf(server);
   call.sent_at = now;
+  RecordTrial(call);
   const bool queued = call.usage_at_send.total() >= record.slots;
   call.pace = AttemptPace(TrafficClass::kOnline, queued, now);
   call.status = 0;
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -126,9 +126,11 @@
   static serving::ServerFilter FilterOf(const OnlineCall& call) {
     return {.excluded = call.excluded, .software = call.stream_software};
   }
-  // Ends a call whose prompt has a part that crashes servers; returns whether
-  // it did.
+  // Ends a call whose prompt has a part that crashes servers, unless it may be
+  // sent to try the part; returns whether it did.
   bool RejectQuarantined(OnlineCall& call);
+  // The call is sent although a part of its prompt is quarantined.
+  void RecordTrial(const OnlineCall& call);
   // The attempt ended as if its server had crashed.
   void ObserveCrash(const OnlineCall& call);
   void Dispatch(OnlineCall& call);
--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -47,6 +47,9 @@
   }
 }
 
+// Times further away are not believed.
+constexpr int64_t kMaxTrialMillis = 3'600'000;
+
 uint32_t MillisBetween(TimePoint from, TimePoint to) {
   return static_cast<uint32_t>(std::max<int64_t>(0, ToMillis(to - from)));
 }
@@ -72,6 +75,9 @@
       written.set_quarantine_millis_left(
           MillisBetween(now, *report.quarantined_until));
     }
+    if (report.next_trial_at)
+      written.set_trial_in_millis(ToMillis(*report.next_trial_at - now));
+    written.set_failed_trials(report.failed_trials);
   }
 }
 
@@ -103,6 +109,12 @@
       report.quarantined_until =
           now + std::chrono::milliseconds(read.quarantine_millis_left());
     }
+    if (read.has_trial_in_millis()) {
+      const int64_t millis =
+          std::clamp(read.trial_in_millis(), -kMaxTrialMillis, kMaxTrialMillis);
+      report.next_trial_at = now + std::chrono::milliseconds(millis);
+    }
+    report.failed_trials = read.failed_trials();
     state.crashing_parts.push_back(std::move(report));
   }
   return true;
--- a/libs/gateway/tests/peer_state_test.cc
+++ b/libs/gateway/tests/peer_state_test.cc
@@ -104,6 +104,33 @@
   CHECK_FALSE(DecodePeerState(std::string(2000, '\xff')));
 }
 
+// Guards against a trial that is due and is put off by each report of it.
+TEST_CASE("the time of a part's trial is decoded, also when it is past") {
+  PeerState state{.gateway = "entry-1"};
+  const TimePoint now = MonotonicNow();
+  state.crashing_parts = {
+      {.part = 1,
+       .quarantined_until = now + std::chrono::seconds(60),
+       .next_trial_at = now - std::chrono::seconds(9),
+       .failed_trials = 2},
+      {.part = 2,
+       .quarantined_until = now + std::chrono::seconds(60),
+       .next_trial_at = now + std::chrono::seconds(20)},
+      {.part = 3, .quarantined_until = now + std::chrono::seconds(60)}};
+  const auto received = DecodePeerState(EncodePeerState(state));
+  REQUIRE(received);
+  const auto& parts = received->crashing_parts;
+  REQUIRE(parts.size() == 3);
+  const auto millis_after = [now](const auto& part) {
+    return ToMillis(part.next_trial_at.value_or(kNever) - now);
+  };
+  CHECK(std::abs(millis_after(parts[0]) + 9000) <= 100);
+  CHECK(parts[0].failed_trials == 2);
+  CHECK(std::abs(millis_after(parts[1]) - 20000) <= 100);
+  CHECK(parts[1].failed_trials == 0);
+  CHECK_FALSE(parts[2].next_trial_at);
+}
+
 TEST_CASE("the admitted requests of workspaces are decoded") {
   PeerState state{.gateway = "entry-1"};
   state.rate.uptime = std::chrono::milliseconds(4200);
--- a/libs/serving/include/serving/crashing_parts.h
+++ b/libs/serving/include/serving/crashing_parts.h
@@ -34,10 +34,18 @@
 // quarantined part are run: an accepted item is owed whatever happened to its
 // servers. Their answers count like any other.
 //
+// A quarantined part is tried again by a single request at growing pauses,
+// since refused requests cannot show that it is sound. The time of the next
+// trial and the number of failed ones are merged over all gateways; each adds a
+// delay of its own, so that they rarely try at the same moment.
+//
 // Evidence is merged over all gateways. Pure logic: no I/O, no clock, no
 // threads; the caller passes the time.
 class CrashingParts {
  public:
+  // `seed` differs between gateways.
+  explicit CrashingParts(uint64_t seed = 0) : seed_(seed) {}
+
   // Commands: requests of this gateway. `parts` are the parts of a prompt that
   // other requests may share, in order.
   void OnCrash(std::span<const uint64_t> parts, const ServerCrash& crash);
@@ -47,6 +55,8 @@
   void OnServerResponded(ServerProcessId process, TimePoint sent_at);
   // A request was rejected because of the part.
   void OnRejected(uint64_t part, TimePoint now);
+  // A request was sent although its quarantined parts are, to try them.
+  void OnTrialSent(std::span<const uint64_t> parts, TimePoint now);
   void Merge(const CrashingPartReport& report, TimePoint now);
   // Returns the parts that are quarantined from now on. Does nothing if called
   // again within a tenth of a second.
@@ -56,6 +66,11 @@
   // The first of the parts that is quarantined, if any.
   std::optional<uint64_t> FindQuarantined(
       std::span<const uint64_t> parts) const;
+  // Whether a request with these parts, some of them quarantined, may be sent
+  // to try them.
+  bool MayTry(std::span<const uint64_t> parts, TimePoint now) const;
+  // From when on that is so at this gateway.
+  TimePoint NextTrialAt(std::span<const uint64_t> parts) const;
   // For the peers, the most incriminating first.
   std::vector<CrashingPartReport> Report(TimePoint now) const;
   size_t quarantined() const;
@@ -72,6 +87,11 @@
     TimePoint quarantined_until{};
     TimePoint implicated_until{};  // answers are reported until then
     TimePoint expires_at{};
+    // While it is quarantined.
+    TimePoint next_trial_at{};
+    uint32_t failed_trials = 0;
+    TimePoint trial_sent_at = kNever;  // by this gateway
+    TimePoint trial_crashed_at{};      // that trial; unset once it is counted
 
     bool quarantined() const noexcept {
       return quarantined_until != TimePoint{};
@@ -82,6 +102,16 @@
   void AddCrash(Part& part, const ServerCrash& crash, bool own);
   // The part crashes no server, as of that time.
   static void Clear(Part& part, TimePoint at);
+  static void Release(Part& part);
+  // Whether answers outweigh the crashes that are known.
+  static bool IsCleared(const Part& part);
+  static void MergeTrials(Part& part, const CrashingPartReport& report,
+                          TimePoint now);
+  TimePoint TrialDueAt(uint64_t id, const Part& part) const;
+  // Counts a trial that has crashed its server.
+  void CountFailedTrial(Part& part, TimePoint now) const;
+  // Servers that ended within the same moment.
+  size_t CrashesAround(TimePoint at) const;
   static std::vector<ServerCrash> Unexplained(const Part& part,
                                               const Processes& explained);
   static Processes ProcessesOf(const Part& part);
@@ -90,6 +120,7 @@
   Part* MostIncriminated(const Processes& explained, TimePoint now);
   void Quarantine(Part& part, TimePoint now);
 
+  uint64_t seed_;
   std::unordered_map<uint64_t, Part> parts_;
   std::unordered_set<ServerProcessId> crashed_;  // processes in the evidence
   TimePoint next_update_at_{};
--- a/libs/serving/src/crashing_parts.cc
+++ b/libs/serving/src/crashing_parts.cc
@@ -1,9 +1,12 @@
 #include "serving/crashing_parts.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace knapweedstile::serving {
 namespace {
 
@@ -20,6 +23,17 @@
 constexpr std::chrono::milliseconds kAnswersKnownAfter{700};
 constexpr std::chrono::seconds kQuarantine{60};
 constexpr std::chrono::seconds kCrashLifetime{60};
+// Pause before the first trial; each one that fails makes it longer.
+constexpr std::chrono::seconds kTrialPause{20};
+constexpr int64_t kTrialPauseFactor = 3;
+constexpr uint32_t kMaxLengthenings = 3;
+// Times of trials that differ by less are the same, told by several gateways.
+constexpr std::chrono::seconds kTrialSlack{1};
+// Half of the gateways have at least the longest delay before a trial less this
+// time, half of the others as much less, and so on. So few are the first,
+// however many there are.
+constexpr std::chrono::seconds kDelayHalving{2};
+constexpr int kDelayHalvings = 10;
 // Crashes are reported to all gateways within this time, and so are the answers
 // that clear a part of them.
 constexpr std::chrono::seconds kImplicated{10};
@@ -58,6 +72,13 @@
          (later_moment && requests.size() >= kManyCrashes);
 }
 
+TimePoint TrialAfter(TimePoint at, uint32_t failed_trials) {
+  Duration pause = kTrialPause;
+  for (uint32_t i = 0; i < std::min(failed_trials, kMaxLengthenings); ++i)
+    pause *= kTrialPauseFactor;
+  return at + pause;
+}
+
 }  // namespace
 
 void CrashingParts::AddCrash(Part& part, const ServerCrash& crash, bool own) {
@@ -86,6 +107,8 @@
     Part& part = parts_[id];
     part.position = std::max(part.position, position++);
     AddCrash(part, crash, /*own=*/true);
+    if (crash.sent_at >= part.trial_sent_at)
+      part.trial_crashed_at = crash.ended_at;
   }
 }
 
@@ -103,7 +126,25 @@
   std::erase_if(part.crashes, [&](const Evidence& evidence) {
     return evidence.crash.ended_at <= part.cleared_at;
   });
-  if (part.crashes.empty()) part.quarantined_until = TimePoint{};
+  if (!part.quarantined() || !IsCleared(part)) return;
+  Release(part);
+  // Other gateways are told for as long as they might quarantine it.
+  part.implicated_until =
+      std::max(part.implicated_until, at + Duration(kQuarantine));
+  part.expires_at = std::max(part.expires_at, part.implicated_until);
+}
+
+void CrashingParts::Release(Part& part) {
+  part.quarantined_until = TimePoint{};
+  part.next_trial_at = TimePoint{};
+  part.failed_trials = 0;
+  part.trial_sent_at = kNever;
+  part.trial_crashed_at = TimePoint{};
+}
+
+bool CrashingParts::IsCleared(const Part& part) {
+  return part.cleared_at != TimePoint{} &&
+         part.crashes.size() < kCrashesToQuarantine;
 }
 
 void CrashingParts::OnServerResponded(ServerProcessId process,
@@ -124,6 +165,74 @@
   found->second.expires_at = now + kQuarantine;
 }
 
+void CrashingParts::OnTrialSent(std::span<const uint64_t> parts,
+                                TimePoint now) {
+  for (const uint64_t id : parts) {
+    const auto found = parts_.find(id);
+    if (found == parts_.end() || !found->second.quarantined()) continue;
+    Part& part = found->second;
+    part.trial_sent_at = now;
+    part.next_trial_at = TrialAfter(now, part.failed_trials);
+    OnRejected(id, now);
+  }
+}
+
+bool CrashingParts::MayTry(std::span<const uint64_t> parts,
+                           TimePoint now) const {
+  return NextTrialAt(parts) <= now;
+}
+
+TimePoint CrashingParts::NextTrialAt(std::span<const uint64_t> parts) const {
+  TimePoint due{};
+  for (const uint64_t id : parts) {
+    const auto part = parts_.find(id);
+    if (part != parts_.end() && part->second.quarantined())
+      due = std::max(due, TrialDueAt(id, part->second));
+  }
+  return due;
+}
+
+TimePoint CrashingParts::TrialDueAt(uint64_t id, const Part& part) const {
+  const uint64_t hash = HashCombine(HashCombine(seed_, id), part.failed_trials);
+  const double rank = std::ldexp(static_cast<double>(hash) + 1, -64);
+  const double halvings = std::max(0.0, kDelayHalvings + std::log2(rank));
+  return part.next_trial_at + FromSeconds(halvings * kDelayHalving.count());
+}
+
+size_t CrashingParts::CrashesAround(TimePoint at) const {
+  Processes processes;
+  for (const auto& [id, part] : parts_) {
+    for (const Evidence& evidence : part.crashes) {
+      const ServerCrash& crash = evidence.crash;
+      if (crash.ended_at >= at - kMoment && crash.ended_at <= at + kMoment)
+        processes.insert(crash.process);
+    }
+  }
+  return processes.size();
+}
+
+void CrashingParts::CountFailedTrial(Part& part, TimePoint now) const {
+  const TimePoint at = part.trial_crashed_at;
+  if (at == TimePoint{} || at + kAnswersKnownAfter > now) return;
+  part.trial_crashed_at = TimePoint{};
+  if (CrashesAround(at) > kCrashesToQuarantine) return;
+  ++part.failed_trials;
+  part.next_trial_at =
+      std::max(part.next_trial_at, TrialAfter(at, part.failed_trials));
+}
+
+void CrashingParts::MergeTrials(Part& part, const CrashingPartReport& report,
+                                TimePoint now) {
+  part.failed_trials = std::max(part.failed_trials, report.failed_trials);
+  const bool known = part.next_trial_at != TimePoint{};
+  if (!report.next_trial_at) {
+    if (!known) part.next_trial_at = TrialAfter(now, part.failed_trials);
+    return;
+  }
+  if (!known || *report.next_trial_at > part.next_trial_at + kTrialSlack)
+    part.next_trial_at = *report.next_trial_at;
+}
+
 void CrashingParts::Merge(const CrashingPartReport& report, TimePoint now) {
   Part& part = parts_[report.part];
   part.position = std::max(part.position, report.position);
@@ -131,11 +240,11 @@
   for (const ServerCrash& crash : report.crashes)
     AddCrash(part, crash, /*own=*/false);
   if (report.cleared_at) Clear(part, *report.cleared_at);
-  const bool cleared = part.crashes.empty() && part.cleared_at != TimePoint{};
-  if (!report.quarantined_until || cleared) return;
+  if (!report.quarantined_until || IsCleared(part)) return;
   part.quarantined_until =
       std::max(part.quarantined_until, *report.quarantined_until);
   part.expires_at = std::max(part.expires_at, part.quarantined_until);
+  MergeTrials(part, report, now);
 }
 
 std::vector<ServerCrash> CrashingParts::Unexplained(
@@ -186,6 +295,7 @@
 void CrashingParts::Quarantine(Part& part, TimePoint now) {
   part.quarantined_until = now + kQuarantine;
   part.expires_at = now + kQuarantine;
+  part.next_trial_at = TrialAfter(now, part.failed_trials);
   const Processes explained = ProcessesOf(part);
   for (auto& [id, other] : parts_) {
     if (&other == &part || !other.quarantined()) continue;
@@ -201,7 +311,8 @@
   std::erase_if(parts_,
                 [now](const auto& p) { return p.second.expires_at <= now; });
   for (auto& [id, part] : parts_) {
-    if (part.quarantined_until <= now) part.quarantined_until = TimePoint{};
+    if (part.quarantined_until <= now) Release(part);
+    CountFailedTrial(part, now);
     if (!part.quarantined()) {
       std::erase_if(part.crashes, [now](const Evidence& e) {
         return e.crash.ended_at + kCrashLifetime <= now;
@@ -243,7 +354,11 @@
     const bool cleared = part.cleared_at != TimePoint{};
     if (cleared && part.implicated_until > now)
       report.cleared_at = part.cleared_at;
-    if (part.quarantined()) report.quarantined_until = part.quarantined_until;
+    if (part.quarantined()) {
+      report.quarantined_until = part.quarantined_until;
+      report.next_trial_at = part.next_trial_at;
+      report.failed_trials = part.failed_trials;
+    }
     const bool empty = report.crashes.empty() && !report.cleared_at &&
                        !report.quarantined_until;
     if (!empty) reports.push_back(std::move(report));
