--- a/tests/users_platform/gateway_part_trial_test.cc
+++ b/tests/users_platform/gateway_part_trial_test.cc
@@ -66,7 +66,8 @@
   const ExchangeId first = fleet.Send();
   site.caller().RunFor(milliseconds(300));
   REQUIRE(fleet.StatusOf(first) == 503);
-  for (ModelServer* server : fleet.servers) server->event_interval = milliseconds(1);
+  for (ModelServer* server : fleet.servers)
+    server->event_interval = milliseconds(1);
   const TimePoint until = MonotonicNow() + seconds(50);
   bool served = false;
   int refused = 0;
