Soak: prompts share parts, and servers crash together in waves

Its requests had no parts of prompts in common, its servers crashed one at a time, and items expired 40 s after their job, within the wait for their results, so that an item that is never run again would have been listed as failed in time.

Requests and items now share parts of prompts, from common to rare ones, and the items of a job have one more in common. In each run half to all servers crash at one moment, in one or two series of 2 to 6 waves, 0.8 to 3 s apart, beside the other faults. The schedule of the waves has a generator of its own, so each seed keeps its other faults. Items don't expire during a run: the promise "each accepted item is listed" is stricter than before.

--- a/tests/soak/batch_limits.h
+++ b/tests/soak/batch_limits.h
@@ -12,8 +12,9 @@
 // Settings of the batch route in the deployment under test.
 // An item fails after this many responses with status 500.
 inline constexpr int kMaxFailures = 2;
-// An item may expire this long after its job was first submitted.
-inline constexpr std::chrono::seconds kItemLifetime{40};
+// An item may expire this long after its job was first submitted: never during
+// a run, so that an item that is never run again is found missing.
+inline constexpr std::chrono::seconds kItemLifetime{150};
 inline constexpr uint64_t kTokensPerItem = 100;
 // Small enough that a burst of jobs reaches it.
 inline constexpr uint64_t kMaxWaitingTokens = 20000;
--- a/tests/soak/batch_record.h
+++ b/tests/soak/batch_record.h
@@ -33,6 +33,7 @@
 struct BatchRecord {
   std::string id;
   std::vector<ItemRecord> items;
+  std::string shared_parts;  // of the prompts of all items
   uint64_t tokens = 0;
   TimePoint first_sent_at{};
   TimePoint accepted_at = kNever;  // first response with status 202
--- a/tests/soak/batch_traffic.cc
+++ b/tests/soak/batch_traffic.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "batch_limits.h"
+#include "prompt_parts.h"
 
 namespace knapweedstile::soak {
 namespace {
@@ -47,7 +48,7 @@
 }  // namespace
 
 BatchTraffic::BatchTraffic(SoakSite& site, uint64_t seed, Findings& findings)
-    : site_(site), rng_(seed), findings_(findings) {}
+    : site_(site), rng_(seed), prompt_rng_(seed), findings_(findings) {}
 
 void BatchTraffic::Begin(Call&& call, http::ClientRequest&& request,
                          TimePoint now) {
@@ -92,7 +93,9 @@
 
 void BatchTraffic::NewJob(TimePoint now) {
   BatchRecord job{.id = fmt::format("job{}", ++last_job_),
+                  .shared_parts = DrawSharedParts(prompt_rng_),
                   .first_sent_at = now};
+  job.shared_parts += PartOf(job.id) + ",";
   const uint64_t count = 1 + UniformBelow(rng_, kMaxItemsPerJob);
   for (uint64_t i = 0; i < count; ++i) {
     job.items.push_back(
@@ -109,9 +112,11 @@
 void BatchTraffic::Submit(const BatchRecord& job, TimePoint now) {
   json::array items;
   for (const ItemRecord& item : job.items) {
+    json::object headers = {
+        {"Model", "m"}, {kPromptHeader, job.shared_parts + PartOf(item.id)}};
     items.push_back(json::object{{"id", item.id},
                                  {"path", kItemPrefix + item.id},
-                                 {"headers", json::object{{"Model", "m"}}},
+                                 {"headers", std::move(headers)},
                                  {"body", Base64(BodyOf(item.kind))},
                                  {"tokens", kTokensPerItem}});
   }
--- a/tests/soak/batch_traffic.h
+++ b/tests/soak/batch_traffic.h
@@ -75,6 +75,7 @@
 
   SoakSite& site_;
   Rng rng_;
+  Rng prompt_rng_;
   Findings& findings_;
   bool submitting_ = true;
   TimePoint next_job_at_{};
--- a/tests/soak/fault_driver.cc
+++ b/tests/soak/fault_driver.cc
@@ -96,6 +96,8 @@
     case FaultKind::kServerAddressReused:
     case FaultKind::kServerVanishes:
       return InjectServerFault(fault, now);
+    case FaultKind::kServersCrash:
+      return CrashServers(fault, now);
     default:
       return InjectLinkFault(fault, now);
   }
@@ -235,6 +237,21 @@
   }
 }
 
+void FaultDriver::CrashServers(const PlannedFault& fault, TimePoint now) {
+  const auto& servers = site_.servers();
+  // The new instances are registered at once, or after their predecessors'
+  // registrations have expired.
+  const bool at_once = fault.strength % 2 == 0;
+  // Half of the servers, up to all of them.
+  const size_t half = servers.size() / 2;
+  const size_t count =
+      servers.size() - fault.strength / 2 % (servers.size() - half + 1);
+  site_.fault_windows().Add("", now, now + kServerFaultWindow);
+  for (size_t i = 0; i < count; ++i) {
+    site_.Replace(*servers[(fault.target + i) % servers.size()], at_once);
+  }
+}
+
 void FaultDriver::ClearFaults(TimePoint now) {
   for (const auto& [link, until] : link_fault_until_) {
     if (until > now) site_.ProxyOf(link)->Inject({});
--- a/tests/soak/fault_kind.h
+++ b/tests/soak/fault_kind.h
@@ -48,16 +48,19 @@
   kServerAddressReused,
   kServerVanishes,
   kBurstOfJobs,
+  kServersCrash,  // a share of all servers at one moment; comes in waves
 };
 
 inline constexpr auto kFirstUnplanned = FaultKind::kKillGateway;
+// The kinds from here on have schedules of their own.
+inline constexpr auto kFirstScheduledApart = FaultKind::kServersCrash;
 
 }  // namespace knapweedstile::soak
 
 namespace knapweedstile {
 
 template <>
-inline constexpr std::array<std::string_view, 35> kEnumNames<soak::FaultKind> =
+inline constexpr std::array<std::string_view, 36> kEnumNames<soak::FaultKind> =
     {"change_configuration",
      "drain_server",
      "stop_gateway",
@@ -92,7 +95,8 @@
      "server_restarts",
      "server_address_reused",
      "server_vanishes",
-     "burst_of_jobs"};
+     "burst_of_jobs",
+     "servers_crash"};
 
 }  // namespace knapweedstile
 
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr uint64_t kKinds = kEnumNames<FaultKind>.size();
+constexpr auto kKinds = static_cast<uint64_t>(kFirstScheduledApart);
 constexpr auto kPlannedKinds = static_cast<uint64_t>(kFirstUnplanned);
 constexpr milliseconds kMinDuration{300};
 constexpr milliseconds kMaxDuration{5000};
@@ -19,6 +19,14 @@
 // One in kFaultsPerSeries faults becomes a series of up to kMaxSeriesLength.
 constexpr uint64_t kFaultsPerSeries = 4;
 constexpr uint64_t kMaxSeriesLength = 4;
+// Waves of crashes. A run has one to kMaxWaveSeries series, which overlap each
+// other and all other faults.
+constexpr uint64_t kWaveSeed = 0x77617665;
+constexpr uint64_t kMaxWaveSeries = 2;
+constexpr uint64_t kMinWaves = 2;
+constexpr uint64_t kMaxWaves = 6;
+constexpr milliseconds kMinWaveInterval{800};
+constexpr milliseconds kMaxWaveInterval{3000};
 
 milliseconds Between(Rng& rng, milliseconds least, milliseconds most) {
   const auto width = static_cast<uint64_t>((most - least).count());
@@ -33,6 +41,26 @@
           .strength = rng()};
 }
 
+// From a generator of its own, so that a seed keeps its other faults.
+void AddCrashWaves(uint64_t seed, milliseconds begin, milliseconds end,
+                   std::vector<PlannedFault>& plan) {
+  Rng rng(seed ^ kWaveSeed);
+  const uint64_t series = 1 + UniformBelow(rng, kMaxWaveSeries);
+  for (uint64_t i = 0; i < series; ++i) {
+    const uint64_t waves =
+        kMinWaves + UniformBelow(rng, kMaxWaves - kMinWaves + 1);
+    const uint64_t strength = rng();
+    milliseconds at = Between(rng, begin, (begin + end) / 2);
+    for (uint64_t wave = 0; wave < waves && at < end; ++wave) {
+      plan.push_back({.at = at,
+                      .kind = FaultKind::kServersCrash,
+                      .target = rng(),
+                      .strength = strength});
+      at += Between(rng, kMinWaveInterval, kMaxWaveInterval);
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<PlannedFault> MakeFaultPlan(uint64_t seed, const SoakSize& size) {
@@ -58,6 +86,7 @@
     }
     at += Between(rng, milliseconds(0), kMeanInterval * 2);
   }
+  AddCrashWaves(seed, size.planned_phase, end, plan);
   std::stable_sort(plan.begin(), plan.end(),
                    [](const auto& a, const auto& b) { return a.at < b.at; });
   return plan;
--- a/tests/soak/online_request.h
+++ b/tests/soak/online_request.h
@@ -27,6 +27,7 @@
   int process_start = 0;  // number of gateway process starts when sent
   std::string target;
   std::string body;
+  std::string prompt;  // its parts
   std::string key;
   // The caller has the events of a stream up to this one; `resumes` brought the
   // first of them. Zero: it begins a stream.
--- a/tests/soak/online_traffic.cc
+++ b/tests/soak/online_traffic.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <utility>
 
+#include "prompt_parts.h"
 #include "soak_workspaces.h"
 
 namespace knapweedstile::soak {
@@ -70,6 +71,7 @@
       rng_(seed),
       key_rng_(seed),
       return_rng_(seed),
+      prompt_rng_(seed),
       per_second_(per_second) {}
 
 void OnlineTraffic::Run(TimePoint now) {
@@ -114,6 +116,7 @@
       gateway, request.unary() ? "GET" : "POST", request.target, request.id,
       request.budget.count());
   request.body = sent.body;
+  request.prompt = DrawSharedParts(prompt_rng_) + PartOf(request.id);
   request.key = key;
   Begin(std::move(sent), std::move(request), patient, now);
 }
@@ -121,6 +124,7 @@
 void OnlineTraffic::Begin(http::ClientRequest&& sent, OnlineRequest&& request,
                           bool patient, TimePoint now) {
   sent.headers.Add("Authorization", "Bearer " + request.key);
+  sent.headers.Add(kPromptHeader, request.prompt);
   // A forged workspace header that the gateway must ignore.
   sent.headers.Add("Tenant", kHotWorkspace);
   sent.stream_body = !request.unary();
@@ -144,6 +148,7 @@
                         .gateway = site_.PickGateway(return_rng_),
                         .target = broken.target,
                         .body = broken.body,
+                        .prompt = broken.prompt,
                         .key = broken.key,
                         .after_event = broken.after_event + events,
                         .budget = kLongBudget,
--- a/tests/soak/online_traffic.h
+++ b/tests/soak/online_traffic.h
@@ -50,6 +50,7 @@
   Rng rng_;
   Rng key_rng_;
   Rng return_rng_;
+  Rng prompt_rng_;
   int per_second_;
   TimePoint next_at_{};
   TimePoint next_hot_at_{};
