Streams are resumed where they began, not where one version is left

Cause: without `Resumes` the origin was inferred from the servers registered now. The one version that is registered may have come after the stream began. With `Resumes`, nobody remembers a stream after a common kill, and it was rejected although one version had served all the while.

Fix: a record in the store lists for each route the services and versions at which its streams can have begun, until a minute after they left. A stream that no gateway remembers goes on only if the record, read after its caller asked, and the registrations agree on one. Otherwise it is rejected at once as not run, with a Retry-After that does not ask for repeats in vain. The record is written when origins change only. OnlyVersion() of the scheduler gives way to VersionsOf(), whose checks in slot_scheduler_test compare whole sets.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -254,6 +254,7 @@
   UpdateCrashingParts(now);
   runner_.PreemptBlockingItems(now);
   stream_registry_.Run(now);
+  RunOriginRecord(now);
   online_.Run(now, now + kTick);
   RunBatch(now);
   committer_.Run(now);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -32,6 +32,7 @@
 #include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "online/online_calls.h"
+#include "online/origin_record.h"
 #include "online/stream_registry.h"
 #include "operators/admin_server.h"
 #include "operators/policy_view.h"
@@ -103,6 +104,9 @@
   // it exchanges state and accepts jobs.
   bool AwaitsLayout(TimePoint now) const;
   bool IsTooLargeToBeUndivided() const;
+  void RunOriginRecord(TimePoint now);
+  // Tells the origin record where streams begin now.
+  void UpdateOrigins();
   std::vector<std::string> HolderAddresses(std::string_view job) const;
   // Returns the state for other cells, or none if there is nothing to send. A
   // store reader also advertises its state to them.
@@ -205,6 +209,7 @@
   JobOwnership ownership_;
   GatewayRegistration registration_;
   LayoutRecord layout_record_;
+  OriginRecord origin_record_;
   ServerConnections connections_;
   OnlineCalls online_;
   BatchRunner runner_;
@@ -229,6 +234,8 @@
   bool short_of_processor_ = false;
   LogBudget load_log_budget_{0.1, 4};
   PauseDetector pause_detector_;
+  // Configuration and registrations of which the origin record was told.
+  std::pair<uint64_t, uint64_t> origins_updated_at_{};
   size_t gateways_in_cell_ = 1;  // including this one
   bool members_listed_ = false;
   bool is_new_member_ = false;
--- a/libs/gateway/src/gateway_fleet.cc
+++ b/libs/gateway/src/gateway_fleet.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -23,6 +24,10 @@
 // write is enough.
 constexpr std::chrono::milliseconds kProposalRankDelay{200};
 constexpr std::chrono::milliseconds kProposalPause{3000};
+// Delay per rank, after which the write of a lower rank is known: one write of
+// the origin record is enough.
+constexpr std::chrono::milliseconds kOriginsRankDelay{150};
+constexpr std::chrono::milliseconds kMaxOriginsDelay{1500};
 constexpr std::chrono::milliseconds kRecordListTimeout{1500};
 // For this long after its start, a gateway of a fleet that will be divided
 // waits for the layout instead of exchanging state with all others.
@@ -40,7 +45,9 @@
   uint64_t own_version = 0;
   std::string own_value;
   std::set<std::string> present;
+  bool has_origins = false;
   for (const platform::StoredObject& object : objects) {
+    has_origins = has_origins || object.name == kOriginsName;
     const auto gateway = ParseMemberRecordName(object.name);
     if (gateway) present.insert(*gateway);
     if (gateway == settings_.name) {
@@ -54,6 +61,7 @@
     if (!present.contains(gateway)) removed.push_back(gateway);
   }
   for (const std::string& gateway : removed) RemoveMember(gateway);
+  if (!has_origins) origin_record_.OnNoRecord(present.empty(), MonotonicNow());
   if (!members_listed_) is_new_member_ = own_version == 0;
   members_listed_ = true;
   registration_.Register(own_version, own_value);
@@ -72,6 +80,8 @@
   } else if (object.name == kLayoutName) {
     const auto layout = DecodeLayout(object.value);
     if (layout) return OnLayoutLearned(*layout);
+  } else if (object.name == kOriginsName) {
+    return origin_record_.OnRecord(object);
   }
   LogWarning("member_record_invalid", {{"name", object.name}});
 }
@@ -96,6 +106,30 @@
   return fleet_.members().size() > settings_.max_undivided_gateways;
 }
 
+void Gateway::RunOriginRecord(TimePoint now) {
+  UpdateOrigins();
+  if (origins_updated_at_.first == 0 || !members_listed_) return;
+  const Duration turn =
+      kOriginsRankDelay * static_cast<int64_t>(fleet_.OwnRank());
+  origin_record_.Run(now, std::min<Duration>(turn, kMaxOriginsDelay));
+}
+
+void Gateway::UpdateOrigins() {
+  if (routes_.version == 0 || !follower_.knows_servers()) return;
+  const std::pair known(routes_.version, scheduler_.registrations());
+  if (std::exchange(origins_updated_at_, known) == known) return;
+  RouteOrigins origins;
+  for (const serving::Route& route : routes_.routes) {
+    if (route.kind != serving::RouteKind::kStream || !route.resumable) continue;
+    std::set<OriginName>& names = origins[route.name];
+    for (const serving::ServiceShare& share : route.services) {
+      for (const std::string& software : scheduler_.VersionsOf(share.service))
+        names.emplace(share.service, software);
+    }
+  }
+  origin_record_.OnInService(std::move(origins));
+}
+
 void Gateway::OnLayoutLearned(const cluster::FleetLayout& layout) {
   const bool is_new = !fleet_.layout_known();
   if (!fleet_.SetLayout(layout)) {
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -215,6 +215,7 @@
                      [this](const cluster::FleetLayout& layout) {
                        OnLayoutLearned(layout);
                      }),
+      origin_record_(store_),
       connections_(io, metrics_),
       online_(
           connections_, scheduler_, crash_tracker_, crashing_parts_, metrics_,
@@ -249,6 +250,11 @@
                       StreamRegistry::FindCallback done) {
                  stream_registry_.Find(request, MonotonicNow(),
                                        std::move(done));
+               },
+           .find_only_origin =
+               [this](const std::string& route, OriginRecord::Callback done) {
+                 UpdateOrigins();
+                 origin_record_.FindOnly(route, std::move(done));
                }}),
       runner_(
           connections_, scheduler_, crashing_parts_, jobs_, routes_, metrics_,
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -9,6 +9,7 @@
 #include "callers/error_response.h"
 #include "online/online_limits.h"
 #include "servers/attempt_end.h"
+#include "serving/stream_origins.h"
 #include "users_platform/request_headers.h"
 
 namespace knapweedstile::gateway {
@@ -24,6 +25,11 @@
 // A caller that leaves after this multiple of the objective, without a response
 // head, has left because of the server.
 constexpr int kStalledAfterObjectives = 2;
+// The version of a stream stays unknown: the caller should begin it anew.
+constexpr Duration kRetryAfterUnknownVersion =
+    serving::StreamOrigins::kLifetime;
+// A server that has crashed is registered again after about this time.
+constexpr std::chrono::seconds kRetryAfterVersionLeft{1};
 // A request that crashes servers is not served until its quarantine ends.
 constexpr std::chrono::seconds kQuarantineRetry{60};
 
@@ -105,40 +111,49 @@
   Dispatch(call);
 }
 
-std::optional<serving::StreamOrigin> OnlineCalls::OnlyOrigin(
-    const OnlineCall& call) const {
-  if (call.route.services.size() != 1) return std::nullopt;
-  const std::string& service = call.route.services.front().service;
-  const auto software = scheduler_.OnlyVersion(service);
-  if (!software) return std::nullopt;
-  return serving::StreamOrigin{Hash64(service), *software};
-}
-
 void OnlineCalls::ResumeStream(OnlineCall& call) {
   const ExchangeId caller = call.caller;
-  if (call.resumes.empty()) return ResumeAt(caller, OnlyOrigin(call));
+  if (call.resumes.empty()) return ResumeAtOnlyOrigin(caller);
   callbacks_.find_stream(call.resumes, [this, caller](const auto& origin) {
-    ResumeAt(caller, origin);
+    if (origin) return ResumeAt(caller, *origin);
+    ResumeAtOnlyOrigin(caller);
   });
 }
 
+void OnlineCalls::ResumeAtOnlyOrigin(ExchangeId caller) {
+  const auto found = calls_.find(caller);
+  if (found == calls_.end()) return;
+  callbacks_.find_only_origin(
+      found->second.route.name,
+      [this, caller](const std::optional<serving::StreamOrigin>& origin,
+                     bool answered) {
+        if (origin) return ResumeAt(caller, *origin);
+        RejectUnknownVersion(caller, answered ? kRetryAfterUnknownVersion
+                                              : kRetryAfterFailedAttempts);
+      });
+}
+
+void OnlineCalls::RejectUnknownVersion(ExchangeId caller,
+                                       Duration retry_after) {
+  const auto found = calls_.find(caller);
+  if (found == calls_.end()) return;
+  metrics_.Add("knap_streams_resumed_total", {"version_unknown"});
+  Reject(found->second, retry_after, "stream_version_unknown");
+}
+
 void OnlineCalls::ResumeAt(ExchangeId caller,
-                           const std::optional<serving::StreamOrigin>& origin) {
+                           const serving::StreamOrigin& origin) {
   const auto found = calls_.find(caller);
   if (found == calls_.end()) return;
   OnlineCall& call = found->second;
-  if (!origin) {
-    metrics_.Add("knap_streams_resumed_total", {"version_unknown"});
-    return Reject(call, kRetryAfterFailedAttempts, "stream_version_unknown");
-  }
   const auto& services = call.route.services;
   const auto share = std::find_if(
       services.begin(), services.end(),
-      [&](const auto& s) { return Hash64(s.service) == origin->service; });
+      [&](const auto& s) { return Hash64(s.service) == origin.service; });
   if (share == services.end() ||
-      !scheduler_.HasVersion(share->service, origin->software)) {
+      !scheduler_.HasVersion(share->service, origin.software)) {
     metrics_.Add("knap_streams_resumed_total", {"version_left"});
-    return Reject(call, kRetryAfterFailedAttempts, "stream_version_left");
+    return Reject(call, kRetryAfterVersionLeft, "stream_version_left");
   }
   metrics_.Add("knap_streams_resumed_total", {"placed"});
   if (call.service != share->service) {
@@ -146,7 +161,7 @@
     call.excluded =
         callbacks_.excluded_servers(call.route, call.service, call.workspace);
   }
-  call.stream_software = origin->software;
+  call.stream_software = origin.software;
   Dispatch(call);
 }
 
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -18,6 +18,7 @@
 #include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "online/online_call.h"
+#include "online/origin_record.h"
 #include "online/stream_registry.h"
 #include "online/waiting_calls.h"
 #include "servers/server_connections.h"
@@ -65,6 +66,9 @@
     std::function<void(const std::string& request_id,
                        StreamRegistry::FindCallback done)>
         find_stream;
+    // Finds the only origin that streams of the route can have.
+    std::function<void(const std::string& route, OriginRecord::Callback done)>
+        find_only_origin;
     // Standing of a workspace that asks for a slot of the service; empty: all
     // are within their share.
     std::function<admission::Standing(const std::string& service,
@@ -118,11 +122,11 @@
   // Continues a stream whose caller has events of it, at the version that
   // produced them; rejects it if that is not known.
   void ResumeStream(OnlineCall& call);
-  void ResumeAt(ExchangeId caller,
-                const std::optional<serving::StreamOrigin>& origin);
-  // The only version at which a stream can have begun; none if there are
-  // several.
-  std::optional<serving::StreamOrigin> OnlyOrigin(const OnlineCall& call) const;
+  void ResumeAt(ExchangeId caller, const serving::StreamOrigin& origin);
+  // Continues a stream that no gateway remembers if streams of its route can
+  // have begun at one version only.
+  void ResumeAtOnlyOrigin(ExchangeId caller);
+  void RejectUnknownVersion(ExchangeId caller, Duration retry_after);
   static serving::ServerFilter FilterOf(const OnlineCall& call) {
     return {.excluded = call.excluded, .software = call.stream_software};
   }
--- a/libs/gateway/src/peers/member_records.h
+++ b/libs/gateway/src/peers/member_records.h
@@ -14,8 +14,10 @@
 //
 //   node.NAME   a gateway's address and availability zone
 //   layout      how batch jobs are divided into shards; created once
+//   origins     where streams that may be resumed can have begun
 inline constexpr char kMemberKind[] = "knapweedstile-members";
 inline constexpr char kLayoutName[] = "layout";
+inline constexpr char kOriginsName[] = "origins";
 
 std::string MemberRecordName(std::string_view gateway);
 // Returns the gateway that the record belongs to, or nothing for other records.
--- a/libs/serving/include/serving/slot_scheduler.h
+++ b/libs/serving/include/serving/slot_scheduler.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -140,9 +141,10 @@
   // Whether a server of the service that takes requests has that software
   // version.
   bool HasVersion(std::string_view service, std::string_view software) const;
-  // The software version of all registered servers of the service; none if
-  // there are several, or no server.
-  std::optional<std::string> OnlyVersion(std::string_view service) const;
+  // The software versions of all registered servers of the service.
+  std::set<std::string> VersionsOf(std::string_view service) const;
+  // Changes whenever a server is registered, changed or removed.
+  uint64_t registrations() const noexcept { return registrations_; }
   // Total and free slots over the usable servers of the service.
   SlotCount CountSlots(std::string_view service, TimePoint now) const;
   // Outstanding requests of this gateway, by server process; idle processes are
@@ -251,6 +253,7 @@
   size_t gateways_in_cell_ = 0;
   Rng rng_;
   uint64_t last_id_ = 0;
+  uint64_t registrations_ = 0;
   std::map<BackendServerId, Server> servers_;
   std::unordered_map<std::string, BackendServerId> by_instance_;
   std::unordered_map<ServerProcessId, BackendServerId> by_process_;
--- a/libs/serving/include/serving/stream_origins.h
+++ b/libs/serving/include/serving/stream_origins.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDSTILE_SERVING_STREAM_ORIGINS_H_
 #define KNAPWEEDSTILE_SERVING_STREAM_ORIGINS_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -17,6 +18,9 @@
 // time.
 class StreamOrigins {
  public:
+  // Longer than a caller keeps trying to complete one stream.
+  static constexpr std::chrono::seconds kLifetime{60};
+
   // The first origin of a stream stays.
   void Add(uint64_t stream, const StreamOrigin& origin, TimePoint now);
   void Expire(TimePoint now);
--- a/libs/serving/src/slot_scheduler.cc
+++ b/libs/serving/src/slot_scheduler.cc
@@ -48,6 +48,7 @@
   server.id = known->second;
   server.record = record;
   server.in_cell = cell_.Contains(record);
+  ++registrations_;
   IndexProcess(server);
 }
 
@@ -67,6 +68,7 @@
   if (known == by_instance_.end()) return;
   Server& server = servers_[known->second];
   server.removed = true;
+  ++registrations_;
   server.peer_usage = {};
   by_process_.erase(server.process);
   pace_.Remove(server.process);
@@ -165,15 +167,14 @@
   });
 }
 
-std::optional<std::string> SlotScheduler::OnlyVersion(
+std::set<std::string> SlotScheduler::VersionsOf(
     std::string_view service) const {
-  std::optional<std::string> only;
+  std::set<std::string> versions;
   for (const auto& [id, server] : servers_) {
-    if (server.removed || server.record.service != service) continue;
-    if (only && *only != server.record.software) return std::nullopt;
-    only = server.record.software;
+    if (!server.removed && server.record.service == service)
+      versions.insert(server.record.software);
   }
-  return only;
+  return versions;
 }
 
 bool SlotScheduler::IsPreferred(const Server& a, double work_a, const Server& b,
--- a/libs/serving/src/stream_origins.cc
+++ b/libs/serving/src/stream_origins.cc
@@ -1,12 +1,6 @@
 #include "serving/stream_origins.h"
 
 namespace knapweedstile::serving {
-namespace {
-
-// Longer than a caller keeps trying to complete one stream.
-constexpr std::chrono::seconds kLifetime{60};
-
-}  // namespace
 
 void StreamOrigins::Add(uint64_t stream, const StreamOrigin& origin,
                         TimePoint now) {
--- a/libs/serving/tests/slot_scheduler_test.cc
+++ b/libs/serving/tests/slot_scheduler_test.cc
@@ -359,9 +359,9 @@
   ServerRecord new_version = MakeServer("i-2");
   new_version.software = "v2";
   fleet.scheduler.Upsert(old_version);
-  CHECK(fleet.scheduler.OnlyVersion("llm") == "v1");
+  CHECK(fleet.scheduler.VersionsOf("llm") == std::set<std::string>{"v1"});
   fleet.scheduler.Upsert(new_version);
-  CHECK_FALSE(fleet.scheduler.OnlyVersion("llm"));
+  CHECK(fleet.scheduler.VersionsOf("llm") == std::set<std::string>{"v1", "v2"});
   const BackendServerId bound = fleet.scheduler.Find("i-1");
   for (int i = 0; i < 40; ++i) {
     const auto placement = fleet.scheduler.PlaceOnline(
--- a/tests/users_platform/gateway_versions_test.cc
+++ b/tests/users_platform/gateway_versions_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "users_platform/site.h"
 
 namespace knapweedstile::users_site {
@@ -11,6 +12,7 @@
 
 using std::chrono::milliseconds;
 using Runs = std::vector<ModelServer::Run>;
+using Versions = std::vector<std::string>;
 
 constexpr int kEvents = 24;
 constexpr int kStreams = 16;
@@ -20,11 +22,11 @@
   Site site;
   std::vector<ModelServer*> servers;
 
-  TwoVersions() {
-    for (const char* version : {"v1", "v2"}) {
+  explicit TwoVersions(const Versions& versions = {"v1", "v2"}) {
+    for (const std::string& version : versions) {
       site.software = version;
-      Add(std::string("i-1-") + version);
-      Add(std::string("i-2-") + version);
+      Add("i-1-" + version);
+      Add("i-2-" + version);
     }
     site.Configure(2);
     site.AddGateway("entry-1");
@@ -83,7 +85,8 @@
   }
   // The caller of stream `number`, which has ended, returns at the gateway.
   http::EndEvent Return(const std::string& gateway, int number,
-                        const std::string& events_before) {
+                        const std::string& events_before,
+                        bool names_first_request = true) {
     const std::string id = "s" + std::to_string(number);
     http::ClientRequest request =
         site.OnlineRequest(gateway, "POST", "/reply/1", id + "-again");
@@ -91,7 +94,7 @@
     const std::string last =
         events_before.substr(at == std::string::npos ? 4 : at + 5);
     request.headers.Add("Last-Event-Id", std::to_string(std::stoull(last)));
-    request.headers.Add("Resumes", id);
+    if (names_first_request) request.headers.Add("Resumes", id);
     return site.Call(std::move(request));
   }
 };
@@ -101,6 +104,63 @@
   return text.substr(0, text.rfind("\n\n") + 1);
 }
 
+// Two gateways in front of servers of one software version, all of which are
+// replaced or joined by servers of another.
+struct VersionChange {
+  TwoVersions fleet{{"v1"}};
+  std::vector<std::string> received;  // by stream
+
+  // Starts streams at the first version; their callers lose them.
+  void BreakStreams() {
+    const auto streams = fleet.BeginStreams("entry-1");
+    for (const ExchangeId id : streams) {
+      received.push_back(WholeEvents(fleet.site.caller().answer(id).streamed));
+      fleet.site.caller().Cancel(id);
+    }
+  }
+  void ReplaceServers() {
+    fleet.site.RemoveServer(*fleet.servers[0]);
+    fleet.site.RemoveServer(*fleet.servers[1]);
+    AddServers();
+  }
+  void AddServers() {
+    fleet.site.software = "v2";
+    fleet.Add("i-1-v2");
+    fleet.Add("i-2-v2");
+  }
+  void KillGateways() {
+    for (const char* name : {"entry-1", "entry-2"})
+      fleet.site.process(name).Kill();
+  }
+  void RestartGateways() {
+    for (const char* name : {"entry-1", "entry-2"})
+      fleet.site.RestartGateway(name);
+    REQUIRE(fleet.site.caller().RunUntil([&] {
+      return fleet.site.Ready("entry-1") && fleet.site.Ready("entry-2");
+    }));
+  }
+  // The callers return at both gateways, half of them with the id of their
+  // first request. Returns how many streams went on.
+  int ReturnAll() {
+    int served = 0;
+    for (int i = 0; i < kStreams; ++i) {
+      const std::string id = "s" + std::to_string(i);
+      CAPTURE(id);
+      const TimePoint sent_at = MonotonicNow();
+      const auto end = fleet.Return(i % 2 == 0 ? "entry-1" : "entry-2", i,
+                                    received[i], i % 4 < 2);
+      CHECK(fleet.MixedRuns({id, id + "-again"}) == 0);
+      served += end.status == 200;
+      if (end.status == 200) continue;
+      CHECK(end.status == 503);
+      CHECK(MonotonicNow() - sent_at < milliseconds(500));
+      CHECK(fleet.RunsOf({id + "-again"}).empty());
+      CHECK(std::stod(std::string(end.headers.Find("Retry-After"))) >= 0.5);
+    }
+    return served;
+  }
+};
+
 }  // namespace
 
 // Guards against one answer with events of two software versions.
@@ -207,6 +267,60 @@
   CHECK(rejected < kStreams);
 }
 
+// Guards against a stream joined from two versions: the gateways, killed
+// together, remember no stream, and the version that is left is not the one
+// that began it.
+TEST_CASE("streams whose version left in a kill of all gateways are rejected") {
+  VersionChange change;
+  change.BreakStreams();
+  change.KillGateways();
+  change.ReplaceServers();
+  change.RestartGateways();
+  CHECK(change.ReturnAll() == 0);
+}
+
+// Guards against a stream joined from two versions: both serve when the
+// gateways return.
+TEST_CASE("streams of either version are rejected after all gateways' kill") {
+  VersionChange change;
+  change.BreakStreams();
+  change.KillGateways();
+  change.AddServers();
+  change.RestartGateways();
+  CHECK(change.ReturnAll() == 0);
+}
+
+// Guards against a stream joined from two versions where its caller does not
+// name the first request, and its version has left.
+TEST_CASE("the version that is left is not taken for that of a stream") {
+  VersionChange change;
+  change.BreakStreams();
+  change.ReplaceServers();
+  change.fleet.site.caller().RunFor(milliseconds(500));
+  CHECK(change.ReturnAll() == 0);
+}
+
+// Guards against streams that are given up although no other version has
+// served.
+TEST_CASE("streams of the only version go on after a kill of all gateways") {
+  VersionChange change;
+  change.BreakStreams();
+  change.KillGateways();
+  change.RestartGateways();
+  CHECK(change.ReturnAll() == kStreams);
+}
+
+// Guards against a guessed version in a fleet whose gateways have kept no
+// record of versions until now.
+TEST_CASE("streams are rejected where nothing tells which versions served") {
+  VersionChange change;
+  change.BreakStreams();
+  change.KillGateways();
+  change.fleet.site.store().Remove("knapweedstile-members", "origins");
+  change.RestartGateways();
+  CHECK(change.ReturnAll() == 0);
+}
+
 // Guards against an item's output from two software versions: it goes on at
 // its version, and begins again where that one has left.
 TEST_CASE("an item's output comes from one software version") {
