The HTTP client bounds every part of a response

Callers saw: nothing yet; the users' pages say that a server in trouble may send bytes without end, in a head or a body. With such a server beside a sound one, a gateway grew to 1,093 MB (the smallest have 192), requests that may run once got 504 at their deadline instead of 502.

Cause: heads and bodies had a limit (64 MB for a body, however many came at a time), but not the line of a chunk with its extensions, the trailer fields, the interim responses and the responses to other requests. Only the deadline ended such an exchange. Bytes that are no response counted as a crash of the server, for which a request could be quarantined.

Now each part has a limit, and incomplete bodies share one: beyond it the largest is given up. The exchange ends as kInvalid at once: it may have run, so what may be repeated goes elsewhere and the rest gets 502; it is no crash. A log line (response_invalid) names the server, a counter counts them. knapctl and the soak treat the new outcome as they did the old one.

Evidence: "a response without end is invalid and closes its connection" (17 forms, whole and streamed). "responses share a limit on buffered bytes" failed before and passes.

The soak's check "a planned stop cuts no request" counts the new outcome too: it was part of kLost before.

--- a/apps/knapctl/src/object_store.cc
+++ b/apps/knapctl/src/object_store.cc
@@ -83,7 +83,8 @@
   call.body = value;
   const http::EndEvent end = Send(call);
   const bool in_doubt = end.outcome == ClientOutcome::kLost ||
-                        end.outcome == ClientOutcome::kDeadline;
+                        end.outcome == ClientOutcome::kDeadline ||
+                        end.outcome == ClientOutcome::kInvalid;
   if (!in_doubt) return ParseResponse(end);
   ObjectResponse stored = Read(kind, name);
   if (stored.code == ExitCode::kOk && stored.value == value) return stored;
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -58,6 +58,9 @@
   metrics.DeclareCounter(
       "knap_foreign_responses_total",
       "responses of backend servers to other requests than the one sent");
+  metrics.DeclareCounter("knap_invalid_responses_total",
+                         "responses of backend servers that were given up as "
+                         "malformed or too long");
   metrics.DeclareGauge("knap_servers_avoided",
                        "backend servers avoided because they fail");
   metrics.DeclareGauge(
--- a/libs/gateway/src/servers/server_connections.cc
+++ b/libs/gateway/src/servers/server_connections.cc
@@ -43,6 +43,13 @@
                                            {"status", end.status}});
 }
 
+void ServerConnections::RecordInvalid(const http::EndEvent& end) {
+  metrics_.Add("knap_invalid_responses_total", {}, 1);
+  LogWarning("response_invalid", {{"reason", end.message},
+                                  {"status", end.status},
+                                  {"skipped", end.skipped_responses}});
+}
+
 void ServerConnections::OnEvent(http::ClientEvent&& event) {
   const ExchangeId exchange =
       std::visit([](const auto& e) { return e.exchange; }, event);
@@ -52,6 +59,7 @@
   if (const auto* end = std::get_if<http::EndEvent>(&event)) {
     sinks_.erase(found);
     if (end->skipped_responses > 0) RecordSkipped(*end);
+    if (end->outcome == http::ClientOutcome::kInvalid) RecordInvalid(*end);
   }
   sink(std::move(event));
 }
--- a/libs/gateway/src/servers/server_connections.h
+++ b/libs/gateway/src/servers/server_connections.h
@@ -34,6 +34,7 @@
  private:
   void OnEvent(http::ClientEvent&& event);
   void RecordSkipped(const http::EndEvent& end);
+  void RecordInvalid(const http::EndEvent& end);
 
   observe::Metrics& metrics_;
   uint64_t last_exchange_ = 0;
--- a/libs/gateway/src/servers/upstream_settings.h
+++ b/libs/gateway/src/servers/upstream_settings.h
@@ -1,10 +1,23 @@
 #ifndef KNAPWEEDSTILE_GATEWAY_UPSTREAM_SETTINGS_H_
 #define KNAPWEEDSTILE_GATEWAY_UPSTREAM_SETTINGS_H_
 
+#include <chrono>
+#include <cstdint>
+
 #include "http/client_settings.h"
 
 namespace knapweedstile::gateway {
 
+// Largest response that is held whole until it is passed on: four times the
+// default limit on the body of a request.
+inline constexpr uint64_t kMaxWholeResponseBytes = 16 << 20;
+// Largest body of an error on a route with streams.
+inline constexpr uint64_t kMaxStreamErrorBytes = 512 << 10;
+// Of all responses that are held whole and incomplete. A response takes up to
+// three times its size while it is passed on; the smallest gateways have 192 MB
+// for everything.
+inline constexpr uint64_t kMaxHeldResponseBytes = 24 << 20;
+
 // The settings of connections to backend servers.
 inline http::ClientSettings UpstreamClientSettings() {
   http::ClientSettings settings;
@@ -18,6 +31,9 @@
   settings.idle_timeout = std::chrono::milliseconds(8000);
   settings.unacknowledged_timeout = std::chrono::milliseconds(3000);
   settings.max_idle_per_address = 8;
+  settings.max_response_bytes = kMaxWholeResponseBytes;
+  settings.max_error_bytes = kMaxStreamErrorBytes;
+  settings.max_buffered_bytes = kMaxHeldResponseBytes;
   return settings;
 }
 
--- a/libs/http/include/http/client_event.h
+++ b/libs/http/include/http/client_event.h
@@ -18,6 +18,9 @@
   kNotSent,   // no byte of the request was written: it did not run
   kLost,      // bytes were written, no complete response: it may have run
   kDeadline,  // bytes were written, the deadline passed: it may have run
+  // Bytes were written; what the server sends is not a response, or exceeds a
+  // limit: it may have run.
+  kInvalid,
 };
 
 // Status line and headers. Sent only when stream_body is set.
@@ -52,9 +55,9 @@
 namespace knapweedstile {
 
 template <>
-inline constexpr std::array<std::string_view, 4>
+inline constexpr std::array<std::string_view, 5>
     kEnumNames<http::ClientOutcome> = {"complete", "not_sent", "lost",
-                                       "deadline"};
+                                       "deadline", "invalid"};
 
 }  // namespace knapweedstile
 
--- a/libs/http/include/http/client_settings.h
+++ b/libs/http/include/http/client_settings.h
@@ -14,7 +14,16 @@
   // that become unreachable without a reset: nothing else detects them.
   std::chrono::milliseconds unacknowledged_timeout{0};
   uint32_t max_idle_per_address = 64;
+  // Maximum body of a response that is delivered whole.
   uint64_t max_response_bytes = 64 << 20;
+  // Maximum body of a response that is delivered in parts.
+  uint64_t max_stream_bytes = 64 << 20;
+  // As max_stream_bytes, for a response with a status other than 2xx, whose
+  // parts are usually kept until its end.
+  uint64_t max_error_bytes = 64 << 20;
+  // Maximum bytes of incomplete bodies buffered over all connections. Beyond
+  // it, the largest is given up.
+  uint64_t max_buffered_bytes = 64 << 20;
 };
 
 }  // namespace knapweedstile::http
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -61,7 +61,12 @@
   bool identified = false;   // the response that is being parsed
   bool skipping = false;     // it answers another request
   uint32_t skipped_responses = 0;
-  std::string failure;  // for humans, when phase is kFailed
+  uint32_t interim_responses = 0;
+  uint64_t received_bytes = 0;   // by the parser, over all responses
+  uint64_t body_bytes = 0;       // of these, those of bodies
+  uint64_t discarded_bytes = 0;  // of these, those of skipped responses
+  uint64_t buffered_bytes = 0;   // of a body that is delivered whole
+  std::string failure;           // for humans, when phase is kFailed
 };
 
 }  // namespace knapweedstile::http
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -22,7 +22,16 @@
 using boost::system::error_code;
 
 constexpr size_t kReadBytes = 64 << 10;
+// Of a head, and of what the parser keeps of the framing of a body: the line of
+// a chunk, with its extensions, or the trailer fields.
 constexpr uint32_t kMaxHeaderBytes = 64 << 10;
+// Interim responses and responses to other requests, each, that may precede the
+// response.
+constexpr uint32_t kMaxPrecedingResponses = 32;
+// Received bytes that are not of a body, per byte of one and in addition. A
+// chunk of one byte takes five more.
+constexpr uint64_t kMaxFramingPerBodyByte = 8;
+constexpr uint64_t kMaxFramingBytes = 512 << 10;
 
 bool IsInformational(unsigned status) noexcept { return status / 100 == 1; }
 
@@ -108,7 +117,9 @@
   connection.any_written = false;
   connection.echoed_field = request.echoed_field;
   connection.echoed_value = request.headers.Find(request.echoed_field);
-  connection.skipped_responses = 0;
+  connection.skipped_responses = connection.interim_responses = 0;
+  connection.received_bytes = connection.body_bytes = 0;
+  connection.discarded_bytes = 0;
   connection.out = RequestHead(request);
   connection.out += request.body;
   connection.out_offset = 0;
@@ -122,7 +133,9 @@
   connection.parser.emplace();
   connection.parser->eager(true);
   connection.parser->header_limit(kMaxHeaderBytes);
-  connection.parser->body_limit(settings_.max_response_bytes);
+  connection.parser->body_limit(connection.stream_body
+                                    ? settings_.max_stream_bytes
+                                    : settings_.max_response_bytes);
   connection.parser->skip(connection.head_request);
 }
 
@@ -180,7 +193,8 @@
         const auto self = weak.lock();
         Connection* found = self ? (*self)->Find(id) : nullptr;
         if (!found) return;
-        if (result) return (*self)->Fail(*found, result.message(), false);
+        if (result)
+          return (*self)->Fail(*found, result.message(), ClientOutcome::kLost);
         (*self)->OnConnected(*found);
       });
 }
@@ -230,7 +244,7 @@
     // write error after the first bytes is left to the read side.
     if (ec) {
       if (connection.any_written) return;
-      return Fail(connection, ec.message(), false);
+      return Fail(connection, ec.message(), ClientOutcome::kLost);
     }
   }
   connection.out.clear();
@@ -244,7 +258,7 @@
   const size_t count = connection.socket.read_some(asio::buffer(scratch_), ec);
   if (ec && ec != asio::error::would_block) {
     if (ec == asio::error::eof) return OnEof(connection);
-    return Fail(connection, ec.message(), false);
+    return Fail(connection, ec.message(), ClientOutcome::kLost);
   }
   if (connection.phase == ClientPhase::kIdle && count > 0) {
     // Bytes without a request: the connection is out of sync.
@@ -252,6 +266,7 @@
   }
   connection.unparsed.append(scratch_, 0, count);
   Parse(connection);
+  LimitBuffered();
   if (Connection* current = Find(id)) WaitReadable(*current);
 }
 
@@ -264,7 +279,7 @@
   if (body_until_eof && !ec) return Complete(connection);
   Fail(connection,
        "the server closed the connection before the response was complete",
-       false);
+       ClientOutcome::kLost);
 }
 
 void Client::Impl::Parse(Connection& connection) {
@@ -274,14 +289,23 @@
     error_code ec;
     const size_t used = parser.put(asio::buffer(connection.unparsed), ec);
     connection.unparsed.erase(0, used);
+    connection.received_bytes += used;
     if (ec && ec != beast_http::error::need_more) {
-      return Fail(connection, "invalid response: " + ec.message(), false);
+      return FailInvalid(connection, ec.message());
     }
-    if (parser.is_header_done() && IsInformational(parser.get().result_int())) {
+    const bool interim =
+        parser.is_header_done() && IsInformational(parser.get().result_int());
+    if (interim) ++connection.interim_responses;
+    if (parser.is_header_done() && !interim) IdentifyResponse(connection);
+    CountBody(connection);
+    const std::string_view exceeded = ExceededLimit(connection);
+    if (!exceeded.empty()) {
+      return FailInvalid(connection, exceeded);
+    }
+    if (interim) {
       ResetParser(connection);
       continue;
     }
-    if (parser.is_header_done()) IdentifyResponse(connection);
     if (connection.skipping) {
       if (!DiscardResponse(connection) || used == 0) return;
       continue;
@@ -293,6 +317,62 @@
   }
 }
 
+void Client::Impl::CountBody(Connection& connection) {
+  const uint64_t size = connection.parser->get().body().size();
+  const bool kept = !connection.stream_body && !connection.skipping;
+  // A body that is kept is counted from its start each time.
+  connection.body_bytes += size - (kept ? connection.buffered_bytes : 0);
+  if (connection.skipping) connection.discarded_bytes += size;
+  CountBuffered(connection, kept ? size : 0);
+}
+
+void Client::Impl::CountBuffered(Connection& connection, uint64_t bytes) {
+  buffered_bytes_ += bytes - connection.buffered_bytes;
+  connection.buffered_bytes = bytes;
+}
+
+std::string_view Client::Impl::ExceededLimit(
+    const Connection& connection) const {
+  const auto& parser = *connection.parser;
+  if (!parser.is_done() && connection.unparsed.size() > kMaxHeaderBytes) {
+    return "the framing of the body is too long";
+  }
+  if (connection.interim_responses > kMaxPrecedingResponses) {
+    return "too many interim responses";
+  }
+  if (connection.skipped_responses > kMaxPrecedingResponses) {
+    return "too many responses to other requests";
+  }
+  if (connection.discarded_bytes > settings_.max_response_bytes) {
+    return "too many bytes of responses to other requests";
+  }
+  const uint64_t framing_bytes =
+      connection.received_bytes - connection.body_bytes;
+  if (framing_bytes >
+      kMaxFramingBytes + kMaxFramingPerBodyByte * connection.body_bytes) {
+    return "too many bytes between those of the body";
+  }
+  const bool error = parser.is_header_done() && !connection.skipping &&
+                     parser.get().result_int() / 100 != 2;
+  if (error && connection.stream_body &&
+      connection.body_bytes - connection.discarded_bytes >
+          settings_.max_error_bytes) {
+    return "the body of an error is too long";
+  }
+  return {};
+}
+
+void Client::Impl::LimitBuffered() {
+  while (buffered_bytes_ > settings_.max_buffered_bytes) {
+    const auto largest = std::max_element(
+        connections_.begin(), connections_.end(),
+        [](const auto& a, const auto& b) {
+          return a.second->buffered_bytes < b.second->buffered_bytes;
+        });
+    FailInvalid(*largest->second, "no space for its body");
+  }
+}
+
 void Client::Impl::IdentifyResponse(Connection& connection) {
   if (std::exchange(connection.identified, true)) return;
   if (connection.echoed_value.empty()) return;
@@ -306,7 +386,8 @@
 bool Client::Impl::DiscardResponse(Connection& connection) {
   auto& parser = *connection.parser;
   if (parser.need_eof()) {
-    Fail(connection, "a response to another request has no length", false);
+    Fail(connection, "a response to another request has no length",
+         ClientOutcome::kLost);
     return false;
   }
   parser.get().body().clear();
@@ -339,6 +420,7 @@
 }
 
 void Client::Impl::Complete(Connection& connection) {
+  CountBuffered(connection, 0);
   auto message = connection.parser->release();
   EndEvent event{.exchange = connection.exchange,
                  .outcome = ClientOutcome::kComplete,
@@ -377,15 +459,14 @@
 }
 
 void Client::Impl::Fail(Connection& connection, std::string message,
-                        bool by_deadline) {
+                        ClientOutcome cause) {
   if (!connection.exchange) return Erase(connection);
   EndEvent event{.exchange = connection.exchange,
                  .outcome = ClientOutcome::kNotSent,
                  .message = std::move(message),
                  .skipped_responses = connection.skipped_responses};
   if (connection.any_written) {
-    event.outcome =
-        by_deadline ? ClientOutcome::kDeadline : ClientOutcome::kLost;
+    event.outcome = cause;
     if (connection.parser->is_header_done() && !connection.skipping) {
       event.status = connection.parser->get().result_int();
       event.headers = ToHeaderList(connection.parser->get());
@@ -395,11 +476,20 @@
   sink_(std::move(event));
 }
 
+void Client::Impl::FailInvalid(Connection& connection,
+                               std::string_view reason) {
+  Fail(connection,
+       "invalid response from " + connection.address + ": " +
+           std::string(reason),
+       ClientOutcome::kInvalid);
+}
+
 void Client::Impl::ReportFailure(Connection& connection) {
-  Fail(connection, std::move(connection.failure), false);
+  Fail(connection, std::move(connection.failure), ClientOutcome::kNotSent);
 }
 
 void Client::Impl::Erase(Connection& connection) {
+  CountBuffered(connection, 0);
   exchanges_.erase(connection.exchange);
   if (connection.phase == ClientPhase::kIdle) {
     const auto pool = idle_.find(connection.address);
@@ -447,7 +537,8 @@
   if (connection.deadline == kNever) return;
   if (MonotonicNow() < connection.deadline) return ArmTimer(connection);
   const bool connecting = connection.phase == ClientPhase::kConnecting;
-  Fail(connection, connecting ? "connect timeout" : "deadline", true);
+  Fail(connection, connecting ? "connect timeout" : "deadline",
+       ClientOutcome::kDeadline);
 }
 
 }  // namespace knapweedstile::http
--- a/libs/http/src/client_impl.h
+++ b/libs/http/src/client_impl.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -59,12 +60,22 @@
   // another exchange.
   bool DeliverHead(Connection& connection);
   bool DeliverBody(Connection& connection);
+  // Why the bytes received so far are no response within the limits; empty:
+  // they may be one.
+  std::string_view ExceededLimit(const Connection& connection) const;
+  void CountBody(Connection& connection);
+  void CountBuffered(Connection& connection, uint64_t bytes);
+  // Gives up the largest incomplete bodies until the others are within the
+  // limit on all of them. May erase any connection.
+  void LimitBuffered();
   void Complete(Connection& connection);
   void Release(Connection& connection);
 
   // Erases the connection and ends its exchange, if any, with the outcome that
   // the bytes written so far imply.
-  void Fail(Connection& connection, std::string message, bool by_deadline);
+  // `cause` is the outcome if bytes were written.
+  void Fail(Connection& connection, std::string message, ClientOutcome cause);
+  void FailInvalid(Connection& connection, std::string_view reason);
   void ReportFailure(Connection& connection);
   void Erase(Connection& connection);
   void SetDeadline(Connection& connection, TimePoint deadline);
@@ -75,6 +86,7 @@
   ClientSettings settings_;
   EventSink sink_;
   uint64_t last_connection_ = 0;
+  uint64_t buffered_bytes_ = 0;  // over all connections
   std::unordered_map<ClientConnectionId, std::unique_ptr<Connection>>
       connections_;
   std::unordered_map<ExchangeId, ClientConnectionId> exchanges_;
--- a/libs/http/tests/client_test.cc
+++ b/libs/http/tests/client_test.cc
@@ -117,6 +117,135 @@
   CHECK(client.ends[1].status == 0);
 }
 
+// Guards against bytes without end from a server in trouble, which fill the
+// memory of the client until the deadline of the request.
+TEST_CASE("a response without end is invalid and closes its connection") {
+  constexpr uint64_t kMaxReadBytes = 16 << 20;
+  constexpr std::chrono::seconds kDeadline{5};
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string fill(1000, 'a');
+  struct Case {
+    const char* name;
+    std::string start;
+    std::string unit;
+  };
+  const std::vector<Case> cases = {
+      {"first line", "", "a"},
+      {"status line", "HTTP/1.1 200 ", "OK"},
+      {"fields", "HTTP/1.1 200 OK\r\n", "X-Fill: a\r\n"},
+      {"one field", "HTTP/1.1 200 OK\r\nX-Fill: ", "a"},
+      {"body to the end of the connection",
+       "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n", "a"},
+      {"body in chunks", chunked, "3e8\r\n" + fill + "\r\n"},
+      {"body with a length",
+       "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+       "Content-Length: 900000000000\r\n\r\n",
+       "a"},
+      {"error body",
+       "HTTP/1.1 500 X\r\nRequest-Id: r1\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n",
+       "3e8\r\n" + fill + "\r\n"},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "1;a=", "a"},
+      {"chunks with extensions", chunked, "1;a=" + fill + "\r\na\r\n"},
+      {"trailer fields", chunked + "0\r\n", "X-Fill: a\r\n"},
+      {"one trailer field", chunked + "0\r\nX-Fill: ", "a"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"responses to another request", "", Answer(200, "r0", "old")},
+      {"large responses to another request", "", Answer(200, "r0", fill)},
+      {"a response to another request",
+       "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n",
+       "3e8\r\n" + fill + "\r\n"}};
+  for (const Case& c : cases) {
+    for (const bool streamed : {false, true}) {
+      CAPTURE(c.name, streamed);
+      io_context io;
+      EndlessServer server(io, c.start, c.unit);
+      ClientSettings settings;
+      settings.max_response_bytes = 4 << 20;
+      settings.max_stream_bytes = 4 << 20;
+      TestClient client(io, settings);
+      ClientRequest request = IdentifiedRequest(server.address(), 1);
+      request.stream_body = streamed;
+      request.deadline = MonotonicNow() + kDeadline;
+      client.client.Send(std::move(request));
+      REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+      CHECK(NameOf(client.ends[0].outcome) == "invalid");
+      CHECK(client.ends[0].body.empty());
+      CHECK(RunUntil(io, [&] {
+        return server.closed == 1 || server.sent_bytes > kMaxReadBytes;
+      }));
+      CHECK(server.sent_bytes <= kMaxReadBytes);
+    }
+  }
+}
+
+// Guards against many responses without end at the same time, each of which is
+// within the limit of one.
+TEST_CASE("responses share a limit on buffered bytes") {
+  constexpr uint64_t kRequests = 40;
+  constexpr uint64_t kMaxReadBytes = 64 << 20;
+  io_context io;
+  EndlessServer endless(io, "HTTP/1.1 200 OK\r\n\r\n", "a");
+  TestServer sound(io);
+  ClientSettings settings;
+  settings.max_response_bytes = 16 << 20;
+  settings.max_buffered_bytes = 8 << 20;
+  TestClient client(io, settings);
+  client.client.Send(RequestTo(sound.address, kRequests + 1));
+  REQUIRE(RunUntil(io, [&] { return sound.requests.size() == 1; }));
+  for (uint64_t i = 1; i <= kRequests; ++i) {
+    ClientRequest request = RequestTo(endless.address(), i);
+    request.deadline = MonotonicNow() + std::chrono::seconds(5);
+    client.client.Send(std::move(request));
+  }
+  const std::string large(4 << 20, 'x');
+  sound.Respond(sound.requests[0].exchange, large);
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == kRequests + 1; }));
+  size_t invalid = 0;
+  for (const EndEvent& end : client.ends) {
+    invalid += NameOf(end.outcome) == "invalid";
+  }
+  CHECK(invalid >= kRequests);
+  CHECK(endless.sent_bytes <= kMaxReadBytes);
+  // The bytes of ended responses do not count.
+  sound.on_request = [&](const RequestEvent& r) {
+    sound.Respond(r.exchange, large);
+  };
+  client.client.Send(RequestTo(sound.address, kRequests + 2));
+  REQUIRE(RunUntil(io, [&] { return client.ends.size() == kRequests + 2; }));
+  CHECK(client.ends.back().outcome == ClientOutcome::kComplete);
+  CHECK(client.ends.back().body == large);
+}
+
+// Guards against limits that end proper responses.
+TEST_CASE("large responses within the limits are complete") {
+  const std::string body(8 << 20, 'x');
+  std::string bytes = "HTTP/1.1 100 Continue\r\n\r\n" + Answer(200, "r0", body);
+  bytes += "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX-Fill: " +
+           std::string(30000, 'a') + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string token = "1\r\nx\r\n";
+  constexpr size_t kTokens = 1 << 20;
+  for (size_t i = 0; i < kTokens; ++i) bytes += token;
+  bytes += "0\r\nX-Trailer: " + std::string(30000, 'a') + "\r\n\r\n";
+  for (const bool streamed : {false, true}) {
+    CAPTURE(streamed);
+    io_context io;
+    EndlessServer server(io, bytes, "a");
+    TestClient client(io);
+    ClientRequest request = IdentifiedRequest(server.address(), 1);
+    request.stream_body = streamed;
+    client.client.Send(std::move(request));
+    REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+    CHECK(client.ends[0].outcome == ClientOutcome::kComplete);
+    const std::string& received =
+        streamed ? client.streamed : client.ends[0].body;
+    CHECK(received == std::string(kTokens, 'x'));
+  }
+}
+
 TEST_CASE("a connection is reused after a complete response") {
   io_context io;
   TestServer server(io);
--- a/libs/http/tests/loopback.h
+++ b/libs/http/tests/loopback.h
@@ -109,6 +109,63 @@
   boost::asio::ip::tcp::acceptor acceptor_;
 };
 
+// A server that answers each request with `start` and then `unit` again and
+// again, until the client closes the connection.
+class EndlessServer {
+ public:
+  EndlessServer(boost::asio::io_context& io, std::string start,
+                const std::string& unit)
+      : acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}),
+        start_(std::move(start)) {
+    constexpr size_t kBlockBytes = 64 << 10;
+    while (block_.size() < kBlockBytes) block_ += unit;
+    Accept();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+  // Bounds the memory of a client that reads on; the connection stays open.
+  static constexpr uint64_t kMaxSentBytes = 128 << 20;
+  uint64_t sent_bytes = 0;  // on all connections
+  size_t closed = 0;        // connections
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void Accept() {
+    acceptor_.async_accept([this](const auto& ec, Socket accepted) {
+      if (ec) return;
+      auto socket = std::make_shared<Socket>(std::move(accepted));
+      auto input = std::make_shared<std::string>();
+      boost::asio::async_read_until(
+          *socket, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
+          [this, socket, input](const auto& read_ec, size_t) {
+            if (!read_ec) Write(socket, start_.empty() ? block_ : start_);
+          });
+      Accept();
+    });
+  }
+  void Write(const std::shared_ptr<Socket>& socket, const std::string& bytes) {
+    boost::asio::async_write(*socket, boost::asio::buffer(bytes),
+                             [this, socket](const auto& ec, size_t count) {
+                               sent_bytes += count;
+                               if (ec) {
+                                 ++closed;
+                               } else if (sent_bytes < kMaxSentBytes) {
+                                 Write(socket, block_);
+                               } else {
+                                 open_.push_back(socket);
+                               }
+                             });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::string start_;
+  std::string block_;
+  std::vector<std::shared_ptr<Socket>> open_;  // that send nothing more
+};
+
 // A client that records its events.
 struct TestClient {
   explicit TestClient(boost::asio::io_context& io, ClientSettings settings = {})
--- a/tests/soak/online_checker.cc
+++ b/tests/soak/online_checker.cc
@@ -224,8 +224,10 @@
     const bool late =
         request.ended_at - request.sent_at > kConnectionLossBound + slack_;
     // A request that ended at its own deadline was not cut by the stop.
-    const bool cut = request.end.outcome == http::ClientOutcome::kLost &&
-                     request.ended_at < request.sent_at + TimeLimitOf(request);
+    const bool broken = request.end.outcome == http::ClientOutcome::kLost ||
+                        request.end.outcome == http::ClientOutcome::kInvalid;
+    const bool cut =
+        broken && request.ended_at < request.sent_at + TimeLimitOf(request);
     findings_.Check("a planned stop cuts no request", !cut || (!ran && !late),
                     Describe(request));
   }
