Streams bring events only, within limits

Bytes that are no events, events without an id and comments were passed to callers of streams as they came, or kept: an event without end took all the memory there was, each read scanned it from its start, and only the deadline ended it.

Cause: EventStreamReader took any lines up to an empty one for an event, and had no limit.

Now a line must be a comment, a standard field or a named field with a colon; a block must have more than unknown fields; an event and what comes before it are 512 KB at most each. Otherwise the stream is malformed and the run broken: it continues elsewhere or ends at once, and is no crash. Comments, and events without an id in a stream that has ids, are returned with the next event, or at the proper end: the bytes of a proper stream stay unchanged, and streams without ids still pass as they arrive. Each byte is scanned once.

--- a/libs/gateway/src/batch/batch_answers.cc
+++ b/libs/gateway/src/batch/batch_answers.cc
@@ -67,9 +67,10 @@
 void BatchRunner::OnBody(ItemRun& run, std::string_view data) {
   if (run.status / 100 != 2) return;
   run.reader.Append(data);
-  if (ReadEvents(run)) return;
+  const bool in_order = ReadEvents(run);
+  if (in_order && !run.reader.IsMalformed()) return;
   connections_.Cancel(run.exchange);
-  OnAttemptBroken(run, "event_out_of_order");
+  OnAttemptBroken(run, in_order ? kMalformedStream : "event_out_of_order");
 }
 
 bool BatchRunner::ReadEvents(ItemRun& run) {
--- a/libs/gateway/src/online/online_answers.cc
+++ b/libs/gateway/src/online/online_answers.cc
@@ -91,9 +91,10 @@
     return;
   }
   call.reader.Append(event.data);
-  if (ForwardEvents(call)) return;
+  const bool in_order = ForwardEvents(call);
+  if (in_order && !call.reader.IsMalformed()) return;
   connections_.Cancel(call.upstream);
-  OnAttemptBroken(call, "event_out_of_order");
+  OnAttemptBroken(call, in_order ? kMalformedStream : "event_out_of_order");
 }
 
 // Forwards the complete events that have arrived. Returns false if one is
@@ -178,7 +179,9 @@
     scheduler_.ObserveDuration(call.server, MonotonicNow() - call.sent_at);
     scheduler_.OnAttemptServed(call.server, MonotonicNow());
     callbacks_.to_caller(
-        http::StreamChunkCommand{.exchange = call.caller, .last = true});
+        http::StreamChunkCommand{.exchange = call.caller,
+                                 .data = std::string(call.reader.Rest()),
+                                 .last = true});
     return Finish(call, call.status, "answered");
   }
   const bool failed = call.status >= kServerError;
--- a/libs/gateway/src/servers/attempt_end.h
+++ b/libs/gateway/src/servers/attempt_end.h
@@ -16,6 +16,8 @@
 inline constexpr std::string_view kServerRestarted = "server_restarted";
 // A stream without a length ended in the middle of an event, or before any.
 inline constexpr std::string_view kPartialEvent = "partial_event";
+// A stream brought bytes that are no events.
+inline constexpr std::string_view kMalformedStream = "malformed_stream";
 // The response is unsigned or does not name the request.
 inline constexpr std::string_view kForeignAnswer = "foreign_answer";
 
--- a/libs/serving/include/serving/stream_event.h
+++ b/libs/serving/include/serving/stream_event.h
@@ -10,7 +10,8 @@
 
 // One server-sent event.
 struct StreamEvent {
-  std::string_view raw;        // as received, with its empty line
+  std::string_view
+      raw;  // as received, with its empty line and what came before it
   std::optional<uint64_t> id;  // absent when the event carries none
   std::string data;            // its data lines, joined by line feeds
 };
