A segment is no orphan before all records have been read

What callers would see: results that had been read are gone at a gateway (LOST). A gateway that restarts without its link to the store is sent segments of jobs that it hasn't read; after 60 s they counted as orphans and were deleted from the store once it was back, before its list was read.

Found by reading the paths that keep "every accepted item completes once and stays readable" for the order of events that they miss.

Cause: RecordCollector counted the age of an orphan whatever the gateway had read. Now only time counts in which all records are read and the store is reachable, and an orphan that is deleted is logged.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -258,7 +258,7 @@
   online_.Run(now, now + kTick);
   RunBatch(now);
   committer_.Run(now);
-  collector_.Run(now);
+  collector_.Run(now, record_mirrors_.caught_up());
   batch_api_.Expire(now);
   OnRecordsAcknowledged();
   publisher_.Run(now);
--- a/libs/gateway/src/store/record_collector.cc
+++ b/libs/gateway/src/store/record_collector.cc
@@ -30,11 +30,12 @@
       settings_(settings),
       collects_job_(std::move(collects)) {}
 
-void RecordCollector::Run(TimePoint now) {
+void RecordCollector::Run(TimePoint now, bool has_records) {
+  if (!has_records || !store_.available()) orphaned_since_.clear();
   if (now >= next_search_at_ && pending_deletes_.empty()) {
     next_search_at_ = now + kSearchInterval;
     FindExpired(now);
-    FindOrphans(now);
+    if (has_records && store_.available()) FindOrphans(now);
   }
   if (!in_flight_ && !pending_deletes_.empty() && store_.available())
     DeleteNext();
@@ -73,6 +74,8 @@
       pending_deletes_.push_back(SegmentName(id, number));
     }
     pending_deletes_.push_back(EndName(id));
+    LogWarning("orphans_collected",
+               {{"job", id}, {"segments", segments.size()}});
     jobs_.RemoveJob(id);
   }
 }
--- a/libs/gateway/src/store/record_collector.h
+++ b/libs/gateway/src/store/record_collector.h
@@ -34,7 +34,9 @@
                   serving::JobTable& jobs, Settings settings,
                   std::function<bool(const std::string& job)> collects);
 
-  void Run(TimePoint now);
+  // `has_records`: the records of all jobs that this gateway holds have been
+  // read. Until then a segment without its job is no orphan.
+  void Run(TimePoint now, bool has_records);
 
  private:
   void FindExpired(TimePoint now);
@@ -50,7 +52,8 @@
   TimePoint next_search_at_{};
   std::deque<std::string> pending_deletes_;  // in order of deletion
   bool in_flight_ = false;
-  std::map<std::string, TimePoint> orphaned_since_;  // by job id
+  // By job id; only time with all records and a reachable store counts.
+  std::map<std::string, TimePoint> orphaned_since_;
 };
 
 }  // namespace knapweedstile::gateway
