The time without a route begins anew once the route was there

What callers would see: an item that is given up (dead) although its route was missing for a moment only. The time since which the route is missing was reset when the item was placed, not when the route was found: two short absences, with no slot in between, counted as one long one (MIXED: dead before its route's end).

Found by reading, while items learned to choose among services.

Test: "the route timeout begins anew when the route was there" failed before (the item was finished), passes since with all of gateway_tests (2,446 checks).

--- a/libs/gateway/src/batch/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -118,12 +118,12 @@
     return StartResult::kHandled;
   }
   serving::ItemProgress& progress = job.progress[ref.index];
+  progress.unrouted_since.reset();
   const bool continues = progress.last_event && CanContinue(progress, *route);
   if (continues && BudgetOf(ServiceOf(progress, *route), now) == 0)
     return StartResult::kNoCapacity;
   const BackendServerId server = Place(ref, *route, continues, now);
   if (!server && !continues) return StartResult::kNoCapacity;
-  progress.unrouted_since.reset();
   if (!server) {
     // Items that have not begun may still find room at other services or
     // versions.
--- a/libs/gateway/tests/batch_runner_test.cc
+++ b/libs/gateway/tests/batch_runner_test.cc
@@ -142,6 +142,19 @@
   CHECK(fixture.Phase() == ItemPhase::kFinished);
 }
 
+// Guards against items that are given up for two short times without a route,
+// between which no server had a slot for them.
+TEST_CASE("the route timeout begins anew when the route was there") {
+  Fixture fixture;
+  fixture.routes = OtherRoutes(7);
+  fixture.runner.Run(fixture.now);
+  fixture.routes = JobRoutes();
+  fixture.runner.Run(fixture.now + std::chrono::seconds(1));
+  fixture.routes = OtherRoutes(8);
+  fixture.runner.Run(fixture.now + std::chrono::seconds(5));
+  CHECK(fixture.Phase() == ItemPhase::kWaiting);
+}
+
 // Guards against items that are late because every gateway is short of
 // processor time for long.
 TEST_CASE("starts are held back until an item would be late") {
