--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -105,7 +105,7 @@
   bool AwaitsLayout(TimePoint now) const;
   bool IsTooLargeToBeUndivided() const;
   void RunOriginRecord(TimePoint now);
-  // Tells the origin record where streams begin now.
+  // Passes on to the origin record where streams begin now.
   void UpdateOrigins();
   std::vector<std::string> HolderAddresses(std::string_view job) const;
   // Returns the state for other cells, or none if there is nothing to send. A
@@ -235,7 +235,7 @@
   bool short_of_processor_ = false;
   LogBudget load_log_budget_{0.1, 4};
   PauseDetector pause_detector_;
-  // Configuration and registrations of which the origin record was told.
+  // Configuration and registrations that the origin record has received.
   std::pair<uint64_t, uint64_t> origins_updated_at_{};
   size_t gateways_in_cell_ = 1;  // including this one
   bool members_listed_ = false;
--- a/libs/gateway/src/online/origin_record.h
+++ b/libs/gateway/src/online/origin_record.h
@@ -26,7 +26,7 @@
 class OriginRecord {
  public:
   // Called with the only origin of the route, or none. `answered`: the store
-  // has told; otherwise it may tell later.
+  // has responded; otherwise it may know more later.
   using Callback = std::function<void(
       const std::optional<serving::StreamOrigin>& origin, bool answered)>;
 
--- a/libs/serving/include/serving/crashing_part_report.h
+++ b/libs/serving/include/serving/crashing_part_report.h
@@ -28,7 +28,7 @@
   // completely, or another part explains the crashes.
   std::optional<TimePoint> cleared_at;
   std::optional<TimePoint> quarantined_until;
-  // Of a quarantined part; not told by gateways of versions without trials.
+  // Of a quarantined part; unset by gateways of versions without trials.
   std::optional<TimePoint> next_trial_at;
   uint32_t failed_trials = 0;
 };
--- a/libs/serving/src/crashing_parts.cc
+++ b/libs/serving/src/crashing_parts.cc
@@ -27,7 +27,8 @@
 constexpr std::chrono::seconds kTrialPause{20};
 constexpr int64_t kTrialPauseFactor = 3;
 constexpr uint32_t kMaxLengthenings = 3;
-// Times of trials that differ by less are the same, told by several gateways.
+// Times of trials that differ by less are the same, reported by several
+// gateways.
 constexpr std::chrono::seconds kTrialSlack{1};
 // Half of the gateways have at least the longest delay before a trial less this
 // time, half of the others as much less, and so on. So few are the first,
@@ -128,7 +129,7 @@
   });
   if (!part.quarantined() || !IsCleared(part)) return;
   Release(part);
-  // Other gateways are told for as long as they might quarantine it.
+  // Reported for as long as other gateways might quarantine it.
   part.implicated_until =
       std::max(part.implicated_until, at + Duration(kQuarantine));
   part.expires_at = std::max(part.expires_at, part.implicated_until);
