--- a/tests/users_platform/gateway_common_crash_test.cc
+++ b/tests/users_platform/gateway_common_crash_test.cc
@@ -103,7 +103,8 @@
     auto request = fleet.Online("entry-1", "r" + std::to_string(i));
     request.target = "/query/r" + std::to_string(i);
     request.body = "boom";
-    CHECK(fleet.site.Call(std::move(request)).status / 100 == 5);
+    const auto end = fleet.site.Call(std::move(request));
+    CHECK(end.status / 100 == 5);
     fleet.site.caller().RunFor(std::chrono::milliseconds(100));
   }
   REQUIRE(quarantined());
