The first record of origins has versions that left before it

A new fleet's first gateway can't reach the store for a time; streams begin at one version, which is replaced before the record is written. The record then lists the new version only, and a stream that no gateway remembers goes on there.

Cause: the first record of a new fleet was what is in service when it is written. Now it is all that has been in service before it is written.

--- a/libs/gateway/src/online/origin_history.cc
+++ b/libs/gateway/src/online/origin_history.cc
@@ -29,4 +29,9 @@
   return next;
 }
 
+void OriginHistory::AddUnrecorded(const RouteOrigins& in_service) {
+  for (const auto& [route, names] : in_service)
+    unrecorded_[route].insert(names.begin(), names.end());
+}
+
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/online/origin_history.h
+++ b/libs/gateway/src/online/origin_history.h
@@ -21,10 +21,15 @@
   // route that is not in the record yet may have had other origins before.
   RouteOrigins Next(const RouteOrigins& recorded,
                     const RouteOrigins& in_service, TimePoint now);
+  // Adds origins that are in service before there is a record.
+  void AddUnrecorded(const RouteOrigins& in_service);
+  // The first record of a new fleet: all streams began at unrecorded origins.
+  const RouteOrigins& First() const noexcept { return unrecorded_; }
 
  private:
   // Since when this gateway has seen recorded origins out of service.
   std::map<std::pair<std::string, OriginName>, TimePoint> absent_since_;
+  RouteOrigins unrecorded_;
 };
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/online/origin_record.cc
+++ b/libs/gateway/src/online/origin_record.cc
@@ -53,6 +53,7 @@
 void OriginRecord::OnInService(RouteOrigins&& in_service) {
   if (in_service == in_service_) return;
   in_service_ = std::move(in_service);
+  if (!Exists()) history_.AddUnrecorded(in_service_);
   check_at_ = TimePoint{};
 }
 
@@ -60,10 +61,9 @@
   if (writing_ || now < check_at_) return;
   const bool may_create = now >= create_at_;
   if (!Exists() && !may_create) return;
-  // A new fleet has had no streams: its first record is what is in service.
   const bool is_new_fleet = !Exists() && is_first_;
-  RouteOrigins next =
-      is_new_fleet ? in_service_ : history_.Next(recorded_, in_service_, now);
+  RouteOrigins next = is_new_fleet ? history_.First()
+                                   : history_.Next(recorded_, in_service_, now);
   if (Exists() && next == recorded_) {
     check_at_ = now + kCheckPause;
     write_at_ = kNever;
--- a/libs/gateway/tests/origin_history_test.cc
+++ b/libs/gateway/tests/origin_history_test.cc
@@ -50,6 +50,19 @@
   CHECK(history.Next(both, in_service, kNow + seconds(121)) == in_service);
 }
 
+// Guards against a first record, written late because the store was away, that
+// lacks a version whose streams may still be resumed.
+TEST_CASE("the first record has the versions that left before it") {
+  OriginHistory history;
+  history.AddUnrecorded({{"drafts", {kOld}}});
+  history.AddUnrecorded({{"drafts", {kNew}}});
+  const RouteOrigins recorded = history.First();
+  CHECK(recorded.at("drafts") == std::set<OriginName>{kOld, kNew});
+  const RouteOrigins in_service = {{"drafts", {kNew}}};
+  CHECK(history.Next(recorded, in_service, kNow) == recorded);
+  CHECK(history.Next(recorded, in_service, kNow + seconds(60)) == in_service);
+}
+
 // Guards against a route whose earlier streams are taken for those of its only
 // version: nobody recorded where they began.
 TEST_CASE("a route that is not recorded may have had other versions") {
