Read on while a mirror of records is behind

One of its causes: a mirror that reads on demand paused also after a response that held only a part of the changes, so every gateway fell behind the store's history at more than one response of changes in a pause.

Class: a state (caught_up) that is only ever set. A cut response now ends it, the next read follows at once, and the time up to which all changes are known advances only with a complete read.

--- a/libs/gateway/src/store/kind_mirror.cc
+++ b/libs/gateway/src/store/kind_mirror.cc
@@ -232,8 +232,8 @@
 // Beyond the retained history, the store could only report that it was
 // compacted.
 void KindMirror::ReadNow() {
-  const bool history_compacted =
-      MonotonicNow() - up_to_date_at_ > settings_.history_retention;
+  const bool history_compacted = caught_up_ && MonotonicNow() - up_to_date_at_ >
+                                                   settings_.history_retention;
   if (settings_.on_demand && history_compacted) return List();
   immediate_read_ = true;
   waiting_for_updates_ = false;
@@ -270,7 +270,6 @@
   }
   failures_ = 0;
   following_ = true;
-  up_to_date_at_ = call_began_;
   if (!answer.objects.empty()) {
     LogInfo("mirror_read", {{"kind", settings_.kind},
                             {"after", revision_},
@@ -296,8 +295,12 @@
   }
   // Only a part of the changes was returned. Pausing now would let this mirror
   // fall further behind with each response, and the read is not complete.
-  if (answer.more) return Watch();
+  if (answer.more) {
+    caught_up_ = false;
+    return WatchFor(kMinWatchWait);
+  }
   caught_up_ = true;
+  up_to_date_at_ = call_began_;
   if (handlers_.read_completed) handlers_.read_completed(call_began_);
   // An immediate read is followed by a pause even if it returned no changes.
   // Otherwise a waiting watch would follow, which the next change or immediate
--- a/tests/users_platform/kind_mirror_test.cc
+++ b/tests/users_platform/kind_mirror_test.cc
@@ -60,6 +60,49 @@
   CHECK(seen_at_last_read == kRecordCount + 1);
 }
 
+// Guards against a mirror that reads on demand and pauses after a response that
+// holds only a part of the changes: at more than one response of changes per
+// pause it falls behind until the store's history is compacted.
+TEST_CASE("a mirror that reads on demand does not pause while it is behind") {
+  harness::Caller caller;
+  users_site::ObjectStore store(caller.io());
+  StoreCalls calls(caller.io(), store.address());
+  std::set<std::string> seen;
+  int reads = 0;
+  size_t seen_at_last_read = 0;
+  KindMirror mirror(
+      caller.io(), calls,
+      {.kind = kKind,
+       .pause = std::chrono::minutes(1),
+       .large_kind = true,
+       .on_demand = true},
+      {.listed = [](std::vector<platform::StoredObject>&& /*objects*/) {},
+       .changed =
+           [&](platform::StoredObject&& object) { seen.insert(object.name); },
+       .read_completed =
+           [&](TimePoint /*began*/) {
+             ++reads;
+             seen_at_last_read = seen.size();
+           }});
+  mirror.Start();
+  REQUIRE(caller.RunUntil([&] { return mirror.caught_up(); }));
+  for (size_t i = 0; i < kRecordCount; ++i) {
+    store.Put(kKind, "record-" + std::to_string(i), {});
+  }
+  const int reads_before = reads;
+  mirror.SkipPause();
+  REQUIRE(caller.RunUntil([&] { return !seen.empty(); }));
+  CHECK_FALSE(mirror.caught_up());
+  CHECK(reads == reads_before);
+  const TimePoint limit = MonotonicNow() + std::chrono::seconds(5);
+  caller.RunUntil(
+      [&] { return seen.size() == kRecordCount || MonotonicNow() > limit; });
+  CHECK(seen.size() == kRecordCount);
+  CHECK(caller.RunUntil([&] { return reads > reads_before; }));
+  CHECK(seen_at_last_read == kRecordCount);
+  CHECK(mirror.caught_up());
+}
+
 // Guards against a list that never completes. The records of an hour take more
 // than a second to read on a small VM with a busy link, and each successful
 // call counts as a recovery of the store; if a recovery restarted the list, the
