List large kinds page by page, with the history read beside

A further cause: the list of all records was one call, so changes were read only after its last page. Where it takes longer than the store's history, that read fails and the list begins again without end; a page that fails discards all pages before it, too.

Class: work repeated whole under a deadline that it doesn't know. Pages are now calls of their own; between them the changes since the first page are read, so nothing is missing at the end, however long the list takes. A list that is interrupted goes on at its position and around (ListCursor). A list of one page costs the same calls as before.

--- a/libs/gateway/src/store/kind_mirror.cc
+++ b/libs/gateway/src/store/kind_mirror.cc
@@ -38,6 +38,9 @@
 // Minimum interval between refreshes; peer reports that trigger them arrive
 // several times a second.
 constexpr std::chrono::milliseconds kRefreshInterval{1000};
+// Interval between reads of the changes while a large kind is listed, as a
+// fraction of the time that the store retains them.
+constexpr int kHistoryReadsPerRetention = 10;
 
 }  // namespace
 
@@ -143,14 +146,16 @@
 void KindMirror::ReadAgain() {
   if (waiting_for_updates_) return ReadNow();
   if (pausing_) return SkipPause();
-  if (!watching_) return;
+  if (!watching_ || listing_) return;
   SupersedeCall();
   ReadNow();
 }
 
 void KindMirror::RenewWatch() {
-  if (!watching_ || MonotonicNow() - call_began_ < kSilentWatchThreshold)
+  if (!watching_ || listing_ ||
+      MonotonicNow() - call_began_ < kSilentWatchThreshold) {
     return;
+  }
   LogInfo("mirror_watch_renewed",
           {{"kind", settings_.kind}, {"revision", revision_}});
   ReadAgain();
@@ -161,7 +166,11 @@
   // Guards against a list that never completes: on a VM with a busy link,
   // responses arrive late, and the store is considered lost and regained
   // several times a second. Each time, all records would be listed again.
-  if (settings_.large_kind && listing_) return;
+  if (settings_.large_kind && listing_) {
+    if (!retrying_) return;
+    EndPause();
+    return cursor_.complete() ? ReadHistory() : ReadPage();
+  }
   SupersedeCall();
   EndPause();
   if (settings_.large_kind && revision_ != 0) return ReadNow();
@@ -170,7 +179,8 @@
 
 void KindMirror::Refresh() {
   const TimePoint now = MonotonicNow();
-  if (revision_ == 0 || now - refreshed_at_ < kRefreshInterval) return;
+  if (revision_ == 0 || (settings_.large_kind && listing_)) return;
+  if (now - refreshed_at_ < kRefreshInterval) return;
   refreshed_at_ = now;
   LogInfo("mirror_refreshed",
           {{"kind", settings_.kind}, {"newest_change", newest_change_}});
@@ -181,17 +191,16 @@
 
 void KindMirror::List() {
   if (stopped_) return;
+  if (settings_.large_kind) return ListPages();
   waiting_for_updates_ = false;
   watching_ = false;
   listing_ = true;
   call_began_ = MonotonicNow();
-  const Duration timeout =
-      settings_.large_kind ? kLargeResponseTimeout : kListTimeout;
   const bool stale =
       settings_.stale_first_list && revision_ == 0 && failures_ == 0;
   call_ = store_.Call(
       platform::ListRequest{.kind = settings_.kind, .allow_stale = stale},
-      call_began_ + timeout, IfCurrent(&KindMirror::OnListed));
+      call_began_ + kListTimeout, IfCurrent(&KindMirror::OnListed));
 }
 
 void KindMirror::OnListed(StoreAnswer&& answer) {
@@ -201,6 +210,7 @@
   }
   failures_ = 0;
   following_ = true;
+  listed_ = true;
   up_to_date_at_ = call_began_;
   const bool first = revision_ == 0;
   revision_ = std::max<uint64_t>(answer.revision, 1);
@@ -220,6 +230,74 @@
   Watch();
 }
 
+void KindMirror::ListPages() {
+  waiting_for_updates_ = false;
+  listing_ = true;
+  list_began_ = MonotonicNow();
+  awaits_first_page_ = true;
+  cursor_.Begin();
+  ReadPage();
+}
+
+void KindMirror::ReadPage() {
+  if (stopped_) return;
+  watching_ = false;
+  call_began_ = MonotonicNow();
+  call_ = store_.Call(
+      platform::ListRequest{
+          .kind = settings_.kind, .one_page = true, .after = cursor_.after()},
+      call_began_ + kLargeResponseTimeout, IfCurrent(&KindMirror::OnPage));
+}
+
+// The changes since the first page are read between later ones, so that they
+// are all known at the end of the list, however long it takes.
+void KindMirror::OnPage(StoreAnswer&& answer) {
+  if (answer.outcome != StoreOutcome::kOk) {
+    return Retry(&KindMirror::ReadPage, answer);
+  }
+  failures_ = 0;
+  following_ = true;
+  const bool first = std::exchange(awaits_first_page_, false);
+  if (first) {
+    revision_ = std::max<uint64_t>(answer.revision, 1);
+    history_read_at_ = call_began_;
+  }
+  for (const platform::StoredObject& object : answer.objects) {
+    newest_change_ = std::max(newest_change_, object.version);
+  }
+  cursor_.AddPage(answer.objects, answer.more);
+  handlers_.listed(std::move(answer.objects));
+  if (cursor_.complete()) {
+    if (!first || MonotonicNow() - call_began_ > kFreshListLimit)
+      return ReadHistory();
+    OnAllPagesRead();
+    return Watch();
+  }
+  const Duration since_read = MonotonicNow() - history_read_at_;
+  if (since_read * kHistoryReadsPerRetention >= settings_.history_retention)
+    return ReadHistory();
+  ReadPage();
+}
+
+void KindMirror::ReadHistory() {
+  immediate_read_ = false;
+  WatchFor(kMinWatchWait);
+}
+
+// The call in flight before was the last of a list.
+void KindMirror::OnAllPagesRead() {
+  listing_ = false;
+  listed_ = true;
+  caught_up_ = true;
+  up_to_date_at_ = call_began_;
+  LogInfo("mirror_listed",
+          {{"kind", settings_.kind},
+           {"objects", cursor_.names().size()},
+           {"revision", revision_},
+           {"took_ms", ToMillis(MonotonicNow() - list_began_)}});
+  if (handlers_.read_completed) handlers_.read_completed(call_began_);
+}
+
 void KindMirror::Watch() {
   immediate_read_ = false;
   if (settings_.on_demand && caught_up_) return Pause();
@@ -257,14 +335,17 @@
 void KindMirror::OnWatched(StoreAnswer&& answer) {
   watching_ = false;
   if (answer.outcome == StoreOutcome::kCompacted) {
-    LogInfo("mirror_history_gone",
-            {{"kind", settings_.kind}, {"revision", revision_}});
+    LogInfo("mirror_history_gone", {{"kind", settings_.kind},
+                                    {"revision", revision_},
+                                    {"listing", listing_},
+                                    {"listed", cursor_.names().size()}});
     return List();
   }
   if (answer.outcome != StoreOutcome::kOk) {
     // Retries with a call that does not wait, since it returns as soon as the
     // store is back. Lists again where that is cheap, because the changes
     // during the outage may exceed the store's history.
+    if (listing_) return Retry(&KindMirror::ReadHistory, answer);
     const bool resume = settings_.large_kind && revision_ != 0;
     return Retry(resume ? &KindMirror::ReadNow : &KindMirror::List, answer);
   }
@@ -291,6 +372,7 @@
   revision_ = update.as_of;
   for (platform::StoredObject& object : answer.objects) {
     newest_change_ = std::max(newest_change_, object.version);
+    if (listing_) cursor_.AddChange(object);
     ApplyChange(std::move(object));
   }
   // Only a part of the changes was returned. Pausing now would let this mirror
@@ -299,6 +381,12 @@
     caught_up_ = false;
     return WatchFor(kMinWatchWait);
   }
+  if (listing_) {
+    history_read_at_ = call_began_;
+    if (!cursor_.complete()) return ReadPage();
+    OnAllPagesRead();
+    return Watch();
+  }
   caught_up_ = true;
   up_to_date_at_ = call_began_;
   if (handlers_.read_completed) handlers_.read_completed(call_began_);
--- a/libs/gateway/src/store/kind_mirror.h
+++ b/libs/gateway/src/store/kind_mirror.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "platform/store_answer.h"
 #include "store/kind_digest.h"
+#include "store/list_cursor.h"
 #include "store/store_update.h"
 
 namespace knapweedstile::gateway {
@@ -29,7 +30,8 @@
   std::chrono::milliseconds pause{0};
   // For kinds whose objects total megabytes, which small VMs read for seconds:
   // a slow response is not taken as a store outage, and the kind is not listed
-  // again while a watch can continue from the known revision.
+  // again while a watch can continue from the known revision. It is listed page
+  // by page, with reads of the changes between pages; not with `update_read`.
   bool large_kind = false;
   // Watches do not wait: changes are read on demand and after each pause.
   bool on_demand = false;
@@ -54,7 +56,7 @@
 class KindMirror {
  public:
   struct Handlers {
-    // All existing objects, after each list.
+    // All existing objects, after each list; for a large kind, those of a page.
     std::function<void(std::vector<platform::StoredObject>&&)> listed;
     std::function<void(platform::StoredObject&&)> changed;
     // The result of a watch, even if empty; called before `changed`.
@@ -99,7 +101,7 @@
   void OnStoreUpdate(StoreUpdate&& update);
 
   // Whether a list was ever read.
-  bool listed() const noexcept { return revision_ != 0; }
+  bool listed() const noexcept { return listed_; }
   // Whether a recent state was read completely. False after a list that was
   // slow or may be stale, until a watch has returned all changes since then:
   // listing some hundred records takes seconds on a small VM, so the result is
@@ -115,6 +117,12 @@
  private:
   void List();
   void OnListed(platform::StoreAnswer&& answer);
+  // Lists a large kind.
+  void ListPages();
+  void ReadPage();
+  void OnPage(platform::StoreAnswer&& answer);
+  void OnAllPagesRead();
+  void ReadHistory();
   void Watch();
   // Starts a watch that does not wait; it returns even if nothing has changed.
   void ReadNow();
@@ -148,6 +156,11 @@
   TimePoint call_began_{};
   TimePoint up_to_date_at_{};  // all changes up to then are mirrored
   TimePoint refreshed_at_{};
+  ListCursor cursor_;
+  TimePoint list_began_{};
+  TimePoint history_read_at_{};  // during a list by pages
+  bool awaits_first_page_ = false;
+  bool listed_ = false;
   bool following_ = false;
   bool caught_up_ = false;
   bool watching_ = false;
--- a/libs/platform/include/platform/store_request.h
+++ b/libs/platform/include/platform/store_request.h
@@ -42,6 +42,10 @@
   // Allows a state that is seconds old, at a tenth of the quota cost; a watch
   // from the answer's revision returns the changes since then.
   bool allow_stale = false;
+  // Reads one page only, of the objects after this name; `more` in the answer
+  // says whether another one follows.
+  bool one_page = false;
+  std::string after;
 };
 
 // Returns the objects of `kind` that changed after revision `after` as soon as
--- a/tests/users_platform/kind_mirror_test.cc
+++ b/tests/users_platform/kind_mirror_test.cc
@@ -140,6 +140,66 @@
   CHECK(listed == 1);
 }
 
+// Guards against a list that begins again without end: over a slow link it
+// takes longer than the store retains its history, so that the changes made
+// meanwhile are compacted when it ends.
+TEST_CASE("a list that takes longer than the history lasts ends caught up") {
+  harness::Caller caller;
+  users_site::ObjectStore store(caller.io());
+  constexpr std::chrono::milliseconds kRetention{1000};
+  constexpr std::chrono::milliseconds kPageDelay{250};
+  constexpr size_t kListed = 60;  // on 12 pages
+  store.RetainHistory(kRetention);
+  store.DelayLists(kPageDelay);
+  StoreCalls calls(caller.io(), store.address());
+  std::set<std::string> seen;
+  KindMirror mirror(caller.io(), calls,
+                    {.kind = kKind,
+                     .pause = std::chrono::minutes(1),
+                     .large_kind = true,
+                     .on_demand = true,
+                     .history_retention = kRetention},
+                    {.listed =
+                         [&](std::vector<platform::StoredObject>&& objects) {
+                           for (const auto& object : objects)
+                             seen.insert(object.name);
+                         },
+                     .changed =
+                         [&](platform::StoredObject&& object) {
+                           if (object.deleted) {
+                             seen.erase(object.name);
+                           } else {
+                             seen.insert(object.name);
+                           }
+                         }});
+  std::set<std::string> stored;
+  const auto put = [&](const std::string& name) {
+    store.Put(kKind, name, {});
+    stored.insert(name);
+  };
+  for (size_t i = 0; i < kListed; ++i) put("m-" + std::to_string(i));
+  mirror.Start();
+  // Changes to names that are listed already, and to others.
+  TimePoint change_at = MonotonicNow();
+  int changes = 0;
+  const TimePoint limit = MonotonicNow() + std::chrono::seconds(8);
+  caller.RunUntil([&] {
+    const TimePoint now = MonotonicNow();
+    if (mirror.caught_up() || now > limit) return true;
+    if (now >= change_at) {
+      change_at = now + std::chrono::milliseconds(200);
+      const std::string number = std::to_string(changes++);
+      put("a-" + number);
+      put("z-" + number);
+      store.Remove(kKind, "m-" + number);
+      stored.erase("m-" + number);
+    }
+    return false;
+  });
+  CHECK(mirror.caught_up());
+  CHECK(seen == stored);
+}
+
 // Two gateways of a cell read the store and send updates to the others. Guards
 // against applying an update as complete when the one before was lost: the
 // gateway would keep using a removed server or an old configuration.
--- a/tests/users_platform/object_store.cc
+++ b/tests/users_platform/object_store.cc
@@ -1,9 +1,12 @@
 #include "users_platform/object_store.h"
 
+#include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/url.hpp>
 #include <utility>
 
+#include "base/clock.h"
+
 namespace knapweedstile::users_site {
 namespace {
 
@@ -142,7 +145,7 @@
                                bool deleted) {
   ++revision_;
   if (!deleted) kinds_[kind][name].revision = revision_;
-  history_.push_back({revision_, kind, name, deleted});
+  history_.push_back({revision_, kind, name, deleted, MonotonicNow()});
   NotifyWatches();
 }
 
@@ -233,6 +236,7 @@
 
 void ObjectStore::BeginWatch(ExchangeId exchange, const std::string& kind,
                              uint64_t after, int64_t wait_ms) {
+  DropOldHistory();
   if (after + 1 < oldest_revision_) return RespondJson(exchange, 410, {});
   auto timer = std::make_unique<boost::asio::steady_timer>(
       io_, std::chrono::milliseconds(wait_ms));
@@ -249,6 +253,17 @@
   NotifyWatches();
 }
 
+void ObjectStore::DropOldHistory() {
+  const TimePoint now = MonotonicNow();
+  const auto kept =
+      std::find_if(history_.begin(), history_.end(), [&](const Change& change) {
+        return now - change.made_at <= history_retention_;
+      });
+  if (kept == history_.begin()) return;
+  oldest_revision_ = std::prev(kept)->revision + 1;
+  history_.erase(history_.begin(), kept);
+}
+
 void ObjectStore::NotifyWatches() {
   if (watches_suspended_ || health_ != Health::kHealthy) return;
   watches_.remove_if(
--- a/tests/users_platform/object_store.h
+++ b/tests/users_platform/object_store.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "http/server.h"
 
 namespace knapweedstile::users_site {
@@ -52,6 +53,10 @@
   // Lists contain the state at the time of the request and are sent after this
   // delay, like pages of a large kind over a slow link.
   void DelayLists(std::chrono::milliseconds delay) { list_delay_ = delay; }
+  // The history of changes is dropped when it is this old.
+  void RetainHistory(std::chrono::milliseconds retention) {
+    history_retention_ = retention;
+  }
   // Watches receive no changes from now on.
   void SuspendWatches() { watches_suspended_ = true; }
   // Aborts all watches and drops the history, so that changes made while
@@ -80,6 +85,7 @@
     std::string kind;
     std::string name;
     bool deleted = false;
+    TimePoint made_at{};
   };
   struct Watch {
     ExchangeId exchange;
@@ -109,6 +115,7 @@
                       const std::string& name, unsigned status);
   void RecordChange(const std::string& kind, const std::string& name,
                     bool deleted);
+  void DropOldHistory();
   void NotifyWatches();
   bool RespondToWatch(const Watch& watch, bool allow_empty);
   boost::json::object ToJson(const std::string& name,
@@ -132,6 +139,7 @@
   uint64_t oldest_revision_ = 10;  // older history has been dropped
   std::map<std::string, std::map<std::string, Object>> kinds_;
   std::vector<Change> history_;
+  Duration history_retention_ = Duration::max();
   std::list<Watch> watches_;
 };
 
