Remove jobs whose deletion was in compacted history

What users saw: memory of a gateway that was cut off from the store for longer than its history is held for good: a list of the records only added, so a job that had been deleted meanwhile stayed, open if its last results went with it.

Class: absence that nobody reads. After a complete list, jobs of its kind that arrived before the list began and that it lacks are removed. A job arrives here only after its record was written (JobWriter::Accept, pushes after it, reads of the store), so a complete list has it as long as it exists; jobs that arrived later, of other kinds, and jobs of an unfinished list stay. Logged (job_deleted_unseen) and counted (knap_jobs_deleted_unseen_total).

--- a/libs/gateway/src/batch/record_reader.cc
+++ b/libs/gateway/src/batch/record_reader.cc
@@ -2,6 +2,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 #include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -38,6 +39,22 @@
   }
 }
 
+size_t RecordReader::RemoveDeletedJobs(
+    const std::set<std::string>& names, TimePoint began,
+    const std::function<bool(const std::string& job)>& is_listed) {
+  std::vector<std::string> deleted;
+  for (const auto& [id, job] : jobs_.jobs()) {
+    const bool is_absent = job.received_at < began && is_listed(id) &&
+                           !names.contains(JobName(id));
+    if (is_absent) deleted.push_back(id);
+  }
+  for (const std::string& id : deleted) {
+    LogInfo("job_deleted_unseen", {{"job", id}});
+    jobs_.RemoveJob(id);
+  }
+  return deleted.size();
+}
+
 void RecordReader::AddJob(const std::string& id,
                           const platform::StoredObject& object,
                           RecordOrigin origin) {
--- a/libs/gateway/src/batch/record_reader.h
+++ b/libs/gateway/src/batch/record_reader.h
@@ -1,9 +1,13 @@
 #ifndef KNAPWEEDSTILE_GATEWAY_RECORD_READER_H_
 #define KNAPWEEDSTILE_GATEWAY_RECORD_READER_H_
 
+#include <cstddef>
 #include <functional>
+#include <set>
 #include <string>
 
+#include "base/time.h"
+
 namespace knapweedstile::platform {
 struct StoredObject;
 }
@@ -34,6 +38,14 @@
   RecordReader(serving::JobTable& jobs, Callbacks callbacks);
 
   void ApplyRecord(const platform::StoredObject& object, RecordOrigin origin);
+  // Removes the jobs that are absent in a complete list, so that jobs whose
+  // deletion was not read do not stay in memory. `names`: of all records of a
+  // kind, listed from `began` on; `is_listed`: whether a job is of that kind.
+  // Jobs that arrived later stay: every other one was in the store by then.
+  // Returns their number.
+  size_t RemoveDeletedJobs(
+      const std::set<std::string>& names, TimePoint began,
+      const std::function<bool(const std::string& job)>& is_listed);
 
  private:
   void AddJob(const std::string& id, const platform::StoredObject& object,
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -49,6 +49,8 @@
       {"outcome"});
   metrics.DeclareGauge("knap_jobs_known", "batch jobs in memory, by form",
                        {"form"});
+  metrics.DeclareCounter("knap_jobs_deleted_unseen_total",
+                         "jobs removed as a list of the store lacks them");
   metrics.DeclareCounter("knap_peer_bytes_total",
                          "bytes queued for other gateways, by cause",
                          {"cause"});
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -473,6 +473,15 @@
                [this](platform::StoredObject&& object) {
                  record_reader_.ApplyRecord(object, RecordOrigin::kMirror);
                },
+           .list_completed =
+               [this](const std::string& kind,
+                      const std::set<std::string>& names, TimePoint began) {
+                 const size_t removed = record_reader_.RemoveDeletedJobs(
+                     names, began, [&](const std::string& job) {
+                       return record_kinds_.KindOfJob(job) == kind;
+                     });
+                 metrics_.Add("knap_jobs_deleted_unseen_total", {}, removed);
+               },
            .read_completed =
                [this](TimePoint began) {
                  sync_tracker_.OnStoreRead(began, MonotonicNow());
--- a/libs/gateway/src/store/kind_mirror.cc
+++ b/libs/gateway/src/store/kind_mirror.cc
@@ -295,6 +295,8 @@
            {"objects", cursor_.names().size()},
            {"revision", revision_},
            {"took_ms", ToMillis(MonotonicNow() - list_began_)}});
+  const std::set<std::string> names = cursor_.TakeNames();
+  if (handlers_.list_completed) handlers_.list_completed(names, list_began_);
   if (handlers_.read_completed) handlers_.read_completed(call_began_);
 }
 
--- a/libs/gateway/src/store/kind_mirror.h
+++ b/libs/gateway/src/store/kind_mirror.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,10 @@
     // All existing objects, after each list; for a large kind, those of a page.
     std::function<void(std::vector<platform::StoredObject>&&)> listed;
     std::function<void(platform::StoredObject&&)> changed;
+    // Large kinds only: the names of all objects, after a list that began at
+    // `began`. Objects that existed then and are absent were deleted.
+    std::function<void(const std::set<std::string>& names, TimePoint began)>
+        list_completed;
     // The result of a watch, even if empty; called before `changed`.
     std::function<void(const StoreUpdate&)> update_read;
     // A read that began at `began` has completed; all changes up to then were
--- a/libs/gateway/src/store/list_cursor.h
+++ b/libs/gateway/src/store/list_cursor.h
@@ -3,6 +3,7 @@
 
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "platform/store_answer.h"
@@ -31,6 +32,8 @@
   // Names of the objects that were listed or created since Begin() and not
   // deleted since.
   const std::set<std::string>& names() const noexcept { return names_; }
+  // Returns names(), which are empty then.
+  std::set<std::string> TakeNames() { return std::exchange(names_, {}); }
 
  private:
   std::string began_after_;
--- a/libs/gateway/src/store/record_mirrors.cc
+++ b/libs/gateway/src/store/record_mirrors.cc
@@ -50,11 +50,16 @@
             .large_kind = true,
             .on_demand = true,
             .history_retention = history_},
-        KindMirror::Handlers{.listed = handlers_.listed,
-                             .changed = handlers_.changed,
-                             .read_completed = [this, kind](TimePoint began) {
-                               OnRead(kind, began);
-                             }});
+        KindMirror::Handlers{
+            .listed = handlers_.listed,
+            .changed = handlers_.changed,
+            .list_completed =
+                [this, kind](const std::set<std::string>& names,
+                             TimePoint began) {
+                  handlers_.list_completed(kind, names, began);
+                },
+            .read_completed =
+                [this, kind](TimePoint began) { OnRead(kind, began); }});
     followed->second.mirror->Start();
   }
   if (mirrors_.empty()) ReportRead();
--- a/libs/gateway/src/store/record_mirrors.h
+++ b/libs/gateway/src/store/record_mirrors.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,10 @@
   struct Handlers {
     std::function<void(std::vector<platform::StoredObject>&&)> listed;
     std::function<void(platform::StoredObject&&)> changed;
+    // See KindMirror::Handlers.
+    std::function<void(const std::string& kind,
+                       const std::set<std::string>& names, TimePoint began)>
+        list_completed;
     // Everything that existed at `began` has been read, for all kinds.
     std::function<void(TimePoint began)> read_completed;
   };
--- a/tests/users_platform/gateway_batch_test.cc
+++ b/tests/users_platform/gateway_batch_test.cc
@@ -320,6 +320,23 @@
   CHECK(site.store().Count("knapweedstile-members", "node.") == 2);
 }
 
+// Guards against jobs that stay in memory for good because their deletion was
+// in a part of the store's history that had been compacted.
+TEST_CASE("jobs deleted in compacted history are removed, and no others") {
+  Site site;
+  site.Configure(2);
+  site.AddGateway("entry-1");
+  REQUIRE(site.Call(site.JobRequest("entry-1", "job-a", 2)).status == 202);
+  REQUIRE(site.Call(site.JobRequest("entry-1", "job-b", 2)).status == 202);
+  site.store().Remove("knapweedstile", "job.job-a");
+  site.store().DropHistory();
+  CHECK(site.caller().RunUntil(
+      [&] { return site.Results("entry-1", "job-a").status == 404; }));
+  CHECK(site.Results("entry-1", "job-b").status == 200);
+  CHECK(site.Metrics("entry-1").find("knap_jobs_deleted_unseen_total 1") !=
+        std::string::npos);
+}
+
 // A gateway that is shutting down starts no items. Guards against jobs that it
 // accepts from callers who still reach it and that no other gateway runs.
 TEST_CASE("a gateway that is shutting down still accepts jobs") {
