Peers run the jobs of a gateway that can't read its records

Cause and class: life taken for ability. Peers asked whether the owner reports, not whether it runs jobs, and went on choosing it as holder. Its second holder, or another gateway, runs its jobs, and it holds no new ones while others can. Able again, it says so, waits for the reports of its peers, and gets the progress of its items as after a restart, so that what runs there isn't begun here.

--- a/libs/cluster/include/cluster/job_holders.h
+++ b/libs/cluster/include/cluster/job_holders.h
@@ -14,6 +14,8 @@
   double processor_share = 1;  // cores
   double headroom = 1;         // share of them that is free, 0 to 1
   bool takes_outlines = true;  // false: its version needs every job in full
+  // Whether it can start items now. Others hold jobs only if there are too few.
+  bool starts_items = true;
 };
 
 // The gateways that hold the bytes of a job.
@@ -49,10 +51,16 @@
     std::string name;
     std::string availability_zone;
     double weight = 0;
+    bool starts_items = true;
   };
 
   template <class Predicate>
   const Weighted* Best(std::string_view job, Predicate may_hold) const;
+  // The best of the gateways that may hold the job: one that starts items if
+  // there is any, and of those one that is preferred.
+  template <class Preference, class Predicate>
+  const Weighted* BestPreferring(std::string_view job, Preference prefers,
+                                 Predicate may_hold) const;
 
   std::vector<Weighted> gateways_;
   // A gateway that does not know second holders would run their jobs as well.
--- a/libs/cluster/src/job_holders.cc
+++ b/libs/cluster/src/job_holders.cc
@@ -43,7 +43,8 @@
     totals[candidate.availability_zone] += weight;
     if (!candidate.takes_outlines) all_hold_all_ = true;
     gateways_.push_back({std::move(candidate.name),
-                         std::move(candidate.availability_zone), weight});
+                         std::move(candidate.availability_zone), weight,
+                         candidate.starts_items});
   }
   for (Weighted& gateway : gateways_) {
     const double others = totals[gateway.availability_zone] - gateway.weight;
@@ -69,19 +70,33 @@
   return best;
 }
 
+template <class Preference, class Predicate>
+const JobHolders::Weighted* JobHolders::BestPreferring(
+    std::string_view job, Preference prefers, Predicate may_hold) const {
+  for (const bool starts_items : {true, false}) {
+    const auto is_candidate = [&](const auto& g) {
+      return g.starts_items == starts_items && may_hold(g);
+    };
+    const Weighted* best =
+        Best(job, [&](const auto& g) { return is_candidate(g) && prefers(g); });
+    if (!best) best = Best(job, is_candidate);
+    if (best) return best;
+  }
+  return nullptr;
+}
+
 HolderPair JobHolders::Choose(std::string_view job,
                               std::string_view zone) const {
   if (all_hold_all_ || gateways_.size() <= kMaxGatewaysHoldingAll) return {};
-  const Weighted* owner =
-      Best(job, [zone](const auto& g) { return g.availability_zone == zone; });
-  if (!owner) owner = Best(job, [](const auto&) { return true; });
-  const Weighted* second = Best(job, [owner](const auto& g) {
-    return g.availability_zone != owner->availability_zone;
-  });
-  if (!second) {
-    second =
-        Best(job, [owner](const auto& g) { return g.name != owner->name; });
-  }
+  const Weighted* owner = BestPreferring(
+      job, [zone](const auto& g) { return g.availability_zone == zone; },
+      [](const auto&) { return true; });
+  const Weighted* second = BestPreferring(
+      job,
+      [owner](const auto& g) {
+        return g.availability_zone != owner->availability_zone;
+      },
+      [owner](const auto& g) { return g.name != owner->name; });
   return {owner->name, second->name};
 }
 
--- a/libs/cluster/tests/job_holders_test.cc
+++ b/libs/cluster/tests/job_holders_test.cc
@@ -115,4 +115,41 @@
   CHECK(JobHolders(fleet).Choose("job", "a") == HolderPair());
 }
 
+// Guards against jobs that nobody runs for seconds, because their new owner
+// can't start items.
+TEST_CASE("a gateway that starts no items holds no new jobs") {
+  std::vector<HolderCandidate> fleet = UnevenFleet();
+  SECTION("one of its zone") {
+    fleet.front().starts_items = false;
+    const JobHolders holders(fleet);
+    for (int job = 0; job < kJobs; ++job) {
+      const HolderPair pair = holders.Choose(JobOf(job), "a");
+      REQUIRE(pair.owner.starts_with("a-"));
+      REQUIRE_FALSE(pair.second.starts_with("a-"));
+      REQUIRE(pair.owner != "a-big-1");
+      REQUIRE(holders.Choose(JobOf(job), "b").second != "a-big-1");
+    }
+  }
+  SECTION("its whole zone") {
+    for (HolderCandidate& candidate : fleet)
+      candidate.starts_items = candidate.availability_zone != "a";
+    const HolderPair pair = JobHolders(fleet).Choose("job", "a");
+    CHECK_FALSE(pair.owner.starts_with("a-"));
+    CHECK_FALSE(pair.second.starts_with("a-"));
+  }
+  SECTION("all but one") {
+    for (HolderCandidate& candidate : fleet)
+      candidate.starts_items = candidate.name == "b-mid";
+    const HolderPair pair = JobHolders(fleet).Choose("job", "a");
+    CHECK(pair.owner == "b-mid");
+    CHECK_FALSE(pair.second.starts_with("b-"));
+  }
+  SECTION("all") {
+    for (HolderCandidate& candidate : fleet) candidate.starts_items = false;
+    const HolderPair pair = JobHolders(fleet).Choose("job", "a");
+    CHECK(pair.owner.starts_with("a-"));
+    CHECK_FALSE(pair.second.starts_with("a-"));
+  }
+}
+
 }  // namespace knapweedstile::cluster
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -145,11 +145,21 @@
 // informed. No items start until the missing records are read; running items
 // continue.
 void Gateway::RunBatch(TimePoint now) {
-  ownership_.SetEndRecordsLoaded(record_mirrors_.caught_up() &&
-                                 !sync_tracker_.HasGap(now));
+  ownership_.SetEndRecordsLoaded(
+      record_mirrors_.caught_up() && !sync_tracker_.HasGap(now), now);
+  ReportHandover(now);
   runner_.Run(now);
 }
 
+void Gateway::ReportHandover(TimePoint now) {
+  const bool hands_over = ownership_.HandsOver(now);
+  if (std::exchange(hands_jobs_over_, hands_over) == hands_over) return;
+  LogInfo(hands_over ? "jobs_handed_over" : "jobs_taken_back",
+          {{"jobs", jobs_.jobs().size()}});
+  metrics_.Set("knap_jobs_handed_over", hands_over ? 1 : 0);
+  publisher_.PublishFull(now);
+}
+
 void Gateway::CheckForPause() {
   if (!pause_detector_.DetectPause(BootNow())) return;
   LogWarning("paused");
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -150,6 +150,8 @@
   // empty, otherwise one of that peer.
   void PreemptBatchItem(BackendServerId server, const std::string& peer);
   void RunBatch(TimePoint now);
+  // Tells peers whether they run this gateway's jobs, if that has changed.
+  void ReportHandover(TimePoint now);
 
   // Whether this gateway has received every record that a caller may already
   // have seen on another gateway.
@@ -246,6 +248,7 @@
   TimePoint layout_proposed_at_{};
   TimePoint summary_sent_at_{};
   TimePoint progress_sent_at_{};
+  bool hands_jobs_over_ = false;
   TimePoint records_refreshed_at_{};
   TimePoint stop_began_at_ = kNever;
   bool accepting_ = true;
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -49,6 +49,9 @@
       {"outcome"});
   metrics.DeclareGauge("knap_jobs_known", "batch jobs in memory, by form",
                        {"form"});
+  metrics.DeclareGauge("knap_jobs_handed_over",
+                       "1 while this gateway starts no items of its jobs and "
+                       "its peers do");
   metrics.DeclareCounter("knap_jobs_deleted_unseen_total",
                          "jobs removed as a list of the store lacks them");
   metrics.DeclareCounter("knap_peer_bytes_total",
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -98,6 +98,7 @@
   const bool was_lost = regained_at != TimePoint{};
   return {
       .draining = stop_began_at_ != kNever,
+      .starts_no_items = hands_jobs_over_,
       .store_available = store_.available(),
       // Zero means that the store was never lost; hence the added millisecond.
       .store_regained_millis_ago =
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -49,13 +49,15 @@
                           .availability_zone = zones.at(peer),
                           .processor_share = fleet_.ProcessorShareOf(peer),
                           .headroom = peers_.HeadroomOf(peer).value_or(1),
-                          .takes_outlines = peers_.TakesOutlines(peer)});
+                          .takes_outlines = peers_.TakesOutlines(peer),
+                          .starts_items = peers_.StartsItems(peer)});
   }
   if (stop_began_at_ == kNever) {
     candidates.push_back({.name = settings_.name,
                           .availability_zone = settings_.availability_zone,
                           .processor_share = settings_.processor_share,
-                          .headroom = OwnState().headroom.value_or(1)});
+                          .headroom = OwnState().headroom.value_or(1),
+                          .starts_items = !hands_jobs_over_});
   }
   return cluster::JobHolders(std::move(candidates))
       .Choose(job, settings_.availability_zone);
--- a/libs/gateway/src/peers/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -121,8 +121,10 @@
   if (!is_new && older) return;
   if (is_new) LogInfo("peer_found", {{"entry", state->gateway}});
   const bool started = is_new || state->start != peer.state.start;
+  const bool takes_jobs_back =
+      !is_new && peer.state.starts_no_items && !state->starts_no_items;
   UpdatePeer(peer, *state, is_new);
-  if (started) handlers_.peer_started(state->gateway);
+  if (started || takes_jobs_back) handlers_.peer_started(state->gateway);
   handlers_.state_received(*state);
 }
 
@@ -284,6 +286,16 @@
   return peer != peers_.end() && !peer->second.state.draining;
 }
 
+std::vector<std::string> PeerLink::PeersStartingItems() const {
+  std::vector<std::string> names = ActivePeers();
+  std::erase_if(names, [this](const auto& name) { return !StartsItems(name); });
+  return names;
+}
+
+bool PeerLink::StartsItems(const std::string& name) const {
+  return IsActivePeer(name) && !peers_.at(name).state.starts_no_items;
+}
+
 std::map<std::string, std::string> PeerLink::Zones() const {
   std::map<std::string, std::string> zones;
   for (const auto& [name, peer] : peers_) {
--- a/libs/gateway/src/peers/peer_link.h
+++ b/libs/gateway/src/peers/peer_link.h
@@ -26,8 +26,8 @@
   struct Handlers {
     std::function<void(const PeerState&)> state_received;
     std::function<void(const std::string& instance)> preemption_requested;
-    // A peer process was seen for the first time, or its reports resumed after
-    // a timeout.
+    // A peer process was seen for the first time, its reports resumed after a
+    // timeout, or it starts items again.
     std::function<void(const std::string& peer)> peer_started;
     // The peer's reports expired. `draining`: its last report announced a
     // shutdown.
@@ -88,6 +88,9 @@
   // Live peers that are not draining.
   std::vector<std::string> ActivePeers() const;
   bool IsActivePeer(const std::string& name) const;
+  // Those of the active peers that report to be able to start batch items.
+  std::vector<std::string> PeersStartingItems() const;
+  bool StartsItems(const std::string& name) const;
   // Share of its processor time that a live peer has left, 0 to 1, by its last
   // report; none: unknown.
   std::optional<double> HeadroomOf(const std::string& name) const;
--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -189,6 +189,7 @@
   message.set_start(state.start);
   message.set_sequence(state.sequence);
   message.set_draining(state.draining);
+  message.set_starts_no_items(state.starts_no_items);
   message.set_store_available(state.store_available);
   message.set_store_regained_millis_ago(state.store_regained_millis_ago);
   message.set_records(state.records);
@@ -242,6 +243,7 @@
       .start = message.start(),
       .sequence = message.sequence(),
       .draining = message.draining(),
+      .starts_no_items = message.starts_no_items(),
       .store_available = message.store_available(),
       .store_regained_millis_ago = message.store_regained_millis_ago(),
       .records = message.records(),
--- a/libs/gateway/src/peers/peer_state.h
+++ b/libs/gateway/src/peers/peer_state.h
@@ -26,6 +26,9 @@
   uint64_t start = 0;     // higher for each later start of the same gateway
   uint64_t sequence = 0;  // number of this message within one start
   bool draining = false;  // starts no new batch items
+  // The sender has been unable to start batch items for long; peers run its
+  // jobs. Older versions ignore it.
+  bool starts_no_items = false;
   bool store_available = false;  // the sender can reach the store
   // Time since the store became reachable again after an outage, in
   // milliseconds; zero if it was never unreachable.
--- a/libs/gateway/tests/peer_state_test.cc
+++ b/libs/gateway/tests/peer_state_test.cc
@@ -15,6 +15,7 @@
       .start = 1700000000123456789,
       .sequence = 7,
       .draining = true,
+      .starts_no_items = true,
       .store_available = true,
       .store_regained_millis_ago = 900,
       .records = 12,
@@ -54,6 +55,7 @@
   CHECK(received->start == sent.start);
   CHECK(received->sequence == sent.sequence);
   CHECK(received->draining);
+  CHECK(received->starts_no_items);
   CHECK(received->store_available);
   CHECK_FALSE(received->partial);
   CHECK(received->store_regained_millis_ago == 900);
--- a/tests/users_platform/gateway_batch_test.cc
+++ b/tests/users_platform/gateway_batch_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "base/clock.h"
 #include "users_platform/site.h"
 
 namespace knapweedstile::users_site {
@@ -274,6 +275,44 @@
   }));
 }
 
+// Guards against accepted jobs that nobody runs: their owner has restarted
+// without the store, so that it starts no items, and is live for its peers.
+TEST_CASE(
+    "jobs of an owner that restarts without the store are run by a peer") {
+  Site site;
+  site.Configure(2);
+  site.use_second_store_address = true;
+  site.AddGateway("entry-1");
+  site.use_second_store_address = false;
+  site.AddGateway("entry-2");
+  REQUIRE(site.Call(site.JobRequest("entry-1", "job-a", 6)).status == 202);
+  REQUIRE(site.caller().RunUntil(
+      [&] { return site.Results("entry-2", "job-a").status == 200; }));
+  site.store().RejectAtSecondAddress(true);
+  site.process("entry-1").Kill();
+  site.RestartGateway("entry-1");
+  ModelServer& server = site.AddServer("llm", "i-1", 2);
+  // Items are due 18 s after the end of the traffic.
+  const TimePoint due_at = MonotonicNow() + std::chrono::seconds(18);
+  const auto listed = [&] {
+    const auto end = site.Results("entry-2", "job-a");
+    return end.status == 200 ? ItemsOf(json::parse(end.body).as_object()).size()
+                             : size_t{0};
+  };
+  site.caller().RunUntil(
+      [&] { return listed() == 6 || MonotonicNow() > due_at; });
+  CHECK(listed() == 6);
+
+  // With the store back, it runs its jobs again; no item runs twice.
+  REQUIRE(site.Call(site.JobRequest("entry-2", "job-b", 6)).status == 202);
+  site.store().RejectAtSecondAddress(false);
+  REQUIRE(site.caller().RunUntil([&] { return site.Ready("entry-1"); }));
+  REQUIRE(site.Call(site.JobRequest("entry-1", "job-c", 6)).status == 202);
+  CHECK(ItemsOf(site.WaitForResults("entry-1", "job-b", 6)).size() == 6);
+  CHECK(ItemsOf(site.WaitForResults("entry-2", "job-c", 6)).size() == 6);
+  CHECK(server.runs().size() == 18);
+}
+
 // Guards against rejecting jobs, or waiting for results that cannot be written,
 // at a gateway whose calls the store rejects while it serves another gateway.
 TEST_CASE("a gateway that the store rejects works through another one") {
