A result larger than a value of the store is written in parts

Cause: ResultCommitter put each result whole into one segment, at least one whatever its size, measured without the escapes that JSON adds. The store's 413 was taken for a passing failure, and the same write sent again every 250 ms; all later results waited behind it. Class: a limit of a neighbour that is assumed and not kept, and a refusal for good that is retried like an outage.

A result that does not fit is now stored in parts by LargeResultWriter: a marker, the parts in a kind that nobody lists or mirrors, then the segment that names them, whose conditional create makes the result visible whole. Results that fit are committed meanwhile. LargeResultReader reads the parts when a caller asks, checks their hash, and bounds what stays in memory. The collector deletes parts by the markers, also those of writers that died. A refusal for good is counted, logged once a job, and followed by something smaller.

The stand-in store rejects values beyond its limit, as the real one does.

--- a/libs/gateway/src/batch/job_records.cc
+++ b/libs/gateway/src/batch/job_records.cc
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "batch/large_result.h"
 #include "users_platform/batch_calls.h"
 
 namespace knapweedstile::gateway {
@@ -25,6 +26,29 @@
 constexpr std::string_view kJobPrefix = "job.";
 constexpr std::string_view kSegmentPrefix = "segment.";
 constexpr std::string_view kEndPrefix = "end.";
+constexpr std::string_view kMarkerPrefix = "large.";
+constexpr std::string_view kPartPrefix = "part.";
+
+uint32_t NumberIn(std::string_view text) {
+  uint32_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+// Parses the rest of "large.ID.HASH.COUNT" or "part.ID.HASH.N". Ids may have
+// dots.
+RecordName ParsePartName(RecordType type, std::string_view rest) {
+  const size_t number = rest.rfind('.');
+  if (number == std::string_view::npos || number == 0) return {};
+  const size_t hash = rest.rfind('.', number - 1);
+  if (hash == std::string_view::npos) return {};
+  return {.type = type,
+          .id = std::string(rest.substr(0, hash)),
+          .hash = std::string(rest.substr(hash + 1, number - hash - 1)),
+          .parts = type == RecordType::kMarker
+                       ? NumberIn(rest.substr(number + 1))
+                       : 0};
+}
 
 std::string Text(const json::object& object, std::string_view name) {
   const json::value* field = object.if_contains(name);
@@ -56,6 +80,12 @@
   };
   if (name.starts_with(kJobPrefix)) return {RecordType::kJob, rest(kJobPrefix)};
   if (name.starts_with(kEndPrefix)) return {RecordType::kEnd, rest(kEndPrefix)};
+  if (name.starts_with(kMarkerPrefix)) {
+    return ParsePartName(RecordType::kMarker, rest(kMarkerPrefix));
+  }
+  if (name.starts_with(kPartPrefix)) {
+    return ParsePartName(RecordType::kPart, rest(kPartPrefix));
+  }
   const size_t dot = name.rfind('.');
   if (!name.starts_with(kSegmentPrefix) || dot < kSegmentPrefix.size()) {
     return {};
@@ -84,6 +114,16 @@
   return fmt::format("{}{}", kEndPrefix, job);
 }
 
+std::string MarkerName(std::string_view job, std::string_view hash,
+                       uint32_t parts) {
+  return fmt::format("{}{}.{}.{}", kMarkerPrefix, job, hash, parts);
+}
+
+std::string PartName(std::string_view job, std::string_view hash,
+                     uint32_t number) {
+  return fmt::format("{}{}.{}.{:06}", kPartPrefix, job, hash, number);
+}
+
 JobRecord NewJobRecord(std::string_view creator, std::string_view host,
                        const serving::Route& route, std::string_view workspace,
                        std::string&& submission) {
@@ -146,6 +186,12 @@
 }
 
 Result<std::vector<ItemResult>> DecodeSegment(std::string_view value) {
+  if (const auto large = DecodeLargeResult(value)) {
+    return std::vector<ItemResult>{{.item = large->item,
+                                    .state = large->state,
+                                    .has_output = false,
+                                    .in_parts = true}};
+  }
   const auto object = ParseObject(value);
   const json::value* field = object ? object->if_contains("results") : nullptr;
   if (!field || !field->is_array()) {
@@ -181,6 +227,7 @@
 }
 
 std::optional<std::string> OutlineOfSegment(std::string_view value) {
+  if (DecodeLargeResult(value)) return std::string(value);
   auto results =
       boost::leaf::try_handle_all([&] { return DecodeSegment(value); },
                                   [] { return std::vector<ItemResult>(); });
--- a/libs/gateway/src/batch/job_records.h
+++ b/libs/gateway/src/batch/job_records.h
@@ -20,14 +20,18 @@
 //   job.ID          an accepted job; written before the response is sent
 //   segment.ID.N    results of a job; created once, so positions never change
 //   end.ID          the caller has ended the job
+//   large.ID.HASH.COUNT  parts of a large result may exist (large_result.h)
+//   part.ID.HASH.N       one of them, in a kind of its own
 inline constexpr char kRecordKind[] = "knapweedstile";
 
-enum class RecordType { kJob, kSegment, kEnd, kUnknown };
+enum class RecordType { kJob, kSegment, kEnd, kMarker, kPart, kUnknown };
 
 struct RecordName {
   RecordType type = RecordType::kUnknown;
   std::string id;        // of the job
   uint32_t segment = 0;  // kSegment
+  std::string hash;      // kMarker, kPart: of the output
+  uint32_t parts = 0;    // kMarker: their number
 };
 RecordName ParseRecordName(std::string_view name);
 // Internal key of a job, made of its workspace and the caller's id. Two
@@ -36,6 +40,10 @@
 std::string JobName(std::string_view job);
 std::string SegmentName(std::string_view job, uint32_t number);
 std::string EndName(std::string_view job);
+std::string MarkerName(std::string_view job, std::string_view hash,
+                       uint32_t parts);
+std::string PartName(std::string_view job, std::string_view hash,
+                     uint32_t number);
 
 // An accepted job: its submission, the gateways that hold it, and the host and
 // route that received it.
@@ -64,6 +72,7 @@
                                     TimePoint now, int64_t wall_millis);
 
 std::string EncodeSegment(const std::vector<serving::ItemResult>& results);
+// A large result is decoded without its output.
 Result<std::vector<serving::ItemResult>> DecodeSegment(std::string_view value);
 
 // Outlines of the records of a job and of a segment, which are decoded like
--- a/libs/gateway/src/batch/outline_calls.cc
+++ b/libs/gateway/src/batch/outline_calls.cc
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "batch/job_forwarder.h"
+#include "batch/job_records.h"
 #include "batch/record_fetcher.h"
 #include "serving/job_table.h"
 
@@ -21,6 +22,10 @@
 void OutlineCalls::Serve(const std::shared_ptr<const JobCall>& call,
                          const std::string& job, MissingRecord missing,
                          AnswerHere answer) {
+  if (IsInParts(job, missing)) {
+    metrics_.Add("knap_outline_calls_total", {"in_parts"});
+    return ReadMissing(job, missing, answer);
+  }
   if (call->caller.sent_to_holder) {
     return callbacks_.misdirected(call->request.exchange);
   }
@@ -35,6 +40,15 @@
       });
 }
 
+bool OutlineCalls::IsInParts(const std::string& job,
+                             const MissingRecord& missing) const {
+  const serving::BatchJob* known = jobs_.Find(job);
+  const auto name = known ? missing(*known) : std::nullopt;
+  if (!name) return false;
+  const RecordName record = ParseRecordName(*name);
+  return record.type == RecordType::kSegment && known->InParts(record.segment);
+}
+
 void OutlineCalls::ReadMissing(const std::string& job,
                                const MissingRecord& missing,
                                const AnswerHere& answer) {
--- a/libs/gateway/src/batch/outline_calls.h
+++ b/libs/gateway/src/batch/outline_calls.h
@@ -54,6 +54,8 @@
              MissingRecord missing, AnswerHere answer);
 
  private:
+  // Whether the missing record is a result whose output no gateway holds.
+  bool IsInParts(const std::string& job, const MissingRecord& missing) const;
   void ReadMissing(const std::string& job, const MissingRecord& missing,
                    const AnswerHere& answer);
 
--- a/libs/gateway/src/batch/record_reader.cc
+++ b/libs/gateway/src/batch/record_reader.cc
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "batch/job_records.h"
+#include "batch/large_result_index.h"
 #include "platform/store_answer.h"
 #include "serving/job_table.h"
 
@@ -16,8 +17,11 @@
 
 }  // namespace
 
-RecordReader::RecordReader(serving::JobTable& jobs, Callbacks callbacks)
-    : jobs_(jobs), callbacks_(std::move(callbacks)) {}
+RecordReader::RecordReader(serving::JobTable& jobs,
+                           LargeResultIndex& large_results, Callbacks callbacks)
+    : jobs_(jobs),
+      large_results_(large_results),
+      callbacks_(std::move(callbacks)) {}
 
 void RecordReader::ApplyRecord(const platform::StoredObject& object,
                                RecordOrigin origin) {
@@ -33,6 +37,10 @@
       if (object.deleted) return;
       jobs_.EndJob(name.id);
       return callbacks_.job_updated(name.id);
+    case RecordType::kMarker:
+      return object.deleted ? large_results_.Remove(name.id, object.name)
+                            : large_results_.Add(name.id, object.name);
+    case RecordType::kPart:
     case RecordType::kUnknown:
       return LogWarning("record_unknown", {{"name", object.name}});
   }
--- a/libs/gateway/src/batch/record_reader.h
+++ b/libs/gateway/src/batch/record_reader.h
@@ -13,6 +13,7 @@
 
 namespace knapweedstile::gateway {
 
+class LargeResultIndex;
 struct RecordName;
 
 // Where a record comes from.
@@ -31,7 +32,8 @@
     std::function<void(const std::string& job)> job_updated;
   };
 
-  RecordReader(serving::JobTable& jobs, Callbacks callbacks);
+  RecordReader(serving::JobTable& jobs, LargeResultIndex& large_results,
+               Callbacks callbacks);
 
   void ApplyRecord(const platform::StoredObject& object, RecordOrigin origin);
 
@@ -42,6 +44,7 @@
                   RecordOrigin origin);
 
   serving::JobTable& jobs_;
+  LargeResultIndex& large_results_;
   Callbacks callbacks_;
 };
 
--- a/libs/gateway/src/batch/result_committer.cc
+++ b/libs/gateway/src/batch/result_committer.cc
@@ -1,11 +1,14 @@
 #include "batch/result_committer.h"
 
+#include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <utility>
 
 #include "base/clock.h"
 #include "base/log.h"
 #include "batch/job_records.h"
+#include "batch/large_result.h"
+#include "batch/large_result_writer.h"
 #include "batch/record_kinds.h"
 #include "platform/store_request.h"
 #include "store/store_calls.h"
@@ -23,32 +26,21 @@
 constexpr std::chrono::milliseconds kRetryPause{250};
 // A slow store responds within a quarter of a second.
 constexpr std::chrono::milliseconds kWriteTimeout{1500};
-// Below the store's limit on the size of a value, which leaves space for
-// escapes.
-constexpr size_t kMaxSegmentBytes = 600 << 10;
-
-// Returns as many leading results as fit into one segment, at least one.
-std::vector<ItemResult> FirstSegment(std::vector<ItemResult>&& results) {
-  size_t bytes = 0;
-  size_t count = 0;
-  while (count < results.size()) {
-    bytes += results[count].output.size() + results[count].item.size();
-    if (count > 0 && bytes > kMaxSegmentBytes) break;
-    ++count;
-  }
-  results.resize(count);
-  return std::move(results);
-}
+// After the store has rejected even the smallest segment.
+constexpr std::chrono::seconds kRejectedPause{60};
+constexpr size_t kMinSegmentBytes = 64;
 
 }  // namespace
 
 ResultCommitter::ResultCommitter(
     StoreCalls& store, const RecordKinds& kinds, serving::JobTable& jobs,
+    LargeResultWriter& large_results,
     std::function<void(const std::string&)> committed,
     std::function<void(const StoreRecord&)> written)
     : store_(store),
       kinds_(kinds),
       jobs_(jobs),
+      large_results_(large_results),
       committed_(std::move(committed)),
       written_(std::move(written)) {}
 
@@ -66,21 +58,51 @@
       continue;
     }
     const serving::BatchJob* known = jobs_.Find(job);
-    if (!known || known->ended || jobs_.UncommittedResults(job).empty()) {
+    if (!known || known->ended || !jobs_.HasUncommittedResults(job)) {
       at = pending_.erase(at);
       continue;
     }
-    Write(job, pending);
+    Write(job, pending, now);
     ++at;
   }
 }
 
-void ResultCommitter::Write(const std::string& job, Pending& pending) {
-  pending.in_flight = true;
+bool ResultCommitter::FillSegment(const std::string& job, Pending& pending) {
+  std::vector<ItemResult> results;
+  size_t bytes = 0;
+  for (ItemResult& result :
+       jobs_.UncommittedResults(job, large_results_.ItemsOf(job))) {
+    const size_t size = EncodedSize(result);
+    if (size > pending.max_bytes && !result.output.empty()) {
+      large_results_.Begin(job, result);
+      continue;
+    }
+    if (!results.empty() && bytes + size > pending.max_bytes) continue;
+    bytes += size;
+    results.push_back(std::move(result));
+  }
   pending.number = jobs_.Find(job)->segments;
-  pending.results = FirstSegment(jobs_.UncommittedResults(job));
-  pending.record = {SegmentName(job, pending.number),
-                    EncodeSegment(pending.results)};
+  pending.record = {SegmentName(job, pending.number), EncodeSegment(results)};
+  if (results.empty()) {
+    const auto large = large_results_.NextComplete(job);
+    if (!large) return false;
+    pending.record.value = EncodeLargeResult(*large);
+    results.push_back({.item = large->item,
+                       .state = large->state,
+                       .has_output = false,
+                       .in_parts = true});
+  }
+  pending.results = std::move(results);
+  return true;
+}
+
+void ResultCommitter::Write(const std::string& job, Pending& pending,
+                            TimePoint now) {
+  if (!FillSegment(job, pending)) {
+    pending.write_at = now + kBatchingDelay;
+    return;
+  }
+  pending.in_flight = true;
   store_.CallDirectOrRelayed(
       platform::WriteRequest{.kind = kinds_.KindOfJob(job),
                              .name = pending.record.name,
@@ -99,6 +121,8 @@
     case StoreOutcome::kConflict:
     case StoreOutcome::kUnknown:
       return ReadBack(job, pending.number);
+    case StoreOutcome::kRejected:
+      return OnRejected(job, answer.message);
     default:
       LogWarning("commit_postponed", {{"job", job},
                                       {"segment", pending.number},
@@ -108,6 +132,18 @@
   }
 }
 
+void ResultCommitter::OnRejected(const std::string& job,
+                                 const std::string& reason) {
+  Pending& pending = pending_[job];
+  const size_t size = pending.record.value.size();
+  large_results_.OnRejected(job, pending.record.name, size, reason);
+  ScheduleRetry(job);
+  if (pending.max_bytes <= kMinSegmentBytes) {
+    pending.write_at = MonotonicNow() + kRejectedPause;
+  }
+  pending.max_bytes = std::min(pending.max_bytes, size) / 2;
+}
+
 void ResultCommitter::ReadBack(const std::string& job, uint32_t number) {
   store_.CallDirectOrRelayed(
       platform::ReadRequest{.kind = kinds_.KindOfJob(job),
--- a/libs/gateway/src/batch/result_committer.h
+++ b/libs/gateway/src/batch/result_committer.h
@@ -14,6 +14,7 @@
 
 namespace knapweedstile::gateway {
 
+class LargeResultWriter;
 class RecordKinds;
 class StoreCalls;
 
@@ -23,10 +24,14 @@
 // has all earlier segments. If two gateways ran the same item, one commits its
 // result and the other finds it in the committed segment. If the response to a
 // write is lost, the segment is read back before the next step.
+//
+// A result that does not fit into a segment is committed by itself, once its
+// output is in the store in parts; other results do not wait for it. A segment
+// that the store rejects for good is followed by smaller ones.
 class ResultCommitter {
  public:
   ResultCommitter(StoreCalls& store, const RecordKinds& kinds,
-                  serving::JobTable& jobs,
+                  serving::JobTable& jobs, LargeResultWriter& large_results,
                   std::function<void(const std::string& job)> committed,
                   std::function<void(const StoreRecord& record)> written);
 
@@ -38,16 +43,22 @@
   bool idle() const noexcept { return pending_.empty(); }
 
  private:
+  // Below the store's limit on the size of a value.
+  static constexpr size_t kMaxSegmentBytes = 800 << 10;
   struct Pending {
     TimePoint write_at{};
     bool in_flight = false;
     uint32_t number = 0;  // of the segment in flight
     StoreRecord record;   // the segment in flight
     std::vector<serving::ItemResult> results;
+    size_t max_bytes = kMaxSegmentBytes;
   };
 
-  void Write(const std::string& job, Pending& pending);
+  void Write(const std::string& job, Pending& pending, TimePoint now);
+  // Chooses what the next segment lists; false: nothing yet.
+  bool FillSegment(const std::string& job, Pending& pending);
   void OnWritten(const std::string& job, platform::StoreAnswer&& answer);
+  void OnRejected(const std::string& job, const std::string& reason);
   void ReadBack(const std::string& job, uint32_t number);
   void OnReadBack(const std::string& job, uint32_t number,
                   platform::StoreAnswer&& answer);
@@ -58,6 +69,7 @@
   StoreCalls& store_;
   const RecordKinds& kinds_;
   serving::JobTable& jobs_;
+  LargeResultWriter& large_results_;
   std::function<void(const std::string&)> committed_;
   std::function<void(const StoreRecord&)> written_;
   std::map<std::string, Pending> pending_;  // by job key
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -257,6 +257,7 @@
   RunOriginRecord(now);
   online_.Run(now, now + kTick);
   RunBatch(now);
+  large_result_writer_.Run(now);
   committer_.Run(now);
   collector_.Run(now, record_mirrors_.caught_up());
   batch_api_.Expire(now);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -16,6 +16,9 @@
 #include "batch/job_forwarder.h"
 #include "batch/job_ownership.h"
 #include "batch/job_writer.h"
+#include "batch/large_result_index.h"
+#include "batch/large_result_reader.h"
+#include "batch/large_result_writer.h"
 #include "batch/native_batch_api.h"
 #include "batch/outline_calls.h"
 #include "batch/record_fetcher.h"
@@ -214,12 +217,15 @@
   ServerConnections connections_;
   OnlineCalls online_;
   BatchRunner runner_;
+  LargeResultIndex large_result_index_;
+  LargeResultWriter large_result_writer_;
   ResultCommitter committer_;
   JobWriter writer_;
   BatchApi batch_api_;
   NativeBatchApi native_batch_api_;
   JobForwarder forwarder_;
   RecordReader record_reader_;
+  LargeResultReader large_result_reader_;
   RecordFetcher record_fetcher_;
   OutlineCalls outline_calls_;
   RequestAdmission admission_;
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -25,6 +25,8 @@
 // Results are kept for longer than promised, because each gateway counts from
 // when it received the job and callers may read late.
 constexpr int kRetentionFactor = 2;
+// For one part of a large result on the link of a small VM.
+constexpr std::chrono::milliseconds kPartReadTimeout{1500};
 
 http::ServerSettings CallerServerSettings() {
   http::ServerSettings settings;
@@ -283,8 +285,10 @@
                [this](const serving::Route& route, const std::string& service) {
                  return policies_.ExcludedServers(route, service, "");
                }}),
+      large_result_writer_(store_, record_kinds_, jobs_, large_result_index_,
+                           metrics_),
       committer_(
-          store_, record_kinds_, jobs_,
+          store_, record_kinds_, jobs_, large_result_writer_,
           [this](const std::string& job) { batch_api_.OnProgress(job); },
           [this](const StoreRecord& record) { PushRecord(record); }),
       writer_(
@@ -349,10 +353,18 @@
                },
            .holders =
                [this](std::string_view job) { return HolderAddresses(job); }}),
-      record_reader_(jobs_, {.job_updated =
-                                 [this](const std::string& job) {
-                                   batch_api_.OnProgress(job);
-                                 }}),
+      record_reader_(
+          jobs_, large_result_index_,
+          {.job_updated =
+               [this](const std::string& job) { batch_api_.OnProgress(job); }}),
+      large_result_reader_(
+          jobs_,
+          [this](const std::string& name,
+                 std::function<void(platform::StoreAnswer&&)> done) {
+            store_.CallDirectOrRelayed(
+                platform::ReadRequest{.kind = kPartKind, .name = name},
+                MonotonicNow() + kPartReadTimeout, std::move(done));
+          }),
       record_fetcher_(
           {.store_reachable = [this] { return store_.reachable(); },
            .read =
@@ -363,8 +375,13 @@
                      platform::ReadRequest{.kind = record_kinds_.KindOfJob(job),
                                            .name = name},
                      deadline,
-                     [done = std::move(done)](platform::StoreAnswer&& answer) {
-                       done(answer, MonotonicNow());
+                     [this,
+                      done = std::move(done)](platform::StoreAnswer&& answer) {
+                       large_result_reader_.Complete(
+                           std::move(answer),
+                           [done](const platform::StoreAnswer& completed) {
+                             done(completed, MonotonicNow());
+                           });
                      });
                },
            .apply =
@@ -437,7 +454,7 @@
                [this] { return follower_.ConfigurationAge(MonotonicNow()); },
            .reload_configuration =
                [this] { follower_.ReadConfiguration(MonotonicNow()); }}),
-      collector_(store_, record_kinds_, jobs_,
+      collector_(store_, record_kinds_, jobs_, large_result_index_,
                  {.retention = settings.result_retention * kRetentionFactor},
                  [this](const std::string& job) {
                    return ownership_.CollectsRecordsOf(job);
--- a/libs/gateway/src/store/record_collector.cc
+++ b/libs/gateway/src/store/record_collector.cc
@@ -6,6 +6,8 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "batch/job_records.h"
+#include "batch/large_result.h"
+#include "batch/large_result_index.h"
 #include "batch/record_kinds.h"
 #include "platform/store_request.h"
 #include "store/store_calls.h"
@@ -23,10 +25,12 @@
 
 RecordCollector::RecordCollector(
     StoreCalls& store, const RecordKinds& kinds, serving::JobTable& jobs,
-    Settings settings, std::function<bool(const std::string&)> collects)
+    LargeResultIndex& large_results, Settings settings,
+    std::function<bool(const std::string&)> collects)
     : store_(store),
       kinds_(kinds),
       jobs_(jobs),
+      large_results_(large_results),
       settings_(settings),
       collects_job_(std::move(collects)) {}
 
@@ -57,13 +61,17 @@
         pending_deletes_.push_back(SegmentName(id, number));
       }
       if (job.ended) pending_deletes_.push_back(EndName(id));
+      DeleteLargeResults(id);
       jobs_.RemoveJob(id);
     }
   }
 }
 
 void RecordCollector::FindOrphans(TimePoint now) {
-  const std::map<std::string, std::vector<uint32_t>> found = jobs_.Orphans();
+  std::map<std::string, std::vector<uint32_t>> found = jobs_.Orphans();
+  for (const auto& [id, markers] : large_results_.jobs()) {
+    if (!jobs_.Find(id)) found.try_emplace(id);
+  }
   std::erase_if(orphaned_since_, [&](const auto& orphan) {
     return !found.contains(orphan.first);
   });
@@ -74,23 +82,32 @@
       pending_deletes_.push_back(SegmentName(id, number));
     }
     pending_deletes_.push_back(EndName(id));
+    DeleteLargeResults(id);
     LogWarning("orphans_collected",
                {{"job", id}, {"segments", segments.size()}});
     jobs_.RemoveJob(id);
   }
 }
 
+void RecordCollector::DeleteLargeResults(const std::string& job) {
+  for (std::string& name : large_results_.Take(job)) {
+    pending_deletes_.push_back(std::move(name));
+  }
+}
+
 void RecordCollector::DeleteNext() {
   in_flight_ = true;
   const std::string name = pending_deletes_.front();
   pending_deletes_.pop_front();
-  store_.Call(
-      platform::DeleteRequest{
-          .kind = kinds_.KindOfJob(ParseRecordName(name).id), .name = name},
-      MonotonicNow() + kDeleteTimeout,
-      [this, name](platform::StoreAnswer&& answer) {
-        OnDeleted(name, answer);
-      });
+  const RecordName record = ParseRecordName(name);
+  store_.Call(platform::DeleteRequest{.kind = record.type == RecordType::kPart
+                                                  ? std::string(kPartKind)
+                                                  : kinds_.KindOfJob(record.id),
+                                      .name = name},
+              MonotonicNow() + kDeleteTimeout,
+              [this, name](platform::StoreAnswer&& answer) {
+                OnDeleted(name, answer);
+              });
 }
 
 void RecordCollector::OnDeleted(const std::string& name,
--- a/libs/gateway/src/store/record_collector.h
+++ b/libs/gateway/src/store/record_collector.h
@@ -13,6 +13,7 @@
 
 namespace knapweedstile::gateway {
 
+class LargeResultIndex;
 class RecordKinds;
 class StoreCalls;
 
@@ -22,7 +23,7 @@
 // The job's own record is deleted first. If it were the last, a gateway that
 // starts during the deletion would find a job without its results and run it
 // again. Records that were left without their job because a collector crashed
-// are found as orphans.
+// are found as orphans. Markers are deleted after the parts that they name.
 class RecordCollector {
  public:
   struct Settings {
@@ -31,7 +32,8 @@
   };
 
   RecordCollector(StoreCalls& store, const RecordKinds& kinds,
-                  serving::JobTable& jobs, Settings settings,
+                  serving::JobTable& jobs, LargeResultIndex& large_results,
+                  Settings settings,
                   std::function<bool(const std::string& job)> collects);
 
   // `has_records`: the records of all jobs that this gateway holds have been
@@ -41,12 +43,14 @@
  private:
   void FindExpired(TimePoint now);
   void FindOrphans(TimePoint now);
+  void DeleteLargeResults(const std::string& job);
   void DeleteNext();
   void OnDeleted(const std::string& name, const platform::StoreAnswer& answer);
 
   StoreCalls& store_;
   const RecordKinds& kinds_;
   serving::JobTable& jobs_;
+  LargeResultIndex& large_results_;
   Settings settings_;
   std::function<bool(const std::string&)> collects_job_;
   TimePoint next_search_at_{};
--- a/libs/gateway/tests/record_collector_test.cc
+++ b/libs/gateway/tests/record_collector_test.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include "batch/job_records.h"
+#include "batch/large_result_index.h"
 #include "batch/record_kinds.h"
 #include "cluster/fleet_view.h"
 #include "store/store_calls.h"
@@ -19,8 +21,10 @@
   RecordKinds kinds{fleet};
   StoreCalls store{io, "127.0.0.1:1"};
   serving::JobTable jobs;
-  RecordCollector collector{
-      store, kinds, jobs, {}, [](const std::string&) { return true; }};
+  LargeResultIndex large_results;
+  RecordCollector collector{store, kinds,
+                            jobs,  large_results,
+                            {},    [](const std::string&) { return true; }};
   TimePoint now{seconds(1000)};
 
   Fixture() { jobs.AddSegment("job-a", 0, {{.item = "item-1"}}); }
@@ -44,4 +48,15 @@
   CHECK_FALSE(fixture.RunFor(seconds(20), /*has_records=*/true));
 }
 
+// Guards against parts of large results that stay in the store when their
+// writer or a collector has crashed.
+TEST_CASE("a marker without its job is collected as an orphan") {
+  Fixture fixture;
+  fixture.large_results.Add("job-b", MarkerName("job-b", "0f", 2));
+  fixture.RunFor(seconds(50), /*has_records=*/true);
+  CHECK(fixture.large_results.jobs().contains("job-b"));
+  fixture.RunFor(seconds(20), /*has_records=*/true);
+  CHECK(fixture.large_results.jobs().empty());
+}
+
 }  // namespace knapweedstile::gateway
--- a/libs/serving/include/serving/batch_job.h
+++ b/libs/serving/include/serving/batch_job.h
@@ -57,6 +57,13 @@
     }
     return std::nullopt;
   }
+  // Whether the segment's outputs are missing because the store has them in
+  // parts only.
+  bool InParts(uint32_t segment) const {
+    const auto found = outline_segments.find(segment);
+    return found != outline_segments.end() &&
+           results[found->second.first].in_parts;
+  }
 };
 
 }  // namespace knapweedstile::serving
--- a/libs/serving/include/serving/item_result.h
+++ b/libs/serving/include/serving/item_result.h
@@ -17,6 +17,7 @@
   ItemState state = ItemState::kCompleted;
   std::string output;      // the data of all events, joined by line feeds
   bool has_output = true;  // false: an outline, the output is elsewhere
+  bool in_parts = false;   // in the store; the output is too large for a value
 };
 
 }  // namespace knapweedstile::serving
--- a/libs/serving/include/serving/job_table.h
+++ b/libs/serving/include/serving/job_table.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,9 @@
                   std::vector<ItemResult>&& results);
   void EndJob(const std::string& job);
   void RemoveJob(const std::string& job);
+  // Frees the output of a segment with a single result, at `position`, that can
+  // be read again.
+  void DropOutput(const std::string& job, uint32_t number, size_t position);
 
   // Commands: runs of this gateway.
   void SetRunning(const ItemRef& item);
@@ -98,7 +102,9 @@
   // Segments and ends whose job is unknown, by job id.
   std::map<std::string, std::vector<uint32_t>> Orphans() const;
   // Results of finished items of a job that are not committed yet.
-  std::vector<ItemResult> UncommittedResults(const std::string& job) const;
+  std::vector<ItemResult> UncommittedResults(
+      const std::string& job, const std::set<std::string>& except = {}) const;
+  bool HasUncommittedResults(const std::string& job) const;
   const std::map<std::string, BatchJob, std::less<>>& jobs() const noexcept {
     return jobs_;
   }
--- a/libs/serving/src/job_table.cc
+++ b/libs/serving/src/job_table.cc
@@ -136,6 +136,20 @@
   uncommitted_states_.erase(id);
 }
 
+void JobTable::DropOutput(const std::string& id, uint32_t number,
+                          size_t position) {
+  BatchJob* job = Find(id);
+  if (!job || number >= job->segments || position >= job->results.size()) {
+    return;
+  }
+  ItemResult& result = job->results[position];
+  if (!result.in_parts) return;
+  result.has_output = false;
+  result.output.clear();
+  result.output.shrink_to_fit();
+  job->outline_segments[number] = {position, position + 1};
+}
+
 void JobTable::SetRunning(const ItemRef& item) {
   BatchJob* job = Find(item.job);
   if (job) job->progress[item.index].phase = ItemPhase::kRunning;
@@ -378,13 +392,20 @@
   return orphans;
 }
 
+bool JobTable::HasUncommittedResults(const std::string& id) const {
+  const auto finished = uncommitted_states_.find(id);
+  return Find(id) && finished != uncommitted_states_.end() &&
+         !finished->second.empty();
+}
+
 std::vector<ItemResult> JobTable::UncommittedResults(
-    const std::string& id) const {
+    const std::string& id, const std::set<std::string>& except) const {
   std::vector<ItemResult> results;
   const BatchJob* job = Find(id);
   const auto finished = uncommitted_states_.find(id);
   if (!job || finished == uncommitted_states_.end()) return results;
   for (const auto& [index, state] : finished->second) {
+    if (except.contains(job->items[index].id)) continue;
     ItemResult result{.item = job->items[index].id, .state = state};
     if (state == ItemState::kCompleted) {
       result.output = job->progress[index].output;
--- a/tests/users_platform/model_server.cc
+++ b/tests/users_platform/model_server.cc
@@ -200,6 +200,7 @@
 }
 
 std::string ModelServer::EventData(const Stream& stream) const {
+  if (event_data) return event_data(runs_[stream.run].target, stream.next);
   if (!completions) {
     const Run& run = runs_[stream.run];
     const std::string version = name_requests ? " at " + run.software : "";
--- a/tests/users_platform/model_server.h
+++ b/tests/users_platform/model_server.h
@@ -49,6 +49,9 @@
   // Events of one stream and the time between two of them.
   int events = 5;
   std::chrono::milliseconds event_interval{2};
+  // Data of the event `number` of a stream, in place of the usual text.
+  std::function<std::string(const std::string& target, uint64_t number)>
+      event_data;
   // Delay before the first byte of a response.
   std::chrono::milliseconds first_byte_delay{0};
 
--- a/tests/users_platform/object_store.cc
+++ b/tests/users_platform/object_store.cc
@@ -121,6 +121,14 @@
   return count;
 }
 
+std::vector<std::string> ObjectStore::Names(const std::string& kind) const {
+  std::vector<std::string> names;
+  const auto objects = kinds_.find(kind);
+  if (objects == kinds_.end()) return names;
+  for (const auto& [name, object] : objects->second) names.push_back(name);
+  return names;
+}
+
 json::value ObjectStore::Status(const std::string& kind,
                                 const std::string& name) const {
   const auto objects = kinds_.find(kind);
@@ -300,6 +308,12 @@
   }
   const json::value body = json::parse(request.body);
   const json::object& metadata = body.as_object().at("metadata").as_object();
+  const json::value* value =
+      body.as_object().if_contains(status ? "status" : "spec");
+  if (value && json::serialize(*value).size() > max_value_bytes) {
+    ++oversized_writes_;
+    return RespondJson(request.exchange, 413, {});
+  }
   const bool create = request.method == "POST";
   if (create) name = std::string(metadata.at("name").as_string());
   const auto found = kinds_[kind].find(name);
--- a/tests/users_platform/object_store.h
+++ b/tests/users_platform/object_store.h
@@ -60,6 +60,7 @@
 
   // State for the checks of tests.
   size_t Count(const std::string& kind, const std::string& prefix) const;
+  std::vector<std::string> Names(const std::string& kind) const;
   boost::json::value Status(const std::string& kind,
                             const std::string& name) const;
   boost::json::value Spec(const std::string& kind,
@@ -67,6 +68,10 @@
   // Whether the spec of any object of the kind contains the text.
   bool ContainsText(const std::string& kind, const std::string& text) const;
   int writes() const noexcept { return writes_; }
+  // Writes that were rejected because the value exceeds the store's limit.
+  int oversized_writes() const noexcept { return oversized_writes_; }
+  // Largest value that the store accepts.
+  size_t max_value_bytes = 1 << 20;
 
  private:
   struct Object {
@@ -128,6 +133,7 @@
   std::chrono::milliseconds write_delay_{0};
   std::chrono::milliseconds list_delay_{0};
   int writes_ = 0;
+  int oversized_writes_ = 0;
   uint64_t revision_ = 10;
   uint64_t oldest_revision_ = 10;  // older history has been dropped
   std::map<std::string, std::map<std::string, Object>> kinds_;
