A page of several results has at most 1 MB with its escapes

Callers could get pages of over 1 MB: results were measured as raw bytes, and a quote or a control character takes two to six bytes in JSON. Class: a size that is measured before the encoding that the limit is about.

--- a/tests/users_platform/gateway_large_result_test.cc
+++ b/tests/users_platform/gateway_large_result_test.cc
@@ -17,20 +17,22 @@
 constexpr char kRecords[] = "knapweedstile";
 constexpr char kParts[] = "knapweedstile-parts";
 
-// Two gateways and a server that answers the job's first item with a given
-// text per event.
+// Two gateways and a server that answers the job's first item, or all of its
+// items, with a given text per event.
 struct LargeResults {
   Site site;
   ModelServer& server;
   std::string text;
+  bool for_all_items = false;
   std::string large_item = std::string(kJob) + "-0";
 
   explicit LargeResults(std::string event_text)
       : server(site.AddServer("llm", "i-1", 8)), text(std::move(event_text)) {
     server.events = kEvents;
     server.event_data = [this](const std::string& target, uint64_t number) {
-      return target.ends_with(large_item) ? std::to_string(number) + text
-                                          : "word " + std::to_string(number);
+      return for_all_items || target.ends_with(large_item)
+                 ? std::to_string(number) + text
+                 : "word " + std::to_string(number);
     };
     site.Configure(2);
     site.AddGateway("entry-1");
@@ -99,6 +101,28 @@
   CHECK(fleet.site.store().oversized_writes() == 0);
 }
 
+// Guards against pages that are measured without their escapes.
+TEST_CASE("a page of several results has at most one megabyte") {
+  constexpr size_t kMaxPage = 1 << 20;
+  constexpr size_t kItems = 4;
+  LargeResults fleet(std::string(70000, '"'));
+  fleet.for_all_items = true;
+  fleet.Accept(kItems);
+  REQUIRE(fleet.Listed("entry-1", kItems).size() == kItems);
+  size_t after = 0;
+  while (after < kItems) {
+    const auto page =
+        fleet.site.Results("entry-1", kJob, static_cast<int>(after));
+    REQUIRE(page.status == 200);
+    CHECK(page.body.size() <= kMaxPage);
+    const json::value body = json::parse(page.body);
+    REQUIRE_FALSE(body.at("results").as_array().empty());
+    after += body.at("results").as_array().size();
+    CHECK(body.at("next_token") == after);
+  }
+  CHECK(after == kItems);
+}
+
 // Guards against results that wait behind one that the store takes long to
 // write, or refuses.
 TEST_CASE("a large result does not delay the other results of its job") {
