--- a/libs/gateway/src/batch/record_reader.h
+++ b/libs/gateway/src/batch/record_reader.h
@@ -17,6 +17,7 @@
 
 namespace knapweedstile::gateway {
 
+class LargeResultIndex;
 struct RecordName;
 
 // Where a record comes from.
@@ -35,7 +36,8 @@
     std::function<void(const std::string& job)> job_updated;
   };
 
-  RecordReader(serving::JobTable& jobs, Callbacks callbacks);
+  RecordReader(serving::JobTable& jobs, LargeResultIndex& large_results,
+               Callbacks callbacks);
 
   void ApplyRecord(const platform::StoredObject& object, RecordOrigin origin);
   // Removes the jobs that are absent in a complete list, so that jobs whose
@@ -54,6 +56,7 @@
                   RecordOrigin origin);
 
   serving::JobTable& jobs_;
+  LargeResultIndex& large_results_;
   Callbacks callbacks_;
 };
 
