--- a/libs/gateway/tests/record_reader_test.cc
+++ b/libs/gateway/tests/record_reader_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "batch/large_result_index.h"
 #include "serving/job_table.h"
 
 namespace knapweedstile::gateway {
@@ -13,7 +14,9 @@
 
 struct Fixture {
   serving::JobTable jobs;
-  RecordReader reader{jobs, {.job_updated = [](const std::string&) {}}};
+  LargeResultIndex large_results;
+  RecordReader reader{
+      jobs, large_results, {.job_updated = [](const std::string&) {}}};
 
   void AddJob(const std::string& id, TimePoint received_at) {
     serving::BatchJob job;
