Waves of crashes accuse no prompt part that few servers ran

Cause: CrashingParts judged a part by its own crashes alone. Three waves in which one request with the part ran on one of the servers counted as three crashes in turn; the ends of servers that had not run it counted for nothing. Class: evidence without what speaks against it.

ServerEnds keeps the ends of server processes, also under items and under requests without the part; gateways exchange them in two new fields of the peers' state. A crash accuses a part only if the part explains nearly all ends of its moment, or all of them if it has been answered. A guilty part explains the ends of its moment, so it is found as fast as before.

--- a/libs/gateway/src/batch/batch_answers.cc
+++ b/libs/gateway/src/batch/batch_answers.cc
@@ -154,7 +154,10 @@
 // runs break before the first event; from the third on, the pauses are seconds.
 void BatchRunner::OnAttemptBroken(ItemRun& run, std::string_view reason) {
   serving::ItemProgress& progress = Progress(run);
-  scheduler_.OnAttemptFailed(run.server, MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  scheduler_.OnAttemptFailed(run.server, now);
+  if (IsCrash(reason))
+    crashing_parts_.OnServerEnded(scheduler_.Process(run.server), now);
   if (!run.received_event) ++progress.breaks;
   const size_t step =
       std::min<size_t>(progress.breaks, kBrokenAttemptPauses.size() - 1);
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -353,6 +353,8 @@
                static_cast<double>(stream_registry_.known()));
   metrics_.Set("knap_prompt_parts_quarantined",
                static_cast<double>(crashing_parts_.quarantined()));
+  metrics_.Set("knap_server_processes_ended",
+               static_cast<double>(crashing_parts_.ended_processes()));
   metrics_.Set("knap_items_running", static_cast<double>(runner_.running()));
   SetWaitingItems(MonotonicNow());
   metrics_.Set("knap_connections_closed_unread",
--- a/libs/gateway/src/gateway_fleet.cc
+++ b/libs/gateway/src/gateway_fleet.cc
@@ -306,7 +306,10 @@
   PeerState state = OwnState();
   state.crashes = crash_tracker_.OwnCounts();
   state.crashing_parts = crashing_parts_.Report(now);
-  const bool crashes = !state.crashes.empty() || !state.crashing_parts.empty();
+  state.server_ends = crashing_parts_.ReportEnds();
+  const bool crashes = !state.crashes.empty() ||
+                       !state.crashing_parts.empty() ||
+                       !state.server_ends.empty();
   if (!rates && !crashes) return std::nullopt;
   if (!rates && now < summary_sent_at_ + kSummaryPause) return std::nullopt;
   summary_sent_at_ = now;
@@ -317,6 +320,7 @@
 void Gateway::OnPeerSummary(const PeerState& state) {
   follower_.OnPeerState(state, MonotonicNow());
   crash_tracker_.SetPeerCounts(state.gateway, state.crashes);
+  crashing_parts_.MergeEnds(state.server_ends);
   for (const auto& report : state.crashing_parts)
     crashing_parts_.Merge(report, MonotonicNow());
   if (!workspaces_.has_rate_limits()) return;
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -83,6 +83,9 @@
   metrics.DeclareGauge("knap_prompt_parts_quarantined",
                        "parts of prompts that crash servers; requests with one "
                        "are rejected");
+  metrics.DeclareGauge("knap_server_processes_ended",
+                       "backend servers' processes that this gateway or a "
+                       "peer saw end under requests in the last minute");
   metrics.DeclareCounter("knap_prompt_part_trials_total",
                          "requests that were sent to try a quarantined part");
   metrics.DeclareGauge("knap_items_running", "batch items in progress");
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -28,6 +28,7 @@
   } else {
     scheduler_.SetPeerUsage(state.gateway, state.usage, now);
     crash_tracker_.SetPeerCounts(state.gateway, state.crashes);
+    crashing_parts_.MergeEnds(state.server_ends);
     for (const auto& report : state.crashing_parts)
       crashing_parts_.Merge(report, now);
     if (!state.observations.empty()) {
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -153,6 +153,7 @@
                  state.running_items = runner_.RunningItemHashes();
                  state.crashes = crash_tracker_.OwnCounts();
                  state.crashing_parts = crashing_parts_.Report(now);
+                 state.server_ends = crashing_parts_.ReportEnds();
                  state.observations = scheduler_.pace().TakeObservations(now);
                  state.filled = sync_tracker_.RecentlyRecovered(now);
                  state.returns = online_.PromisedReturns(now);
--- a/libs/gateway/src/peers/peer_state.cc
+++ b/libs/gateway/src/peers/peer_state.cc
@@ -120,6 +120,29 @@
   return true;
 }
 
+void WriteServerEnds(const std::vector<serving::ServerEnd>& ends,
+                     wire::PeerStateMessage& message) {
+  const TimePoint now = MonotonicNow();
+  for (const serving::ServerEnd& end : ends) {
+    message.add_ended_process(end.process.value());
+    message.add_process_ended_millis_ago(MillisBetween(end.ended_at, now));
+  }
+}
+
+// Returns false if the parallel lists differ in length.
+bool ReadServerEnds(const wire::PeerStateMessage& message, PeerState& state) {
+  const TimePoint now = MonotonicNow();
+  const int count = message.ended_process_size();
+  if (message.process_ended_millis_ago_size() != count) return false;
+  for (int i = 0; i < count; ++i) {
+    const std::chrono::milliseconds ago(message.process_ended_millis_ago(i));
+    state.server_ends.push_back(
+        {.process = serving::ServerProcessId(message.ended_process(i)),
+         .ended_at = now - ago});
+  }
+  return true;
+}
+
 void WriteRate(const workspaces::RateReport& rate, wire::RateMessage& message) {
   message.set_uptime_millis(static_cast<uint64_t>(ToMillis(rate.uptime)));
   message.set_entries(rate.fleet_size);
@@ -213,6 +236,7 @@
     crash.set_breaks(count.breaks);
   }
   WriteCrashingParts(state.crashing_parts, message);
+  WriteServerEnds(state.server_ends, message);
   WriteObservations(state.observations, message);
   for (const auto& [gateway, count] : state.filled) {
     wire::FilledMessage& filled = *message.add_filled();
@@ -256,6 +280,7 @@
   if (!ReadUsage(message, state)) return std::nullopt;
   if (!ReadRate(message.rate(), state.rate)) return std::nullopt;
   if (!ReadCrashingParts(message, state)) return std::nullopt;
+  if (!ReadServerEnds(message, state)) return std::nullopt;
   state.running_items.assign(message.running_items().begin(),
                              message.running_items().end());
   for (const wire::CrashCountMessage& crash : message.crashes()) {
--- a/libs/gateway/src/peers/peer_state.h
+++ b/libs/gateway/src/peers/peer_state.h
@@ -12,6 +12,7 @@
 #include "peers/record_count.h"
 #include "serving/crash_count.h"
 #include "serving/crashing_part_report.h"
+#include "serving/server_end.h"
 #include "serving/server_observation.h"
 #include "serving/usage_by_process.h"
 #include "workspaces/rate_report.h"
@@ -54,6 +55,9 @@
   std::vector<serving::CrashCount> crashes;
   // Parts of prompts that may crash servers; full messages and summaries only.
   std::vector<serving::CrashingPartReport> crashing_parts;
+  // Ends of server processes that the sender has seen; full messages and
+  // summaries only.
+  std::vector<serving::ServerEnd> server_ends;
   // What the sender has observed of backend servers; some full messages only.
   std::vector<serving::ServerObservation> observations;
   // Gateways whose records the sender recently read from the store because a
--- a/libs/gateway/tests/peer_state_test.cc
+++ b/libs/gateway/tests/peer_state_test.cc
@@ -34,6 +34,8 @@
                          .sent_at = MonotonicNow() - std::chrono::seconds(3),
                          .ended_at = MonotonicNow() - std::chrono::seconds(2)}},
             .quarantined_until = MonotonicNow() + std::chrono::seconds(60)}},
+      .server_ends = {{.process = serving::ServerProcessId(~0ULL),
+                       .ended_at = MonotonicNow() - std::chrono::seconds(5)}},
       .observations = {{.process = serving::ServerProcessId(~0ULL),
                         .slowness = 1.5,
                         .attempts = 12,
@@ -78,6 +80,11 @@
   CHECK(std::abs(ToMillis(run) - 1000) <= 2);
   CHECK_FALSE(part.cleared_at);
   CHECK(part.quarantined_until > MonotonicNow() + std::chrono::seconds(50));
+  REQUIRE(received->server_ends.size() == 1);
+  const auto& end = received->server_ends[0];
+  CHECK(end.process == serving::ServerProcessId(~0ULL));
+  const Duration since_end = MonotonicNow() - end.ended_at;
+  CHECK(std::abs(ToMillis(since_end) - 5000) <= 100);
   REQUIRE(received->observations.size() == 1);
   CHECK(received->observations[0].process == sent.observations[0].process);
   CHECK(received->observations[0].slowness == 1.5);
--- a/libs/serving/include/serving/crashing_parts.h
+++ b/libs/serving/include/serving/crashing_parts.h
@@ -12,6 +12,8 @@
 
 #include "base/time.h"
 #include "serving/crashing_part_report.h"
+#include "serving/server_end.h"
+#include "serving/server_ends.h"
 #include "serving/usage_by_process.h"
 
 namespace knapweedstile::serving {
@@ -30,9 +32,15 @@
 // and a sound part may be taken: it is cleared once another part explains its
 // crashes as well.
 //
-// Crashes under items of batch jobs are no evidence, and items with a
-// quarantined part are run: an accepted item is owed whatever happened to its
-// servers. Their answers count like any other.
+// Servers that end at the same moment have a common cause unless the part
+// explains nearly all of them; for a part that has been answered, all of them.
+// A guilty part explains all ends of its moment, but for the few servers that
+// end beside it.
+//
+// Crashes under items of batch jobs are no evidence, but show which servers
+// ended at a moment, and items with a quarantined part are run: an accepted
+// item is owed whatever happened to its servers. Their answers count like any
+// other.
 //
 // A quarantined part is tried again by a single request at growing pauses,
 // since refused requests cannot show that it is sound. The time of the next
@@ -50,6 +58,8 @@
   // other requests may share, in order.
   void OnCrash(std::span<const uint64_t> parts, const ServerCrash& crash);
   void OnAnswered(std::span<const uint64_t> parts, TimePoint now);
+  // A server's process ended under an item.
+  void OnServerEnded(ServerProcessId process, TimePoint now);
   // The process has responded to a request sent at that time: crashes assumed
   // before were only lost connections.
   void OnServerResponded(ServerProcessId process, TimePoint sent_at);
@@ -58,6 +68,7 @@
   // A request was sent although its quarantined parts are, to try them.
   void OnTrialSent(std::span<const uint64_t> parts, TimePoint now);
   void Merge(const CrashingPartReport& report, TimePoint now);
+  void MergeEnds(std::span<const ServerEnd> ends);
   // Returns the parts that are quarantined from now on. Does nothing if called
   // again within a tenth of a second.
   std::vector<uint64_t> Update(TimePoint now);
@@ -73,7 +84,10 @@
   TimePoint NextTrialAt(std::span<const uint64_t> parts) const;
   // For the peers, the most incriminating first.
   std::vector<CrashingPartReport> Report(TimePoint now) const;
+  std::vector<ServerEnd> ReportEnds() const { return ends_.Report(); }
   size_t quarantined() const;
+  // Server processes that have ended lately, as far as known.
+  size_t ended_processes() const { return ends_.Processes().size(); }
 
  private:
   struct Evidence {
@@ -99,6 +113,7 @@
   };
   using Processes = std::set<ServerProcessId>;
 
+  void AddEnd(const ServerEnd& end, bool own);
   void AddCrash(Part& part, const ServerCrash& crash, bool own);
   // The part crashes no server, as of that time.
   static void Clear(Part& part, TimePoint at);
@@ -110,10 +125,11 @@
   TimePoint TrialDueAt(uint64_t id, const Part& part) const;
   // Counts a trial that has crashed its server.
   void CountFailedTrial(Part& part, TimePoint now) const;
-  // Servers that ended within the same moment.
-  size_t CrashesAround(TimePoint at) const;
-  static std::vector<ServerCrash> Unexplained(const Part& part,
-                                              const Processes& explained);
+  // Whether many servers that did not run the part ended at that moment too.
+  bool HasCommonCause(const Part& part, TimePoint at) const;
+  // The crashes that accuse the part.
+  std::vector<ServerCrash> Unexplained(const Part& part,
+                                       const Processes& explained) const;
   static Processes ProcessesOf(const Part& part);
   // The part that explains most of what `explained` does not; null if that does
   // not prove anything.
@@ -122,7 +138,9 @@
 
   uint64_t seed_;
   std::unordered_map<uint64_t, Part> parts_;
-  std::unordered_set<ServerProcessId> crashed_;  // processes in the evidence
+  ServerEnds ends_;
+  // Processes in `ends_` and in the evidence.
+  std::unordered_set<ServerProcessId> crashed_;
   TimePoint next_update_at_{};
 };
 
--- a/libs/serving/src/crashing_parts.cc
+++ b/libs/serving/src/crashing_parts.cc
@@ -15,9 +15,13 @@
 constexpr size_t kCrashesToQuarantine = 3;
 // Proof as well, if they came at two different moments.
 constexpr size_t kManyCrashes = 5;
-// Servers that are ended together end within this time, in which a gateway
-// still sends requests to those that it has not seen end.
-constexpr std::chrono::milliseconds kMoment{300};
+// Requests sent so long after the first server's end were not sent to servers
+// that end with it: a gateway may not have seen it yet.
+constexpr std::chrono::milliseconds kLaterMoment{300};
+// Servers that end together have a common cause if at least so many of them did
+// not run the part, and those that did are less than this share.
+constexpr size_t kMinOthers = 2;
+constexpr double kMinShareAmongEnds = 0.75;
 // Two intervals of the reports between gateways, with some slack: answers that
 // other gateways have received clear a part in this time.
 constexpr std::chrono::milliseconds kAnswersKnownAfter{700};
@@ -63,7 +67,7 @@
   std::set<uint64_t> requests;
   for (const ServerCrash& crash : crashes) {
     if (!requests.insert(crash.request).second) continue;
-    if (crash.sent_at >= crashes.front().ended_at + kMoment)
+    if (crash.sent_at >= crashes.front().ended_at + kLaterMoment)
       later_moment = true;
     if (crash.sent_at < previous_end) continue;
     previous_end = crash.ended_at;
@@ -96,13 +100,26 @@
     part.crashes.erase(part.crashes.begin());
   }
   part.crashes.push_back({crash, own});
-  crashed_.insert(crash.process);
   part.expires_at =
       std::max(part.expires_at, crash.ended_at + Duration(kCrashLifetime));
 }
 
+void CrashingParts::AddEnd(const ServerEnd& end, bool own) {
+  ends_.Add(end, own);
+  crashed_.insert(end.process);
+}
+
+void CrashingParts::OnServerEnded(ServerProcessId process, TimePoint now) {
+  AddEnd({process, now}, /*own=*/true);
+}
+
+void CrashingParts::MergeEnds(std::span<const ServerEnd> ends) {
+  for (const ServerEnd& end : ends) AddEnd(end, /*own=*/false);
+}
+
 void CrashingParts::OnCrash(std::span<const uint64_t> parts,
                             const ServerCrash& crash) {
+  AddEnd({crash.process, crash.ended_at}, /*own=*/true);
   uint32_t position = 0;
   for (const uint64_t id : parts) {
     Part& part = parts_[id];
@@ -151,6 +168,7 @@
 void CrashingParts::OnServerResponded(ServerProcessId process,
                                       TimePoint sent_at) {
   if (!crashed_.contains(process)) return;
+  ends_.OnResponded(process, sent_at);
   for (auto& [id, part] : parts_) {
     std::erase_if(part.crashes, [&](const Evidence& evidence) {
       return evidence.crash.process == process &&
@@ -200,23 +218,24 @@
   return part.next_trial_at + FromSeconds(halvings * kDelayHalving.count());
 }
 
-size_t CrashingParts::CrashesAround(TimePoint at) const {
-  Processes processes;
-  for (const auto& [id, part] : parts_) {
-    for (const Evidence& evidence : part.crashes) {
-      const ServerCrash& crash = evidence.crash;
-      if (crash.ended_at >= at - kMoment && crash.ended_at <= at + kMoment)
-        processes.insert(crash.process);
-    }
-  }
-  return processes.size();
+bool CrashingParts::HasCommonCause(const Part& part, TimePoint at) const {
+  const Processes ended = ends_.Around(at);
+  const Processes under_part = ProcessesOf(part);
+  const auto ran = static_cast<size_t>(std::count_if(
+      ended.begin(), ended.end(),
+      [&](ServerProcessId process) { return under_part.contains(process); }));
+  // A part that has been answered must explain all of them.
+  if (part.cleared_at != TimePoint{}) return ran < ended.size();
+  return ended.size() >= ran + kMinOthers &&
+         static_cast<double>(ran) <
+             kMinShareAmongEnds * static_cast<double>(ended.size());
 }
 
 void CrashingParts::CountFailedTrial(Part& part, TimePoint now) const {
   const TimePoint at = part.trial_crashed_at;
   if (at == TimePoint{} || at + kAnswersKnownAfter > now) return;
   part.trial_crashed_at = TimePoint{};
-  if (CrashesAround(at) > kCrashesToQuarantine) return;
+  if (HasCommonCause(part, at)) return;
   ++part.failed_trials;
   part.next_trial_at =
       std::max(part.next_trial_at, TrialAfter(at, part.failed_trials));
@@ -238,8 +257,10 @@
   Part& part = parts_[report.part];
   part.position = std::max(part.position, report.position);
   part.expires_at = std::max(part.expires_at, now + Duration(kAnswerLifetime));
-  for (const ServerCrash& crash : report.crashes)
+  for (const ServerCrash& crash : report.crashes) {
+    AddEnd({crash.process, crash.ended_at}, /*own=*/false);
     AddCrash(part, crash, /*own=*/false);
+  }
   if (report.cleared_at) Clear(part, *report.cleared_at);
   if (!report.quarantined_until || IsCleared(part)) return;
   part.quarantined_until =
@@ -249,11 +270,12 @@
 }
 
 std::vector<ServerCrash> CrashingParts::Unexplained(
-    const Part& part, const Processes& explained) {
+    const Part& part, const Processes& explained) const {
   std::vector<ServerCrash> crashes;
   for (const Evidence& evidence : part.crashes) {
-    if (!explained.contains(evidence.crash.process))
-      crashes.push_back(evidence.crash);
+    const ServerCrash& crash = evidence.crash;
+    if (explained.contains(crash.process)) continue;
+    if (!HasCommonCause(part, crash.ended_at)) crashes.push_back(crash);
   }
   return crashes;
 }
@@ -308,7 +330,9 @@
   if (now < next_update_at_) return {};
   next_update_at_ = now + kUpdateInterval;
   Processes explained;
-  crashed_.clear();
+  ends_.RemoveUntil(now - kCrashLifetime);
+  const Processes ended = ends_.Processes();
+  crashed_ = {ended.begin(), ended.end()};
   std::erase_if(parts_,
                 [now](const auto& p) { return p.second.expires_at <= now; });
   for (auto& [id, part] : parts_) {
--- a/tests/users_platform/gateway_common_crash_test.cc
+++ b/tests/users_platform/gateway_common_crash_test.cc
@@ -47,6 +47,15 @@
     }
     return request;
   }
+  // Whether a server has begun to run the request.
+  bool Runs(const std::string& id) const {
+    return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
+      return std::any_of(server->runs().begin(), server->runs().end(),
+                         [&](const auto& run) {
+                           return run.headers.Find("Request-Id") == id;
+                         });
+    });
+  }
   int RunsSince(TimePoint time) const {
     int count = 0;
     for (const ModelServer* server : servers) {
@@ -114,4 +123,30 @@
   CHECK(page.at("results").as_array().size() == kItems);
 }
 
+// Guards against a sound part that is quarantined because one of the servers
+// ran a request with it each time that all crashed.
+TEST_CASE("waves of crashes under items accuse no part of single requests") {
+  CommonCrash fleet;
+  REQUIRE(fleet.site.Call(fleet.Job("job-a")).status == 202);
+  TimePoint crashed_at{};
+  for (int wave = 1; wave <= 3; ++wave) {
+    REQUIRE(fleet.site.caller().RunUntil(
+        [&] { return fleet.RunsSince(crashed_at) >= 6; }));
+    const std::string id = "r" + std::to_string(wave);
+    const ExchangeId request = fleet.site.caller().Begin(
+        fleet.Online("entry-" + std::to_string(wave % 2 + 1), id));
+    REQUIRE(fleet.site.caller().RunUntil([&] { return fleet.Runs(id); }));
+    crashed_at = MonotonicNow();
+    for (ModelServer* server : fleet.servers) fleet.site.CrashServer(*server);
+    fleet.site.caller().RunFor(std::chrono::milliseconds(100));
+    fleet.site.caller().Cancel(request);
+  }
+  // Evidence has been reported by then.
+  fleet.site.caller().RunFor(std::chrono::milliseconds(1200));
+  for (const char* gateway : {"entry-1", "entry-2"}) {
+    const std::string id = std::string("later-at-") + gateway;
+    CHECK(fleet.site.Call(fleet.Online(gateway, id)).status == 200);
+  }
+}
+
 }  // namespace knapweedstile::users_site
