--- a/libs/gateway/tests/list_cursor_test.cc
+++ b/libs/gateway/tests/list_cursor_test.cc
@@ -8,6 +8,7 @@
 std::vector<platform::StoredObject> PageOf(
     const std::vector<std::string>& names) {
   std::vector<platform::StoredObject> page;
+  page.reserve(names.size());
   for (const std::string& name : names) page.push_back({.name = name});
   return page;
 }
