--- a/libs/gateway/src/store/kind_mirror.cc
+++ b/libs/gateway/src/store/kind_mirror.cc
@@ -146,13 +146,13 @@
 void KindMirror::ReadAgain() {
   if (waiting_for_updates_) return ReadNow();
   if (pausing_) return SkipPause();
-  if (!watching_ || listing_) return;
+  if (!watching_ || lists_pages()) return;
   SupersedeCall();
   ReadNow();
 }
 
 void KindMirror::RenewWatch() {
-  if (!watching_ || listing_ ||
+  if (!watching_ || lists_pages() ||
       MonotonicNow() - call_began_ < kSilentWatchThreshold) {
     return;
   }
@@ -166,7 +166,7 @@
   // Guards against a list that never completes: on a VM with a busy link,
   // responses arrive late, and the store is considered lost and regained
   // several times a second. Each time, all records would be listed again.
-  if (settings_.large_kind && listing_) {
+  if (lists_pages()) {
     if (!retrying_) return;
     EndPause();
     return cursor_.complete() ? ReadHistory() : ReadPage();
@@ -179,7 +179,7 @@
 
 void KindMirror::Refresh() {
   const TimePoint now = MonotonicNow();
-  if (revision_ == 0 || (settings_.large_kind && listing_)) return;
+  if (revision_ == 0 || lists_pages()) return;
   if (now - refreshed_at_ < kRefreshInterval) return;
   refreshed_at_ = now;
   LogInfo("mirror_refreshed",
@@ -339,7 +339,7 @@
   if (answer.outcome == StoreOutcome::kCompacted) {
     LogInfo("mirror_history_gone", {{"kind", settings_.kind},
                                     {"revision", revision_},
-                                    {"listing", listing_},
+                                    {"listing", lists_pages()},
                                     {"listed", cursor_.names().size()}});
     return List();
   }
@@ -347,7 +347,7 @@
     // Retries with a call that does not wait, since it returns as soon as the
     // store is back. Lists again where that is cheap, because the changes
     // during the outage may exceed the store's history.
-    if (listing_) return Retry(&KindMirror::ReadHistory, answer);
+    if (lists_pages()) return Retry(&KindMirror::ReadHistory, answer);
     const bool resume = settings_.large_kind && revision_ != 0;
     return Retry(resume ? &KindMirror::ReadNow : &KindMirror::List, answer);
   }
@@ -374,7 +374,7 @@
   revision_ = update.as_of;
   for (platform::StoredObject& object : answer.objects) {
     newest_change_ = std::max(newest_change_, object.version);
-    if (listing_) cursor_.AddChange(object);
+    if (lists_pages()) cursor_.AddChange(object);
     ApplyChange(std::move(object));
   }
   // Only a part of the changes was returned. Pausing now would let this mirror
@@ -383,7 +383,7 @@
     caught_up_ = false;
     return WatchFor(kMinWatchWait);
   }
-  if (listing_) {
+  if (lists_pages()) {
     history_read_at_ = call_began_;
     if (!cursor_.complete()) return ReadPage();
     OnAllPagesRead();
--- a/libs/gateway/src/store/kind_mirror.h
+++ b/libs/gateway/src/store/kind_mirror.h
@@ -128,6 +128,7 @@
   void OnPage(platform::StoreAnswer&& answer);
   void OnAllPagesRead();
   void ReadHistory();
+  bool lists_pages() const noexcept { return settings_.large_kind && listing_; }
   void Watch();
   // Starts a watch that does not wait; it returns even if nothing has changed.
   void ReadNow();
--- a/tests/users_platform/kind_mirror_test.cc
+++ b/tests/users_platform/kind_mirror_test.cc
@@ -200,6 +200,42 @@
   CHECK(seen == stored);
 }
 
+// Guards against servers that are dropped although they are registered: one
+// page of a list that was replaced by a read of the changes is no full list.
+TEST_CASE("a refresh that replaces a list leaves the known objects") {
+  harness::Caller caller;
+  users_site::ObjectStore store(caller.io());
+  constexpr size_t kObjects = 12;  // on 3 pages
+  for (size_t i = 0; i < kObjects; ++i) {
+    store.Put(kKind, "object-" + std::to_string(i), {});
+  }
+  StoreCalls calls(caller.io(), store.address());
+  std::set<std::string> known;
+  KindMirror mirror(
+      caller.io(), calls,
+      {.kind = kKind, .watch_wait = std::chrono::milliseconds(100)},
+      {.listed =
+           [&](std::vector<platform::StoredObject>&& objects) {
+             known.clear();
+             for (const auto& object : objects) known.insert(object.name);
+           },
+       .changed =
+           [&](platform::StoredObject&& object) {
+             known.insert(object.name);
+           }});
+  mirror.Start();
+  REQUIRE(caller.RunUntil([&] { return mirror.caught_up(); }));
+  REQUIRE(known.size() == kObjects);
+  store.DelayLists(std::chrono::milliseconds(300));
+  mirror.OnStoreRegained();
+  caller.RunFor(std::chrono::milliseconds(20));
+  mirror.Refresh();
+  caller.RunFor(std::chrono::milliseconds(1000));
+  CHECK(known.size() == kObjects);
+  store.Put(kKind, "new", {});
+  CHECK(caller.RunUntil([&] { return known.size() == kObjects + 1; }));
+}
+
 // Two gateways of a cell read the store and send updates to the others. Guards
 // against applying an update as complete when the one before was lost: the
 // gateway would keep using a removed server or an old configuration.
