Soak: routes split over two services, one of which loses all servers

Engine routes, for requests and items, are now divided between two services of drawn weights and order; the second loses all servers, drained or by a crash, half of the losses for good. Weights, losses and the second service's servers come from a generator and a list of their own, so that a seed keeps its other faults.

--- a/tests/soak/fault_driver.cc
+++ b/tests/soak/fault_driver.cc
@@ -98,6 +98,11 @@
       return InjectServerFault(fault, now);
     case FaultKind::kServersCrash:
       return CrashServers(fault, now);
+    case FaultKind::kSplitRoutes:
+      return site_.SplitRoutes(fault.strength, now);
+    case FaultKind::kServiceDrained:
+    case FaultKind::kServiceLost:
+      return LoseService(fault, now);
     default:
       return InjectLinkFault(fault, now);
   }
@@ -252,6 +257,17 @@
   }
 }
 
+void FaultDriver::LoseService(const PlannedFault& fault, TimePoint now) {
+  // Half of the losses last to the end of the run.
+  const TimePoint back_at =
+      fault.strength % 2 == 0 ? now + fault.duration : kNever;
+  if (fault.kind == FaultKind::kServiceDrained) {
+    return site_.DrainSecondService(back_at, now);
+  }
+  site_.fault_windows().Add("", now, now + kServerFaultWindow);
+  site_.CrashSecondService(back_at);
+}
+
 void FaultDriver::ClearFaults(TimePoint now) {
   for (const auto& [link, until] : link_fault_until_) {
     if (until > now) site_.ProxyOf(link)->Inject({});
--- a/tests/soak/fault_driver.h
+++ b/tests/soak/fault_driver.h
@@ -33,6 +33,7 @@
   void InjectStoreFault(const PlannedFault& fault, TimePoint now);
   void InjectServerFault(const PlannedFault& fault, TimePoint now);
   void CrashServers(const PlannedFault& fault, TimePoint now);
+  void LoseService(const PlannedFault& fault, TimePoint now);
   void ApplyLinkFault(const std::string& link, const std::string& scope,
                       const harness::Fault& link_fault,
                       const PlannedFault& fault, TimePoint now);
--- a/tests/soak/fault_kind.h
+++ b/tests/soak/fault_kind.h
@@ -48,7 +48,10 @@
   kServerAddressReused,
   kServerVanishes,
   kBurstOfJobs,
-  kServersCrash,  // a share of all servers at one moment; comes in waves
+  kServersCrash,    // a share of all servers at one moment; comes in waves
+  kSplitRoutes,     // divides the routes of engines between two services anew
+  kServiceDrained,  // all servers of the second service leave
+  kServiceLost,     // all servers of the second service crash
 };
 
 inline constexpr auto kFirstUnplanned = FaultKind::kKillGateway;
@@ -60,7 +63,7 @@
 namespace knapweedstile {
 
 template <>
-inline constexpr std::array<std::string_view, 36> kEnumNames<soak::FaultKind> =
+inline constexpr std::array<std::string_view, 39> kEnumNames<soak::FaultKind> =
     {"change_configuration",
      "drain_server",
      "stop_gateway",
@@ -96,7 +99,10 @@
      "server_address_reused",
      "server_vanishes",
      "burst_of_jobs",
-     "servers_crash"};
+     "servers_crash",
+     "split_routes",
+     "service_drained",
+     "service_lost"};
 
 }  // namespace knapweedstile
 
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -28,6 +28,14 @@
 constexpr milliseconds kMinWaveInterval{800};
 constexpr milliseconds kMaxWaveInterval{3000};
 
+// Routes that are split over two services, of which the second loses all its
+// servers at least once in a run.
+constexpr uint64_t kSplitSeed = 0x73706c74;
+constexpr uint64_t kMaxSplits = 3;
+constexpr uint64_t kMaxServiceLosses = 2;
+constexpr milliseconds kMinAbsence{4000};
+constexpr milliseconds kMaxAbsence{12000};
+
 milliseconds Between(Rng& rng, milliseconds least, milliseconds most) {
   const auto width = static_cast<uint64_t>((most - least).count());
   return least + milliseconds(UniformBelow(rng, width + 1));
@@ -61,6 +69,34 @@
   }
 }
 
+// From a generator of its own as well. Routes are split from early on.
+void AddServiceLosses(uint64_t seed, const SoakSize& size,
+                      std::vector<PlannedFault>& plan) {
+  Rng rng(seed ^ kSplitSeed);
+  const milliseconds end = size.planned_phase + size.fault_phase;
+  const auto add = [&](milliseconds at, FaultKind kind) {
+    plan.push_back({.at = at,
+                    .kind = kind,
+                    .duration = Between(rng, kMinAbsence, kMaxAbsence),
+                    .strength = rng()});
+  };
+  add(Between(rng, milliseconds(0), size.planned_phase / 2),
+      FaultKind::kSplitRoutes);
+  for (uint64_t more = UniformBelow(rng, kMaxSplits); more > 0; --more) {
+    add(Between(rng, milliseconds(0), end), FaultKind::kSplitRoutes);
+  }
+  if (UniformBelow(rng, 2) == 0) {
+    add(Between(rng, size.planned_phase / 2, size.planned_phase),
+        FaultKind::kServiceDrained);
+  }
+  for (uint64_t more = 1 + UniformBelow(rng, kMaxServiceLosses); more > 0;
+       --more) {
+    add(Between(rng, size.planned_phase, end), UniformBelow(rng, 2) == 0
+                                                   ? FaultKind::kServiceDrained
+                                                   : FaultKind::kServiceLost);
+  }
+}
+
 }  // namespace
 
 std::vector<PlannedFault> MakeFaultPlan(uint64_t seed, const SoakSize& size) {
@@ -87,6 +123,7 @@
     at += Between(rng, milliseconds(0), kMeanInterval * 2);
   }
   AddCrashWaves(seed, size.planned_phase, end, plan);
+  AddServiceLosses(seed, size, plan);
   std::stable_sort(plan.begin(), plan.end(),
                    [](const auto& a, const auto& b) { return a.at < b.at; });
   return plan;
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -18,6 +18,9 @@
 
 constexpr char kAnyPort[] = "127.0.0.1:0";
 constexpr int kSlots = 16;
+// The second service is smaller, and its weight at most this percentage.
+constexpr int kSecondSlots = 8;
+constexpr int kMaxSecondWeight = 25;
 // A stream lasts about two seconds, long enough for a fault to interrupt it.
 constexpr milliseconds kEventInterval{50};
 constexpr milliseconds kFirstEventDelay{30};
@@ -107,14 +110,29 @@
   const std::string instance = NewInstance();
   site_.software = NextVersion();
   ModelServer& server = site_.AddServer("llm", instance, kSlots);
+  Prepare(server, kSlots);
+  servers_.push_back(&server);
+}
+
+void SoakSite::Prepare(ModelServer& server, int slots) {
   server.events = kEvents;
   server.event_interval = kEventInterval;
   server.first_byte_delay = kFirstEventDelay;
   server.name_requests = true;
-  server.slots = kSlots;
+  server.slots = slots;
   server.unprocessable_body = BodyOf(ItemKind::kUnprocessable);
   server.failing_body = BodyOf(ItemKind::kFailing);
-  servers_.push_back(&server);
+}
+
+void SoakSite::StartSecondService() {
+  for (int i = 0; i < size_.model_servers / 2; ++i) {
+    site_.software = kSoftwareVersions[i % kSoftwareVersions.size()];
+    ModelServer& server =
+        site_.AddServer(users_site::kSecondService,
+                        fmt::format("n-{}", ++last_second_), kSecondSlots);
+    Prepare(server, kSecondSlots);
+    second_service_.push_back(&server);
+  }
 }
 
 void SoakSite::Start() {
@@ -123,6 +141,7 @@
     servers_.push_back(&site_.AddServer("app", NewInstance(), kSlots));
     servers_.back()->name_requests = true;
   }
+  StartSecondService();
   const TimePoint now = MonotonicNow();
   operations_.configurations.push_back(
       {.at = now,
@@ -186,6 +205,23 @@
   Configure();
 }
 
+void SoakSite::SplitRoutes(uint64_t draw, TimePoint now) {
+  constexpr uint64_t kSplitsPerEnd = 8;
+  const auto weight = static_cast<int>(draw % (kMaxSecondWeight + 1));
+  draw /= kMaxSecondWeight + 1;
+  const boost::json::object first = {{"service", "llm"},
+                                     {"weight", 100 - weight}};
+  const boost::json::object second = {{"service", users_site::kSecondService},
+                                      {"weight", weight}};
+  site_.backends = {second, first};
+  if (draw % 2 == 0) site_.backends = {first, second};
+  if (draw / 2 % kSplitsPerEnd == 0) site_.backends = {};
+  OperationsLog::Configuration next = operations_.configurations.back();
+  next.at = now;
+  operations_.configurations.push_back(std::move(next));
+  Configure();
+}
+
 std::string SoakSite::PickExtraRoute(Rng& rng) const {
   constexpr uint64_t kLate = 3;
   const auto last = static_cast<uint64_t>(std::max(last_route_, 1));
@@ -205,6 +241,7 @@
 RunIndex SoakSite::Runs() const {
   RunIndex runs;
   for (const ModelServer* server : servers_) runs.Add(*server);
+  for (const ModelServer* server : second_service_) runs.Add(*server);
   return runs;
 }
 
@@ -278,6 +315,22 @@
 }
 
 void SoakSite::Drain(ModelServer& server, TimePoint now) {
+  DrainUntil(server, now + kDrainPeriod * 2, now);
+}
+
+void SoakSite::DrainSecondService(TimePoint back_at, TimePoint now) {
+  const TimePoint earliest = now + kDrainPeriod * 2;
+  for (ModelServer* server : second_service_) {
+    DrainUntil(*server, std::max(back_at, earliest), now);
+  }
+}
+
+void SoakSite::CrashSecondService(TimePoint back_at) {
+  for (ModelServer* server : second_service_) ReplaceAt(*server, back_at);
+}
+
+void SoakSite::DrainUntil(ModelServer& server, TimePoint back_at,
+                          TimePoint now) {
   const std::string instance = server.instance();
   if (operations_.leaving.contains(instance)) return;
   site_.MarkDraining(server);
@@ -285,7 +338,8 @@
   RunAt(now + kDrainPeriod, [this, &server, instance] {
     if (server.instance() == instance) site_.RemoveServer(server);
   });
-  RunAt(now + kDrainPeriod * 2, [this, &server, instance] {
+  if (back_at == kNever) return;
+  RunAt(back_at, [this, &server, instance] {
     if (server.instance() == instance) Replace(server, true);
   });
 }
@@ -301,6 +355,11 @@
 }
 
 void SoakSite::Replace(ModelServer& server, bool registered) {
+  const TimePoint now = MonotonicNow();
+  ReplaceAt(server, registered ? now : now + kRegistrationLifetime * 2);
+}
+
+void SoakSite::ReplaceAt(ModelServer& server, TimePoint registered_at) {
   const TimePoint now = MonotonicNow();
   const std::string old = server.instance();
   // Until the old registration expires, it names an instance that has
@@ -309,18 +368,19 @@
     operations_.leaving[old] = now;
     fault_windows_.Add("", now, now + kRegistrationLifetime);
   }
-  const std::string instance = NewInstance();
-  server.software = NextVersion();
+  const bool second =
+      std::count(second_service_.begin(), second_service_.end(), &server) > 0;
+  const std::string instance =
+      second ? fmt::format("n-{}", ++last_second_) : NewInstance();
+  if (!second) server.software = NextVersion();
   site_.RestartServer(server, instance);
   RunAt(now + kRegistrationLifetime,
         [this, old] { site_.store().Remove("servers", old); });
-  if (registered) {
-    site_.MarkReady(server);
-  } else {
-    RunAt(now + kRegistrationLifetime * 2, [this, &server, instance] {
-      if (server.instance() == instance) site_.MarkReady(server);
-    });
-  }
+  if (registered_at <= now) return site_.MarkReady(server);
+  if (registered_at == kNever) return;
+  RunAt(registered_at, [this, &server, instance] {
+    if (server.instance() == instance) site_.MarkReady(server);
+  });
 }
 
 }  // namespace knapweedstile::soak
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -42,11 +42,18 @@
   void SetClockOffset(const std::string& gateway, int seconds);
   // Server operations.
   void Drain(users_site::ModelServer& server, TimePoint now);
+  // All servers of the second service leave, drained or by a crash, until
+  // `back_at`.
+  void DrainSecondService(TimePoint back_at, TimePoint now);
+  void CrashSecondService(TimePoint back_at);
   void RemoveWithoutDraining(users_site::ModelServer& server, TimePoint now);
   void AddModelServer();
   // Restarts the server as a new instance. If `registered`, the instance is
   // registered at once, otherwise after twice the registration lifetime.
   void Replace(users_site::ModelServer& server, bool registered);
+  // Divides the routes of engines between both services, or ends the division;
+  // `draw` sets weights and order.
+  void SplitRoutes(uint64_t draw, TimePoint now);
   // Adds an extra route, or removes the oldest.
   void ChangeConfiguration(bool add, TimePoint now);
   harness::Proxy* ProxyOf(const std::string& link);
@@ -95,6 +102,13 @@
   void Configure();
   std::string Interpose(const std::string& link, const std::string& address);
   std::string ClockFile(const std::string& gateway) const;
+  // Sets what streams of an engine look like.
+  static void Prepare(users_site::ModelServer& server, int slots);
+  void StartSecondService();
+  void DrainUntil(users_site::ModelServer& server, TimePoint back_at,
+                  TimePoint now);
+  // The server's new instance is registered at `registered_at`.
+  void ReplaceAt(users_site::ModelServer& server, TimePoint registered_at);
   std::string NewInstance();
   // Software version of the newest instance.
   std::string NextVersion() const;
@@ -110,9 +124,12 @@
   std::vector<std::string> gateways_;
   std::map<std::string, GatewayState> gateway_states_;
   std::vector<users_site::ModelServer*> servers_;
+  // Not among `servers_`, whose number faults draw their targets from.
+  std::vector<users_site::ModelServer*> second_service_;
   std::multimap<TimePoint, std::function<void()>> scheduled_actions_;
   int version_ = 1;
   int last_instance_ = 0;
+  int last_second_ = 0;  // instance of the second service
   int last_route_ = 0;
   int last_key_ = 0;
   TimePoint keys_change_at_ = kNever;
--- a/tests/users_platform/site.cc
+++ b/tests/users_platform/site.cc
@@ -179,11 +179,15 @@
   for (json::value& route : routes) {
     const std::string name(route.at("name").as_string());
     route.as_object()["public"] = public_routes.contains(name);
+    if (backends.empty() || route.at("service") != "llm") continue;
+    route.as_object()["service"] = "";
+    route.as_object()["backends"] = backends;
   }
   json::object configuration = {
       {"version", version},
       {"routes", std::move(routes)},
       {"services", json::array{json::object{{"name", "llm"}},
+                               json::object{{"name", kSecondService}},
                                json::object{{"name", "app"}}}},
       {"limits", json::object{{"max_header_bytes", max_header_bytes},
                               {"max_body_bytes", 100000},
--- a/tests/users_platform/site.h
+++ b/tests/users_platform/site.h
@@ -19,6 +19,8 @@
 namespace knapweedstile::users_site {
 
 inline constexpr char kHost[] = "pets.example";
+// A service of engines besides "llm", without servers unless a test adds them.
+inline constexpr char kSecondService[] = "llm-next";
 
 // A small deployment on loopback: the object store and the backend servers run
 // inside the test, the gateways are real processes that read settings made from
@@ -81,6 +83,9 @@
   bool native_api = false;
   // Additional stream routes in configurations from now on.
   std::vector<std::string> extra_routes;
+  // Division of the routes of service "llm" in configurations from now on, in
+  // the form of the users' platform; empty leaves them to that service.
+  boost::json::array backends;
   // Whether gateways that are started from now on use the second address of the
   // store.
   bool use_second_store_address = false;
