--- a/tests/soak/batch_checker.cc
+++ b/tests/soak/batch_checker.cc
@@ -18,6 +18,7 @@
 // left to run at that time.
 constexpr milliseconds kJobEndBound{1000};
 constexpr milliseconds kDrainBound{2000};
+constexpr size_t kMaxShownOutput = 2000;
 
 }  // namespace
 
@@ -62,19 +63,21 @@
                                const ReadResult& result) {
   if (result.state != "completed")
     return CheckFailedResult(job, item, result.read_at);
+  const std::string padding = EventPaddingFor(BodyOf(item));
   const auto is_whole = [&](const char* version) {
     std::string complete_output;
     for (int event = 1; event <= events_; ++event) {
       if (event > 1) complete_output += '\n';
-      complete_output +=
-          fmt::format("word {} of {} at {}", event, item.id, version);
+      complete_output += fmt::format("word {} of {} at {}{}", event, item.id,
+                                     version, padding);
     }
     return result.output == complete_output;
   };
   findings_.Check(
       "a completed item's output is whole",
       std::any_of(kSoftwareVersions.begin(), kSoftwareVersions.end(), is_whole),
-      item.id + ": " + result.output);
+      fmt::format("{}: {} bytes: {}", item.id, result.output.size(),
+                  result.output.substr(0, kMaxShownOutput)));
   findings_.Check("an item that cannot be done is not completed",
                   item.kind == ItemKind::kNormal, item.id);
 }
@@ -106,7 +109,7 @@
   for (const auto* run : runs) {
     findings_.Check(
         "an item is passed on unchanged",
-        run->target == kItemPrefix + item.id && run->body == BodyOf(item.kind),
+        run->target == kItemPrefix + item.id && run->body == BodyOf(item),
         item.id + " ran as " + run->target);
     if (run->status != 0) ++failures;
     if (job.ended_at != kNever &&
--- a/tests/soak/batch_limits.h
+++ b/tests/soak/batch_limits.h
@@ -37,6 +37,11 @@
   }
 }
 
+inline std::string BodyOf(const ItemRecord& item) {
+  return item.kind == ItemKind::kNormal ? BodyOf(item.sizes)
+                                        : BodyOf(item.kind);
+}
+
 }  // namespace knapweedstile::soak
 
 #endif  // KNAPWEEDSTILE_SOAK_BATCH_LIMITS_H_
--- a/tests/soak/batch_record.h
+++ b/tests/soak/batch_record.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "item_sizes.h"
 
 namespace knapweedstile::soak {
 
@@ -19,6 +20,7 @@
 struct ItemRecord {
   std::string id;
   ItemKind kind = ItemKind::kNormal;
+  ItemSizes sizes;  // of an item that can be done
 };
 
 // A result as a caller first read it.
--- a/tests/soak/batch_traffic.cc
+++ b/tests/soak/batch_traffic.cc
@@ -48,7 +48,11 @@
 }  // namespace
 
 BatchTraffic::BatchTraffic(SoakSite& site, uint64_t seed, Findings& findings)
-    : site_(site), rng_(seed), prompt_rng_(seed), findings_(findings) {}
+    : site_(site),
+      rng_(seed),
+      prompt_rng_(seed),
+      size_rng_(seed),
+      findings_(findings) {}
 
 void BatchTraffic::Begin(Call&& call, http::ClientRequest&& request,
                          TimePoint now) {
@@ -98,8 +102,9 @@
   job.shared_parts += PartOf(job.id) + ",";
   const uint64_t count = 1 + UniformBelow(rng_, kMaxItemsPerJob);
   for (uint64_t i = 0; i < count; ++i) {
-    job.items.push_back(
-        {.id = fmt::format("{}-{}", job.id, i), .kind = DrawKind(rng_)});
+    job.items.push_back({.id = fmt::format("{}-{}", job.id, i),
+                         .kind = DrawKind(rng_),
+                         .sizes = DrawItemSizes(size_rng_)});
   }
   job.tokens = count * kTokensPerItem;
   Submit(jobs_.emplace(job.id, job).first->second, now);
@@ -117,7 +122,7 @@
     items.push_back(json::object{{"id", item.id},
                                  {"path", kItemPrefix + item.id},
                                  {"headers", std::move(headers)},
-                                 {"body", Base64(BodyOf(item.kind))},
+                                 {"body", Base64(BodyOf(item))},
                                  {"tokens", kTokensPerItem}});
   }
   const std::string gateway = site_.PickGateway(rng_);
@@ -130,21 +135,24 @@
 
 void BatchTraffic::Read(const BatchRecord& job, const std::string& gateway,
                         size_t position, TimePoint now) {
+  const bool waits = UniformBelow(rng_, 2) == 0;
+  Read({.job = job.id, .gateway = gateway, .position = position}, waits, now);
+}
+
+void BatchTraffic::Read(Call&& call, bool waits, TimePoint now) {
   http::ClientRequest request;
-  request.address = site_.site().caller_address(gateway);
-  request.target = fmt::format("/-/lots/{}?after={}", job.id, position);
+  request.address = site_.site().caller_address(call.gateway);
+  request.target = fmt::format("/-/lots/{}?after={}", call.job, call.position);
   request.headers.Add("Host", users_site::kHost);
-  if (UniformBelow(rng_, 2) == 0) request.headers.Add("Poll-Wait", "500");
-  Begin({.kind = CallKind::kRead,
-         .job = job.id,
-         .gateway = gateway,
-         .position = position},
-        std::move(request), now);
+  if (waits) request.headers.Add("Poll-Wait", "500");
+  Begin(std::move(call), std::move(request), now);
 }
 
 void BatchTraffic::ReadAll(const std::string& gateway, TimePoint now) {
   for (const auto& [id, job] : jobs_) {
-    if (job.accepted()) Read(job, gateway, 0, now);
+    if (!job.accepted()) continue;
+    Read({.job = id, .gateway = gateway, .follows = true}, /*waits=*/false,
+         now);
   }
 }
 
@@ -303,6 +311,13 @@
                                 known->second.item, read.item));
     ++position;
   }
+  if (call.follows && !results.empty() && position < job.items.size()) {
+    Read({.job = job.id,
+          .gateway = call.gateway,
+          .position = position,
+          .follows = true},
+         /*waits=*/false, now);
+  }
   // A result that was read at one gateway must be readable at every gateway
   // after kPropagationTime.
   const auto missing = job.results.find(position);
@@ -325,8 +340,8 @@
       std::find_if(job.items.begin(), job.items.end(),
                    [&](const auto& known) { return known.id == call.item; });
   if (end.status == 200) {
-    findings_.Check("a body comes back unchanged",
-                    end.body == BodyOf(item->kind), call.item);
+    findings_.Check("a body comes back unchanged", end.body == BodyOf(*item),
+                    call.item);
   }
   const RunIndex all_runs = site_.Runs();
   const auto& runs = all_runs.Of(call.item);
--- a/tests/soak/batch_traffic.h
+++ b/tests/soak/batch_traffic.h
@@ -27,7 +27,7 @@
   void StopSubmitting() { submitting_ = false; }
   void SubmitBurst(int jobs, TimePoint now);
   // Reads the results of each accepted job from the first position at
-  // `gateway`.
+  // `gateway`, all pages.
   void ReadAll(const std::string& gateway, TimePoint now);
 
   const std::map<std::string, BatchRecord>& jobs() const noexcept {
@@ -44,9 +44,10 @@
     std::string job;
     std::string gateway;
     TimePoint sent_at{};
-    size_t position = 0;  // for kRead
-    std::string item;     // for kBody
-    bool listed = false;  // the item was listed when its body was requested
+    size_t position = 0;   // for kRead
+    std::string item;      // for kBody
+    bool listed = false;   // the item was listed when its body was requested
+    bool follows = false;  // reads on to the last page
   };
 
   void Begin(Call&& call, http::ClientRequest&& request, TimePoint now);
@@ -54,6 +55,7 @@
   void Submit(const BatchRecord& job, TimePoint now);
   void Read(const BatchRecord& job, const std::string& gateway, size_t position,
             TimePoint now);
+  void Read(Call&& call, bool waits, TimePoint now);
   void RequestBody(const BatchRecord& job, TimePoint now);
   void End(BatchRecord& job, TimePoint now);
   void RetryDueSubmissions(TimePoint now);
@@ -76,6 +78,7 @@
   SoakSite& site_;
   Rng rng_;
   Rng prompt_rng_;
+  Rng size_rng_;
   Findings& findings_;
   bool submitting_ = true;
   TimePoint next_job_at_{};
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -18,6 +18,7 @@
 
 constexpr char kAnyPort[] = "127.0.0.1:0";
 constexpr int kSlots = 16;
+constexpr int kMaxBodyBytes = 4000000;
 // The second service is smaller, and its weight at most this percentage.
 constexpr int kSecondSlots = 8;
 constexpr int kMaxSecondWeight = 25;
@@ -59,6 +60,7 @@
 
 SoakSite::SoakSite(const SoakSize& size, Findings& findings)
     : size_(size), findings_(findings) {
+  site_.max_body_bytes = kMaxBodyBytes;
   site_.interpose = [this](const std::string& link,
                            const std::string& address) {
     return Interpose(link, address);
@@ -122,6 +124,7 @@
   server.slots = slots;
   server.unprocessable_body = BodyOf(ItemKind::kUnprocessable);
   server.failing_body = BodyOf(ItemKind::kFailing);
+  server.event_padding = EventPaddingFor;
 }
 
 void SoakSite::StartSecondService() {
--- a/tests/users_platform/model_server.cc
+++ b/tests/users_platform/model_server.cc
@@ -204,7 +204,8 @@
   if (!completions) {
     const Run& run = runs_[stream.run];
     const std::string version = name_requests ? " at " + run.software : "";
-    return WithRequestId("word " + std::to_string(stream.next), run) + version;
+    return WithRequestId("word " + std::to_string(stream.next), run) + version +
+           (event_padding ? event_padding(run.body) : "");
   }
   return json::serialize(json::object{
       {"choices",
--- a/tests/users_platform/model_server.h
+++ b/tests/users_platform/model_server.h
@@ -78,6 +78,9 @@
   // Responds to POST at once, as to GET.
   bool unstreamed_posts = false;
 
+  // Added to the data of each event of a stream for a request with this body.
+  std::function<std::string(const std::string& body)> event_padding;
+
   // Adds the request id to each event and plain response, and the software
   // version to each event.
   bool name_requests = false;
--- a/tests/users_platform/site.cc
+++ b/tests/users_platform/site.cc
@@ -190,7 +190,7 @@
                                json::object{{"name", kSecondService}},
                                json::object{{"name", "app"}}}},
       {"limits", json::object{{"max_header_bytes", max_header_bytes},
-                              {"max_body_bytes", 100000},
+                              {"max_body_bytes", max_body_bytes},
                               {"header_timeout_ms", 1000},
                               {"idle_timeout_ms", 5000}}}};
   if (workspaces) configuration["tenants"] = *workspaces;
--- a/tests/users_platform/site.h
+++ b/tests/users_platform/site.h
@@ -71,6 +71,8 @@
   std::optional<boost::json::array> workspaces;
   // Limit on the header size of requests in configurations from now on.
   int max_header_bytes = 4096;
+  // Limit on the body size of requests in configurations from now on.
+  int max_body_bytes = 100000;
   // Names of routes without API key check in configurations from now on.
   std::set<std::string> public_routes;
   // Lines added to [workspaces] in the settings of gateways that are started
