Soak: single writes of unknown fate, and readers that compare gateways

In the second half of the faults 4 to 10 single writes of accepted jobs get no answer and are done at once or 1 to 6 s later; half of the jobs are ended 0.5 s after, a quarter of the writers killed as the write arrives. The results of these jobs are read at every gateway in turn, twice a second, until 12 s after the write, under the promise that was judged before; each such read is now counted. A write that the stand-in store does late isn't drawn again for another delay.

--- a/tests/soak/batch_traffic.cc
+++ b/tests/soak/batch_traffic.cc
@@ -21,6 +21,10 @@
 constexpr milliseconds kRetryDelay{700};
 constexpr milliseconds kCallTimeout{4000};
 constexpr uint64_t kMaxItemsPerJob = 9;
+// Readers that compare gateways read this often, for the longest time between
+// two reads of the store by a gateway, and a little longer.
+constexpr milliseconds kComparisonInterval{500};
+constexpr milliseconds kComparisonTime{12000};
 // A caller retries the submission or end of a job for this long.
 constexpr std::chrono::seconds kSubmitPeriod{9};
 // One in kReadsPerEnd reads ends the job instead; one in kItemsPerFailingItem
@@ -39,6 +43,14 @@
 
 bool RejectsJob(unsigned status) { return status == 429 || status == 503; }
 
+// Whether the name of the object contains the job's id.
+bool Names(std::string_view object, std::string_view job) {
+  const size_t at = object.find(job);
+  if (at == std::string_view::npos) return false;
+  const size_t end = at + job.size();
+  return end == object.size() || object[end] == '.';
+}
+
 ItemKind DrawKind(Rng& rng) {
   if (UniformBelow(rng, kItemsPerFailingItem) != 0) return ItemKind::kNormal;
   return UniformBelow(rng, 2) == 0 ? ItemKind::kUnprocessable
@@ -66,6 +78,7 @@
 void BatchTraffic::Run(TimePoint now) {
   Collect(now);
   RetryDueSubmissions(now);
+  RunComparisons(now);
   if (submitting_ && next_job_at_ <= now) {
     NewJob(now);
     next_job_at_ = now + kJobInterval;
@@ -148,6 +161,39 @@
   Begin(std::move(call), std::move(request), now);
 }
 
+std::string BatchTraffic::OpenJobNamedIn(std::string_view object) const {
+  for (const auto& [id, job] : jobs_) {
+    if (job.accepted() && !job.end_requested() && Names(object, id)) return id;
+  }
+  return {};
+}
+
+void BatchTraffic::EndJob(const std::string& job, TimePoint now) {
+  BatchRecord& record = jobs_.at(job);
+  if (!record.end_requested()) End(record, now);
+}
+
+void BatchTraffic::CompareGateways(const std::string& job, TimePoint from) {
+  compared_[job].until = from + kComparisonTime;
+}
+
+void BatchTraffic::RunComparisons(TimePoint now) {
+  if (now < next_comparison_at_) return;
+  next_comparison_at_ = now + kComparisonInterval;
+  std::erase_if(compared_, [&](const auto& element) {
+    return element.second.until <= now;
+  });
+  for (auto& [job, comparison] : compared_) {
+    for (const std::string& gateway : site_.gateways()) {
+      Read({.job = job,
+            .gateway = gateway,
+            .position = comparison.next[gateway],
+            .compares = true},
+           /*waits=*/false, now);
+    }
+  }
+}
+
 void BatchTraffic::ReadAll(const std::string& gateway, TimePoint now) {
   for (const auto& [id, job] : jobs_) {
     if (!job.accepted()) continue;
@@ -318,19 +364,23 @@
           .follows = true},
          /*waits=*/false, now);
   }
+  const auto compared = compared_.find(job.id);
+  if (call.compares && compared != compared_.end()) {
+    size_t& next = compared->second.next[call.gateway];
+    next = std::max(next, position);
+  }
   // A result that was read at one gateway must be readable at every gateway
   // after kPropagationTime.
-  const auto missing = job.results.find(position);
-  if (missing == job.results.end() || !results.empty()) return;
-  const bool settled =
-      call.sent_at > missing->second.read_at + kPropagationTime;
+  const auto known = job.results.find(call.position);
+  const bool settled = known != job.results.end() &&
+                       call.sent_at > known->second.read_at + kPropagationTime;
   if (!settled ||
       !site_.fault_windows().FaultFree(call.gateway, call.sent_at, now)) {
     return;
   }
   findings_.Check(
-      "a result that was read stays readable", false,
-      fmt::format("{} position {} at {}", job.id, position, call.gateway));
+      "a result that was read stays readable", !results.empty(),
+      fmt::format("{} position {} at {}", job.id, call.position, call.gateway));
 }
 
 void BatchTraffic::OnBodyResponse(const Call& call, const BatchRecord& job,
--- a/tests/soak/batch_traffic.h
+++ b/tests/soak/batch_traffic.h
@@ -4,6 +4,7 @@
 #include <boost/json/object.hpp>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/rng.h"
@@ -30,6 +31,16 @@
   // `gateway`, all pages.
   void ReadAll(const std::string& gateway, TimePoint now);
 
+  // The accepted job that was not ended and whose id occurs in the name of this
+  // object; empty if there is none.
+  std::string OpenJobNamedIn(std::string_view object) const;
+  void EndJob(const std::string& job, TimePoint now);
+  // From now on reads the job's results at every gateway in turn, each from
+  // where its reader is, until the longest time in which gateways may differ
+  // has passed since `from`.
+  void CompareGateways(const std::string& job, TimePoint from);
+  bool comparing() const noexcept { return !compared_.empty(); }
+
   const std::map<std::string, BatchRecord>& jobs() const noexcept {
     return jobs_;
   }
@@ -48,6 +59,11 @@
     std::string item;      // for kBody
     bool listed = false;   // the item was listed when its body was requested
     bool follows = false;  // reads on to the last page
+    bool compares = false;
+  };
+  struct Comparison {
+    TimePoint until{};
+    std::map<std::string, size_t> next;  // positions by gateway
   };
 
   void Begin(Call&& call, http::ClientRequest&& request, TimePoint now);
@@ -56,6 +72,7 @@
   void Read(const BatchRecord& job, const std::string& gateway, size_t position,
             TimePoint now);
   void Read(Call&& call, bool waits, TimePoint now);
+  void RunComparisons(TimePoint now);
   void RequestBody(const BatchRecord& job, TimePoint now);
   void End(BatchRecord& job, TimePoint now);
   void RetryDueSubmissions(TimePoint now);
@@ -87,6 +104,8 @@
   std::map<std::string, BatchRecord> jobs_;
   std::multimap<TimePoint, std::string> retries_;  // job ids by retry time
   std::map<ExchangeId, Call> open_;
+  std::map<std::string, Comparison> compared_;  // by job
+  TimePoint next_comparison_at_{};
 };
 
 }  // namespace knapweedstile::soak
--- a/tests/soak/fault_driver.cc
+++ b/tests/soak/fault_driver.cc
@@ -54,7 +54,10 @@
 
 FaultDriver::FaultDriver(SoakSite& site, BatchTraffic& batch,
                          std::vector<PlannedFault> plan)
-    : site_(site), batch_(batch), plan_(std::move(plan)) {}
+    : site_(site),
+      batch_(batch),
+      write_fates_(site, batch),
+      plan_(std::move(plan)) {}
 
 void FaultDriver::Run(milliseconds elapsed, TimePoint now) {
   while (!done() && plan_[next_].at <= elapsed) Inject(plan_[next_++], now);
@@ -98,6 +101,8 @@
       return InjectServerFault(fault, now);
     case FaultKind::kServersCrash:
       return CrashServers(fault, now);
+    case FaultKind::kWriteUnanswered:
+      return write_fates_.Add(fault);
     case FaultKind::kSplitRoutes:
       return site_.SplitRoutes(fault.strength, now);
     case FaultKind::kServiceDrained:
@@ -269,6 +274,7 @@
 }
 
 void FaultDriver::ClearFaults(TimePoint now) {
+  write_fates_.Clear();
   for (const auto& [link, until] : link_fault_until_) {
     if (until > now) site_.ProxyOf(link)->Inject({});
   }
--- a/tests/soak/fault_driver.h
+++ b/tests/soak/fault_driver.h
@@ -9,6 +9,7 @@
 #include "harness/fault.h"
 #include "planned_fault.h"
 #include "soak_site.h"
+#include "write_fates.h"
 
 namespace knapweedstile::soak {
 
@@ -42,6 +43,7 @@
 
   SoakSite& site_;
   BatchTraffic& batch_;
+  WriteFates write_fates_;
   std::vector<PlannedFault> plan_;
   size_t next_ = 0;
   std::map<std::string, int> counts_;
--- a/tests/soak/fault_kind.h
+++ b/tests/soak/fault_kind.h
@@ -48,10 +48,11 @@
   kServerAddressReused,
   kServerVanishes,
   kBurstOfJobs,
-  kServersCrash,    // a share of all servers at one moment; comes in waves
-  kSplitRoutes,     // divides the routes of engines between two services anew
-  kServiceDrained,  // all servers of the second service leave
-  kServiceLost,     // all servers of the second service crash
+  kServersCrash,     // a share of all servers at one moment; comes in waves
+  kSplitRoutes,      // divides the routes of engines between two services anew
+  kServiceDrained,   // all servers of the second service leave
+  kServiceLost,      // all servers of the second service crash
+  kWriteUnanswered,  // one write of a job is done at once or late, unanswered
 };
 
 inline constexpr auto kFirstUnplanned = FaultKind::kKillGateway;
@@ -63,7 +64,7 @@
 namespace knapweedstile {
 
 template <>
-inline constexpr std::array<std::string_view, 39> kEnumNames<soak::FaultKind> =
+inline constexpr std::array<std::string_view, 40> kEnumNames<soak::FaultKind> =
     {"change_configuration",
      "drain_server",
      "stop_gateway",
@@ -102,7 +103,8 @@
      "servers_crash",
      "split_routes",
      "service_drained",
-     "service_lost"};
+     "service_lost",
+     "write_unanswered"};
 
 }  // namespace knapweedstile
 
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -36,6 +36,14 @@
 constexpr milliseconds kMinAbsence{4000};
 constexpr milliseconds kMaxAbsence{12000};
 
+// Single writes of jobs whose fate their writers don't learn. The last are done
+// when no other fault is near, so that what gateways then list can be compared.
+constexpr uint64_t kFateSeed = 0x66617465;
+constexpr uint64_t kMinFates = 4;
+constexpr uint64_t kMaxFates = 10;
+constexpr milliseconds kMinWriteDelay{1000};
+constexpr milliseconds kMaxWriteDelay{6000};
+
 milliseconds Between(Rng& rng, milliseconds least, milliseconds most) {
   const auto width = static_cast<uint64_t>((most - least).count());
   return least + milliseconds(UniformBelow(rng, width + 1));
@@ -97,6 +105,20 @@
   }
 }
 
+void AddWriteFates(uint64_t seed, milliseconds begin, milliseconds end,
+                   std::vector<PlannedFault>& plan) {
+  Rng rng(seed ^ kFateSeed);
+  const uint64_t fates =
+      kMinFates + UniformBelow(rng, kMaxFates - kMinFates + 1);
+  for (uint64_t i = 0; i < fates; ++i) {
+    plan.push_back({.at = Between(rng, begin, end),
+                    .kind = FaultKind::kWriteUnanswered,
+                    .duration = Between(rng, kMinWriteDelay, kMaxWriteDelay),
+                    .target = rng(),
+                    .strength = rng()});
+  }
+}
+
 }  // namespace
 
 std::vector<PlannedFault> MakeFaultPlan(uint64_t seed, const SoakSize& size) {
@@ -124,6 +146,7 @@
   }
   AddCrashWaves(seed, size.planned_phase, end, plan);
   AddServiceLosses(seed, size, plan);
+  AddWriteFates(seed, end - size.fault_phase / 2, end, plan);
   std::stable_sort(plan.begin(), plan.end(),
                    [](const auto& a, const auto& b) { return a.at < b.at; });
   return plan;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -87,7 +87,7 @@
     const TimePoint now = MonotonicNow();
     Step(now);
     online_.Collect(now);
-    if (batch_.AllListed() && online_.open() == 0) break;
+    if (batch_.AllListed() && !batch_.comparing() && online_.open() == 0) break;
     if (now - read_at < kReadAllInterval) continue;
     read_at = now;
     batch_.ReadAll(site_.gateways().front(), now);
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -100,6 +100,17 @@
   return found == proxies_.end() ? nullptr : found->second.get();
 }
 
+std::string SoakSite::GatewayAtStore(std::string_view address) const {
+  for (const std::string& gateway : gateways_) {
+    const auto found = proxies_.find("store/" + gateway);
+    if (found != proxies_.end() &&
+        address == fmt::format("127.0.0.1:{}", found->second->port())) {
+      return gateway;
+    }
+  }
+  return {};
+}
+
 std::string SoakSite::NewInstance() {
   return fmt::format("i-{}", ++last_instance_);
 }
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -57,6 +57,8 @@
   // Adds an extra route, or removes the oldest.
   void ChangeConfiguration(bool add, TimePoint now);
   harness::Proxy* ProxyOf(const std::string& link);
+  // The gateway that reaches the store at this address; empty if none does.
+  std::string GatewayAtStore(std::string_view address) const;
 
   // Queries.
   users_site::Site& site() noexcept { return site_; }
--- a/tests/users_platform/object_store.cc
+++ b/tests/users_platform/object_store.cc
@@ -29,6 +29,12 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
+// Name of the object that a request with this body creates.
+std::string NewName(const std::string& body) {
+  const json::value object = json::parse(body);
+  return std::string(object.at("metadata").at("name").as_string());
+}
+
 uint64_t ParseNumber(const std::string& text) {
   return text.empty() ? 0 : std::stoull(text);
 }
@@ -302,12 +308,19 @@
 bool ObjectStore::DelayWrite(const http::RequestEvent& request,
                              const std::string& kind, const std::string& name,
                              bool status) {
-  if (delayed_writes_ == 0) return false;
-  --delayed_writes_;
+  std::optional<std::chrono::milliseconds> delay;
+  if (delayed_writes_ > 0) {
+    --delayed_writes_;
+    delay = write_delay_;
+  } else if (write_fate) {
+    delay = write_fate(name.empty() ? NewName(request.body) : name,
+                       request.headers.Find("Host"));
+  }
+  if (!delay) return false;
   Abort(request.exchange);
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_, write_delay_);
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, *delay);
   timer->async_wait([this, timer, request, kind, name, status](const auto& ec) {
-    if (!ec) Write(request, kind, name, status);
+    if (!ec) RunWrite(request, kind, name, status);
   });
   return true;
 }
@@ -316,6 +329,12 @@
                         const std::string& kind, std::string name,
                         bool status) {
   if (DelayWrite(request, kind, name, status)) return;
+  RunWrite(request, kind, std::move(name), status);
+}
+
+void ObjectStore::RunWrite(const http::RequestEvent& request,
+                           const std::string& kind, std::string name,
+                           bool status) {
   ++writes_;
   if (request.method == "DELETE") {
     Remove(kind, name);
--- a/tests/users_platform/object_store.h
+++ b/tests/users_platform/object_store.h
@@ -4,11 +4,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
@@ -50,6 +54,12 @@
     delayed_writes_ = count;
     write_delay_ = delay;
   }
+  // Decides the fate of a single write, by the object's name and the request's
+  // `Host`: one for which it returns a delay runs after that, and its
+  // connection is aborted.
+  std::function<std::optional<std::chrono::milliseconds>(
+      const std::string& name, std::string_view host)>
+      write_fate;
   // Lists contain the state at the time of the request and are sent after this
   // delay, like pages of a large kind over a slow link.
   void DelayLists(std::chrono::milliseconds delay) { list_delay_ = delay; }
@@ -114,6 +124,8 @@
              std::string name, bool status);
   bool DelayWrite(const http::RequestEvent& request, const std::string& kind,
                   const std::string& name, bool status);
+  void RunWrite(const http::RequestEvent& request, const std::string& kind,
+                std::string name, bool status);
   void RespondJson(ExchangeId exchange, unsigned status,
                    const boost::json::value& body);
   void RespondToWrite(ExchangeId exchange, const std::string& kind,
