A submission that names an item twice is rejected

Cause: submissions were checked item by item, while items are found by id and results listed by position. Class: a key that is not checked where it enters.

Such a submission is answered with 400 before anything is stored. The check stands where callers' submissions are accepted, not in the parser that also reads stored records: a job that an earlier version accepted is read as it is, and logged.

--- a/libs/gateway/src/batch/batch_api.cc
+++ b/libs/gateway/src/batch/batch_api.cc
@@ -99,8 +99,14 @@
   }
   const auto items = boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<std::vector<serving::BatchItem>> {
-        return users_platform::ParseSubmission(
-            request.body, users_platform::kMaxItemsPerSubmission);
+        BOOST_LEAF_AUTO(
+            parsed, users_platform::ParseSubmission(
+                        request.body, users_platform::kMaxItemsPerSubmission));
+        if (const auto* repeated = serving::FindRepeated(parsed)) {
+          return Fail(ErrorCode::kInvalid,
+                      fmt::format("two items have the id '{}'", repeated->id));
+        }
+        return parsed;
       },
       [&](const Error& error) {
         LogWarning("job_invalid", {{"job", job}, {"reason", error.message}});
--- a/libs/gateway/src/batch/job_records.cc
+++ b/libs/gateway/src/batch/job_records.cc
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "base/log.h"
 #include "users_platform/batch_calls.h"
 
 namespace knapweedstile::gateway {
@@ -117,6 +118,9 @@
   if (!object) return Fail(ErrorCode::kInvalid, "job is not a JSON object");
   BOOST_LEAF_AUTO(items, users_platform::ParseSubmission(
                              Text(*object, "submission"), kMaxItems));
+  // Accepted by a gateway of an earlier version: a job that is owed.
+  if (const auto* repeated = serving::FindRepeated(items))
+    LogWarning("job_item_repeated", {{"job", id}, {"item", repeated->id}});
   serving::BatchJob job;
   job.id = id;
   job.creator = Text(*object, "creator");
--- a/libs/gateway/src/batch/native_batch_api.cc
+++ b/libs/gateway/src/batch/native_batch_api.cc
@@ -88,6 +88,8 @@
     return Fail(ErrorCode::kInvalid,
                 fmt::format("a job must have 1 to {} lines", kMaxItems));
   }
+  if (serving::FindRepeated(items))
+    return Fail(ErrorCode::kInvalid, "two lines have the same \"custom_id\"");
   return items;
 }
 
--- a/libs/gateway/tests/job_records_test.cc
+++ b/libs/gateway/tests/job_records_test.cc
@@ -37,6 +37,19 @@
   CHECK(job->has_bodies);
 }
 
+// Guards against an accepted job of an earlier version that cannot be read.
+TEST_CASE("a stored job that names an item twice is read") {
+  JobRecord record = MakeRecord();
+  const std::string item = record.submission.substr(
+      record.submission.find('['), record.submission.rfind(']'));
+  const std::string one = item.substr(1, item.rfind(']') - 1);
+  record.submission = "{\"items\":[" + one + "," + one + "]}";
+  const auto job = Decode(EncodeJob(record));
+  REQUIRE(job);
+  CHECK(job->items.size() == 2);
+  CHECK(OutlineOfJob(EncodeJob(record)));
+}
+
 TEST_CASE("an outline has all of a job's record but bodies and headers") {
   JobRecord record = MakeRecord();
   record.second = "entry-2";
--- a/libs/serving/include/serving/batch_item.h
+++ b/libs/serving/include/serving/batch_item.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDSTILE_SERVING_BATCH_ITEM_H_
 
 #include <cstdint>
+#include <span>
 #include <string>
 
 #include "http/header_list.h"
@@ -17,6 +18,9 @@
   uint64_t tokens = 0;  // prompt and maximum output
 };
 
+// The first item whose id an earlier one has; null if there is none.
+const BatchItem* FindRepeated(std::span<const BatchItem> items);
+
 }  // namespace knapweedstile::serving
 
 #endif  // KNAPWEEDSTILE_SERVING_BATCH_ITEM_H_
--- a/tests/users_platform/gateway_batch_test.cc
+++ b/tests/users_platform/gateway_batch_test.cc
@@ -333,6 +333,20 @@
   CHECK(ItemsOf(fleet.site.WaitForResults("entry-2", "job-a", 2)).size() == 2);
 }
 
+// Guards against an item whose result is listed at two positions.
+TEST_CASE("a job that names an item twice is rejected and not stored") {
+  TwoGateways fleet;
+  auto request = fleet.site.JobRequest("entry-1", "job-x", 3);
+  const std::string second = "\"job-x-1\"";
+  request.body.replace(request.body.find(second), second.size(), "\"job-x-0\"");
+  const auto end = fleet.site.Call(std::move(request));
+  CHECK(end.status == 400);
+  CHECK(fleet.site.Results("entry-1", "job-x").status == 404);
+  // The id of the job is not taken.
+  CHECK(fleet.site.Call(fleet.site.JobRequest("entry-2", "job-x", 3)).status ==
+        202);
+}
+
 TEST_CASE("malformed jobs are rejected and not stored") {
   TwoGateways fleet;
   for (const std::string body :
--- a/tests/users_platform/own_interface_test.cc
+++ b/tests/users_platform/own_interface_test.cc
@@ -141,6 +141,18 @@
   }));
 }
 
+// Guards against an item whose result is listed at two positions.
+TEST_CASE("a native job that names an item twice is rejected") {
+  NativeApiFleet fleet;
+  const std::string line =
+      R"({"custom_id":"a","body":{"prompt":"one","max_tokens":2}})";
+  const auto end =
+      fleet.Call("entry-1", "POST", "/v1/batches", line + "\n" + line + "\n");
+  CHECK(end.status == 400);
+  CHECK(end.body.find("\"not_run\":true") != std::string::npos);
+  CHECK(fleet.Runs() == 0);
+}
+
 // Guards against requests that name a workspace without its key, and against
 // requests of a workspace for a model that it may not use. Both are rejected
 // before anything runs.
