--- a/tests/users_platform/gateway_batch_test.cc
+++ b/tests/users_platform/gateway_batch_test.cc
@@ -395,7 +395,8 @@
   auto request = fleet.site.JobRequest("entry-1", "job-x", 3);
   const std::string second = "\"job-x-1\"";
   request.body.replace(request.body.find(second), second.size(), "\"job-x-0\"");
-  CHECK(fleet.site.Call(std::move(request)).status == 400);
+  const auto end = fleet.site.Call(std::move(request));
+  CHECK(end.status == 400);
   CHECK(fleet.site.Results("entry-1", "job-x").status == 404);
   // The id of the job is not taken.
   CHECK(fleet.site.Call(fleet.site.JobRequest("entry-2", "job-x", 3)).status ==
