Records of unknown fate are settled and spread by who finds them

Cause: a record whose fate its writer does not know was nobody's. The committer dropped it with the job's end, a killed writer pushes nothing, a gateway that found it by its own read kept it to itself, and reads of jobs that are not open were answered "nothing new" without asking whether all records are here. Class: state spread by its writer alone.

A write of unknown fate is repeated until its fate is known and then pushed and counted. "Nothing new" needs all records unless the job is complete, in the native API too.

--- a/libs/gateway/src/batch/batch_api.cc
+++ b/libs/gateway/src/batch/batch_api.cc
@@ -184,7 +184,8 @@
                            const serving::BatchJob& job) {
   // The reader has received, or may have received, more results than this
   // gateway knows: a peer has newer records.
-  const bool nothing_new = read.position >= job.results.size() && job.open();
+  const bool nothing_new =
+      read.position >= job.results.size() && !job.complete();
   if (read.position > job.results.size() ||
       (nothing_new && !callbacks_.has_all_records())) {
     return RespondRetry(read.caller, 503, kReadRetry);
--- a/libs/gateway/src/batch/native_batch_api.cc
+++ b/libs/gateway/src/batch/native_batch_api.cc
@@ -335,19 +335,22 @@
   callbacks_.to_caller(std::move(command));
 }
 
+void NativeBatchApi::RespondNotCurrent(ExchangeId exchange,
+                                       const CallerIdentity& caller) {
+  callbacks_.to_caller(ToCommand(
+      exchange,
+      {.status = 503,
+       .code = "not_current",
+       .message = "this gateway does not have all job records yet; retry",
+       .request_id = caller.request_id,
+       .retry_after = kRetry}));
+}
+
 // Guards against a 404 for a job that a peer has just accepted and whose record
 // has not reached this gateway yet.
 void NativeBatchApi::RespondUnknownJob(ExchangeId exchange,
                                        const CallerIdentity& caller) {
-  if (!callbacks_.has_all_records()) {
-    return callbacks_.to_caller(ToCommand(
-        exchange,
-        {.status = 503,
-         .code = "not_current",
-         .message = "this gateway does not have all job records yet; retry",
-         .request_id = caller.request_id,
-         .retry_after = kRetry}));
-  }
+  if (!callbacks_.has_all_records()) return RespondNotCurrent(exchange, caller);
   callbacks_.to_caller(ToCommand(exchange, {.status = 404,
                                             .code = "batch_not_found",
                                             .message = "no such batch job",
@@ -412,6 +415,11 @@
                                     const CallerIdentity& caller,
                                     const JobTarget& target,
                                     const BatchJob& job) {
+  const bool nothing_new =
+      target.after >= job.results.size() && !job.complete();
+  if (nothing_new && !callbacks_.has_all_records()) {
+    return RespondNotCurrent(exchange, caller);
+  }
   const size_t limit =
       std::min(job.results.size(), target.after + target.limit);
   http::RespondCommand command{.exchange = exchange, .status = 200};
--- a/libs/gateway/src/batch/native_batch_api.h
+++ b/libs/gateway/src/batch/native_batch_api.h
@@ -72,6 +72,7 @@
                      unsigned status, const std::string& id);
   const serving::BatchJob* FindJob(const CallerIdentity& caller,
                                    const std::string& id) const;
+  void RespondNotCurrent(ExchangeId exchange, const CallerIdentity& caller);
   void RespondUnknownJob(ExchangeId exchange, const CallerIdentity& caller);
 
   const serving::RouteTable& routes_;
--- a/libs/gateway/src/batch/record_reader.cc
+++ b/libs/gateway/src/batch/record_reader.cc
@@ -31,6 +31,7 @@
       return;
     case RecordType::kEnd:
       if (object.deleted) return;
+      if (!jobs_.HasEnd(name.id)) ReportIfFound(object, origin);
       jobs_.EndJob(name.id);
       return callbacks_.job_updated(name.id);
     case RecordType::kUnknown:
@@ -51,6 +52,7 @@
                                        WallClockNanos() / kNanosPerMilli));
         if (origin == RecordOrigin::kOutline) MarkOutline(job);
         jobs_.AddJob(std::move(job));
+        ReportIfFound(object, origin);
         return {};
       },
       [&](const Error& error) {
@@ -73,6 +75,7 @@
         BOOST_LEAF_AUTO(results, DecodeSegment(object.value));
         if (origin == RecordOrigin::kOutline) MarkOutline(results);
         jobs_.AddSegment(name.id, name.segment, std::move(results));
+        ReportIfFound(object, origin);
         callbacks_.job_updated(name.id);
         return {};
       },
@@ -83,4 +86,9 @@
       [] {});
 }
 
+void RecordReader::ReportIfFound(const platform::StoredObject& object,
+                                 RecordOrigin origin) {
+  if (origin == RecordOrigin::kChange) callbacks_.record_found(object);
+}
+
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/batch/record_reader.h
+++ b/libs/gateway/src/batch/record_reader.h
@@ -17,7 +17,9 @@
 
 // Where a record comes from.
 enum class RecordOrigin {
-  kMirror,   // a read of all records; those that are known stay as they are
+  // Read from the store; records that are known stay as they are.
+  kList,     // a list of all records
+  kChange,   // a change since the previous read
   kFull,     // pushed, or read because this gateway needs its bytes
   kOutline,  // pushed without bodies and outputs
 };
@@ -29,6 +31,8 @@
   struct Callbacks {
     // A job has new results or was ended.
     std::function<void(const std::string& job)> job_updated;
+    // A change that was read from the store was not known here.
+    std::function<void(const platform::StoredObject& object)> record_found;
   };
 
   RecordReader(serving::JobTable& jobs, Callbacks callbacks);
@@ -40,6 +44,7 @@
               RecordOrigin origin);
   void AddSegment(const RecordName& name, const platform::StoredObject& object,
                   RecordOrigin origin);
+  void ReportIfFound(const platform::StoredObject& object, RecordOrigin origin);
 
   serving::JobTable& jobs_;
   Callbacks callbacks_;
--- a/libs/gateway/src/batch/result_committer.cc
+++ b/libs/gateway/src/batch/result_committer.cc
@@ -66,6 +66,12 @@
       continue;
     }
     const serving::BatchJob* known = jobs_.Find(job);
+    if (known && IsUnsettled(pending, *known)) {
+      LogInfo("segment_repeated", {{"job", job}, {"segment", pending.number}});
+      Send(job, pending);
+      ++at;
+      continue;
+    }
     if (!known || known->ended || jobs_.UncommittedResults(job).empty()) {
       at = pending_.erase(at);
       continue;
@@ -75,12 +81,23 @@
   }
 }
 
+// While the job is open, the segment is written with all results that have
+// finished since then.
+bool ResultCommitter::IsUnsettled(const Pending& pending,
+                                  const serving::BatchJob& job) {
+  return pending.maybe_written && (job.ended || job.segments > pending.number);
+}
+
 void ResultCommitter::Write(const std::string& job, Pending& pending) {
-  pending.in_flight = true;
   pending.number = jobs_.Find(job)->segments;
   pending.results = FirstSegment(jobs_.UncommittedResults(job));
   pending.record = {SegmentName(job, pending.number),
                     EncodeSegment(pending.results)};
+  Send(job, pending);
+}
+
+void ResultCommitter::Send(const std::string& job, Pending& pending) {
+  pending.in_flight = true;
   store_.CallDirectOrRelayed(
       platform::WriteRequest{.kind = kinds_.KindOfJob(job),
                              .name = pending.record.name,
@@ -98,6 +115,7 @@
       return ApplySegment(job, pending.number, std::move(pending.results));
     case StoreOutcome::kConflict:
     case StoreOutcome::kUnknown:
+      pending.maybe_written = true;
       return ReadBack(job, pending.number);
     default:
       LogWarning("commit_postponed", {{"job", job},
@@ -148,6 +166,7 @@
   jobs_.AddSegment(job, number, std::move(results));
   Pending& pending = pending_[job];
   pending.in_flight = false;
+  pending.maybe_written = false;
   pending.results.clear();
   pending.write_at = MonotonicNow() + kBatchingDelay;
   committed_(job);
--- a/libs/gateway/src/batch/result_committer.h
+++ b/libs/gateway/src/batch/result_committer.h
@@ -22,7 +22,9 @@
 // A segment is created only if its number is unused, and only by a gateway that
 // has all earlier segments. If two gateways ran the same item, one commits its
 // result and the other finds it in the committed segment. If the response to a
-// write is lost, the segment is read back before the next step.
+// write is lost, the segment is read back before the next step. A write of
+// unknown fate may still take effect, also after its job has ended or another
+// gateway has written the segment: it is repeated until its fate is known.
 class ResultCommitter {
  public:
   ResultCommitter(StoreCalls& store, const RecordKinds& kinds,
@@ -41,12 +43,17 @@
   struct Pending {
     TimePoint write_at{};
     bool in_flight = false;
+    // A write of the segment got no response and was not found in the store.
+    bool maybe_written = false;
     uint32_t number = 0;  // of the segment in flight
     StoreRecord record;   // the segment in flight
     std::vector<serving::ItemResult> results;
   };
 
+  // Whether the write of `pending` must be repeated as it is.
+  static bool IsUnsettled(const Pending& pending, const serving::BatchJob& job);
   void Write(const std::string& job, Pending& pending);
+  void Send(const std::string& job, Pending& pending);
   void OnWritten(const std::string& job, platform::StoreAnswer&& answer);
   void ReadBack(const std::string& job, uint32_t number);
   void OnReadBack(const std::string& job, uint32_t number,
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -263,6 +263,7 @@
   OnRecordsAcknowledged();
   publisher_.Run(now);
   SendProgress(now, kProgressStep);
+  PushFoundRecords(now);
   if (sync_tracker_.NeedsStoreRead(now)) record_mirrors_.SkipPause();
   if (sync_tracker_.HasGap(now)) record_mirrors_.RenewWatch();
   if (stop_began_at_ != kNever) AdvanceStop(now);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -37,6 +37,7 @@
 #include "operators/admin_server.h"
 #include "operators/policy_view.h"
 #include "pause_detector.h"
+#include "peers/found_records.h"
 #include "peers/gateway_registration.h"
 #include "peers/layout_record.h"
 #include "peers/peer_link.h"
@@ -130,6 +131,9 @@
   // Sends the record to the live peers, in full to the holders of its job.
   // Returns its sequence number among the records of this gateway.
   uint64_t PushRecord(const StoreRecord& record);
+  // A record that was not known here was read from the store.
+  void OnRecordFound(const platform::StoredObject& object);
+  void PushFoundRecords(TimePoint now);
   // Whether this gateway starts items of the job now. Without the items' bodies
   // it first reads them.
   bool RunsItemsOf(const serving::BatchJob& job);
@@ -207,6 +211,7 @@
   StreamRegistry stream_registry_;
   StoreFollower follower_;
   SyncTracker sync_tracker_;
+  FoundRecords found_records_;
   JobOwnership ownership_;
   GatewayRegistration registration_;
   LayoutRecord layout_record_;
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -47,6 +47,9 @@
       "knap_outline_calls_total",
       "reads that needed bytes of a job known in outline, by where they went",
       {"outcome"});
+  metrics.DeclareCounter(
+      "knap_records_found_total",
+      "records pushed to the peers that no gateway had announced");
   metrics.DeclareGauge("knap_jobs_known", "batch jobs in memory, by form",
                        {"form"});
   metrics.DeclareCounter("knap_peer_bytes_total",
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "base/log.h"
 #include "batch/job_records.h"
 #include "gateway.h"
 
@@ -10,6 +11,7 @@
 namespace knapweedstile::gateway {
 
 uint64_t Gateway::PushRecord(const StoreRecord& record) {
+  found_records_.OnPushed(record.name);
   const auto addresses = peers_.LiveAddresses();
   const RecordName name = ParseRecordName(record.name);
   const serving::BatchJob* job = jobs_.Find(name.id);
@@ -33,6 +35,24 @@
   return record_push_.count();
 }
 
+// What this gateway only missed, the others have: each of them finds out by
+// itself what it misses.
+void Gateway::OnRecordFound(const platform::StoredObject& object) {
+  const TimePoint now = MonotonicNow();
+  if (sync_tracker_.MissesPushes(now)) return;
+  found_records_.OnFound({object.name, object.value}, now);
+}
+
+void Gateway::PushFoundRecords(TimePoint now) {
+  for (const StoreRecord& record : found_records_.TakeDue(now)) {
+    // It was deleted meanwhile, or its job has not been read yet.
+    if (!jobs_.Find(ParseRecordName(record.name).id)) continue;
+    LogInfo("record_found", {{"name", record.name}});
+    metrics_.Add("knap_records_found_total");
+    PushRecord(record);
+  }
+}
+
 bool Gateway::RunsItemsOf(const serving::BatchJob& job) {
   const TimePoint now = MonotonicNow();
   if (!ownership_.Owns(job, now)) return false;
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -99,6 +99,7 @@
                  sync_tracker_.OnReceived(peer, start, count - records.size(),
                                           count, MonotonicNow());
                  for (StoreRecord& record : records) {
+                   found_records_.OnPushed(record.name);
                    record_reader_.ApplyRecord(
                        {.kind = kRecordKind,
                         .name = std::move(record.name),
@@ -352,6 +353,10 @@
       record_reader_(jobs_, {.job_updated =
                                  [this](const std::string& job) {
                                    batch_api_.OnProgress(job);
+                                 },
+                             .record_found =
+                                 [this](const platform::StoredObject& object) {
+                                   OnRecordFound(object);
                                  }}),
       record_fetcher_(
           {.store_reachable = [this] { return store_.reachable(); },
@@ -466,12 +471,12 @@
           {.listed =
                [this](std::vector<platform::StoredObject>&& objects) {
                  for (const auto& object : objects)
-                   record_reader_.ApplyRecord(object, RecordOrigin::kMirror);
+                   record_reader_.ApplyRecord(object, RecordOrigin::kList);
                  RunBatch(MonotonicNow());
                },
            .changed =
                [this](platform::StoredObject&& object) {
-                 record_reader_.ApplyRecord(object, RecordOrigin::kMirror);
+                 record_reader_.ApplyRecord(object, RecordOrigin::kChange);
                },
            .read_completed =
                [this](TimePoint began) {
--- a/libs/gateway/src/peers/sync_tracker.cc
+++ b/libs/gateway/src/peers/sync_tracker.cc
@@ -150,6 +150,16 @@
   });
 }
 
+bool SyncTracker::MissesPushes(TimePoint now) const {
+  if (read_began_ == TimePoint{} || read_began_ < paused_at_) return true;
+  if (!RecentlyRecovered(now).empty()) return true;
+  return std::any_of(peers_.begin(), peers_.end(), [now](const auto& e) {
+    return IsSilent(e.second, now) ||
+           (e.second.has_pending() &&
+            now - e.second.pending.front().advertised_at >= kPushDelay);
+  });
+}
+
 uint64_t SyncTracker::ReceivedFrom(const std::string& name) const {
   const auto peer = peers_.find(name);
   return peer == peers_.end() ? 0 : peer->second.received;
--- a/libs/gateway/src/peers/sync_tracker.h
+++ b/libs/gateway/src/peers/sync_tracker.h
@@ -51,6 +51,10 @@
   // pushed, and how many of their records this gateway now has. Reported to the
   // peers as an acknowledgement.
   std::map<std::string, RecordCount> RecentlyRecovered(TimePoint now) const;
+  // Whether records that peers have written and advertise, or may have written
+  // while they are silent, are missing here or were until a moment ago. A read
+  // of the store then brings records that are no news to other gateways.
+  bool MissesPushes(TimePoint now) const;
   // Number of the peer's records that were received without a gap.
   uint64_t ReceivedFrom(const std::string& name) const;
   // Whether the store has been read since the start and the last pause, and no
--- a/libs/serving/include/serving/job_table.h
+++ b/libs/serving/include/serving/job_table.h
@@ -78,6 +78,10 @@
   // Queries.
   const BatchJob* Find(std::string_view job) const;
   BatchJob* Find(std::string_view job);
+  // Whether the job's end was received, also before the job.
+  bool HasEnd(const std::string& job) const {
+    return pending_ends_.contains(job);
+  }
   // Whether the segment was received, also while it waits for an earlier one.
   bool HasSegment(const std::string& job, uint32_t number) const;
   // Whether it was also received with its outputs.
--- a/tests/users_platform/object_store.cc
+++ b/tests/users_platform/object_store.cc
@@ -276,15 +276,26 @@
   return true;
 }
 
+bool ObjectStore::IsHeld(const http::RequestEvent& request) {
+  if (held_creations_ == 0 || request.method != "POST") return false;
+  const json::value body = json::parse(request.body);
+  const std::string name(body.at("metadata").at("name").as_string());
+  if (!name.starts_with(held_prefix_)) return false;
+  --held_creations_;
+  return true;
+}
+
 bool ObjectStore::DelayWrite(const http::RequestEvent& request,
                              const std::string& kind, const std::string& name,
                              bool status) {
-  if (delayed_writes_ == 0) return false;
-  --delayed_writes_;
-  Abort(request.exchange);
+  if (!IsHeld(request)) {
+    if (delayed_writes_ == 0) return false;
+    --delayed_writes_;
+    Abort(request.exchange);
+  }
   auto timer = std::make_shared<boost::asio::steady_timer>(io_, write_delay_);
   timer->async_wait([this, timer, request, kind, name, status](const auto& ec) {
-    if (!ec) Write(request, kind, name, status);
+    if (!ec) PerformWrite(request, kind, name, status);
   });
   return true;
 }
@@ -293,6 +304,12 @@
                         const std::string& kind, std::string name,
                         bool status) {
   if (DelayWrite(request, kind, name, status)) return;
+  PerformWrite(request, kind, std::move(name), status);
+}
+
+void ObjectStore::PerformWrite(const http::RequestEvent& request,
+                               const std::string& kind, std::string name,
+                               bool status) {
   ++writes_;
   if (request.method == "DELETE") {
     Remove(kind, name);
--- a/tests/users_platform/object_store.h
+++ b/tests/users_platform/object_store.h
@@ -49,6 +49,16 @@
     delayed_writes_ = count;
     write_delay_ = delay;
   }
+  // The next `count` creations of objects whose names begin with `prefix` get
+  // no response, and no end of their connections; each runs after `delay`.
+  void HoldCreations(const std::string& prefix, int count,
+                     std::chrono::milliseconds delay) {
+    held_prefix_ = prefix;
+    held_creations_ = count;
+    write_delay_ = delay;
+  }
+  // Creations that HoldCreations() still waits for.
+  int held_creations() const noexcept { return held_creations_; }
   // Lists contain the state at the time of the request and are sent after this
   // delay, like pages of a large kind over a slow link.
   void DelayLists(std::chrono::milliseconds delay) { list_delay_ = delay; }
@@ -101,6 +111,9 @@
                   int64_t wait_ms);
   void Write(const http::RequestEvent& request, const std::string& kind,
              std::string name, bool status);
+  void PerformWrite(const http::RequestEvent& request, const std::string& kind,
+                    std::string name, bool status);
+  bool IsHeld(const http::RequestEvent& request);
   bool DelayWrite(const http::RequestEvent& request, const std::string& kind,
                   const std::string& name, bool status);
   void RespondJson(ExchangeId exchange, unsigned status,
@@ -125,6 +138,8 @@
   bool watches_suspended_ = false;
   int lost_responses_ = 0;
   int delayed_writes_ = 0;
+  std::string held_prefix_;
+  int held_creations_ = 0;
   std::chrono::milliseconds write_delay_{0};
   std::chrono::milliseconds list_delay_{0};
   int writes_ = 0;
