--- a/libs/gateway/src/batch/result_committer.cc
+++ b/libs/gateway/src/batch/result_committer.cc
@@ -58,6 +58,12 @@
       continue;
     }
     const serving::BatchJob* known = jobs_.Find(job);
+    if (known && IsUnsettled(pending, *known)) {
+      LogInfo("segment_repeated", {{"job", job}, {"segment", pending.number}});
+      Send(job, pending);
+      ++at;
+      continue;
+    }
     if (!known || known->ended || !jobs_.HasUncommittedResults(job)) {
       at = pending_.erase(at);
       continue;
@@ -67,6 +73,13 @@
   }
 }
 
+// While the job is open, the segment is written with all results that have
+// finished since then.
+bool ResultCommitter::IsUnsettled(const Pending& pending,
+                                  const serving::BatchJob& job) {
+  return pending.maybe_written && (job.ended || job.segments > pending.number);
+}
+
 bool ResultCommitter::FillSegment(const std::string& job, Pending& pending) {
   std::vector<ItemResult> results;
   size_t bytes = 0;
@@ -81,17 +94,18 @@
     bytes += size;
     results.push_back(std::move(result));
   }
-  pending.number = jobs_.Find(job)->segments;
-  pending.record = {SegmentName(job, pending.number), EncodeSegment(results)};
+  std::string value = EncodeSegment(results);
   if (results.empty()) {
     const auto large = large_results_.NextComplete(job);
     if (!large) return false;
-    pending.record.value = EncodeLargeResult(*large);
+    value = EncodeLargeResult(*large);
     results.push_back({.item = large->item,
                        .state = large->state,
                        .has_output = false,
                        .in_parts = true});
   }
+  pending.number = jobs_.Find(job)->segments;
+  pending.record = {SegmentName(job, pending.number), std::move(value)};
   pending.results = std::move(results);
   return true;
 }
@@ -102,6 +116,10 @@
     pending.write_at = now + kBatchingDelay;
     return;
   }
+  Send(job, pending);
+}
+
+void ResultCommitter::Send(const std::string& job, Pending& pending) {
   pending.in_flight = true;
   store_.CallDirectOrRelayed(
       platform::WriteRequest{.kind = kinds_.KindOfJob(job),
@@ -120,6 +138,7 @@
       return ApplySegment(job, pending.number, std::move(pending.results));
     case StoreOutcome::kConflict:
     case StoreOutcome::kUnknown:
+      pending.maybe_written = true;
       return ReadBack(job, pending.number);
     case StoreOutcome::kRejected:
       return OnRejected(job, answer.message);
@@ -137,6 +156,7 @@
   Pending& pending = pending_[job];
   const size_t size = pending.record.value.size();
   large_results_.OnRejected(job, pending.record.name, size, reason);
+  pending.maybe_written = false;
   ScheduleRetry(job);
   if (pending.max_bytes <= kMinSegmentBytes) {
     pending.write_at = MonotonicNow() + kRejectedPause;
@@ -184,6 +204,7 @@
   jobs_.AddSegment(job, number, std::move(results));
   Pending& pending = pending_[job];
   pending.in_flight = false;
+  pending.maybe_written = false;
   pending.results.clear();
   pending.write_at = MonotonicNow() + kBatchingDelay;
   committed_(job);
--- a/libs/gateway/src/batch/result_committer.h
+++ b/libs/gateway/src/batch/result_committer.h
@@ -23,7 +23,9 @@
 // A segment is created only if its number is unused, and only by a gateway that
 // has all earlier segments. If two gateways ran the same item, one commits its
 // result and the other finds it in the committed segment. If the response to a
-// write is lost, the segment is read back before the next step.
+// write is lost, the segment is read back before the next step. A write of
+// unknown fate may still take effect, also after its job has ended or another
+// gateway has written the segment: it is repeated until its fate is known.
 //
 // A result that does not fit into a segment is committed by itself, once its
 // output is in the store in parts; other results do not wait for it. A segment
@@ -48,15 +50,20 @@
   struct Pending {
     TimePoint write_at{};
     bool in_flight = false;
+    // A write of the segment got no response and was not found in the store.
+    bool maybe_written = false;
     uint32_t number = 0;  // of the segment in flight
     StoreRecord record;   // the segment in flight
     std::vector<serving::ItemResult> results;
     size_t max_bytes = kMaxSegmentBytes;
   };
 
-  void Write(const std::string& job, Pending& pending, TimePoint now);
+  // Whether the write of `pending` must be repeated as it is.
+  static bool IsUnsettled(const Pending& pending, const serving::BatchJob& job);
   // Chooses what the next segment lists; false: nothing yet.
   bool FillSegment(const std::string& job, Pending& pending);
+  void Write(const std::string& job, Pending& pending, TimePoint now);
+  void Send(const std::string& job, Pending& pending);
   void OnWritten(const std::string& job, platform::StoreAnswer&& answer);
   void OnRejected(const std::string& job, const std::string& reason);
   void ReadBack(const std::string& job, uint32_t number);
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -50,6 +50,9 @@
   metrics.DeclareCounter("knap_result_writes_rejected_total",
                          "writes of results that the store rejected for good",
                          {"record"});
+  metrics.DeclareCounter(
+      "knap_records_found_total",
+      "records pushed to the peers that no gateway had announced");
   metrics.DeclareGauge("knap_jobs_known", "batch jobs in memory, by form",
                        {"form"});
   metrics.DeclareGauge("knap_jobs_handed_over",
--- a/tests/users_platform/object_store.cc
+++ b/tests/users_platform/object_store.cc
@@ -305,11 +305,23 @@
   return true;
 }
 
+bool ObjectStore::IsHeld(const http::RequestEvent& request) {
+  if (held_creations_ == 0 || request.method != "POST") return false;
+  const json::value body = json::parse(request.body);
+  const std::string name(body.at("metadata").at("name").as_string());
+  if (!name.starts_with(held_prefix_)) return false;
+  --held_creations_;
+  return true;
+}
+
 bool ObjectStore::DelayWrite(const http::RequestEvent& request,
                              const std::string& kind, const std::string& name,
                              bool status) {
   std::optional<std::chrono::milliseconds> delay;
-  if (delayed_writes_ > 0) {
+  const bool held = IsHeld(request);
+  if (held) {
+    delay = write_delay_;
+  } else if (delayed_writes_ > 0) {
     --delayed_writes_;
     delay = write_delay_;
   } else if (write_fate) {
@@ -317,10 +329,10 @@
                        request.headers.Find("Host"));
   }
   if (!delay) return false;
-  Abort(request.exchange);
+  if (!held) Abort(request.exchange);
   auto timer = std::make_shared<boost::asio::steady_timer>(io_, *delay);
   timer->async_wait([this, timer, request, kind, name, status](const auto& ec) {
-    if (!ec) RunWrite(request, kind, name, status);
+    if (!ec) PerformWrite(request, kind, name, status);
   });
   return true;
 }
@@ -329,12 +341,12 @@
                         const std::string& kind, std::string name,
                         bool status) {
   if (DelayWrite(request, kind, name, status)) return;
-  RunWrite(request, kind, std::move(name), status);
+  PerformWrite(request, kind, std::move(name), status);
 }
 
-void ObjectStore::RunWrite(const http::RequestEvent& request,
-                           const std::string& kind, std::string name,
-                           bool status) {
+void ObjectStore::PerformWrite(const http::RequestEvent& request,
+                               const std::string& kind, std::string name,
+                               bool status) {
   ++writes_;
   if (request.method == "DELETE") {
     Remove(kind, name);
