--- a/tests/users_platform/site.cc
+++ b/tests/users_platform/site.cc
@@ -208,11 +208,15 @@
   text = Replace(text, "node_name", name);
   text = Replace(text, "ip", "127.0.0.1");
   text = Replace(text, "limits.cpu_share", "1");
+  text = Replace(text, "limits.memory_mb", std::to_string(memory_mb));
+  text = Replace(text, "limits.max_fds", std::to_string(max_descriptors));
   text = Replace(text, "provider.history_s", "20");
   text = Replace(text, "zone", zone_of(name));
   text = Replace(text, "listen.front", listens);
   text = Replace(text, "listen.ready", admin_addresses_[name]);
-  text = Replace(text, "port_range.0", std::to_string(FreePort()));
+  const std::string peer_port = std::to_string(FreePort());
+  peer_addresses_[name] = kLoopback + peer_port;
+  text = Replace(text, "port_range.0", peer_port);
   const std::string& store =
       use_second_store_address ? store_.second_address() : store_.address();
   text = Replace(text, "provider.address", interpose("store/" + name, store));
--- a/tests/users_platform/site.h
+++ b/tests/users_platform/site.h
@@ -31,6 +31,10 @@
 
   // Result retention of gateways that are started from now on.
   int retention_s = 120;
+  // Memory and descriptors that the platform grants to gateways that are
+  // started from now on.
+  int memory_mb = 260;
+  int max_descriptors = 4100;
 
   // Returns the address that clients of the listening address of `who`
   // ("store/GATEWAY", "server/INSTANCE", "callers/GATEWAY") are given; a test
@@ -112,6 +116,10 @@
   const std::string& caller_address(const std::string& gateway) const {
     return caller_addresses_.at(gateway);
   }
+  // Where other gateways call this one.
+  const std::string& peer_address(const std::string& gateway) const {
+    return peer_addresses_.at(gateway);
+  }
   std::string Metrics(const std::string& gateway);
   std::string Status(const std::string& gateway);
   // Runs knapctl while the stand-ins keep working; returns its output and
@@ -160,6 +168,7 @@
   std::map<std::string, std::unique_ptr<harness::Process>> processes_;
   std::map<std::string, std::string> caller_addresses_;  // after `interpose`
   std::map<std::string, std::string> admin_addresses_;
+  std::map<std::string, std::string> peer_addresses_;
   std::map<std::string, int> start_counts_;
   int last_port_ = 0;
   int command_count_ = 0;
