HTTP: the end of a chunked body may arrive in pieces

What callers saw: a request with `0\r\n` in one segment and the blank line in the next ended the gateway (SIGABRT); proper callers send that too. A response in that form ended it as well, from a server, a peer or the store.

Cause: Beast's parse_chunk_header asserts at least five bytes when it is called again for a last chunk without an end. Server and client called it again with what was left, in a loop or as soon as one more byte came.

Change: ParserInput, used by both, holds the bytes that were not consumed and offers them again only when more have come, and at least five in the body. No body ends with fewer, so nothing waits for them.

--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -11,6 +11,7 @@
 
 #include "base/id.h"
 #include "base/time.h"
+#include "parser_input.h"
 
 namespace knapweedstile::http {
 
@@ -51,7 +52,7 @@
   std::string out;  // request bytes; those before out_offset are written
   size_t out_offset = 0;
   std::optional<Parser> parser;
-  std::string unparsed;
+  ParserInput input;
   bool any_written = false;
   bool stream_body = false;
   bool head_delivered = false;
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -123,7 +123,7 @@
   connection.out = RequestHead(request);
   connection.out += request.body;
   connection.out_offset = 0;
-  connection.unparsed.clear();
+  connection.input.Clear();
   ResetParser(connection);
   exchanges_[request.exchange] = connection.id;
 }
@@ -264,7 +264,7 @@
     // Bytes without a request: the connection is out of sync.
     return Erase(connection);
   }
-  connection.unparsed.append(scratch_, 0, count);
+  connection.input.Append(std::string_view(scratch_).substr(0, count));
   Parse(connection);
   LimitBuffered();
   if (Connection* current = Find(id)) WaitReadable(*current);
@@ -284,11 +284,10 @@
 
 void Client::Impl::Parse(Connection& connection) {
   while (connection.phase == ClientPhase::kExchange &&
-         !connection.unparsed.empty()) {
+         !connection.input.empty()) {
     auto& parser = *connection.parser;
     error_code ec;
-    const size_t used = parser.put(asio::buffer(connection.unparsed), ec);
-    connection.unparsed.erase(0, used);
+    const size_t used = connection.input.Feed(parser, ec);
     connection.received_bytes += used;
     if (ec && ec != beast_http::error::need_more) {
       return FailInvalid(connection, ec.message());
@@ -334,7 +333,7 @@
 std::string_view Client::Impl::ExceededLimit(
     const Connection& connection) const {
   const auto& parser = *connection.parser;
-  if (!parser.is_done() && connection.unparsed.size() > kMaxHeaderBytes) {
+  if (!parser.is_done() && connection.input.size() > kMaxHeaderBytes) {
     return "the framing of the body is too long";
   }
   if (connection.interim_responses > kMaxPrecedingResponses) {
@@ -433,7 +432,7 @@
       connection.skipped_responses == 0 &&
       message[connection.echoed_field] == connection.echoed_value;
   const bool reusable = message.keep_alive() && connection.out.empty() &&
-                        connection.unparsed.empty() && in_step;
+                        connection.input.empty() && in_step;
   connection.idle_limit = std::min<Duration>(settings_.idle_timeout,
                                              IdleLimitFromKeepAlive(message));
   exchanges_.erase(connection.exchange);
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -10,6 +10,7 @@
 
 #include "base/id.h"
 #include "base/time.h"
+#include "parser_input.h"
 
 namespace knapweedstile::http {
 
@@ -42,8 +43,8 @@
   boost::asio::ip::tcp::socket socket;
   ServerPhase phase = ServerPhase::kIdle;
   std::optional<Parser> parser;
-  std::string unparsed;  // read from the socket, not yet parsed
-  std::string out;       // response bytes; those before out_offset are written
+  ParserInput input;
+  std::string out;  // response bytes; those before out_offset are written
   size_t out_offset = 0;
   ExchangeId exchange;
   TimePoint deadline = kNever;  // of the current phase
--- a/libs/http/src/server_impl.cc
+++ b/libs/http/src/server_impl.cc
@@ -137,7 +137,7 @@
 void Server::Impl::WaitReadable(Connection& connection) {
   const bool pipelined_too_far =
       connection.phase >= ServerPhase::kPending &&
-      connection.unparsed.size() > settings_.max_header_bytes;
+      connection.input.size() > settings_.max_header_bytes;
   if (connection.read_pending || connection.read_closed || pipelined_too_far)
     return;
   connection.read_pending = true;
@@ -162,7 +162,7 @@
     return OnEof(connection);
   }
   if (!connection.discard_input) {
-    connection.unparsed.append(scratch_, 0, count);
+    connection.input.Append(std::string_view(scratch_).substr(0, count));
     Parse(connection);
   }
   if (Connection* current = Find(id)) WaitReadable(*current);
@@ -184,8 +184,7 @@
 }
 
 void Server::Impl::Parse(Connection& connection) {
-  while (connection.phase <= ServerPhase::kBody &&
-         !connection.unparsed.empty()) {
+  while (connection.phase <= ServerPhase::kBody && !connection.input.empty()) {
     if (connection.phase == ServerPhase::kIdle) BeginRequest(connection);
     if (!ParseBuffered(connection)) return;
   }
@@ -204,8 +203,7 @@
 bool Server::Impl::ParseBuffered(Connection& connection) {
   auto& parser = *connection.parser;
   error_code ec;
-  const size_t used = parser.put(asio::buffer(connection.unparsed), ec);
-  connection.unparsed.erase(0, used);
+  const size_t used = connection.input.Feed(parser, ec);
   if (ec && ec != beast_http::error::need_more) {
     const Rejection rejection = RejectionFor(ec);
     Reject(connection, rejection.status, rejection.code, rejection.message);
--- a/libs/http/src/server_responses.cc
+++ b/libs/http/src/server_responses.cc
@@ -108,7 +108,7 @@
       body;
   connection.keep_alive = false;
   connection.discard_input = true;
-  connection.unparsed.clear();
+  connection.input.Clear();
   connection.parser.reset();
   ReleaseBody(connection);
   connection.phase = ServerPhase::kFinishing;
@@ -149,7 +149,7 @@
   connection.phase = ServerPhase::kIdle;
   connection.deadline = MonotonicNow() + (stopping_ ? Duration(kStopGrace)
                                                     : settings_.idle_timeout);
-  if (!connection.unparsed.empty()) {
+  if (!connection.input.empty()) {
     asio::post(io_, MakeHandler(connection.id, &Impl::Parse));
   }
   WaitReadable(connection);
