HTTP server: framing of a request body is bounded

What was seen: 40 callers that send trailers, an extension of a chunk or of the last chunk, or zeros before a chunk's size without end bring a gateway to 428 to 430 MB (each sends 10 MB; without that cap it grows until it is killed).

Cause: while Beast's parser asks for more within a body, the server kept what came. The header limit covers the head only, the body limit the body only.

Beyond it the request is rejected with 431, unrun, and its input is discarded.

`http`: six forms get 431; 100,000 chunks of one byte with an extension and 10 KB of trailers are accepted.

--- a/libs/http/include/http/server_settings.h
+++ b/libs/http/include/http/server_settings.h
@@ -11,6 +11,7 @@
   // distinguish their exchanges.
   uint64_t first_exchange = 1;
   uint32_t max_connections = 10000;
+  // Of a head; and of one chunk's line, or all trailers, of a chunked body.
   uint32_t max_header_bytes = 16 << 10;
   uint64_t max_body_bytes = 64 << 20;
   // Limits for reading the full header and then the full body. Partial data
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "endpoint.h"
+#include "framing_limits.h"
 #include "message_text.h"
 
 namespace knapweedstile::http {
@@ -28,10 +29,6 @@
 // Interim responses and responses to other requests, each, that may precede the
 // response.
 constexpr uint32_t kMaxPrecedingResponses = 32;
-// Received bytes that are not of a body, per byte of one and in addition. A
-// chunk of one byte takes five more.
-constexpr uint64_t kMaxFramingPerBodyByte = 8;
-constexpr uint64_t kMaxFramingBytes = 512 << 10;
 
 bool IsInformational(unsigned status) noexcept { return status / 100 == 1; }
 
@@ -345,10 +342,7 @@
   if (connection.discarded_bytes > settings_.max_response_bytes) {
     return "too many bytes of responses to other requests";
   }
-  const uint64_t framing_bytes =
-      connection.received_bytes - connection.body_bytes;
-  if (framing_bytes >
-      kMaxFramingBytes + kMaxFramingPerBodyByte * connection.body_bytes) {
+  if (IsFramingExcessive(connection.received_bytes, connection.body_bytes)) {
     return "too many bytes between those of the body";
   }
   const bool error = parser.is_header_done() && !connection.skipping &&
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -49,7 +49,8 @@
   ExchangeId exchange;
   TimePoint deadline = kNever;  // of the current phase
   TimePoint received_at;
-  uint64_t body_bytes = 0;  // counted against max_total_body_bytes
+  uint64_t received_bytes = 0;  // by the parser, of this request
+  uint64_t body_bytes = 0;      // counted against max_total_body_bytes
   unsigned version = 11;
   bool keep_alive = true;
   bool head_request = false;
--- a/libs/http/src/server_impl.cc
+++ b/libs/http/src/server_impl.cc
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "endpoint.h"
+#include "framing_limits.h"
 #include "message_text.h"
 
 namespace knapweedstile::http {
@@ -192,6 +193,7 @@
 
 void Server::Impl::BeginRequest(Connection& connection) {
   connection.parser.emplace();
+  connection.received_bytes = 0;
   connection.parser->eager(true);
   connection.parser->header_limit(settings_.max_header_bytes);
   connection.parser->body_limit(settings_.max_body_bytes);
@@ -204,6 +206,7 @@
   auto& parser = *connection.parser;
   error_code ec;
   const size_t used = connection.input.Feed(parser, ec);
+  connection.received_bytes += used;
   if (ec && ec != beast_http::error::need_more) {
     const Rejection rejection = RejectionFor(ec);
     Reject(connection, rejection.status, rejection.code, rejection.message);
@@ -224,6 +227,14 @@
     Dispatch(connection);
     return false;
   }
+  // What the parser leaves of a body is the line of a chunk or trailers.
+  if (connection.phase == ServerPhase::kBody &&
+      (connection.input.size() > settings_.max_header_bytes ||
+       IsFramingExcessive(connection.received_bytes, body_bytes))) {
+    Reject(connection, 431, "framing_too_large",
+           "the chunk extensions or trailers of the request are too large");
+    return false;
+  }
   return used > 0;
 }
 
--- a/libs/http/tests/server_test.cc
+++ b/libs/http/tests/server_test.cc
@@ -134,6 +134,55 @@
   CHECK(server.requests.empty());
 }
 
+// Guards against bytes between those of a body that have no end.
+TEST_CASE("framing of a body that is too large gets 431") {
+  io_context io;
+  TestServer server(io);
+  const std::string head =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string long_line(40 << 10, '0');
+  std::string trailers;
+  while (trailers.size() < (40 << 10)) trailers += "X: y\r\n";
+  std::string extensions;
+  while (extensions.size() < (2 << 20))
+    extensions += "1;" + std::string(1000, 'a') + "\r\nx\r\n";
+  for (const std::string& framing :
+       {long_line, "1;a=" + long_line, "0;a=" + long_line,
+        "0\r\nX: " + long_line, "0\r\n" + trailers, extensions}) {
+    CAPTURE(framing.substr(0, 20));
+    RawCaller caller(io, server.port);
+    std::string_view rest = framing;
+    caller.Send(head);
+    REQUIRE(RunUntil(io, [&] {
+      constexpr size_t kPiece = 8 << 10;
+      caller.Send(rest.substr(0, kPiece));
+      rest.remove_prefix(std::min(kPiece, rest.size()));
+      return caller.Ended();
+    }));
+    CHECK(caller.Received("431"));
+  }
+  CHECK(server.requests.empty());
+}
+
+// Framing within the limits: a chunk of one byte, trailers, an extension.
+TEST_CASE("chunks of one byte and trailers are accepted") {
+  io_context io;
+  TestServer server(io);
+  constexpr int kChunks = 100'000;
+  std::string request = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < kChunks; ++i) request += "1\r\na\r\n";
+  request += "0;b=c\r\nX: " + std::string(10'000, 'd') + "\r\n\r\n";
+  RawCaller caller(io, server.port);
+  std::string_view rest = request;
+  REQUIRE(RunUntil(io, [&] {
+    constexpr size_t kPiece = 8 << 10;
+    if (!rest.empty()) caller.Send(rest.substr(0, kPiece));
+    rest.remove_prefix(std::min(kPiece, rest.size()));
+    return server.requests.size() == 1;
+  }));
+  CHECK(server.requests[0].body == std::string(kChunks, 'a'));
+}
+
 TEST_CASE("buffered bodies are bounded over all connections") {
   io_context io;
   ServerSettings settings;
