HTTP server: connections share one bound on memory and give way to others

What was seen on a gateway with 120 MB: bodies left open by 200 callers took 131 MB, heads of many small fields of 400 callers 135, requests with 1 MB that are served slowly 152 (100 callers), streams that nobody reads 162 (250), results that nobody reads 197 (200), bodies at the address for operators 416 and at the one for gateways 406 (100 connections each). 600 connections that say nothing had 621 descriptors and kept their places for the idle timeout; others got nothing until then.

Cause: limits were for each connection, or in bytes as sent. Not counted: capacity beyond the content, parsed header fields, the copies of a request that is executed, input after a request, unsent responses. The servers for operators, metrics and gateways had the defaults (10,000 connections, 512 MB of bodies).

Beyond max_held_bytes, those give way first that have held most for longest without progress: incomplete requests get 503, unrun, with Retry-After; callers that don't read are disconnected. Requests that are executed never give way; a further one is rejected at once if they need all the room, and a single one is always served. Beyond max_connections, a new connection takes the place of one that was never served, then of one that has been unused, or unread, for a second. At most 4 KB are read ahead of a request that is executed; buffers are released when they are empty.

`http`: five new cases.

Test replaced: "buffered bodies are bounded over all connections" bounded max_total_body_bytes, which max_held_bytes replaces. Same steps and checks with bodies of 100 KB, since a connection itself counts now.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -17,7 +17,9 @@
   std::string name;
   std::string ip;
   std::string availability_zone;
-  double processor_share = 1;     // cores that this process may use
+  double processor_share = 1;  // cores that this process may use
+  uint32_t memory_mb = 256;    // that this process may use
+  uint32_t max_descriptors = 4096;
   std::string callers_address;    // empty: this VM accepts no callers
   std::string readiness_address;  // readiness and metrics
   std::string metrics_address;    // metrics only; empty: no second address
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -48,6 +48,7 @@
 #include "peers/record_push.h"
 #include "peers/state_publisher.h"
 #include "peers/sync_tracker.h"
+#include "resource_limits.h"
 #include "servers/server_connections.h"
 #include "servers/server_directory.h"
 #include "serving/crash_tracker.h"
@@ -192,6 +193,7 @@
 
   boost::asio::io_context& io_;
   GatewaySettings settings_;
+  ResourceLimits limits_;
   TimePoint started_at_;
   observe::Metrics metrics_;
   observe::Timeline timeline_;
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -15,6 +15,14 @@
               "that this process may use; gateways with more do more for the "
               "others",
               &settings->processor_share, 0.001, 1024);
+  schema.Integer("node.memory_mb", "MB",
+                 "that this process may use; callers' requests and responses "
+                 "take at most a quarter, other limits follow from it too",
+                 &settings->memory_mb, 64, 1'000'000);
+  schema.Integer("node.max_descriptors", "descriptors",
+                 "that this process may have open; callers' connections take "
+                 "at most half of them, and 3500",
+                 &settings->max_descriptors, 256, 1'000'000);
   schema.Address("listen.callers", "where callers connect",
                  &settings->callers_address);
   schema.Address("listen.readiness", "readiness probe and /metrics",
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -28,11 +28,11 @@
 // For one part of a large result on the link of a small VM.
 constexpr std::chrono::milliseconds kPartReadTimeout{1500};
 
-http::ServerSettings CallerServerSettings() {
+http::ServerSettings CallerServerSettings(const ResourceLimits& limits) {
   http::ServerSettings settings;
-  settings.max_connections = 3500;
+  settings.max_connections = limits.caller_connections;
   settings.body_timeout = kBodyTimeout;
-  settings.max_total_body_bytes = 64ULL << 20;
+  settings.max_held_bytes = limits.caller_bytes;
   return settings;
 }
 
@@ -42,6 +42,7 @@
                  uint64_t seed)
     : io_(io),
       settings_(settings),
+      limits_(DivideResources(settings.memory_mb, settings.max_descriptors)),
       started_at_(MonotonicNow()),
       timeline_(settings.timeline_events),
       scheduler_({}, settings.availability_zone, seed),
@@ -94,7 +95,7 @@
                                                 MonotonicNow());
                   }}),
       record_push_(
-          io, settings.name, start_id_,
+          io, limits_, settings.name, start_id_,
           {.received =
                [this](const std::string& peer, uint64_t start, uint64_t count,
                       std::vector<StoreRecord>&& records) {
@@ -465,11 +466,11 @@
                  [this](const std::string& job) {
                    return ownership_.CollectsRecordsOf(job);
                  }),
-      caller_server_(io, CallerServerSettings(),
+      caller_server_(io, CallerServerSettings(limits_),
                      [this](http::ServerEvent&& event) {
                        return OnCallerEvent(std::move(event));
                      }),
-      admin_server_(io, settings_, store_, timeline_,
+      admin_server_(io, settings_, limits_, store_, timeline_,
                     {.ready = [this] { return ready(); },
                      .metrics = [this] { return RenderMetrics(); },
                      .status =
--- a/libs/gateway/src/operators/admin_server.cc
+++ b/libs/gateway/src/operators/admin_server.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "gateway/gateway_settings.h"
 #include "operators/status_page.h"
+#include "resource_limits.h"
 #include "users_platform/request_headers.h"
 
 namespace knapweedstile::gateway {
@@ -15,6 +16,27 @@
 constexpr std::string_view kMetricsPath = "/metrics";
 constexpr char kJson[] = "application/json";
 
+// Objects that operators write are at most as large as a value of the store;
+// other requests have no body.
+constexpr uint64_t kMaxObjectBytes = 1 << 20;
+constexpr uint64_t kMaxMetricsBodyBytes = 4 << 10;
+
+http::ServerSettings OperatorServerSettings(const ResourceLimits& limits) {
+  http::ServerSettings settings;
+  settings.max_connections = limits.operator_connections;
+  settings.max_held_bytes = limits.operator_bytes;
+  settings.max_body_bytes = kMaxObjectBytes;
+  return settings;
+}
+
+http::ServerSettings MetricsServerSettings(const ResourceLimits& limits) {
+  http::ServerSettings settings;
+  settings.max_connections = limits.metrics_connections;
+  settings.max_held_bytes = limits.metrics_bytes;
+  settings.max_body_bytes = kMaxMetricsBodyBytes;
+  return settings;
+}
+
 // The number in `?after=N`; zero if absent.
 uint64_t AfterOf(std::string_view target) {
   constexpr std::string_view kAfter = "?after=";
@@ -34,16 +56,17 @@
 }  // namespace
 
 AdminServer::AdminServer(boost::asio::io_context& io,
-                         const GatewaySettings& settings, StoreCalls& store,
+                         const GatewaySettings& settings,
+                         const ResourceLimits& limits, StoreCalls& store,
                          const observe::Timeline& timeline, Callbacks callbacks)
     : settings_(settings),
       timeline_(timeline),
       callbacks_(std::move(callbacks)),
-      http_server_(io, {},
+      http_server_(io, OperatorServerSettings(limits),
                    [this](http::ServerEvent&& event) {
                      return OnAdminEvent(std::move(event));
                    }),
-      metrics_server_(io, {},
+      metrics_server_(io, MetricsServerSettings(limits),
                       [this](http::ServerEvent&& event) {
                         const auto* request =
                             std::get_if<http::RequestEvent>(&event);
--- a/libs/gateway/src/operators/admin_server.h
+++ b/libs/gateway/src/operators/admin_server.h
@@ -17,6 +17,7 @@
 namespace knapweedstile::gateway {
 
 struct GatewaySettings;
+struct ResourceLimits;
 
 // HTTP server for operators: readiness, metrics, JSON pages and the API for
 // objects. Metrics are also served alone at a second, fixed address.
@@ -32,8 +33,8 @@
   };
 
   AdminServer(boost::asio::io_context& io, const GatewaySettings& settings,
-              StoreCalls& store, const observe::Timeline& timeline,
-              Callbacks callbacks);
+              const ResourceLimits& limits, StoreCalls& store,
+              const observe::Timeline& timeline, Callbacks callbacks);
 
   Result<bool> Listen();
 
--- a/libs/gateway/src/peers/record_push.cc
+++ b/libs/gateway/src/peers/record_push.cc
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "peers/peer_client_settings.h"
 #include "peers/record_codec.h"
+#include "resource_limits.h"
 
 namespace knapweedstile::gateway {
 namespace {
@@ -31,10 +32,11 @@
 // long.
 constexpr std::chrono::milliseconds kIdleTimeout{5000};
 
-http::ServerSettings PushServerSettings() {
+http::ServerSettings PushServerSettings(const ResourceLimits& limits) {
   http::ServerSettings settings;
   settings.first_exchange = kFirstExchange;
-  settings.max_connections = 1000;
+  settings.max_connections = limits.peer_connections;
+  settings.max_held_bytes = limits.peer_bytes;
   settings.max_body_bytes = 4 << 20;
   settings.idle_timeout = kIdleTimeout;
   return settings;
@@ -49,12 +51,13 @@
 
 }  // namespace
 
-RecordPush::RecordPush(boost::asio::io_context& io, std::string name,
+RecordPush::RecordPush(boost::asio::io_context& io,
+                       const ResourceLimits& limits, std::string name,
                        uint64_t start, Handlers handlers)
     : name_(std::move(name)),
       start_(start),
       handlers_(std::move(handlers)),
-      server_(io, PushServerSettings(),
+      server_(io, PushServerSettings(limits),
               [this](http::ServerEvent&& event) {
                 return OnRequest(std::move(event));
               }),
--- a/libs/gateway/src/peers/record_push.h
+++ b/libs/gateway/src/peers/record_push.h
@@ -17,6 +17,8 @@
 
 namespace knapweedstile::gateway {
 
+struct ResourceLimits;
+
 // Sends records that this gateway has written to the store directly to its
 // peers, so that they need not read each from the store.
 //
@@ -40,8 +42,8 @@
     std::function<void(std::string_view cause, uint64_t bytes)> queued;
   };
 
-  RecordPush(boost::asio::io_context& io, std::string name, uint64_t start,
-             Handlers handlers);
+  RecordPush(boost::asio::io_context& io, const ResourceLimits& limits,
+             std::string name, uint64_t start, Handlers handlers);
 
   // Sets the handler of requests for other targets.
   void SetOtherHandler(
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -56,6 +56,10 @@
   // Number of exchanges whose response is not complete.
   size_t open_exchanges() const noexcept;
   size_t open_connections() const noexcept;
+  // Memory counted against max_held_bytes.
+  uint64_t held_bytes() const noexcept;
+  // Number of requests and responses given up for want of memory or places.
+  uint64_t gave_way() const noexcept;
 
  private:
   class Impl;
--- a/libs/http/include/http/server_settings.h
+++ b/libs/http/include/http/server_settings.h
@@ -10,6 +10,8 @@
   // Id of the first exchange. Servers of one process need disjoint ranges to
   // distinguish their exchanges.
   uint64_t first_exchange = 1;
+  // Beyond it, the connection of least use is closed for a new one. Those with
+  // a request in progress stay, and further ones get 503.
   uint32_t max_connections = 10000;
   // Of a head; and of one chunk's line, or all trailers, of a chunked body.
   uint32_t max_header_bytes = 16 << 10;
@@ -25,8 +27,11 @@
   // Maximum unsent bytes of one streamed response; beyond it the connection is
   // closed.
   uint32_t max_unsent_bytes = 4 << 20;
-  // Maximum bytes of request bodies buffered over all connections.
-  uint64_t max_total_body_bytes = 512ULL << 20;
+  // Maximum memory of all connections, in bytes: what was received, the
+  // requests that are executed (by estimate), and unsent responses. Beyond it,
+  // the connections that have gone longest without progress, weighted by what
+  // they hold, are closed; a request is rejected if others need all of it.
+  uint64_t max_held_bytes = 512ULL << 20;
 };
 
 }  // namespace knapweedstile::http
--- a/libs/http/src/parser_input.h
+++ b/libs/http/src/parser_input.h
@@ -17,10 +17,15 @@
   void Append(std::string_view bytes) { bytes_.append(bytes); }
   // Discards the bytes; the next ones belong to a new message.
   void Clear() {
-    bytes_ = {};
+    std::string().swap(bytes_);
     unparsable_size_ = 0;
   }
 
+  void ShrinkToFit() {
+    if (bytes_.capacity() > bytes_.size() + kKeptCapacity)
+      bytes_.shrink_to_fit();
+  }
+
   // Passes the bytes to the Beast parser; returns how many it consumed. The
   // error is `need_more` if it needs further bytes than these.
   template <typename Parser>
@@ -49,7 +54,7 @@
   }
   const size_t used = parser.put(boost::asio::buffer(bytes_), ec);
   bytes_.erase(0, used);
-  if (bytes_.empty() && bytes_.capacity() > kKeptCapacity) bytes_ = {};
+  if (bytes_.empty()) ShrinkToFit();
   unparsable_size_ = 0;
   if (ec == error::need_more) {
     const size_t least = parser.is_header_done() ? kMinLastChunkBytes - 1 : 0;
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -43,4 +43,8 @@
   return impl_->open_connections();
 }
 
+uint64_t Server::held_bytes() const noexcept { return impl_->held_bytes(); }
+
+uint64_t Server::gave_way() const noexcept { return impl_->gave_way(); }
+
 }  // namespace knapweedstile::http
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -37,6 +37,9 @@
                    boost::asio::ip::tcp::socket&& accepted)
       : id(own_id), socket(std::move(accepted)) {}
 
+  // Of requests that are received while one is executed.
+  static constexpr size_t kMaxReadAhead = 4 << 10;
+
   size_t unsent() const noexcept { return out.size() - out_offset; }
 
   ServerConnectionId id;
@@ -49,9 +52,16 @@
   ExchangeId exchange;
   TimePoint deadline = kNever;  // of the current phase
   TimePoint received_at;
+  // When the caller began its request, last read some of its response, or was
+  // last served.
+  TimePoint progress_at;
   uint64_t received_bytes = 0;  // by the parser, of this request
-  uint64_t body_bytes = 0;      // counted against max_total_body_bytes
+  uint64_t header_bytes = 0;    // of these
+  // Estimated memory of the request besides its body in the parser.
+  uint64_t request_bytes = 0;
+  uint64_t held_bytes = 0;  // all memory, counted against max_held_bytes
   unsigned version = 11;
+  bool served = false;  // a response was completed
   bool keep_alive = true;
   bool head_request = false;
   bool chunked = false;
--- a/libs/http/src/server_impl.cc
+++ b/libs/http/src/server_impl.cc
@@ -1,5 +1,6 @@
 #include "server_impl.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
@@ -23,9 +24,10 @@
 // Interval of the one timer that checks the deadlines of all connections; exact
 // enough for limits in seconds.
 constexpr std::chrono::milliseconds kSweepInterval{50};
-// Maximum number of connections over the limit that are sent a 503 at one time;
-// further ones are closed without a response.
+// Maximum number of connections over the limit that are sent a 503 at one time,
+// also in relation to the limit; further ones are closed without a response.
 constexpr size_t kMaxRejectedConnections = 256;
+constexpr size_t kRejectedConnectionsDivisor = 8;
 
 struct Rejection {
   unsigned status;
@@ -114,9 +116,13 @@
 }
 
 void Server::Impl::AddConnection(asio::ip::tcp::socket&& socket) {
-  const size_t connection_count = connections_.size();
-  if (connection_count >= settings_.max_connections + kMaxRejectedConnections)
+  const size_t limit = settings_.max_connections;
+  const bool excess = connections_.size() >= limit && !MakePlace();
+  if (connections_.size() >=
+      limit + std::min(kMaxRejectedConnections,
+                       1 + limit / kRejectedConnectionsDivisor)) {
     return;
+  }
   error_code ec;
   socket.non_blocking(true, ec);
   socket.set_option(asio::ip::tcp::no_delay(true), ec);
@@ -126,9 +132,11 @@
       *connections_
            .emplace(id, std::make_unique<Connection>(id, std::move(socket)))
            .first->second;
-  connection.deadline = MonotonicNow() + settings_.idle_timeout;
+  connection.progress_at = MonotonicNow();
+  connection.deadline = connection.progress_at + settings_.idle_timeout;
+  UpdateHeld(connection);
   ArmSweep();
-  if (connection_count >= settings_.max_connections) {
+  if (excess) {
     Reject(connection, 503, "too_many_connections",
            "the server has reached its connection limit");
   }
@@ -136,10 +144,8 @@
 }
 
 void Server::Impl::WaitReadable(Connection& connection) {
-  const bool pipelined_too_far =
-      connection.phase >= ServerPhase::kPending &&
-      connection.input.size() > settings_.max_header_bytes;
-  if (connection.read_pending || connection.read_closed || pipelined_too_far)
+  if (connection.read_pending || connection.read_closed ||
+      ReadSize(connection) == 0)
     return;
   connection.read_pending = true;
   connection.socket.async_wait(asio::socket_base::wait_read,
@@ -157,7 +163,10 @@
   connection.read_pending = false;
   const ServerConnectionId id = connection.id;
   error_code ec;
-  const size_t count = connection.socket.read_some(asio::buffer(scratch_), ec);
+  const size_t size = ReadSize(connection);
+  if (size == 0) return;
+  const size_t count =
+      connection.socket.read_some(asio::buffer(scratch_, size), ec);
   if (ec && ec != asio::error::would_block) {
     if (ec != asio::error::eof) return CloseDisconnected(connection);
     return OnEof(connection);
@@ -165,10 +174,20 @@
   if (!connection.discard_input) {
     connection.input.Append(std::string_view(scratch_).substr(0, count));
     Parse(connection);
+    if (Connection* current = Find(id)) UpdateHeld(*current);
+    MakeRoom();
   }
   if (Connection* current = Find(id)) WaitReadable(*current);
 }
 
+size_t Server::Impl::ReadSize(const Connection& connection) const noexcept {
+  if (connection.discard_input || connection.phase < ServerPhase::kPending) {
+    return scratch_.size();
+  }
+  return Connection::kMaxReadAhead -
+         std::min(Connection::kMaxReadAhead, connection.input.size());
+}
+
 void Server::Impl::OnWritable(Connection& connection) {
   connection.write_pending = false;
   Flush(connection);
@@ -199,6 +218,7 @@
   connection.parser->body_limit(settings_.max_body_bytes);
   connection.phase = ServerPhase::kHeader;
   connection.received_at = MonotonicNow();
+  connection.progress_at = connection.received_at;
   connection.deadline = connection.received_at + settings_.header_timeout;
 }
 
@@ -215,14 +235,6 @@
   if (connection.phase == ServerPhase::kHeader && parser.is_header_done()) {
     OnHeaderRead(connection);
   }
-  const uint64_t body_bytes = parser.get().body().size();
-  total_body_bytes_ += body_bytes - connection.body_bytes;
-  connection.body_bytes = body_bytes;
-  if (total_body_bytes_ > settings_.max_total_body_bytes) {
-    Reject(connection, 503, "overloaded",
-           "the server has reached its limit for buffered request bodies");
-    return false;
-  }
   if (parser.is_done()) {
     Dispatch(connection);
     return false;
@@ -230,7 +242,8 @@
   // What the parser leaves of a body is the line of a chunk or trailers.
   if (connection.phase == ServerPhase::kBody &&
       (connection.input.size() > settings_.max_header_bytes ||
-       IsFramingExcessive(connection.received_bytes, body_bytes))) {
+       IsFramingExcessive(connection.received_bytes,
+                          parser.get().body().size()))) {
     Reject(connection, 431, "framing_too_large",
            "the chunk extensions or trailers of the request are too large");
     return false;
@@ -240,6 +253,7 @@
 
 void Server::Impl::OnHeaderRead(Connection& connection) {
   connection.phase = ServerPhase::kBody;
+  CountHeader(connection);
   connection.deadline = MonotonicNow() + settings_.body_timeout;
   const auto& request = connection.parser->get();
   connection.version = request.version();
@@ -254,6 +268,11 @@
 
 void Server::Impl::Dispatch(Connection& connection) {
   const ServerConnectionId id = connection.id;
+  const uint64_t execution_bytes = ExecutionBytes(connection);
+  if (!MakeRoom(execution_bytes, id) && !exchanges_.empty()) {
+    return Reject(connection, 503, "overloaded",
+                  "the server has reached its limit on the memory of requests");
+  }
   const ExchangeId exchange(++last_exchange_);
   exchanges_.emplace(exchange, id);
   connection.exchange = exchange;
@@ -261,6 +280,9 @@
   connection.deadline = kNever;
   auto request = connection.parser->release();
   connection.parser.reset();
+  connection.input.ShrinkToFit();
+  connection.request_bytes = execution_bytes;
+  UpdateHeld(connection);
   connection.keep_alive = request.keep_alive();
   RequestEvent event{.exchange = exchange,
                      .method = std::string(request.method_string()),
@@ -305,14 +327,10 @@
 
 void Server::Impl::Erase(Connection& connection) {
   exchanges_.erase(connection.exchange);
-  ReleaseBody(connection);
+  held_bytes_ -= connection.held_bytes;
   connections_.erase(connection.id);
 }
 
-void Server::Impl::ReleaseBody(Connection& connection) {
-  total_body_bytes_ -= std::exchange(connection.body_bytes, 0);
-}
-
 // Guards against lost disconnect events when the queue behind the sink is full:
 // the work for a caller that has disconnected would go on. The sweep retries.
 void Server::Impl::DeliverDisconnects() {
@@ -386,7 +404,7 @@
   connections_.clear();
   exchanges_.clear();
   disconnects_.clear();
-  total_body_bytes_ = 0;
+  held_bytes_ = 0;
 }
 
 }  // namespace knapweedstile::http
--- a/libs/http/src/server_impl.h
+++ b/libs/http/src/server_impl.h
@@ -38,6 +38,8 @@
 
   size_t open_exchanges() const noexcept { return exchanges_.size(); }
   size_t open_connections() const noexcept { return connections_.size(); }
+  uint64_t held_bytes() const noexcept { return held_bytes_; }
+  uint64_t gave_way() const noexcept { return gave_way_; }
 
  private:
   using Connection = ServerConnection;
@@ -53,6 +55,8 @@
   void AcceptPending();
   void AddConnection(boost::asio::ip::tcp::socket&& socket);
 
+  // How many bytes may be read from the socket now.
+  size_t ReadSize(const Connection& connection) const noexcept;
   void WaitReadable(Connection& connection);
   void WaitWritable(Connection& connection);
   void OnReadable(Connection& connection);
@@ -79,7 +83,20 @@
   void OnDeadline(Connection& connection);
   void CloseDisconnected(Connection& connection);
   void Erase(Connection& connection);
-  void ReleaseBody(Connection& connection);
+
+  // Counts what the connection holds now.
+  void UpdateHeld(Connection& connection);
+  void CountHeader(Connection& connection);
+  // Estimated memory of the connection's request while it is executed.
+  static uint64_t ExecutionBytes(const Connection& connection);
+  // Closes the connections that do least with what they hold until `needed`
+  // bytes more are within the limit. Returns whether they are. May erase any
+  // connection but `except`.
+  bool MakeRoom(uint64_t needed = 0, ServerConnectionId except = {});
+  // Closes the connection of least use; false if all are in use.
+  bool MakePlace();
+  void GiveWay(Connection& connection, std::string_view cause);
+  void PostDisconnects();
 
   void ArmSweep();
   void Sweep();
@@ -97,7 +114,8 @@
   bool stopping_ = false;
   uint64_t last_connection_ = 0;
   uint64_t last_exchange_;
-  uint64_t total_body_bytes_ = 0;
+  uint64_t held_bytes_ = 0;  // by all connections
+  uint64_t gave_way_ = 0;
   std::unordered_map<ServerConnectionId, std::unique_ptr<Connection>>
       connections_;
   std::unordered_map<ExchangeId, ServerConnectionId> exchanges_;
--- a/libs/http/src/server_responses.cc
+++ b/libs/http/src/server_responses.cc
@@ -41,7 +41,9 @@
                                    .length = command.body.size()});
   if (!no_body && !connection->head_request) connection->out += command.body;
   connection->phase = ServerPhase::kFinishing;
+  connection->progress_at = MonotonicNow();
   Flush(*connection);
+  MakeRoom();
 }
 
 void Server::Impl::Run(BeginStreamCommand&& command) {
@@ -55,6 +57,7 @@
                                    .keep_alive = connection->keep_alive,
                                    .chunked = connection->chunked});
   connection->phase = ServerPhase::kStreaming;
+  connection->progress_at = MonotonicNow();
   Flush(*connection);
 }
 
@@ -65,6 +68,7 @@
 void Server::Impl::Run(StreamChunkCommand&& command) {
   Connection* connection = FindExchange(command.exchange);
   if (!connection || connection->phase != ServerPhase::kStreaming) return;
+  if (connection->unsent() == 0) connection->progress_at = MonotonicNow();
   const bool body = !connection->head_request;
   if (body && !command.data.empty()) {
     if (connection->chunked) {
@@ -85,6 +89,7 @@
     LogWarning("stream_reader_too_slow", {{"unsent", connection->unsent()}});
     asio::post(io_, MakeHandler(id, &Impl::CloseDisconnected));
   }
+  MakeRoom();
 }
 
 void Server::Impl::Run(AbortCommand&& command) {
@@ -110,16 +115,18 @@
   connection.discard_input = true;
   connection.input.Clear();
   connection.parser.reset();
-  ReleaseBody(connection);
+  connection.request_bytes = 0;
   connection.phase = ServerPhase::kFinishing;
+  connection.progress_at = MonotonicNow();
   Flush(connection);
 }
 
 void Server::Impl::Flush(Connection& connection) {
   while (connection.unsent() > 0) {
     error_code ec;
-    connection.out_offset += connection.socket.write_some(
+    const size_t count = connection.socket.write_some(
         asio::buffer(connection.out) + connection.out_offset, ec);
+    connection.out_offset += count;
     if (!ec) continue;
     if (ec != asio::error::would_block) {
       // Deferred: Flush() may run inside Execute(), and the connection must not
@@ -127,16 +134,19 @@
       asio::post(io_, MakeHandler(connection.id, &Impl::CloseDisconnected));
       return;
     }
+    if (connection.out_offset > 0) connection.progress_at = MonotonicNow();
     connection.out.erase(0, std::exchange(connection.out_offset, 0));
     if (connection.phase >= ServerPhase::kStreaming &&
         !connection.write_pending) {
       connection.deadline = MonotonicNow() + settings_.write_timeout;
     }
+    UpdateHeld(connection);
     WaitWritable(connection);
     return;
   }
-  connection.out.clear();
+  std::string().swap(connection.out);
   connection.out_offset = 0;
+  UpdateHeld(connection);
   if (connection.phase == ServerPhase::kStreaming) connection.deadline = kNever;
   if (connection.phase == ServerPhase::kFinishing) Finish(connection);
 }
@@ -144,11 +154,15 @@
 void Server::Impl::Finish(Connection& connection) {
   exchanges_.erase(connection.exchange);
   connection.exchange = ExchangeId();
-  ReleaseBody(connection);
+  connection.request_bytes = 0;
+  connection.served = true;
+  connection.progress_at = MonotonicNow();
+  UpdateHeld(connection);
   if (!connection.keep_alive) return Linger(connection);
   connection.phase = ServerPhase::kIdle;
-  connection.deadline = MonotonicNow() + (stopping_ ? Duration(kStopGrace)
-                                                    : settings_.idle_timeout);
+  connection.deadline =
+      connection.progress_at +
+      (stopping_ ? Duration(kStopGrace) : settings_.idle_timeout);
   if (!connection.input.empty()) {
     asio::post(io_, MakeHandler(connection.id, &Impl::Parse));
   }
--- a/libs/http/tests/server_test.cc
+++ b/libs/http/tests/server_test.cc
@@ -186,10 +186,10 @@
 TEST_CASE("buffered bodies are bounded over all connections") {
   io_context io;
   ServerSettings settings;
-  settings.max_total_body_bytes = 1500;
+  settings.max_held_bytes = 350'000;
   TestServer server(io, settings);
-  const std::string post = "POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" +
-                           std::string(1000, 'a');
+  const std::string post = "POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" +
+                           std::string(100'000, 'a');
   RawCaller first(io, server.port);
   first.Send(post);
   REQUIRE(RunUntil(io, [&] { return server.requests.size() == 1; }));
@@ -204,6 +204,115 @@
   REQUIRE(RunUntil(io, [&] { return server.requests.size() == 2; }));
 }
 
+// Guards against bodies that are left open and take the memory of others.
+TEST_CASE("the oldest and largest incomplete requests give way") {
+  io_context io;
+  ServerSettings settings;
+  settings.max_held_bytes = 1'000'000;
+  TestServer server(io, settings);
+  server.on_request = [&](const RequestEvent& r) {
+    server.Respond(r.exchange, "answer");
+  };
+  const std::string half = "POST / HTTP/1.1\r\nContent-Length: 400000\r\n\r\n" +
+                           std::string(200'000, 'a');
+  std::vector<std::unique_ptr<RawCaller>> open;
+  for (int i = 0; i < 8; ++i) {
+    open.push_back(std::make_unique<RawCaller>(io, server.port));
+    open.back()->Send(half);
+    RunUntil(io, [&] { return server.server.held_bytes() > 0; });
+    CHECK(server.server.held_bytes() <= settings.max_held_bytes + (64 << 10));
+  }
+  REQUIRE(RunUntil(io, [&] { return open[0]->Ended(); }));
+  CHECK(open[0]->Received("503"));
+  CHECK(open[0]->Received("Retry-After"));
+  CHECK(open[0]->Received("\"not_run\":true"));
+  RawCaller calm(io, server.port);
+  calm.Send("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" +
+            std::string(100'000, 'b'));
+  CHECK(RunUntil(io, [&] { return calm.Received("answer"); }));
+  CHECK(server.server.held_bytes() <= settings.max_held_bytes);
+  CHECK(server.server.gave_way() > 0);
+  open.clear();
+  calm.Close();
+  REQUIRE(RunUntil(io, [&] { return server.server.open_connections() == 0; }));
+  CHECK(server.server.held_bytes() == 0);
+}
+
+// A request within its own limits is served in calm, whatever it takes.
+TEST_CASE("a single request may need all memory") {
+  io_context io;
+  ServerSettings settings;
+  settings.max_held_bytes = 100'000;
+  TestServer server(io, settings);
+  RawCaller caller(io, server.port);
+  caller.Send("POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" +
+              std::string(200'000, 'a'));
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 1; }));
+  server.Respond(server.requests[0].exchange, std::string(200'000, 'b'));
+  CHECK(RunUntil(io, [&] {
+    return caller.Received("200 OK") && caller.received.size() > 200'000;
+  }));
+}
+
+// Guards against responses that fill the memory since nobody reads them.
+TEST_CASE("responses that are not read give way") {
+  io_context io;
+  ServerSettings settings;
+  settings.max_held_bytes = 20 << 20;
+  TestServer server(io, settings);
+  server.on_request = [&](const RequestEvent& r) {
+    server.Respond(r.exchange, std::string(8 << 20, 'a'));
+  };
+  std::vector<std::unique_ptr<RawCaller>> open;
+  for (size_t i = 1; i <= 8; ++i) {
+    open.push_back(std::make_unique<RawCaller>(io, server.port));
+    open.back()->Send(kGet);
+    REQUIRE(RunUntil(io, [&] { return server.requests.size() == i; }));
+    CHECK(server.server.held_bytes() <= settings.max_held_bytes);
+  }
+  CHECK(server.server.open_connections() < open.size());
+  CHECK(open.back()->Received("200 OK"));
+}
+
+// Guards against input that is kept for callers that send on while they are
+// served.
+TEST_CASE("little is read ahead of the request that is served") {
+  io_context io;
+  TestServer server(io);
+  RawCaller caller(io, server.port);
+  caller.Send(kGet);
+  REQUIRE(RunUntil(io, [&] { return server.requests.size() == 1; }));
+  const uint64_t held = server.server.held_bytes();
+  for (int i = 0; i < 100; ++i) {
+    caller.Send(std::string(8 << 10, 'a'));
+    io.restart();
+    io.poll();
+  }
+  CHECK(server.server.held_bytes() <= held + (16 << 10));
+  CHECK(server.disconnects.empty());
+}
+
+// Guards against connections that take all places and send nothing.
+TEST_CASE("a silent connection gives its place to a new one") {
+  io_context io;
+  ServerSettings settings;
+  settings.max_connections = 10;
+  TestServer server(io, settings);
+  server.on_request = [&](const RequestEvent& r) {
+    server.Respond(r.exchange, "answer");
+  };
+  std::vector<std::unique_ptr<RawCaller>> silent;
+  for (int i = 0; i < 30; ++i) {
+    silent.push_back(std::make_unique<RawCaller>(io, server.port));
+    if (i % 2 == 0) silent.back()->Send("G");
+    RawCaller calm(io, server.port);
+    calm.Send(kGet);
+    REQUIRE(RunUntil(io, [&] { return calm.Received("answer"); }));
+    CHECK(server.server.open_connections() <= 12);
+  }
+  CHECK(silent[0]->Ended());
+}
+
 TEST_CASE("a full sink and an excess connection get 503") {
   io_context io;
   ServerSettings settings;
