Gateway: calls that need a connection beside the caller's are limited

What was seen with 400 descriptors: 390 reads of jobs that nobody knows had 420 open, 390 calls in a fleet of three 519, 300 connections that send a request and close at once, 20 times, 2,266. A record of 1 MB stayed in memory for each submission whose caller had left.

Cause: a call could cost the gateway a connection to the store, to another gateway or to a backend server, without a limit; and submissions go on until their fate is known, which counted nowhere.

Change: reads of the store for unknown jobs, forwarded calls and submissions have a sixteenth of the descriptors each, submissions also a sixteenth of the memory; beyond that 503 with Retry-After at once, unrun. Ends of unknown jobs go the way of their reads. Backend servers have a third of the descriptors: idle connections are closed first, then online requests get 503 before any server is chosen, and items wait. A client's buffer of a sent request is released.

--- a/libs/gateway/src/batch/batch_api.cc
+++ b/libs/gateway/src/batch/batch_api.cc
@@ -50,13 +50,15 @@
 
 BatchApi::BatchApi(StoreCalls& store, const RecordKinds& kinds,
                    serving::JobTable& jobs, JobWriter& writer,
-                   std::string own_name, Callbacks callbacks)
+                   std::string own_name, size_t max_store_reads,
+                   Callbacks callbacks)
     : store_(store),
       kinds_(kinds),
       jobs_(jobs),
       writer_(writer),
       own_name_(std::move(own_name)),
-      callbacks_(std::move(callbacks)) {}
+      callbacks_(std::move(callbacks)),
+      max_store_reads_(max_store_reads) {}
 
 void BatchApi::Respond(ExchangeId caller, unsigned status, std::string body,
                        std::string_view type) {
@@ -241,10 +243,15 @@
 }
 
 void BatchApi::RespondUnknownJob(ExchangeId caller, const std::string& job) {
+  if (store_reads_ >= max_store_reads_) {
+    return RespondRetry(caller, 503, kReadRetry);
+  }
+  ++store_reads_;
   store_.CallDirectOrRelayed(
       platform::ReadRequest{.kind = kinds_.KindOfJob(job),
                             .name = JobName(job)},
       MonotonicNow() + kReadTimeout, [this, caller](StoreAnswer&& answer) {
+        --store_reads_;
         if (answer.outcome == StoreOutcome::kNotFound) {
           return Respond(caller, 404);
         }
@@ -257,6 +264,7 @@
 
 void BatchApi::End(ExchangeId caller, const std::string& job,
                    TimePoint give_up_at) {
+  if (!jobs_.Find(job)) return RespondUnknownJob(caller, job);
   writer_.End(job, give_up_at, [this, caller](EndOutcome outcome) {
     switch (outcome) {
       case EndOutcome::kEnded:
--- a/libs/gateway/src/batch/batch_api.h
+++ b/libs/gateway/src/batch/batch_api.h
@@ -42,7 +42,8 @@
   };
 
   BatchApi(StoreCalls& store, const RecordKinds& kinds, serving::JobTable& jobs,
-           JobWriter& writer, std::string own_name, Callbacks callbacks);
+           JobWriter& writer, std::string own_name, size_t max_store_reads,
+           Callbacks callbacks);
 
   void Submit(http::RequestEvent&& request, const serving::Route& route,
               const CallerIdentity& caller);
@@ -96,6 +97,9 @@
   std::string own_name_;
   Callbacks callbacks_;
   std::multimap<std::string, PendingRead> pending_reads_;  // by job key
+  // Reads of the store for jobs that this gateway does not know.
+  size_t max_store_reads_;
+  size_t store_reads_ = 0;
 };
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/batch/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -210,7 +210,7 @@
                                      const serving::Route& route,
                                      TimePoint now) {
   uint32_t& budget = BudgetOf(service, now);
-  if (budget == 0) return {};
+  if (budget == 0 || connections_.full()) return {};
   const std::vector<BackendServerId> excluded =
       callbacks_.excluded_servers(route, service);
   const BackendServerId server = scheduler_.PlaceBatch(
--- a/libs/gateway/src/batch/job_forwarder.cc
+++ b/libs/gateway/src/batch/job_forwarder.cc
@@ -45,9 +45,10 @@
 
 }  // namespace
 
-JobForwarder::JobForwarder(boost::asio::io_context& io,
+JobForwarder::JobForwarder(boost::asio::io_context& io, size_t max_calls,
                            observe::Metrics& metrics, Callbacks callbacks)
-    : callbacks_(std::move(callbacks)),
+    : max_calls_(max_calls),
+      callbacks_(std::move(callbacks)),
       metrics_(metrics),
       client_(io, PeerClientSettings(), [this](http::ClientEvent&& event) {
         OnEvent(std::move(event));
@@ -93,6 +94,7 @@
 }
 
 void JobForwarder::Start(Call&& call) {
+  if (calls_.size() >= max_calls_) return GiveUp(call);
   const TimePoint now = MonotonicNow();
   std::stable_partition(
       call.holders.begin(), call.holders.end(),
--- a/libs/gateway/src/batch/job_forwarder.h
+++ b/libs/gateway/src/batch/job_forwarder.h
@@ -35,8 +35,9 @@
     std::function<std::vector<std::string>(std::string_view job)> holders;
   };
 
-  JobForwarder(boost::asio::io_context& io, observe::Metrics& metrics,
-               Callbacks callbacks);
+  // `max_calls`: forwarded at a time; further ones fail at once.
+  JobForwarder(boost::asio::io_context& io, size_t max_calls,
+               observe::Metrics& metrics, Callbacks callbacks);
 
   static bool IsTarget(std::string_view target);
   // HTTP status that a gateway returns if it does not hold the job.
@@ -72,6 +73,7 @@
   void GiveUp(const Call& call);
   bool IsUnreachable(const std::string& address, TimePoint now);
 
+  size_t max_calls_;
   Callbacks callbacks_;
   observe::Metrics& metrics_;
   uint64_t last_exchange_ = 0;
--- a/libs/gateway/src/batch/job_writer.cc
+++ b/libs/gateway/src/batch/job_writer.cc
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "batch/record_kinds.h"
 #include "platform/store_request.h"
+#include "resource_limits.h"
 #include "store/store_calls.h"
 
 namespace knapweedstile::gateway {
@@ -39,12 +40,26 @@
 
 JobWriter::JobWriter(StoreCalls& store, const RecordKinds& kinds,
                      serving::JobTable& jobs, observe::Metrics& metrics,
-                     Callbacks callbacks)
+                     const ResourceLimits& limits, Callbacks callbacks)
     : store_(store),
       kinds_(kinds),
       jobs_(jobs),
       metrics_(metrics),
-      callbacks_(std::move(callbacks)) {}
+      callbacks_(std::move(callbacks)),
+      max_pending_bytes_(limits.submission_bytes),
+      max_pending_(limits.calls) {}
+
+bool JobWriter::HasRoomFor(size_t record_bytes) const {
+  uint64_t bytes = record_bytes;
+  for (const auto& [id, submission] : submissions_) {
+    bytes += submission.request.record.submission.size();
+  }
+  for (const DeferredSubmission& deferred : deferred_) {
+    bytes += deferred.request.record.submission.size();
+  }
+  return bytes <= max_pending_bytes_ &&
+         submissions_.size() + deferred_.size() < max_pending_;
+}
 
 serving::QuotaVerdict JobWriter::CheckQuota(const Request& request) const {
   if (request.max_waiting_tokens == 0) return serving::QuotaVerdict::kAccept;
@@ -104,6 +119,10 @@
     request.max_waiting_tokens = std::max<uint64_t>(
         1, static_cast<uint64_t>(limit * callbacks_.shard_share()));
   }
+  if (!HasRoomFor(request.record.submission.size())) {
+    RecordRejection(request, SubmitOutcome::kUnavailable, "submissions");
+    return done(SubmitOutcome::kUnavailable);
+  }
   if (!store_.reachable()) {
     RecordRejection(request, SubmitOutcome::kUnavailable, "store_unavailable");
     return done(SubmitOutcome::kUnavailable);
--- a/libs/gateway/src/batch/job_writer.h
+++ b/libs/gateway/src/batch/job_writer.h
@@ -32,6 +32,8 @@
   kUnknown,      // it may have been accepted
 };
 
+struct ResourceLimits;
+
 enum class EndOutcome { kEnded, kNotFound, kUnavailable };
 
 // Writes to the store the records of batch jobs, and the records that end jobs
@@ -81,7 +83,7 @@
 
   JobWriter(StoreCalls& store, const RecordKinds& kinds,
             serving::JobTable& jobs, observe::Metrics& metrics,
-            Callbacks callbacks);
+            const ResourceLimits& limits, Callbacks callbacks);
 
   void Submit(Request&& request, SubmitCallback done);
   // Ends the job at a caller's request, so that no more of its items run.
@@ -115,6 +117,8 @@
   };
 
   serving::QuotaVerdict CheckQuota(const Request& request) const;
+  // Whether submissions in progress leave room for a record of that size.
+  bool HasRoomFor(size_t record_bytes) const;
   // Reserves the job's tokens in the quota and writes its record.
   void StartSubmission(Request&& request, SubmitCallback done);
   void Write(SubmissionId id);
@@ -136,6 +140,8 @@
   serving::JobTable& jobs_;
   observe::Metrics& metrics_;
   Callbacks callbacks_;
+  uint64_t max_pending_bytes_;
+  size_t max_pending_;
   serving::QuotaLimiter quota_;
   uint64_t last_submission_ = 0;
   std::unordered_map<SubmissionId, Submission> submissions_;
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -222,7 +222,7 @@
                        OnLayoutLearned(layout);
                      }),
       origin_record_(store_),
-      connections_(io, metrics_),
+      connections_(io, limits_.server_connections, metrics_),
       online_(
           connections_, scheduler_, crash_tracker_, crashing_parts_, metrics_,
           timeline_, seed + 1,
@@ -295,7 +295,7 @@
           [this](const std::string& job) { batch_api_.OnProgress(job); },
           [this](const StoreRecord& record) { PushRecord(record); }),
       writer_(
-          store_, record_kinds_, jobs_, metrics_,
+          store_, record_kinds_, jobs_, metrics_, limits_,
           {.job_changed =
                [this](const std::string& job) {
                  batch_api_.OnProgress(job);
@@ -316,6 +316,7 @@
            .has_all_records = [this] { return HasAllRecords(); },
            .refresh_records = [this] { RefreshRecords(); }}),
       batch_api_(store_, record_kinds_, jobs_, writer_, settings.name,
+                 limits_.calls,
                  {.to_caller =
                       [this](http::ServerCommand&& command) {
                         SendToCaller(std::move(command));
@@ -349,7 +350,7 @@
                                       std::move(answer));
                }}),
       forwarder_(
-          io, metrics_,
+          io, limits_.calls, metrics_,
           {.to_caller =
                [this](http::ServerCommand&& command) {
                  SendToCaller(std::move(command));
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -213,6 +213,10 @@
     if (call.runs > 0) return Fail(call, kGatewayTimeout, "deadline");
     return Reject(call, kRetryAfterFailedAttempts, "deadline");
   }
+  if (connections_.full()) {
+    if (call.runs > 0) return Fail(call, kBadGateway, "connection_limit");
+    return Reject(call, kRetryAfterFailedAttempts, "connection_limit");
+  }
   // Requests that wait go before those of the same rank that come. What they
   // leave is of no use to them, since policies exclude it.
   if (waiting_.HasWaiting(call.service))
--- a/libs/gateway/src/servers/server_connections.cc
+++ b/libs/gateway/src/servers/server_connections.cc
@@ -10,11 +10,13 @@
 namespace knapweedstile::gateway {
 
 ServerConnections::ServerConnections(boost::asio::io_context& io,
+                                     uint32_t max_connections,
                                      observe::Metrics& metrics)
-    : metrics_(metrics),
-      client_(io, UpstreamClientSettings(), [this](http::ClientEvent&& event) {
-        OnEvent(std::move(event));
-      }) {}
+    : max_connections_(max_connections),
+      metrics_(metrics),
+      client_(
+          io, UpstreamClientSettings(max_connections),
+          [this](http::ClientEvent&& event) { OnEvent(std::move(event)); }) {}
 
 ExchangeId ServerConnections::Open(const EventSink& sink) {
   const ExchangeId exchange(++last_exchange_);
--- a/libs/gateway/src/servers/server_connections.h
+++ b/libs/gateway/src/servers/server_connections.h
@@ -20,12 +20,19 @@
  public:
   using EventSink = std::function<void(http::ClientEvent&&)>;
 
-  ServerConnections(boost::asio::io_context& io, observe::Metrics& metrics);
+  // `max_connections`: to all backend servers together.
+  ServerConnections(boost::asio::io_context& io, uint32_t max_connections,
+                    observe::Metrics& metrics);
 
   // Returns the ID of the request that is sent next. Its events go to `sink`,
   // which must outlive this object.
   ExchangeId Open(const EventSink& sink);
   void Send(http::ClientRequest&& request);
+  // Whether the connections that exist are all in use, and no further one may
+  // be opened.
+  bool full() const noexcept {
+    return client_.open_exchanges() >= max_connections_;
+  }
   // Closes the request's connection; no event follows.
   void Cancel(ExchangeId exchange);
   // Closes idle connections to an address whose process has been replaced.
@@ -36,6 +43,7 @@
   void RecordSkipped(const http::EndEvent& end);
   void RecordInvalid(const http::EndEvent& end);
 
+  uint32_t max_connections_;
   observe::Metrics& metrics_;
   uint64_t last_exchange_ = 0;
   std::unordered_map<ExchangeId, const EventSink*> sinks_;
--- a/libs/gateway/src/servers/upstream_settings.h
+++ b/libs/gateway/src/servers/upstream_settings.h
@@ -19,8 +19,9 @@
 inline constexpr uint64_t kMaxHeldResponseBytes = 24 << 20;
 
 // The settings of connections to backend servers.
-inline http::ClientSettings UpstreamClientSettings() {
+inline http::ClientSettings UpstreamClientSettings(uint32_t max_connections) {
   http::ClientSettings settings;
+  settings.max_connections = max_connections;
   // A round trip between availability zones takes 3 ms; a server that does not
   // accept a connection within 100 times that is down or unreachable.
   settings.connect_timeout = std::chrono::milliseconds(300);
--- a/libs/gateway/tests/batch_runner_test.cc
+++ b/libs/gateway/tests/batch_runner_test.cc
@@ -88,7 +88,7 @@
   observe::Timeline timeline{16};
   TimePoint now = MonotonicNow();
   bool holds_starts = false;
-  ServerConnections connections{io, metrics};
+  ServerConnections connections{io, 100, metrics};
   BatchRunner runner{connections,
                      scheduler,
                      crashing_parts,
--- a/libs/gateway/tests/holder_calls_test.cc
+++ b/libs/gateway/tests/holder_calls_test.cc
@@ -8,6 +8,7 @@
 #include "batch/native_batch_api.h"
 #include "batch/record_kinds.h"
 #include "cluster/fleet_view.h"
+#include "resource_limits.h"
 #include "store/store_calls.h"
 
 namespace knapweedstile::gateway {
@@ -22,7 +23,8 @@
   serving::JobTable jobs;
   serving::RouteTable routes;
   observe::Metrics metrics;
-  JobWriter writer{store, kinds, jobs, metrics, {}};
+  ResourceLimits limits = DivideResources(256, 4096);
+  JobWriter writer{store, kinds, jobs, metrics, limits, {}};
   std::vector<unsigned> statuses;
 
   void OnResponse(const http::ServerCommand& command) {
@@ -33,6 +35,7 @@
                  jobs,
                  writer,
                  "a-1",
+                 limits.calls,
                  {.to_caller = [this](auto&& c) { OnResponse(c); },
                   .has_all_records = [] { return true; }}};
   NativeBatchApi native{routes,
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -40,6 +40,9 @@
   // there was replaced: a request on an old connection would be lost.
   void CloseIdle(const std::string& address);
 
+  // Number of exchanges without an EndEvent.
+  size_t open_exchanges() const noexcept;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/libs/http/include/http/client_settings.h
+++ b/libs/http/include/http/client_settings.h
@@ -14,6 +14,9 @@
   // that become unreachable without a reset: nothing else detects them.
   std::chrono::milliseconds unacknowledged_timeout{0};
   uint32_t max_idle_per_address = 64;
+  // Beyond it, idle connections are closed for new ones. Does not limit
+  // exchanges.
+  uint32_t max_connections = 10000;
   // Maximum body of a response that is delivered whole.
   uint64_t max_response_bytes = 64 << 20;
   // Maximum body of a response that is delivered in parts.
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -20,4 +20,8 @@
   impl_->CloseIdle(address);
 }
 
+size_t Client::open_exchanges() const noexcept {
+  return impl_->open_exchanges();
+}
+
 }  // namespace knapweedstile::http
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -161,6 +161,7 @@
 
 Client::Impl::Connection& Client::Impl::CreateConnection(
     const std::string& address) {
+  if (connections_.size() >= settings_.max_connections) CloseOneIdle();
   const ClientConnectionId id(++last_connection_);
   Connection& connection =
       *connections_.emplace(id, std::make_unique<Connection>(id, io_))
@@ -169,6 +170,23 @@
   return connection;
 }
 
+void Client::Impl::CloseOneIdle() {
+  const Connection* longest = nullptr;
+  for (const auto& [address, pool] : idle_) {
+    for (const ClientConnectionId id : pool) {
+      const Connection* connection = Find(id);
+      const auto idle_since = [](const Connection& c) {
+        return c.deadline - c.idle_limit;
+      };
+      if (connection &&
+          (!longest || idle_since(*connection) < idle_since(*longest))) {
+        longest = connection;
+      }
+    }
+  }
+  if (longest) Erase(*Find(longest->id));
+}
+
 void Client::Impl::Connect(Connection& connection) {
   const auto endpoint = ParseEndpoint(connection.address);
   error_code ec;
@@ -244,7 +262,7 @@
       return Fail(connection, ec.message(), ClientOutcome::kLost);
     }
   }
-  connection.out.clear();
+  std::string().swap(connection.out);
   connection.out_offset = 0;
 }
 
--- a/libs/http/src/client_impl.h
+++ b/libs/http/src/client_impl.h
@@ -26,6 +26,8 @@
   void CloseIdle();
   void CloseIdle(const std::string& address);
 
+  size_t open_exchanges() const noexcept { return exchanges_.size(); }
+
  private:
   using Connection = ClientConnection;
   using Member = void (Impl::*)(Connection&);
@@ -37,6 +39,8 @@
   // null when there is none.
   Connection* AcquireIdle(const ClientRequest& request);
   Connection& CreateConnection(const std::string& address);
+  // Closes the connection that has been idle for longest, if any.
+  void CloseOneIdle();
   void Connect(Connection& connection);
   void OnConnected(Connection& connection);
   void PrepareExchange(Connection& connection, ClientRequest&& request);
