JSON of callers is parsed within a bound on memory

What was seen: ten submissions of 4 MB with many small values, such as `{"items":[0,0,...]}`, bring a gateway with 120 MB to 144 MB.

Cause: each value takes 24 bytes or more, once on the parser's stack, which doubles as it grows, and once in the document.

Change: ParseBoundedJson gives both 16 MB together; beyond it the submission is malformed (400). The model of a request is looked up without a document (FindJsonTextField), so that a prompt of many tokens needs no memory either.

--- a/libs/gateway/src/batch/native_batch_api.cc
+++ b/libs/gateway/src/batch/native_batch_api.cc
@@ -7,9 +7,11 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/url.hpp>
 #include <cstdlib>
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "base/bounded_json.h"
 #include "base/error.h"
 #include "base/hash.h"
 #include "batch/job_forwarder.h"
@@ -48,9 +50,8 @@
 }
 
 Result<BatchItem> ParseLine(std::string_view job, std::string_view line) {
-  json::error_code ec;
-  const json::value parsed = json::parse({line.data(), line.size()}, ec);
-  const json::object* object = ec ? nullptr : parsed.if_object();
+  const std::optional<json::value> parsed = ParseBoundedJson(line);
+  const json::object* object = parsed ? parsed->if_object() : nullptr;
   const json::value* id = object ? object->if_contains("custom_id") : nullptr;
   const json::value* body = object ? object->if_contains("body") : nullptr;
   if (!id || !id->is_string() || !body || !body->is_object()) {
--- a/libs/gateway/src/callers/caller_identity.cc
+++ b/libs/gateway/src/callers/caller_identity.cc
@@ -1,9 +1,9 @@
 #include "callers/caller_identity.h"
 
 #include <algorithm>
-#include <boost/json.hpp>
 #include <charconv>
 
+#include "base/json_text_field.h"
 #include "users_platform/request_headers.h"
 #include "workspaces/credentials.h"
 #include "workspaces/workspace_directory.h"
@@ -11,7 +11,6 @@
 namespace knapweedstile::gateway {
 namespace {
 
-namespace json = boost::json;
 using workspaces::Credentials;
 using workspaces::Workspace;
 using workspaces::WorkspaceDirectory;
@@ -27,15 +26,6 @@
   return std::chrono::milliseconds(millis);
 }
 
-std::string ModelOf(std::string_view body) {
-  json::error_code ec;
-  const json::value parsed = json::parse({body.data(), body.size()}, ec);
-  const json::object* object = ec ? nullptr : parsed.if_object();
-  const json::value* model = object ? object->if_contains("model") : nullptr;
-  return model && model->is_string() ? std::string(model->get_string())
-                                     : std::string();
-}
-
 // Identifies a caller that sends no key, by the name of a workspace without
 // keys.
 void IdentifyByName(const http::HeaderList& headers,
@@ -98,7 +88,8 @@
   const Workspace* workspace = workspaces.Find(caller.workspace);
   if (!workspace || workspace->models.empty()) return true;
   const std::vector<std::string>& models = workspace->models;
-  return std::find(models.begin(), models.end(), ModelOf(body)) != models.end();
+  return std::find(models.begin(), models.end(),
+                   FindJsonTextField(body, "model")) != models.end();
 }
 
 }  // namespace knapweedstile::gateway
