Native batch API: results of a job of the other interface

What callers saw: one request ended the gateway. A job submitted through the users' platform and then read at /v1/batches/ID/results.

Cause: the line of a result takes off the job's id, which native items have in theirs, by substr; an item with a shorter id made it throw, and nothing caught that.

Change: the id is taken off where it is there. Also: a page of native results ends once it has 1 MB; it had up to 1,000 results of any size.

--- a/libs/gateway/src/batch/native_batch_api.cc
+++ b/libs/gateway/src/batch/native_batch_api.cc
@@ -34,7 +34,9 @@
 // Keeps a job's record below a megabyte; larger files must be split into
 // several jobs.
 constexpr size_t kMaxItems = 2000;
-constexpr size_t kMaxResults = 1000;        // per page
+constexpr size_t kMaxResults = 1000;  // per page
+// A page ends with the result that reaches this size.
+constexpr size_t kMaxPageBytes = 1 << 20;
 constexpr uint64_t kDefaultMaxTokens = 16;  // if an item has no max_tokens
 constexpr std::chrono::milliseconds kRetry{1000};
 constexpr std::chrono::milliseconds kCancelTimeout{3500};
@@ -124,11 +126,20 @@
   return text;
 }
 
+// The caller's id of an item, which does not include that of its job. An item
+// of a job from the other interface has only its own.
+std::string_view CustomIdOf(const BatchJob& job, std::string_view item) {
+  const bool prefixed = item.size() > job.id.size() &&
+                        item.starts_with(job.id) && item[job.id.size()] == '-';
+  if (prefixed) item.remove_prefix(job.id.size() + 1);
+  return item;
+}
+
 std::string ResultLine(const BatchJob& job, size_t position) {
   const serving::ItemResult& result = job.results[position];
   const bool completed = result.state == serving::ItemState::kCompleted;
   json::object line = {{"index", position},
-                       {"custom_id", result.item.substr(job.id.size() + 1)},
+                       {"custom_id", CustomIdOf(job, result.item)},
                        {"status", completed ? "completed" : "failed"}};
   if (completed) {
     line["response"] = json::object{{"text", TextOfOutput(result.output)},
@@ -427,7 +438,8 @@
       std::min(job.results.size(), target.after + target.limit);
   http::RespondCommand command{.exchange = exchange, .status = 200};
   size_t end = target.after;
-  while (end < limit && job.results[end].has_output) {
+  while (end < limit && job.results[end].has_output &&
+         command.body.size() < kMaxPageBytes) {
     command.body += ResultLine(job, end++);
   }
   command.headers.Add("Content-Type", "application/jsonl");
