Event streams keep no buffer of a large event

Cause: the reader of each stream kept the capacity of its largest event.

Change: it is released once fewer than 16 KB remain.

--- a/libs/serving/src/event_stream_reader.cc
+++ b/libs/serving/src/event_stream_reader.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr size_t kMaxFieldNameBytes = 64;
+constexpr size_t kKeptBytes = 16 << 10;
 // The fields that have a meaning in any event stream.
 constexpr std::array<std::string_view, 4> kStandardFields = {"data", "id",
                                                              "event", "retry"};
@@ -130,6 +131,9 @@
     malformed_ = block_ - offset_ > kMaxEventBytes;
   }
   buffer_.erase(0, offset_);
+  // Streams are many and mostly idle: a large event leaves no buffer behind.
+  if (buffer_.size() < kKeptBytes && buffer_.capacity() > kKeptBytes)
+    buffer_.shrink_to_fit();
   for (size_t* at : {&block_, &line_, &scanned_}) *at -= offset_;
   offset_ = 0;
   return std::nullopt;
