Batch: accepted jobs are bounded in memory, not in tokens alone

What was seen: 150 jobs of 0.9 MB with 0 tokens, all accepted, bring a gateway with 120 MB to 201 MB. The quota counts tokens, which the caller states; a sum of them that wraps around passed it as well.

Change: JobTable counts the memory of items and results (knap_job_bytes). Beyond batch.max_memory_mb (40, the same at all gateways, since each holds what the others accept) a submission gets 503 with Retry-After, unrun. The sum of tokens saturates. The log lines of accepted jobs name the memory of all.

`serving`: the count follows items, outlines, results and removal.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -35,6 +35,9 @@
   std::chrono::milliseconds server_heartbeat{1200};
   // Minimum time that a job's results stay readable after its acceptance.
   std::chrono::milliseconds result_retention{120000};
+  // Memory of batch jobs beyond which no further ones are accepted. The same at
+  // all gateways, since each holds the jobs that the others accept.
+  uint32_t max_job_memory_mb = 40;
   // Time between the signal to stop and the kill that follows it.
   std::chrono::milliseconds stop_grace{8000};
   // How strictly workspaces' rate limits are enforced.
--- a/libs/gateway/src/batch/batch_api.cc
+++ b/libs/gateway/src/batch/batch_api.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -35,9 +36,14 @@
 constexpr char kJson[] = "application/json";
 constexpr char kBytes[] = "application/octet-stream";
 
+// At most the largest number: a sum that wraps around would be within any
+// quota.
 uint64_t TokensOf(const std::vector<serving::BatchItem>& items) {
+  constexpr uint64_t kMax = std::numeric_limits<uint64_t>::max();
   uint64_t tokens = 0;
-  for (const serving::BatchItem& item : items) tokens += item.tokens;
+  for (const serving::BatchItem& item : items) {
+    tokens += std::min(item.tokens, kMax - tokens);
+  }
   return tokens;
 }
 
--- a/libs/gateway/src/batch/job_writer.cc
+++ b/libs/gateway/src/batch/job_writer.cc
@@ -46,10 +46,11 @@
       jobs_(jobs),
       metrics_(metrics),
       callbacks_(std::move(callbacks)),
+      max_job_bytes_(limits.job_bytes),
       max_pending_bytes_(limits.submission_bytes),
       max_pending_(limits.calls) {}
 
-bool JobWriter::HasRoomFor(size_t record_bytes) const {
+std::string_view JobWriter::MissingRoom(size_t record_bytes) const {
   uint64_t bytes = record_bytes;
   for (const auto& [id, submission] : submissions_) {
     bytes += submission.request.record.submission.size();
@@ -57,8 +58,11 @@
   for (const DeferredSubmission& deferred : deferred_) {
     bytes += deferred.request.record.submission.size();
   }
-  return bytes <= max_pending_bytes_ &&
-         submissions_.size() + deferred_.size() < max_pending_;
+  if (bytes > max_pending_bytes_ ||
+      submissions_.size() + deferred_.size() >= max_pending_) {
+    return "submissions";
+  }
+  return jobs_.bytes() + bytes > max_job_bytes_ ? "job_memory" : "";
 }
 
 serving::QuotaVerdict JobWriter::CheckQuota(const Request& request) const {
@@ -119,8 +123,10 @@
     request.max_waiting_tokens = std::max<uint64_t>(
         1, static_cast<uint64_t>(limit * callbacks_.shard_share()));
   }
-  if (!HasRoomFor(request.record.submission.size())) {
-    RecordRejection(request, SubmitOutcome::kUnavailable, "submissions");
+  if (const std::string_view cause =
+          MissingRoom(request.record.submission.size());
+      !cause.empty()) {
+    RecordRejection(request, SubmitOutcome::kUnavailable, cause);
     return done(SubmitOutcome::kUnavailable);
   }
   if (!store_.reachable()) {
@@ -240,6 +246,7 @@
   const TimePoint now = MonotonicNow();
   LogInfo("job_accepted", {{"job", request.job},
                            {"tokens", request.tokens},
+                           {"all_job_bytes", jobs_.bytes()},
                            {"age_ms", ToMillis(now - request.arrived_at)}});
   metrics_.Add("knap_jobs_total",
                {std::string(NameOf(SubmitOutcome::kAccepted))});
--- a/libs/gateway/src/batch/job_writer.h
+++ b/libs/gateway/src/batch/job_writer.h
@@ -117,8 +117,8 @@
   };
 
   serving::QuotaVerdict CheckQuota(const Request& request) const;
-  // Whether submissions in progress leave room for a record of that size.
-  bool HasRoomFor(size_t record_bytes) const;
+  // Why there is no room for a record of that size; empty: there is.
+  std::string_view MissingRoom(size_t record_bytes) const;
   // Reserves the job's tokens in the quota and writes its record.
   void StartSubmission(Request&& request, SubmitCallback done);
   void Write(SubmissionId id);
@@ -140,6 +140,7 @@
   serving::JobTable& jobs_;
   observe::Metrics& metrics_;
   Callbacks callbacks_;
+  uint64_t max_job_bytes_;
   uint64_t max_pending_bytes_;
   size_t max_pending_;
   serving::QuotaLimiter quota_;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -380,6 +380,7 @@
       std::count_if(jobs_.jobs().begin(), jobs_.jobs().end(),
                     [](const auto& job) { return job.second.has_bodies; }));
   metrics_.Set("knap_jobs_known", full, {"full"});
+  metrics_.Set("knap_job_bytes", static_cast<double>(jobs_.bytes()));
   metrics_.Set("knap_jobs_known",
                static_cast<double>(jobs_.jobs().size()) - full, {"outline"});
   metrics_.Set("knap_entries_heard",
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -55,6 +55,8 @@
       "records pushed to the peers that no gateway had announced");
   metrics.DeclareGauge("knap_jobs_known", "batch jobs in memory, by form",
                        {"form"});
+  metrics.DeclareGauge("knap_job_bytes",
+                       "estimated memory of the batch jobs in memory");
   metrics.DeclareGauge("knap_jobs_handed_over",
                        "1 while this gateway starts no items of its jobs and "
                        "its peers do");
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -46,6 +46,10 @@
   schema.Seconds("batch.result_retention",
                  "how long results stay readable after a job's acceptance",
                  &settings->result_retention);
+  schema.Integer("batch.max_memory_mb", "MB",
+                 "of the jobs that a gateway holds, beyond which it accepts no "
+                 "further ones; the same at all gateways",
+                 &settings->max_job_memory_mb, 1, 1'000'000);
   schema.Seconds("workspaces.rate_window",
                  "span in which a workspace's rate and burst hold",
                  &settings->rate_quota.window, 1, 60);
--- a/libs/gateway/src/resource_limits.cc
+++ b/libs/gateway/src/resource_limits.cc
@@ -21,7 +21,8 @@
 
 }  // namespace
 
-ResourceLimits DivideResources(uint32_t memory_mb, uint32_t max_descriptors) {
+ResourceLimits DivideResources(uint32_t memory_mb, uint32_t max_job_memory_mb,
+                               uint32_t max_descriptors) {
   const uint64_t memory = memory_mb * kBytesPerMegabyte;
   const uint32_t sockets =
       max_descriptors - std::min(kReservedDescriptors, max_descriptors / 2);
@@ -31,6 +32,7 @@
       .operator_bytes = std::max(kMinOperatorBytes, memory / 64),
       .metrics_bytes = kMetricsBytes,
       .submission_bytes = std::max(kMinSubmissionBytes, memory / 16),
+      .job_bytes = max_job_memory_mb * kBytesPerMegabyte,
       .caller_connections = std::min(kMaxCallerConnections, sockets / 2),
       .peer_connections = std::min(kMaxPeerConnections, sockets / 6),
       .operator_connections = std::min(kMaxOperatorConnections, sockets / 16),
--- a/libs/gateway/src/resource_limits.h
+++ b/libs/gateway/src/resource_limits.h
@@ -17,6 +17,8 @@
   uint64_t metrics_bytes = 0;
   // Bytes of the records of submitted jobs whose fate is not known yet.
   uint64_t submission_bytes = 0;
+  // Bytes of all jobs beyond which no further ones are accepted.
+  uint64_t job_bytes = 0;
 
   // Connections that each server accepts.
   uint32_t caller_connections = 0;
@@ -30,7 +32,8 @@
   size_t calls = 0;
 };
 
-ResourceLimits DivideResources(uint32_t memory_mb, uint32_t max_descriptors);
+ResourceLimits DivideResources(uint32_t memory_mb, uint32_t max_job_memory_mb,
+                               uint32_t max_descriptors);
 
 }  // namespace knapweedstile::gateway
 
--- a/libs/gateway/tests/holder_calls_test.cc
+++ b/libs/gateway/tests/holder_calls_test.cc
@@ -23,7 +23,7 @@
   serving::JobTable jobs;
   serving::RouteTable routes;
   observe::Metrics metrics;
-  ResourceLimits limits = DivideResources(256, 4096);
+  ResourceLimits limits = DivideResources(256, 40, 4096);
   JobWriter writer{store, kinds, jobs, metrics, limits, {}};
   std::vector<unsigned> statuses;
 
--- a/libs/serving/include/serving/batch_job.h
+++ b/libs/serving/include/serving/batch_job.h
@@ -42,6 +42,7 @@
   bool has_bodies = true;  // false: an outline
   // Results without outputs, by the number of their segment.
   std::map<uint32_t, ResultRange> outline_segments;
+  uint64_t bytes = 0;     // estimated memory, kept by JobTable
   bool ended = false;     // cancelled or deleted by its caller
   TimePoint received_at;  // by this gateway
   TimePoint due_at;       // deadline for all results
--- a/libs/serving/include/serving/job_table.h
+++ b/libs/serving/include/serving/job_table.h
@@ -112,15 +112,20 @@
   const std::map<std::string, BatchJob, std::less<>>& jobs() const noexcept {
     return jobs_;
   }
+  // Estimated memory of the items and results of all jobs.
+  uint64_t bytes() const noexcept { return bytes_; }
 
  private:
   void MergePendingUpdates(const std::string& job);
-  static void CompleteOutline(BatchJob& outline, BatchJob&& full);
-  static void CompleteSegment(BatchJob& job, uint32_t number,
-                              std::vector<ItemResult>&& results);
+  // Counts the memory of a job that has changed.
+  void UpdateBytes(BatchJob& job);
+  void CompleteOutline(BatchJob& outline, BatchJob&& full);
+  void CompleteSegment(BatchJob& job, uint32_t number,
+                       std::vector<ItemResult>&& results);
   void AppendSegment(BatchJob& job, std::vector<ItemResult>&& results);
 
   std::map<std::string, BatchJob, std::less<>> jobs_;
+  uint64_t bytes_ = 0;
   // Segments and ends received before their job or an earlier segment.
   std::map<std::string, std::map<uint32_t, std::vector<ItemResult>>>
       pending_segments_;
--- a/libs/serving/src/job_table.cc
+++ b/libs/serving/src/job_table.cc
@@ -39,8 +39,33 @@
                      [](const ItemResult& r) { return r.has_output; });
 }
 
+uint64_t BytesOf(const BatchItem& item) {
+  // Its id is also a key, and it has a progress.
+  uint64_t bytes = sizeof(BatchItem) + sizeof(ItemProgress) +
+                   2 * (sizeof(std::string) + item.id.size()) +
+                   item.target.size() + item.body.size();
+  for (const auto& [name, value] : item.headers.fields()) {
+    bytes += 2 * sizeof(std::string) + name.size() + value.size();
+  }
+  return bytes;
+}
+
+uint64_t BytesOf(const BatchJob& job) {
+  uint64_t bytes = sizeof(BatchJob);
+  for (const BatchItem& item : job.items) bytes += BytesOf(item);
+  for (const ItemResult& result : job.results) {
+    bytes += sizeof(ItemResult) + result.item.size() + result.output.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
+void JobTable::UpdateBytes(BatchJob& job) {
+  const uint64_t bytes = BytesOf(job);
+  bytes_ += bytes - std::exchange(job.bytes, bytes);
+}
+
 void JobTable::AddJob(BatchJob&& job) {
   if (BatchJob* known = Find(job.id)) {
     return CompleteOutline(*known, std::move(job));
@@ -52,6 +77,7 @@
   }
   job.ended = pending_ends_.contains(id);
   BatchJob& added = jobs_.emplace(id, std::move(job)).first->second;
+  UpdateBytes(added);
   MergePendingUpdates(id);
   auto pending = pending_segments_.extract(id);
   if (pending.empty()) return;
@@ -65,6 +91,7 @@
   if (full.items.size() != outline.items.size()) return;
   outline.items = std::move(full.items);
   outline.has_bodies = true;
+  UpdateBytes(outline);
 }
 
 void JobTable::CompleteSegment(BatchJob& job, uint32_t number,
@@ -76,6 +103,7 @@
   std::move(results.begin(), results.end(),
             job.results.begin() + static_cast<std::ptrdiff_t>(first));
   job.outline_segments.erase(outline);
+  UpdateBytes(job);
 }
 
 bool JobTable::AddSegment(const std::string& id, uint32_t number,
@@ -122,6 +150,7 @@
     job.results.push_back(std::move(result));
   }
   if (job.complete()) uncommitted_states_.erase(job.id);
+  UpdateBytes(job);
 }
 
 void JobTable::EndJob(const std::string& id) {
@@ -130,6 +159,7 @@
 }
 
 void JobTable::RemoveJob(const std::string& id) {
+  if (const BatchJob* job = Find(id)) bytes_ -= job->bytes;
   jobs_.erase(id);
   pending_segments_.erase(id);
   pending_ends_.erase(id);
@@ -148,6 +178,7 @@
   result.output.clear();
   result.output.shrink_to_fit();
   job->outline_segments[number] = {position, position + 1};
+  UpdateBytes(*job);
 }
 
 void JobTable::SetRunning(const ItemRef& item) {
--- a/libs/serving/tests/job_table_test.cc
+++ b/libs/serving/tests/job_table_test.cc
@@ -432,4 +432,29 @@
   CHECK(progress.software.empty());
 }
 
+// Guards against memory that is counted once and never given back.
+TEST_CASE("the memory of jobs follows their items and results") {
+  JobTable table;
+  CHECK(table.bytes() == 0);
+  BatchJob job = MakeJob("a", 2, seconds(5));
+  job.items[0].body = std::string(10'000, 'x');
+  BatchJob outline = MakeJob("b", 2, seconds(5));
+  outline.has_bodies = false;
+  table.AddJob(std::move(job));
+  const uint64_t one = table.bytes();
+  CHECK(one > 10'000);
+  table.AddJob(std::move(outline));
+  const uint64_t two = table.bytes();
+  CHECK(two > one);
+  BatchJob full = MakeJob("b", 2, seconds(5));
+  full.items[1].body = std::string(20'000, 'x');
+  table.AddJob(std::move(full));
+  CHECK(table.bytes() == two + 20'000);
+  table.AddSegment("a", 0, {{.item = "a0", .output = std::string(5'000, 'y')}});
+  CHECK(table.bytes() > two + 25'000);
+  table.RemoveJob("a");
+  table.RemoveJob("b");
+  CHECK(table.bytes() == 0);
+}
+
 }  // namespace knapweedstile::serving
--- a/tests/users_platform/misbehaving_clients_test.cc
+++ b/tests/users_platform/misbehaving_clients_test.cc
@@ -1,9 +1,15 @@
+#include <signal.h>
+
+#include <algorithm>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -150,6 +156,27 @@
                                          .max_bytes = kEndlessBytes});
 }
 
+void CheckLargeJobs(int count) {
+  CrowdedSite crowded;
+  crowded.llm->first_byte_delay = std::chrono::seconds(60);
+  const std::string body(700'000, 'a');
+  for (int i = 0; i < count && crowded.Process().running(); ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    auto request =
+        crowded.site.OnlineRequest("entry-1", "POST", "/summaries/new", id);
+    request.body = boost::json::serialize(
+        boost::json::object{{"items", boost::json::array{boost::json::object{
+                                          {"id", id + "-0"},
+                                          {"path", "/summaries/1"},
+                                          {"headers", boost::json::object{}},
+                                          {"body", body},
+                                          {"tokens", 0}}}}});
+    crowded.site.Call(std::move(request));
+    crowded.CountDescriptors();
+  }
+  crowded.CheckAlive();
+}
+
 }  // namespace
 
 // Guards against trailers without end, which fill the memory.
@@ -418,24 +445,12 @@
 // Guards against accepted jobs that fill the memory although their tokens are
 // few.
 TEST_CASE("many large jobs of few tokens", "[large_jobs]") {
-  CrowdedSite crowded;
-  crowded.llm->first_byte_delay = std::chrono::seconds(60);
-  const std::string body(700'000, 'a');
-  for (int i = 0; i < 150 && crowded.Process().running(); ++i) {
-    const std::string id = "job-" + std::to_string(i);
-    auto request =
-        crowded.site.OnlineRequest("entry-1", "POST", "/summaries/new", id);
-    request.body = boost::json::serialize(
-        boost::json::object{{"items", boost::json::array{boost::json::object{
-                                          {"id", id + "-0"},
-                                          {"path", "/summaries/1"},
-                                          {"headers", boost::json::object{}},
-                                          {"body", body},
-                                          {"tokens", 0}}}}});
-    crowded.site.Call(std::move(request));
-    crowded.CountDescriptors();
-  }
-  crowded.CheckAlive();
+  CheckLargeJobs(150);
+}
+
+// The same, for as many that the jobs alone would fill the memory.
+TEST_CASE("more large jobs of few tokens", "[more_large_jobs]") {
+  CheckLargeJobs(400);
 }
 
 // Guards against names from callers that are kept at full length.
@@ -509,4 +524,146 @@
   crowded.CheckAlive();
 }
 
+namespace {
+
+using Random = std::mt19937_64;
+
+int Below(Random& random, int count) {
+  return static_cast<int>(random() % static_cast<uint64_t>(count));
+}
+
+// One of the forms above, with random sizes, at a random address.
+CrowdScript RandomScript(Random& random) {
+  const std::string bytes(static_cast<size_t>(Below(random, 1'000'000)), 'a');
+  const std::string length =
+      "Content-Length: " + std::to_string(bytes.size() + Below(random, 1000)) +
+      "\r\n";
+  std::string fields;
+  for (int i = Below(random, 3000); i > 0; --i) fields += "a:\r\n";
+  const std::vector<std::string> starts = {
+      "",
+      "G",
+      Head("GET", "/ping/NUMBER", fields),
+      Head("GET", "/ping/NUMBER", "") + Head("GET", "/ping/NUMBER", fields),
+      Head("POST", "/reply/NUMBER", fields + length) + bytes,
+      Head("POST", "/summaries/new", "Request-Id: j-NUMBER\r\n" + length) +
+          bytes,
+      ChunkedHead() + "2\r\n{}\r\n0\r\n",
+      ChunkedHead() + "f4240\r\n" + bytes,
+      Head("GET", "/-/lots/no-NUMBER", fields),
+      Head("DELETE", "/-/lots/no-NUMBER", ""),
+      Head("GET", "/-/lots/job-a?after=0", ""),
+      Head("GET", "/metrics", ""),
+      Head("GET", "/v1/batches/job-a/results", fields)};
+  const std::vector<std::string> units = {
+      "",
+      "",
+      "a",
+      "0",
+      "X-Fill: a\r\n",
+      Head("GET", "/ping/1", ""),
+      "1;a=" + std::string(200, 'b') + "\r\nx\r\n"};
+  const auto pick = [&](const std::vector<std::string>& from) {
+    return from[static_cast<size_t>(
+        Below(random, static_cast<int>(from.size())))];
+  };
+  CrowdScript script{.unit = pick(units),
+                     .max_bytes = static_cast<uint64_t>(Below(random, 2 << 20)),
+                     .reads = Below(random, 3) > 0,
+                     .closes = Below(random, 4) == 0};
+  std::string start = pick(starts);
+  while (!start.empty()) {
+    const size_t size = Below(random, 2) == 0
+                            ? start.size()
+                            : 1 + static_cast<size_t>(Below(random, 4000));
+    // Many small pieces would only take long.
+    if (script.pieces.size() == 5 || size >= start.size()) {
+      script.pieces.push_back(std::exchange(start, {}));
+    } else {
+      script.pieces.push_back(start.substr(0, size));
+      start.erase(0, size);
+    }
+  }
+  return script;
+}
+
+// The peak of the memory is that of the present process.
+void CheckBounds(CrowdedSite& crowded) {
+  crowded.CountDescriptors();
+  REQUIRE(crowded.Process().running());
+  REQUIRE(crowded.PeakMemoryBytes() < kMaxMemoryBytes);
+  REQUIRE(crowded.most_descriptors < crowded.max_descriptors);
+}
+
+// Crowds that overlap, each at a random address, while the gateway gets signals
+// and is restarted. Connections are used until the process has ended.
+void Soak(uint64_t seed) {
+  CAPTURE(seed);
+  Random random(seed);
+  const int descriptors = Below(random, 2) == 0 ? kFewDescriptors : 1000;
+  CrowdedSite crowded(descriptors);
+  Site& site = crowded.site;
+  site.Call(site.JobRequest("entry-1", "job-a", 20));
+  std::vector<std::unique_ptr<Crowd>> crowds;
+  constexpr int kRounds = 8;
+  for (int round = 0; round < kRounds; ++round) {
+    CAPTURE(round);
+    const std::vector<std::string> addresses = {
+        site.caller_address("entry-1"), site.caller_address("entry-1"),
+        site.caller_address("entry-1"), site.admin_address("entry-1"),
+        site.peer_address("entry-1")};
+    const std::string& address =
+        addresses[static_cast<size_t>(Below(random, 5))];
+    crowds.push_back(std::make_unique<Crowd>(site.caller().io(), address,
+                                             1 + Below(random, 150),
+                                             RandomScript(random)));
+    if (crowds.size() > 3) crowds.erase(crowds.begin());
+    site.caller().RunFor(std::chrono::milliseconds(Below(random, 600)));
+    CheckBounds(crowded);
+    switch (Below(random, 8)) {
+      case 0:
+        crowded.Process().Signal(SIGHUP);
+        break;
+      case 1:
+        crowded.Process().Terminate();
+        REQUIRE(site.caller().RunUntil(
+            [&] { return !crowded.Process().running(); }));
+        CHECK(crowded.Process().exit_code() == 0);
+        site.RestartGateway("entry-1");
+        break;
+      case 2:
+        crowded.Process().Kill();
+        site.RestartGateway("entry-1");
+        break;
+      case 3:
+        crowded.Process().Pause();
+        site.caller().RunFor(std::chrono::milliseconds(300));
+        crowded.Process().Resume();
+        break;
+      default:
+        break;
+    }
+  }
+  CHECK(crowded.Answered());
+  CheckBounds(crowded);
+  crowds.clear();
+  CHECK(crowded.Answered());
+  CheckBounds(crowded);
+}
+
+}  // namespace
+
+// Guards against what no case above provokes by itself. KNAP_CLIENT_SEEDS, as
+// FIRST..LAST, runs other seeds.
+TEST_CASE("random crowds, signals and restarts", "[soak]") {
+  uint64_t first = 1;
+  uint64_t last = 6;
+  if (const char* range = std::getenv("KNAP_CLIENT_SEEDS")) {
+    const std::string text = range;
+    first = std::stoull(text);
+    last = std::stoull(text.substr(text.find("..") + 2));
+  }
+  for (uint64_t seed = first; seed <= last; ++seed) Soak(seed);
+}
+
 }  // namespace knapweedstile::users_site
