Timeline: texts of events are truncated at 256 bytes

Cause: an event keeps the name of its request, which comes from the caller and may be as long as a head; 2,000 events of 15 KB are 30 MB.

Evidence: `observe`: a long name and a long argument fail before, pass now.

--- a/libs/observe/src/timeline.cc
+++ b/libs/observe/src/timeline.cc
@@ -7,7 +7,22 @@
 
 namespace knapweedstile::observe {
 
+namespace {
+
+// Names of requests come from callers and may be as long as a header.
+constexpr size_t kMaxTextBytes = 256;
+
+void Truncate(std::string& text) {
+  if (text.size() <= kMaxTextBytes) return;
+  text.resize(kMaxTextBytes);
+  text.shrink_to_fit();
+}
+
+}  // namespace
+
 void Timeline::Record(TimelineEvent event) {
+  Truncate(event.request);
+  for (auto& [key, value] : event.args) Truncate(value);
   event.sequence = ++last_sequence_;
   if (capacity_ == 0) return;
   if (events_.size() == capacity_) events_.pop_front();
--- a/libs/observe/tests/observe_test.cc
+++ b/libs/observe/tests/observe_test.cc
@@ -51,4 +51,14 @@
   REQUIRE(timeline.EventsJson(0, 10).find("\"seq\":2") == std::string::npos);
 }
 
+// Guards against names from callers that are kept at full length.
+TEST_CASE("long texts of events are truncated") {
+  Timeline timeline(10);
+  timeline.Record({.request = std::string(10'000, 'a'),
+                   .args = {{"server", std::string(10'000, 'b')}}});
+  const std::string json = timeline.EventsJson(0, 10);
+  CHECK(json.find(std::string(100, 'a')) != std::string::npos);
+  CHECK(json.size() < 1'000);
+}
+
 }  // namespace knapweedstile::observe
