--- a/libs/gateway/src/callers/caller_identity.cc
+++ b/libs/gateway/src/callers/caller_identity.cc
@@ -15,6 +15,9 @@
 using workspaces::Workspace;
 using workspaces::WorkspaceDirectory;
 
+// A day; far larger numbers do not fit into a duration.
+constexpr int64_t kMaxDeadlineMillis = 86'400'000;
+
 std::optional<Duration> ReadOwnDeadline(const http::HeaderList& headers) {
   const std::string_view text = headers.Find("X-Deadline-Ms");
   int64_t millis = 0;
@@ -23,7 +26,7 @@
   if (text.empty() || parsed.ec != std::errc() || millis < 0) {
     return std::nullopt;
   }
-  return std::chrono::milliseconds(millis);
+  return std::chrono::milliseconds(std::min(millis, kMaxDeadlineMillis));
 }
 
 // Identifies a caller that sends no key, by the name of a workspace without
