--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -371,6 +371,10 @@
   SetWaitingItems(MonotonicNow());
   metrics_.Set("knap_connections_closed_unread",
                static_cast<double>(connection_gate_.closed()));
+  metrics_.Set("knap_connections_gave_way",
+               static_cast<double>(caller_server_.gave_way()));
+  metrics_.Set("knap_connection_bytes",
+               static_cast<double>(caller_server_.held_bytes()));
   metrics_.Set("knap_processor_headroom", load_meter_.headroom());
   metrics_.Set("knap_fleet_members",
                static_cast<double>(fleet_.members().size()));
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -106,6 +106,11 @@
                        "items of this gateway's jobs that wait to be run: "
                        "ready, paused, or held as it starts no items of them",
                        {"state"});
+  metrics.DeclareGauge("knap_connections_gave_way",
+                       "callers' connections with an incomplete request or "
+                       "response that were given up for others");
+  metrics.DeclareGauge("knap_connection_bytes",
+                       "estimated memory that callers' connections hold");
   metrics.DeclareGauge("knap_connections_closed_unread",
                        "connections closed unread so far, for peers to take");
   metrics.DeclareGauge("knap_processor_headroom",
