--- a/libs/base/src/bounded_json.cc
+++ b/libs/base/src/bounded_json.cc
@@ -19,12 +19,12 @@
  private:
   void* do_allocate(size_t bytes, size_t alignment) override {
     if (bytes > left_) throw std::bad_alloc();
-    void* memory = ::operator new(bytes, std::align_val_t(alignment));
+    void* memory = ::operator new (bytes, std::align_val_t{alignment});
     left_ -= bytes;
     return memory;
   }
   void do_deallocate(void* memory, size_t bytes, size_t alignment) override {
-    ::operator delete(memory, bytes, std::align_val_t(alignment));
+    ::operator delete (memory, std::align_val_t{alignment});
     left_ += bytes;
   }
   bool do_is_equal(const json::memory_resource& other) const noexcept override {
--- a/libs/base/src/json_text_field.cc
+++ b/libs/base/src/json_text_field.cc
@@ -12,10 +12,13 @@
 // be the one that is looked for, and the field's text.
 class FieldHandler {
  public:
+  // Names that the parser requires.
+  // NOLINTBEGIN(readability-identifier-naming)
   static constexpr size_t max_object_size = SIZE_MAX;
   static constexpr size_t max_array_size = SIZE_MAX;
   static constexpr size_t max_key_size = SIZE_MAX;
   static constexpr size_t max_string_size = SIZE_MAX;
+  // NOLINTEND(readability-identifier-naming)
 
   explicit FieldHandler(std::string_view name) : name_(name) {}
   std::string TakeText() { return std::move(text_); }
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -279,7 +279,7 @@
     // Bytes without a request: the connection is out of sync.
     return Erase(connection);
   }
-  connection.input.Append(std::string_view(scratch_).substr(0, count));
+  connection.input.Append(std::string_view{scratch_}.substr(0, count));
   Parse(connection);
   LimitBuffered();
   if (Connection* current = Find(id)) WaitReadable(*current);
--- a/libs/http/src/server_impl.cc
+++ b/libs/http/src/server_impl.cc
@@ -172,7 +172,7 @@
     return OnEof(connection);
   }
   if (!connection.discard_input) {
-    connection.input.Append(std::string_view(scratch_).substr(0, count));
+    connection.input.Append(std::string_view{scratch_}.substr(0, count));
     Parse(connection);
     if (Connection* current = Find(id)) UpdateHeld(*current);
     MakeRoom();
--- a/libs/http/tests/message_pieces_test.cc
+++ b/libs/http/tests/message_pieces_test.cc
@@ -122,7 +122,7 @@
       ";",
       ";a=\"",
       " ",
-      "\0",
+      std::string(1, '\0'),
       "\x80",
       "ffffffffffffffff",
       "Transfer-Encoding: chunked\r\n",
@@ -164,6 +164,19 @@
   return pieces;
 }
 
+constexpr char kChunkedPost[] =
+    "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nTransfer-"
+    "Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0;c\r\nX: y\r\n\r\n";
+constexpr char kOldPut[] =
+    "PUT /b HTTP/1.0\r\nConnection: keep-alive\r\n"
+    "Content-Length: 2\r\n\r\nab";
+constexpr char kChunkedAnswer[] =
+    "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+    "\r\n\r\n5;a=b\r\nhello\r\n0;c\r\nX: y\r\n\r\n";
+constexpr char kLateAnswer[] =
+    "HTTP/1.1 503 X\r\nRequest-Id: old\r\nContent-Length: 0\r\n\r\n"
+    "HTTP/1.1 200 OK\r\nRequest-Id: new\r\nContent-Length: 2\r\n\r\nab";
+
 constexpr uint64_t kSeeds = 2000;
 
 }  // namespace
@@ -250,11 +263,7 @@
 TEST_CASE("random requests leave the server usable") {
   const std::vector<std::string> requests = {
       kGet, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello",
-      "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nTransfer-"
-      "Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0;c\r\nX: y\r\n\r\n",
-      "PUT /b HTTP/1.0\r\nConnection: keep-alive\r\nContent-Length: "
-      "2\r\n\r\nab",
-      std::string(kGet) + kGet};
+      kChunkedPost, kOldPut, std::string(kGet) + kGet};
   io_context io;
   ServerSettings settings;
   settings.max_header_bytes = 4 << 10;
@@ -288,12 +297,8 @@
 // Guards against responses that end the process, or a request without an end.
 TEST_CASE("random responses end their requests") {
   const std::vector<std::string> responses = {
-      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
-      "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: "
-      "chunked\r\n\r\n5;a=b\r\nhello\r\n0;c\r\nX: y\r\n\r\n",
-      "HTTP/1.1 200 OK\r\n\r\nuntil the end",
-      "HTTP/1.1 503 X\r\nRequest-Id: old\r\nContent-Length: 0\r\n\r\nHTTP/1.1 "
-      "200 OK\r\nRequest-Id: new\r\nContent-Length: 2\r\n\r\nab"};
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", kChunkedAnswer,
+      "HTTP/1.1 200 OK\r\n\r\nuntil the end", kLateAnswer};
   io_context io;
   PieceServer server(io);
   TestClient client(io);
--- a/tests/users_platform/misbehaving_clients_test.cc
+++ b/tests/users_platform/misbehaving_clients_test.cc
@@ -481,7 +481,8 @@
   request.body =
       R"({"items":[{"id":"i","path":"/summaries/1","headers":{},"body":"aGk=",)"
       R"("tokens":1}]})";
-  REQUIRE(site.Call(std::move(request)).status == 202);
+  const auto accepted = site.Call(std::move(request));
+  REQUIRE(accepted.status == 202);
   REQUIRE(site.WaitForResults("entry-1", "job-with-a-long-name", 1)
               .at("results")
               .as_array()
