--- a/libs/gateway/src/batch/batch_api.cc
+++ b/libs/gateway/src/batch/batch_api.cc
@@ -250,6 +250,7 @@
 
 void BatchApi::RespondUnknownJob(ExchangeId caller, const std::string& job) {
   if (store_reads_ >= max_store_reads_) {
+    LogWarning("unknown_job_not_read", {{"job", job}, {"reads", store_reads_}});
     return RespondRetry(caller, 503, kReadRetry);
   }
   ++store_reads_;
--- a/libs/http/src/server_impl.cc
+++ b/libs/http/src/server_impl.cc
@@ -270,6 +270,9 @@
   const ServerConnectionId id = connection.id;
   const uint64_t execution_bytes = ExecutionBytes(connection);
   if (!MakeRoom(execution_bytes, id) && !exchanges_.empty()) {
+    LogWarning("request_exceeds_memory", {{"needed_bytes", execution_bytes},
+                                          {"all_held_bytes", held_bytes_},
+                                          {"exchanges", exchanges_.size()}});
     return Reject(connection, 503, "overloaded",
                   "the server has reached its limit on the memory of requests");
   }
