A request that can't be sent accuses no server; jobs with one are refused

What callers saw: the job of another caller got no result for 30 s.

Cause: an item whose id, path or header field has a line break was accepted. The HTTP client refused to send it and reported not_sent, as for a server that can't be reached. So the server's back-off doubled with each try, to 4 s, and after each pause the item, due first, was tried first: no other item of the service ran. An online request reaches the same path only with a header field above 32 KB, where max_header_bytes is set higher than that.

Change: the client reports unsendable, which accuses no server. A job with such an item is refused with 400 at both interfaces; an item of a job that was accepted before ends as failed; an online request gets 400, unrun. The checks of a message's parts move to message_syntax.h.

--- a/libs/gateway/src/batch/batch_answers.cc
+++ b/libs/gateway/src/batch/batch_answers.cc
@@ -107,6 +107,12 @@
     scheduler_.OnAttemptFailed(run.server, MonotonicNow());
     return Requeue(run, kNotExecutedPause, "unreachable");
   }
+  if (event.outcome == http::ClientOutcome::kUnsendable) {
+    LogWarning("item_given_up", {{"job", run.item.job},
+                                 {"item", run.item_id},
+                                 {"cause", NameOf(event.outcome)}});
+    return Finish(run, ItemState::kFailed);
+  }
   if (event.outcome != http::ClientOutcome::kComplete) {
     return OnAttemptBroken(run, NameOf(event.outcome));
   }
--- a/libs/gateway/src/batch/batch_api.cc
+++ b/libs/gateway/src/batch/batch_api.cc
@@ -114,6 +114,13 @@
           return Fail(ErrorCode::kInvalid,
                       fmt::format("two items have the id '{}'", repeated->id));
         }
+        if (const auto* unsendable = serving::FindUnsendable(parsed)) {
+          return Fail(ErrorCode::kInvalid,
+                      fmt::format("item '{}' can't be sent: its id, path or a "
+                                  "header field is too long or contains "
+                                  "invalid characters",
+                                  unsendable->id));
+        }
         return parsed;
       },
       [&](const Error& error) {
--- a/libs/gateway/src/batch/native_batch_api.cc
+++ b/libs/gateway/src/batch/native_batch_api.cc
@@ -93,6 +93,11 @@
   }
   if (serving::FindRepeated(items))
     return Fail(ErrorCode::kInvalid, "two lines have the same \"custom_id\"");
+  if (serving::FindUnsendable(items)) {
+    return Fail(ErrorCode::kInvalid,
+                "a \"custom_id\" or \"url\" is too long or contains invalid "
+                "characters");
+  }
   return items;
 }
 
--- a/libs/gateway/src/online/online_answers.cc
+++ b/libs/gateway/src/online/online_answers.cc
@@ -145,6 +145,9 @@
                                       {"reason", event.message}});
     return RetryNotExecuted(call);
   }
+  if (event.outcome == http::ClientOutcome::kUnsendable) {
+    return RefuseUnsendable(call, event.message);
+  }
   if (event.outcome != http::ClientOutcome::kComplete) {
     const bool only_foreign = event.skipped_responses > 0 &&
                               event.outcome == http::ClientOutcome::kDeadline;
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -317,6 +317,19 @@
   Finish(call, kUnavailable, cause);
 }
 
+void OnlineCalls::RefuseUnsendable(OnlineCall& call, std::string_view reason) {
+  const std::string_view cause = NameOf(http::ClientOutcome::kUnsendable);
+  if (!call.workspace.empty())
+    callbacks_.not_executed(call.workspace, call.admitted_at);
+  callbacks_.to_caller(
+      ToCommand(call.caller, {.status = kBadRequest,
+                              .code = cause,
+                              .message = reason,
+                              .request_id = call.request_id,
+                              .execution = ExecutionStatus::kNotExecuted}));
+  Finish(call, kBadRequest, cause);
+}
+
 void OnlineCalls::Fail(OnlineCall& call, unsigned status,
                        std::string_view cause) {
   if (call.response_started) {
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -167,6 +167,8 @@
   bool ForwardEvents(OnlineCall& call);
 
   void Reject(OnlineCall& call, Duration retry_after, std::string_view cause);
+  // Only for requests of which no attempt can be sent.
+  void RefuseUnsendable(OnlineCall& call, std::string_view reason);
   void Fail(OnlineCall& call, unsigned status, std::string_view cause);
   void Finish(OnlineCall& call, unsigned status, std::string_view outcome);
 
--- a/libs/gateway/src/online/online_limits.h
+++ b/libs/gateway/src/online/online_limits.h
@@ -7,6 +7,7 @@
 
 inline constexpr unsigned kServerError = 500;
 inline constexpr unsigned kBadGateway = 502;
+inline constexpr unsigned kBadRequest = 400;
 inline constexpr unsigned kUnavailable = 503;
 inline constexpr unsigned kGatewayTimeout = 504;
 
--- a/libs/gateway/tests/batch_runner_test.cc
+++ b/libs/gateway/tests/batch_runner_test.cc
@@ -204,4 +204,24 @@
   }
 }
 
+// Guards against an item, accepted by a gateway of an earlier version, that is
+// tried without end and counts as a failure of each server in turn.
+TEST_CASE("an item that can't be sent fails and accuses no server") {
+  Fixture fixture;
+  fixture.routes = JobRoutes();
+  fixture.jobs.Find("job-1")->items[0].target = "/summaries/1\r\nX: y";
+  CrashingServer server(fixture.io);
+  fixture.scheduler.Upsert({.instance = "i-1",
+                            .service = "llm",
+                            .address = server.Address(),
+                            .availability_zone = "zone-a",
+                            .slots = 4});
+  fixture.runner.Run(fixture.now);
+  REQUIRE(fixture.Phase() == ItemPhase::kRunning);
+  fixture.io.run_for(std::chrono::milliseconds(50));
+  CHECK(fixture.Phase() == ItemPhase::kFinished);
+  CHECK(server.requests() == 0);
+  CHECK(fixture.scheduler.PlaceBatch("llm", {}, MonotonicNow(), kNever));
+}
+
 }  // namespace knapweedstile::gateway
--- a/libs/http/include/http/client_event.h
+++ b/libs/http/include/http/client_event.h
@@ -21,6 +21,9 @@
   // Bytes were written; what the server sends is not a response, or exceeds a
   // limit: it may have run.
   kInvalid,
+  // The request can't be sent to any server (see message_syntax.h): it did not
+  // run. No fault of the server.
+  kUnsendable,
 };
 
 // Status line and headers. Sent only when stream_body is set.
@@ -55,9 +58,9 @@
 namespace knapweedstile {
 
 template <>
-inline constexpr std::array<std::string_view, 5>
+inline constexpr std::array<std::string_view, 6>
     kEnumNames<http::ClientOutcome> = {"complete", "not_sent", "lost",
-                                       "deadline", "invalid"};
+                                       "deadline", "invalid",  "unsendable"};
 
 }  // namespace knapweedstile
 
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -94,9 +94,7 @@
   PrepareExchange(*connection, std::move(request));
   if (!sendable) {
     connection->phase = ClientPhase::kFailed;
-    connection->failure =
-        "method, target or header field contains invalid characters";
-    asio::post(io_, MakeHandler(connection->id, &Impl::ReportFailure));
+    asio::post(io_, MakeHandler(connection->id, &Impl::ReportUnsendable));
   } else if (reused) {
     BeginExchange(*connection);
   } else {
@@ -499,6 +497,16 @@
   Fail(connection, std::move(connection.failure), ClientOutcome::kNotSent);
 }
 
+void Client::Impl::ReportUnsendable(Connection& connection) {
+  EndEvent event{.exchange = connection.exchange,
+                 .outcome = ClientOutcome::kUnsendable,
+                 .message =
+                     "method, target or a header field is too long or "
+                     "contains invalid characters"};
+  Erase(connection);
+  sink_(std::move(event));
+}
+
 void Client::Impl::Erase(Connection& connection) {
   CountBuffered(connection, 0);
   exchanges_.erase(connection.exchange);
--- a/libs/http/src/client_impl.h
+++ b/libs/http/src/client_impl.h
@@ -81,6 +81,7 @@
   void Fail(Connection& connection, std::string message, ClientOutcome cause);
   void FailInvalid(Connection& connection, std::string_view reason);
   void ReportFailure(Connection& connection);
+  void ReportUnsendable(Connection& connection);
   void Erase(Connection& connection);
   void SetDeadline(Connection& connection, TimePoint deadline);
   void ArmTimer(Connection& connection);
--- a/libs/http/src/message_text.cc
+++ b/libs/http/src/message_text.cc
@@ -9,31 +9,13 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/serializer.hpp>
 
+#include "http/message_syntax.h"
+
 namespace knapweedstile::http {
 namespace {
 
 namespace beast_http = boost::beast::http;
 
-// Beast stores the lengths of a field's name and value in 16 bits.
-constexpr size_t kMaxFieldBytes = 32 << 10;
-
-bool HasLineBreak(std::string_view text) noexcept {
-  return text.find_first_of(std::string_view("\r\n\0", 3)) !=
-         std::string_view::npos;
-}
-
-bool IsValidName(std::string_view text) noexcept {
-  return !text.empty() && text.size() < kMaxFieldBytes &&
-         std::all_of(text.begin(), text.end(), [](unsigned char c) {
-           return c > ' ' && c < 0x7f && c != ':';
-         });
-}
-
-bool IsValidField(std::string_view name, std::string_view value) noexcept {
-  return IsValidName(name) && value.size() < kMaxFieldBytes &&
-         !HasLineBreak(value);
-}
-
 boost::beast::string_view View(std::string_view text) noexcept {
   return {text.data(), text.size()};
 }
@@ -88,12 +70,8 @@
 }
 
 bool IsSendable(const ClientRequest& request) noexcept {
-  const bool plain_target =
-      !request.target.empty() &&
-      std::all_of(request.target.begin(), request.target.end(),
-                  [](unsigned char c) { return c > ' ' && c != 0x7f; });
   const auto& fields = request.headers.fields();
-  return IsValidName(request.method) && plain_target &&
+  return IsValidMethod(request.method) && IsValidTarget(request.target) &&
          std::all_of(fields.begin(), fields.end(), [](const auto& field) {
            return IsValidField(field.first, field.second);
          });
--- a/libs/http/src/message_text.h
+++ b/libs/http/src/message_text.h
@@ -28,8 +28,7 @@
 std::string ResponseHead(unsigned status, const HeaderList& headers,
                          const ResponseFraming& framing);
 
-// Whether method, target and header fields of `request` are free of characters
-// that would break its framing.
+// Whether method, target and header fields of `request` can be sent as given.
 bool IsSendable(const ClientRequest& request) noexcept;
 
 // Serializes the request line and header, with Host and Content-Length added.
--- a/libs/serving/include/serving/batch_item.h
+++ b/libs/serving/include/serving/batch_item.h
@@ -21,6 +21,10 @@
 // The first item whose id an earlier one has; null if there is none.
 const BatchItem* FindRepeated(std::span<const BatchItem> items);
 
+// The first item whose request can't be sent to any server because of its id,
+// target or header fields; null if there is none.
+const BatchItem* FindUnsendable(std::span<const BatchItem> items);
+
 }  // namespace knapweedstile::serving
 
 #endif  // KNAPWEEDSTILE_SERVING_BATCH_ITEM_H_
--- a/tests/users_platform/misbehaving_clients_test.cc
+++ b/tests/users_platform/misbehaving_clients_test.cc
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <signal.h>
 
 #include <algorithm>
@@ -513,6 +514,63 @@
   crowded.CheckAlive();
 }
 
+// Guards against servers that are taken for unreachable because an item breaks
+// the framing of its request.
+TEST_CASE("jobs with an item that can't be sent are refused",
+          "[refused_items]") {
+  CrowdedSite crowded;
+  Site& site = crowded.site;
+  int job_count = 0;
+  const auto submit = [&](const std::string& target, const std::string& body) {
+    auto request = site.OnlineRequest("entry-1", "POST", target,
+                                      "job-" + std::to_string(++job_count));
+    request.body = body;
+    return site.Call(std::move(request)).status;
+  };
+  const std::string sound =
+      R"({"id":"sound","path":"/summaries/1","headers":{},"body":"","tokens":1})";
+  const std::vector<std::string> unsendable = {
+      R"({"id":"i\r\nX: y","path":"/summaries/1","body":""})",
+      R"({"id":"i","path":"/summaries/ 1","body":""})",
+      R"({"id":"i","path":"/summaries/1\r\nX: y","body":""})",
+      R"({"id":"i","path":"/summaries/1","headers":{"a b":"c"},"body":""})",
+      R"({"id":"i","path":"/summaries/1","headers":{"a":"c\nd"},"body":""})",
+      R"({"id":"i","path":"/summaries/1","headers":{"":"c"},"body":""})"};
+  for (const std::string& item : unsendable) {
+    INFO(item);
+    CHECK(submit("/summaries/new",
+                 fmt::format(R"({{"items":[{},{}]}})", sound, item)) == 400);
+  }
+  for (const std::string line :
+       {R"({"custom_id":"i\r\nX: y","body":{}})",
+        R"({"custom_id":"i","url":"/v1/completions ","body":{}})"}) {
+    INFO(line);
+    CHECK(submit("/v1/batches", line) == 400);
+  }
+  REQUIRE(site.Call(site.JobRequest("entry-1", "job-b", 5)).status == 202);
+  CHECK(site.WaitForResults("entry-1", "job-b", 5)
+            .at("results")
+            .as_array()
+            .size() == 5);
+  crowded.CheckAlive();
+}
+
+// Guards against servers that are taken for unreachable because a header field
+// is longer than can be sent on.
+TEST_CASE("fields that are too long to be sent on", "[long_field]") {
+  CrowdedSite crowded;
+  crowded.site.max_header_bytes = 64 << 10;
+  crowded.site.Configure(3, {{"max_count", 0}});
+  REQUIRE(crowded.site.caller().RunUntil([&] {
+    Crowd crowd = crowded.Callers(
+        1, {.pieces = {Head("GET", "/ping/1",
+                            "X-Long: " + std::string(40'000, 'a') + "\r\n")}});
+    crowded.site.caller().RunFor(std::chrono::milliseconds(100));
+    return crowd.received(0).find(" 400 ") != std::string::npos;
+  }));
+  crowded.CheckAlive();
+}
+
 // Guards against connections that come and go faster than they are served.
 TEST_CASE("connections that are opened and closed at once", "[churn]") {
   CrowdedSite crowded(kFewDescriptors);
