Logs and metrics: where a configuration came from, and that a gateway is behind

The logs could not tell the hypotheses of the incident apart: neither by which way a version came, nor that a gateway knows to be behind and what it tries.

configuration_in_force names its source, configuration_behind the newest version that peers advertise and the readers in use, configuration_not_read a failed relay; knap_configuration_age_seconds; the timeline's item_run names the version that the item was placed by. No logic is changed.

--- a/libs/gateway/src/batch/batch_answers.cc
+++ b/libs/gateway/src/batch/batch_answers.cc
@@ -207,13 +207,15 @@
 void BatchRunner::RecordRun(const ItemRun& run, std::string_view end) {
   const serving::ServerRecord* record = scheduler_.Record(run.server);
   const Duration duration = MonotonicNow() - run.started_at;
-  timeline_.Record({.wall_clock_nanos = WallClockNanos(),
-                    .duration_nanos = ToNanos(duration),
-                    .name = "item_run",
-                    .request = run.item_id,
-                    .args = {{"job", run.item.job},
-                             {"end", std::string(end)},
-                             {"server", record ? record->address : "-"}}});
+  timeline_.Record(
+      {.wall_clock_nanos = WallClockNanos(),
+       .duration_nanos = ToNanos(duration),
+       .name = "item_run",
+       .request = run.item_id,
+       .args = {{"job", run.item.job},
+                {"end", std::string(end)},
+                {"configuration", std::to_string(run.configuration)},
+                {"server", record ? record->address : "-"}}});
 }
 
 void BatchRunner::RemoveRun(ItemRun& run) {
--- a/libs/gateway/src/batch/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -139,6 +139,7 @@
               .server = server,
               .service = scheduler_.Record(server)->service,
               .software = scheduler_.Record(server)->software,
+              .configuration = routes_.version,
               .exchange = connections_.Open(sink_),
               .started_at = now,
               .stalls_at = now + kFirstEventTimeout};
--- a/libs/gateway/src/batch/batch_runner.h
+++ b/libs/gateway/src/batch/batch_runner.h
@@ -83,6 +83,7 @@
     BackendServerId server;
     std::string service;   // of the server
     std::string software;  // its version
+    uint64_t configuration = 0;  // version in force at the start
     ExchangeId exchange;
     TimePoint started_at;
     TimePoint stalls_at;  // stalled if no event arrives before then
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -104,7 +104,8 @@
   runner_.OnServerRestarted(previous);
 }
 
-void Gateway::OnConfiguration(const platform::StoredObject& object) {
+void Gateway::OnConfiguration(const platform::StoredObject& object,
+                              ConfigurationSource source) {
   if (object.name != users_platform::kConfigurationName) return;
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
@@ -117,6 +118,7 @@
             "configuration_in_force",
             {{"version", table.version},
              {"before", routes_.version},
+             {"source", NameOf(source)},
              {"routes", table.routes.size()},
              {"workspaces",
               configuration.workspaces ? configuration.workspaces->size() : 0},
@@ -351,6 +353,10 @@
 std::string Gateway::RenderMetrics() {
   metrics_.Set("knap_configuration_version",
                static_cast<double>(routes_.version));
+  if (routes_.version != 0) {
+    metrics_.Set("knap_configuration_age_seconds",
+                 ToSeconds(follower_.ConfigurationAge(MonotonicNow())));
+  }
   metrics_.Set("knap_servers", static_cast<double>(scheduler_.server_count()));
   SetPaceMetrics(scheduler_, metrics_);
   metrics_.Set("knap_store_available", store_.available() ? 1 : 0);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -86,7 +86,8 @@
 
   // Ends the requests and batch items that ran on a server's previous process.
   void OnServerRestarted(BackendServerId previous, const std::string& address);
-  void OnConfiguration(const platform::StoredObject& object);
+  void OnConfiguration(const platform::StoredObject& object,
+                       ConfigurationSource source);
   // Copies the workspaces defined as operator objects to the directory.
   void SetWorkspaceObjects();
   // Called with the member records of the fleet, in full or one at a time.
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -67,6 +67,9 @@
                          {"cause"});
   metrics.DeclareGauge("knap_configuration_version",
                        "configuration version in effect");
+  metrics.DeclareGauge("knap_configuration_age_seconds",
+                       "time since the configuration was known to be current; "
+                       "0 while it is");
   metrics.DeclareGauge("knap_servers", "backend servers known");
   metrics.DeclareCounter(
       "knap_foreign_responses_total",
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -176,8 +176,9 @@
                }}),
       follower_(io, settings_, store_, peers_,
                 {.configuration_read =
-                     [this](const platform::StoredObject& object) {
-                       OnConfiguration(object);
+                     [this](const platform::StoredObject& object,
+                            ConfigurationSource source) {
+                       OnConfiguration(object, source);
                      },
                  .servers_listed =
                      [this](std::vector<platform::StoredObject>&& objects) {
--- a/libs/gateway/src/store/lag_detector.h
+++ b/libs/gateway/src/store/lag_detector.h
@@ -22,6 +22,7 @@
     if (newest_advertised_ <= own) ahead_since_ = now;
     newest_advertised_ = std::max(newest_advertised_, advertised);
   }
+  uint64_t newest_advertised() const noexcept { return newest_advertised_; }
   // Whether a peer knows a newer version, however recently it was advertised.
   bool PeersAhead(uint64_t own) const noexcept {
     return newest_advertised_ > own;
--- a/libs/gateway/src/store/store_follower.cc
+++ b/libs/gateway/src/store/store_follower.cc
@@ -75,12 +75,13 @@
           {.listed =
                [this](std::vector<StoredObject>&& objects) {
                  for (const auto& object : objects) {
-                   callbacks_.configuration_read(object);
+                   callbacks_.configuration_read(object, configuration_source_);
                  }
                },
            .changed =
                [this](StoredObject&& object) {
-                 if (!object.deleted) callbacks_.configuration_read(object);
+                 if (object.deleted) return;
+                 callbacks_.configuration_read(object, configuration_source_);
                },
            .update_read =
                [this](const StoreUpdate& update) { ForwardToCell(update); }}),
@@ -219,7 +220,10 @@
 
 void StoreFollower::OnStoreUpdate(StoreUpdate&& update) {
   if (update.kind == users_platform::kConfigurationKind) {
-    return configuration_.OnStoreUpdate(std::move(update));
+    configuration_source_ = ConfigurationSource::kReader;
+    configuration_.OnStoreUpdate(std::move(update));
+    configuration_source_ = ConfigurationSource::kStore;
+    return;
   }
   if (update.kind == users_platform::kServerKind) {
     return servers_.OnStoreUpdate(std::move(update));
@@ -246,9 +250,13 @@
       platform::ReadRequest{.kind = users_platform::kConfigurationKind,
                             .name = users_platform::kConfigurationName},
       now + kConfigurationReadTimeout, [this](platform::StoreAnswer&& answer) {
-        if (answer.outcome != platform::StoreOutcome::kOk) return;
+        if (answer.outcome != platform::StoreOutcome::kOk) {
+          return LogWarning("configuration_not_read",
+                            {{"outcome", NameOf(answer.outcome)},
+                             {"reason", answer.message}});
+        }
         for (const auto& object : answer.objects)
-          callbacks_.configuration_read(object);
+          callbacks_.configuration_read(object, ConfigurationSource::kRelay);
       });
 }
 
@@ -256,12 +264,24 @@
   if (now >= start_mirrors_at_) StartMirrors();
   if (now >= update_readers_at_) UpdateReaders(now);
   UpdateConfigurationAge(now);
-  if (configuration_lag_.IsLagging(callbacks_.configuration_version(), now))
+  if (configuration_lag_.IsLagging(callbacks_.configuration_version(), now)) {
+    LogBehind();
     ReadConfiguration(now);
+  }
   if (server_lag_.IsLagging(servers_.newest_change(), now)) servers_.Refresh();
   if (member_lag_.IsLagging(members_.newest_change(), now)) members_.Refresh();
 }
 
+void StoreFollower::LogBehind() {
+  const uint64_t newest = configuration_lag_.newest_advertised();
+  if (std::exchange(behind_logged_, newest) == newest) return;
+  LogInfo("configuration_behind",
+          {{"version", callbacks_.configuration_version()},
+           {"newest", newest},
+           {"store_available", store_.available()},
+           {"readers", fmt::format("{}", fmt::join(readers_, ","))}});
+}
+
 Duration StoreFollower::ConfigurationAge(TimePoint now) const {
   if (callbacks_.configuration_version() == 0) return kNever - TimePoint{};
   return Remaining(now, configuration_stale_since_);
--- a/libs/gateway/src/store/store_follower.h
+++ b/libs/gateway/src/store/store_follower.h
@@ -11,6 +11,7 @@
 #include "peers/reader_choice.h"
 #include "platform/store_answer.h"
 #include "serving/cell.h"
+#include "store/configuration_source.h"
 #include "store/kind_mirror.h"
 #include "store/lag_detector.h"
 #include "store/store_update_link.h"
@@ -27,7 +28,8 @@
 class StoreFollower {
  public:
   struct Callbacks {
-    std::function<void(const platform::StoredObject&)> configuration_read;
+    std::function<void(const platform::StoredObject&, ConfigurationSource)>
+        configuration_read;
     std::function<void(std::vector<platform::StoredObject>&&)> servers_listed;
     std::function<void(platform::StoredObject&&)> server_changed;
     std::function<void(std::vector<platform::StoredObject>&&)> objects_listed;
@@ -95,6 +97,7 @@
   void UpdateReaders(TimePoint now);
   void ForwardToCell(const StoreUpdate& update);
   void OnStoreUpdate(StoreUpdate&& update);
+  void LogBehind();
 
   std::string own_name_;
   StoreCalls& store_;
@@ -118,6 +121,9 @@
   TimePoint wait_for_readers_until_{};
   TimePoint peer_regained_at_{};
   TimePoint read_configuration_at_{};
+  // Of what the configuration's mirror delivers now.
+  ConfigurationSource configuration_source_ = ConfigurationSource::kStore;
+  uint64_t behind_logged_ = 0;  // the version that was logged last
   // Since when the configuration may be stale; kNever if it is current.
   TimePoint configuration_stale_since_{};
 };
