--- a/tests/users_platform/site.cc
+++ b/tests/users_platform/site.cc
@@ -220,7 +220,7 @@
   const std::string& store =
       use_second_store_address ? store_.second_address() : store_.address();
   text = Replace(text, "provider.address", interpose("store/" + name, store));
-  text = Replace(text, "heartbeat_ms", "400");
+  text = Replace(text, "heartbeat_ms", std::to_string(heartbeat_ms));
   text = Replace(text, "bounds.status_s", std::to_string(retention_s));
   text = Replace(text, "bounds.grace_s", "4.5");
   text = Replace(text, "bounds.quota_window_s", "5");
--- a/tests/users_platform/site.h
+++ b/tests/users_platform/site.h
@@ -35,6 +35,9 @@
   // started from now on.
   int memory_mb = 260;
   int max_descriptors = 4100;
+  // Interval of the servers' heartbeats, for gateways that are started from now
+  // on.
+  int heartbeat_ms = 400;
 
   // Returns the address that clients of the listening address of `who`
   // ("store/GATEWAY", "server/INSTANCE", "callers/GATEWAY") are given; a test
