Configurations: found by any of eight gateways, fetched from any that has them

Seen: all 20 gateways answer by a version that was replaced more than 3 s before (404 for a route that is there, configuration_age_ms=0), ten of them with a sound way to the store.

Cause: one way to a change, and nobody who checks it. Two gateways read for all; when the store falls silent for both, they find out by a deadline up to 3.3 s later. Their successors are chosen because they report that the store is available, which they report because they have not called it. Class: a source taken for sound because nothing bad was heard of it.

Change: up to eight gateways of a cell watch the configuration (three where there are several cells), and their watches end one after another within 5 s. A gateway that loses the store says so at once, and each peer that hears it reads the configuration, which shows whether its own way works, before it is relied on. A gateway that hears of a newer version for 0.3 s fetches it from a gateway that advertises it (ConfigurationLink), another one with each attempt: neither way to the store has to work. This replaces the relayed read of a gateway that is behind.

--- a/libs/gateway/src/batch/batch_runner.h
+++ b/libs/gateway/src/batch/batch_runner.h
@@ -81,8 +81,8 @@
     uint64_t item_hash = 0;
     std::vector<uint64_t> prompt_parts;  // cleared by a complete response
     BackendServerId server;
-    std::string service;   // of the server
-    std::string software;  // its version
+    std::string service;         // of the server
+    std::string software;        // its version
     uint64_t configuration = 0;  // version in force at the start
     ExchangeId exchange;
     TimePoint started_at;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -64,6 +64,9 @@
   if (JobForwarder::IsTarget(request.target)) return OnJobCall(request);
   if (StoreUpdateLink::IsTarget(request.target)) {
     follower_.OnStoreUpdateRequest(request);
+  } else if (ConfigurationLink::IsTarget(request.target)) {
+    return record_push_.Respond(request.exchange,
+                                follower_.ConfigurationResponse());
   } else if (ProgressLink::IsTarget(request.target)) {
     return record_push_.Respond(request.exchange,
                                 progress_link_.OnRequest(request));
@@ -124,6 +127,7 @@
               configuration.workspaces ? configuration.workspaces->size() : 0},
              {"revision", object.version}});
         routes_ = std::move(table);
+        follower_.SetConfiguration(object);
         workspaces_.SetConfigured(std::move(configuration.workspaces));
         UpdateRateMembers();
         follower_.UpdateConfigurationAge(MonotonicNow());
--- a/libs/gateway/src/gateway_peers.cc
+++ b/libs/gateway/src/gateway_peers.cc
@@ -51,7 +51,8 @@
     scheduler_.SetCell(cell, gateways_in_cell_);
     publisher_.SetGatewaysInCell(gateways_in_cell_);
     peers_.SetCells(fleet_.cells());
-    follower_.SetCell(cell, kReadersPerDividedCell, MonotonicNow());
+    follower_.SetCell(cell, kReadersPerDividedCell,
+                      kConfigurationWatchersPerSmallCell, MonotonicNow());
     return UpdateRateMembers();
   }
   std::map<std::string, std::string> zones = peers_.Zones();
@@ -64,7 +65,11 @@
   publisher_.SetGatewaysInCell(gateways_in_cell_);
   UpdateRateMembers();
   peers_.SetCells(cells);
-  follower_.SetCell(cells.StoreReaderCellOf(settings_.name), kReadersPerCell,
+  const serving::Cell reader_cell = cells.StoreReaderCellOf(settings_.name);
+  follower_.SetCell(reader_cell, kReadersPerCell,
+                    reader_cell == serving::Cell()
+                        ? kConfigurationWatchersPerCell
+                        : kConfigurationWatchersPerSmallCell,
                     MonotonicNow());
 }
 
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -174,48 +174,57 @@
                [this](const std::string& address, const std::string& datagram) {
                  peers_.SendDatagram(address, datagram);
                }}),
-      follower_(io, settings_, store_, peers_,
-                {.configuration_read =
-                     [this](const platform::StoredObject& object,
-                            ConfigurationSource source) {
-                       OnConfiguration(object, source);
-                     },
-                 .servers_listed =
-                     [this](std::vector<platform::StoredObject>&& objects) {
-                       servers_.OnListed(std::move(objects), MonotonicNow(),
-                                         follower_.regained_at());
-                       policies_.UpdateServerPolicies();
-                     },
-                 .server_changed =
-                     [this](platform::StoredObject&& object) {
-                       servers_.OnChanged(std::move(object), MonotonicNow(),
-                                          follower_.regained_at());
-                       policies_.UpdateServerPolicies();
-                     },
-                 .objects_listed =
-                     [this](std::vector<platform::StoredObject>&& objects) {
-                       policies_.OnListed(std::move(objects));
-                       SetWorkspaceObjects();
-                     },
-                 .object_changed =
-                     [this](platform::StoredObject&& object) {
-                       policies_.OnChanged(std::move(object));
-                       SetWorkspaceObjects();
-                     },
-                 .members_listed =
-                     [this](std::vector<platform::StoredObject>&& objects) {
-                       OnMembersListed(std::move(objects));
-                     },
-                 .member_changed =
-                     [this](platform::StoredObject&& object) {
-                       OnMemberChanged(object);
-                     },
-                 .configuration_version = [this] { return routes_.version; },
-                 .cores =
-                     [this](const std::string& gateway) {
-                       if (IsShortOfProcessor(HeadroomOf(gateway))) return 0.0;
-                       return fleet_.ProcessorShareOf(gateway);
-                     }}),
+      follower_(
+          io, settings_, store_, peers_,
+          {.configuration_read =
+               [this](const platform::StoredObject& object,
+                      ConfigurationSource source) {
+                 OnConfiguration(object, source);
+               },
+           .servers_listed =
+               [this](std::vector<platform::StoredObject>&& objects) {
+                 servers_.OnListed(std::move(objects), MonotonicNow(),
+                                   follower_.regained_at());
+                 policies_.UpdateServerPolicies();
+               },
+           .server_changed =
+               [this](platform::StoredObject&& object) {
+                 servers_.OnChanged(std::move(object), MonotonicNow(),
+                                    follower_.regained_at());
+                 policies_.UpdateServerPolicies();
+               },
+           .objects_listed =
+               [this](std::vector<platform::StoredObject>&& objects) {
+                 policies_.OnListed(std::move(objects));
+                 SetWorkspaceObjects();
+               },
+           .object_changed =
+               [this](platform::StoredObject&& object) {
+                 policies_.OnChanged(std::move(object));
+                 SetWorkspaceObjects();
+               },
+           .members_listed =
+               [this](std::vector<platform::StoredObject>&& objects) {
+                 OnMembersListed(std::move(objects));
+               },
+           .member_changed =
+               [this](platform::StoredObject&& object) {
+                 OnMemberChanged(object);
+               },
+           .address_of =
+               [this](const std::string& gateway) {
+                 const auto member = fleet_.members().find(gateway);
+                 return member == fleet_.members().end()
+                            ? std::string()
+                            : member->second.address;
+               },
+           .store_lost = [this] { publisher_.PublishFull(MonotonicNow()); },
+           .configuration_version = [this] { return routes_.version; },
+           .cores =
+               [this](const std::string& gateway) {
+                 if (IsShortOfProcessor(HeadroomOf(gateway))) return 0.0;
+                 return fleet_.ProcessorShareOf(gateway);
+               }}),
       ownership_(settings.name, started_at_, peers_, jobs_),
       registration_(io, store_, settings.name,
                     fleet_.members().at(settings.name)),
--- a/libs/gateway/src/peers/reader_choice.h
+++ b/libs/gateway/src/peers/reader_choice.h
@@ -15,6 +15,14 @@
 // double the store calls.
 inline constexpr size_t kReadersPerDividedCell = 1;
 
+// Gateways of a cell that watch the configuration by themselves, readers
+// included. A change that none of them sees in time is late everywhere, and a
+// gateway that gets no response from the store finds out seconds later; few
+// calls are needed, since configurations change rarely.
+inline constexpr size_t kConfigurationWatchersPerCell = 8;
+// In a fleet of several cells, which advertise versions to each other.
+inline constexpr size_t kConfigurationWatchersPerSmallCell = 3;
+
 // Chooses at most `max_readers` readers of a cell from its healthy gateways
 // that reach the store. The choice depends only on the candidates, so gateways
 // that see the same candidates agree without an election. While views differ,
--- a/libs/gateway/src/store/configuration_source.h
+++ b/libs/gateway/src/store/configuration_source.h
@@ -13,6 +13,7 @@
   kStore,   // read by itself
   kReader,  // forwarded by a reader of its cell
   kRelay,   // read by a peer on its behalf
+  kPeer,    // fetched from a gateway that uses it
 };
 
 }  // namespace knapweedstile::gateway
@@ -20,8 +21,9 @@
 namespace knapweedstile {
 
 template <>
-inline constexpr std::array<std::string_view, 3>
-    kEnumNames<gateway::ConfigurationSource> = {"store", "reader", "relay"};
+inline constexpr std::array<std::string_view, 4>
+    kEnumNames<gateway::ConfigurationSource> = {"store", "reader", "relay",
+                                                "peer"};
 
 }  // namespace knapweedstile
 
--- a/libs/gateway/src/store/kind_mirror.cc
+++ b/libs/gateway/src/store/kind_mirror.cc
@@ -306,7 +306,12 @@
   waiting_for_updates_ =
       receives_updates_ && (caught_up_ || settings_.stale_first_list);
   if (waiting_for_updates_) return;
-  WatchFor(caught_up_ ? settings_.watch_wait : kMinWatchWait);
+  WatchFor(caught_up_ ? WatchWait() : kMinWatchWait);
+}
+
+Duration KindMirror::WatchWait() const {
+  return handlers_.watch_wait ? handlers_.watch_wait()
+                              : Duration(settings_.watch_wait);
 }
 
 // Beyond the retained history, the store could only report that it was
--- a/libs/gateway/src/store/kind_mirror.h
+++ b/libs/gateway/src/store/kind_mirror.h
@@ -66,6 +66,8 @@
         list_completed;
     // The result of a watch, even if empty; called before `changed`.
     std::function<void(const StoreUpdate&)> update_read;
+    // How long the next watch waits; `MirrorSettings::watch_wait` if not set.
+    std::function<Duration()> watch_wait;
     // A read that began at `began` has completed; all changes up to then were
     // delivered.
     std::function<void(TimePoint began)> read_completed;
@@ -130,6 +132,7 @@
   void ReadHistory();
   bool lists_pages() const noexcept { return settings_.large_kind && listing_; }
   void Watch();
+  Duration WatchWait() const;
   // Starts a watch that does not wait; it returns even if nothing has changed.
   void ReadNow();
   void WatchFor(Duration wait);
--- a/libs/gateway/src/store/store_follower.cc
+++ b/libs/gateway/src/store/store_follower.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "gateway/gateway_settings.h"
 #include "operators/object_names.h"
@@ -24,10 +25,10 @@
 // Operators' objects change rarely, and a change ends the wait. A silent watch
 // is detected when its wait ends, so this bounds how late a change is seen.
 constexpr std::chrono::milliseconds kObjectWatchWait{20000};
-// Peer datagrams advertise a newer version within 0.3 s, and keep-alive probes
-// detect a silent connection within 3 s, so the wait does not bound how late a
-// change is seen.
-constexpr std::chrono::milliseconds kConfigurationWatchWait{15000};
+// The watches of a cell's gateways end one after another in this period, so
+// that one of them soon finds out if the store is silent for all.
+constexpr std::chrono::milliseconds kConfigurationWatchPeriod{5000};
+constexpr std::chrono::milliseconds kMinConfigurationWatchWait{1000};
 // Servers change in groups, when they start, leave or are replaced; without the
 // pause each change would end a watch on every gateway. A draining server must
 // receive no new requests within two seconds.
@@ -67,10 +68,20 @@
       update_link_(
           io,
           [this](StoreUpdate&& update) { OnStoreUpdate(std::move(update)); }),
+      configuration_link_(io, Hash64(own_name_),
+                          {.received =
+                               [this](const StoredObject& object) {
+                                 callbacks_.configuration_read(
+                                     object, ConfigurationSource::kPeer);
+                               },
+                           .address_of =
+                               [this](const std::string& gateway) {
+                                 return callbacks_.address_of(gateway);
+                               }}),
       configuration_(
           io, store,
           {.kind = users_platform::kConfigurationKind,
-           .watch_wait = kConfigurationWatchWait,
+           .watch_wait = kConfigurationWatchPeriod,
            .probes_lost_store = true},
           {.listed =
                [this](std::vector<StoredObject>&& objects) {
@@ -84,7 +95,8 @@
                  callbacks_.configuration_read(object, configuration_source_);
                },
            .update_read =
-               [this](const StoreUpdate& update) { ForwardToCell(update); }}),
+               [this](const StoreUpdate& update) { ForwardToCell(update); },
+           .watch_wait = [this] { return ConfigurationWatchWait(); }}),
       servers_(
           io, store,
           {.kind = users_platform::kServerKind,
@@ -171,12 +183,25 @@
                            now);
   member_lag_.OnAdvertised(state.members_revision, members_.newest_change(),
                            now);
+  configuration_link_.OnAdvertised(state.gateway, state.configuration, now);
+  if (state.store_available) {
+    peers_without_store_.erase(state.gateway);
+  } else if (peers_without_store_.insert(state.gateway).second) {
+    CheckStore();
+  }
+}
+
+// Guards against gateways that get no response from the store like a peer, have
+// not found that out because they make few calls, and become readers.
+void StoreFollower::CheckStore() {
+  if (store_.available()) configuration_.Refresh();
 }
 
 void StoreFollower::SetCell(const serving::Cell& cell, size_t readers,
-                            TimePoint now) {
+                            size_t configuration_watchers, TimePoint now) {
   cell_ = cell;
   max_readers_ = readers;
+  max_configuration_watchers_ = configuration_watchers;
   UpdateReaders(now);
 }
 
@@ -185,6 +210,25 @@
          readers_.end();
 }
 
+bool StoreFollower::WatchesConfiguration() const {
+  return std::find(configuration_watchers_.begin(),
+                   configuration_watchers_.end(),
+                   own_name_) != configuration_watchers_.end();
+}
+
+Duration StoreFollower::ConfigurationWatchWait() const {
+  const Duration period = kConfigurationWatchPeriod;
+  const auto own = std::find(configuration_watchers_.begin(),
+                             configuration_watchers_.end(), own_name_);
+  const auto rank = own - configuration_watchers_.begin();
+  const auto ranks = std::max<int64_t>(1, std::ssize(configuration_watchers_));
+  const Duration end = period * rank / ranks;
+  const Duration since_end =
+      (std::chrono::nanoseconds(WallClockNanos()) - end) % period;
+  const Duration wait = period - since_end;
+  return wait < kMinConfigurationWatchWait ? wait + period : wait;
+}
+
 // Guards against a cell that keeps stale state because its reader is
 // partitioned from the store, stalls or stops. The reader is excluded as soon
 // as it reports that or goes silent. A gateway that replaces it reads
@@ -194,8 +238,11 @@
   update_readers_at_ = now + kReaderChoiceInterval;
   std::vector<std::string> healthy = peers_.HealthyPeersIn(cell_, now);
   if (store_.available() && !stopping_) healthy.push_back(own_name_);
-  std::vector<std::string> readers =
-      ChooseReaders(std::move(healthy), max_readers_, callbacks_.cores);
+  configuration_watchers_ = ChooseReaders(
+      std::move(healthy), std::max(max_readers_, max_configuration_watchers_),
+      callbacks_.cores);
+  std::vector<std::string> readers = configuration_watchers_;
+  if (readers.size() > max_readers_) readers.resize(max_readers_);
   if (readers != readers_) {
     LogInfo(
         "store_readers",
@@ -208,7 +255,8 @@
       !readers_.empty() && !IsReader() && store_.available();
   const bool waits_for_readers =
       now < wait_for_readers_until_ && store_.available();
-  configuration_.SetReceivesUpdates(has_readers || waits_for_readers);
+  configuration_.SetReceivesUpdates((has_readers && !WatchesConfiguration()) ||
+                                    waits_for_readers);
   servers_.SetReceivesUpdates(has_readers || waits_for_readers);
   objects_.SetReceivesUpdates(has_readers || waits_for_readers);
   members_.SetReceivesUpdates(has_readers);
@@ -239,8 +287,7 @@
 }
 
 // Guards against a gateway that is rejected by the store and continues with
-// stale keys and routes. Peers advertise a newer version, and one of them reads
-// it on behalf of this gateway.
+// stale keys and routes: a peer reads on its behalf.
 void StoreFollower::ReadConfiguration(TimePoint now) {
   if (store_.available()) return configuration_.Refresh();
   if (!store_.reachable()) return;
@@ -264,10 +311,14 @@
   if (now >= start_mirrors_at_) StartMirrors();
   if (now >= update_readers_at_) UpdateReaders(now);
   UpdateConfigurationAge(now);
+  const bool lost = !store_.available();
+  if (std::exchange(store_lost_, lost) != lost && lost) callbacks_.store_lost();
   if (configuration_lag_.IsLagging(callbacks_.configuration_version(), now)) {
     LogBehind();
-    ReadConfiguration(now);
+    // The watch may be silent, whatever peers send.
+    if (store_.available()) configuration_.Refresh();
   }
+  configuration_link_.Run(callbacks_.configuration_version(), now);
   if (server_lag_.IsLagging(servers_.newest_change(), now)) servers_.Refresh();
   if (member_lag_.IsLagging(members_.newest_change(), now)) members_.Refresh();
 }
--- a/libs/gateway/src/store/store_follower.h
+++ b/libs/gateway/src/store/store_follower.h
@@ -3,11 +3,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "base/time.h"
 #include "http/server_event.h"
+#include "peers/configuration_link.h"
 #include "peers/reader_choice.h"
 #include "platform/store_answer.h"
 #include "serving/cell.h"
@@ -36,6 +38,10 @@
     std::function<void(platform::StoredObject&&)> object_changed;
     std::function<void(std::vector<platform::StoredObject>&&)> members_listed;
     std::function<void(platform::StoredObject&&)> member_changed;
+    // Address of a gateway, "IP:PORT"; empty if unknown.
+    std::function<std::string(const std::string& gateway)> address_of;
+    // This gateway has lost the store, which peers should know.
+    std::function<void()> store_lost;
     // The active configuration version; zero if there is none.
     std::function<uint64_t()> configuration_version;
     // Number of cores of a gateway; those with more cores read on behalf of the
@@ -53,8 +59,13 @@
   void OnStoreUpdateRequest(const http::RequestEvent& request);
   void OnPeerState(const PeerState& state, TimePoint now);
   // Sets the cell whose readers this gateway follows and may be one of, and the
-  // number of its readers.
-  void SetCell(const serving::Cell& cell, size_t readers, TimePoint now);
+  // numbers of its readers and of its gateways that watch the configuration.
+  void SetCell(const serving::Cell& cell, size_t readers,
+               size_t configuration_watchers, TimePoint now);
+  // Sets the configuration in force, which other gateways may fetch.
+  void SetConfiguration(const platform::StoredObject& object) {
+    configuration_link_.SetInForce(object);
+  }
   // Makes a newly registered gateway wait for its cell's readers until `until`.
   // Otherwise all gateways of a new fleet would follow the store by themselves.
   void SetWaitForReadersUntil(TimePoint until) noexcept {
@@ -78,6 +89,10 @@
   // When the store last became available after an outage, according to this
   // gateway or any peer; zero if there was no outage since the start.
   TimePoint regained_at() const;
+  // The response to a gateway that asks for the configuration.
+  std::string ConfigurationResponse() const {
+    return configuration_link_.Response();
+  }
   bool knows_servers() const noexcept { return servers_.listed(); }
   uint64_t newest_server_change() const noexcept {
     return servers_.newest_change();
@@ -95,6 +110,11 @@
  private:
   void StartMirrors();
   void UpdateReaders(TimePoint now);
+  // Whether this gateway watches the configuration, reader or not.
+  bool WatchesConfiguration() const;
+  // Until when the next watch of the configuration waits, from now.
+  Duration ConfigurationWatchWait() const;
+  void CheckStore();
   void ForwardToCell(const StoreUpdate& update);
   void OnStoreUpdate(StoreUpdate&& update);
   void LogBehind();
@@ -104,6 +124,7 @@
   const PeerLink& peers_;
   Callbacks callbacks_;
   StoreUpdateLink update_link_;
+  ConfigurationLink configuration_link_;
   KindMirror configuration_;
   KindMirror servers_;
   KindMirror objects_;
@@ -113,7 +134,12 @@
   LagDetector member_lag_;
   serving::Cell cell_;
   size_t max_readers_ = kReadersPerCell;
+  size_t max_configuration_watchers_ = kConfigurationWatchersPerCell;
   std::vector<std::string> readers_;
+  std::vector<std::string> configuration_watchers_;
+  // Peers that have reported to have lost the store.
+  std::set<std::string> peers_without_store_;
+  bool store_lost_ = false;  // as last reported to peers
   TimePoint update_readers_at_{};
   bool stopping_ = false;
   bool started_ = false;
