Batch: no item runs by a configuration older than its job's acceptance

Cause: the runner takes the route in force here, however old. Online requests ask for the configuration's age; items did not. Class: a decision on state whose age nobody asks.

Change: a job's record names the newest version that its acceptor knew of, in force there or only advertised; its items start where that version is in force or a later one. What arrives at a gateway while neither the store nor a peer that reads it has confirmed its configuration waits until one has; a suspension counts until the configuration was read again. Jobs known before go on: they were accepted by the configuration that is in force. Records of older versions name none and run as before.

--- a/libs/gateway/src/batch/batch_runner.cc
+++ b/libs/gateway/src/batch/batch_runner.cc
@@ -95,7 +95,7 @@
       callbacks_.holds_starts() ? now + kUrgentBefore : kNever;
   const auto is_startable = [&](const serving::BatchJob& job) {
     return job.due_at <= urgent_until && !full_routes.contains(job.route) &&
-           callbacks_.owns(job);
+           callbacks_.has_configuration_of(job) && callbacks_.owns(job);
   };
   const auto not_on_peer = [&](const serving::BatchItem& item) {
     return !callbacks_.runs_on_peer(Hash64(item.id));
--- a/libs/gateway/src/batch/batch_runner.h
+++ b/libs/gateway/src/batch/batch_runner.h
@@ -34,6 +34,9 @@
   struct Callbacks {
     // Whether this gateway starts items of the job.
     std::function<bool(const serving::BatchJob&)> owns;
+    // Whether this gateway uses a configuration that is not older than the
+    // job's acceptance.
+    std::function<bool(const serving::BatchJob&)> has_configuration_of;
     // Number of gateways that run batch items, including this one.
     std::function<size_t()> gateway_count;
     // Whether a peer is running the item now.
--- a/libs/gateway/src/batch/job_records.cc
+++ b/libs/gateway/src/batch/job_records.cc
@@ -144,6 +144,7 @@
                          {"host", record.host},
                          {"route", record.route},
                          {"workspace", record.workspace},
+                         {"configuration", record.configuration},
                          {"accepted_ms", record.accepted_wall_millis},
                          {"completion_ms", record.completion_millis},
                          {"ttl_ms", record.ttl_millis},
@@ -168,6 +169,8 @@
   job.host = Text(*object, "host");
   job.route = Text(*object, "route");
   job.workspace = Text(*object, "workspace");
+  job.configuration = static_cast<uint64_t>(
+      std::max<int64_t>(0, Number(*object, "configuration")));
   job.items = std::move(items);
   job.received_at = now;
   const int64_t completion = Number(*object, "completion_ms");
--- a/libs/gateway/src/batch/job_records.h
+++ b/libs/gateway/src/batch/job_records.h
@@ -52,7 +52,8 @@
   std::string second;   // second holder; empty: every gateway holds the job
   std::string host;
   std::string route;
-  std::string workspace;  // of the submission; empty: none
+  std::string workspace;       // of the submission; empty: none
+  uint64_t configuration = 0;  // newest version known at the acceptance
   // Acceptance time by the wall clock of the gateway that accepted the job.
   // Clocks differ and jump, so it only affects the order of jobs; no item
   // expires because of it.
--- a/libs/gateway/src/batch/job_writer.cc
+++ b/libs/gateway/src/batch/job_writer.cc
@@ -170,6 +170,7 @@
   if (request.max_waiting_tokens != 0) {
     quota_.Reserve(request.job, request.scope(), request.tokens);
   }
+  request.record.configuration = callbacks_.newest_configuration();
   const cluster::HolderPair holders = callbacks_.choose_holders(request.job);
   if (!holders.second.empty()) {
     request.record.creator = holders.owner;
@@ -245,6 +246,7 @@
   const Request& request = node.mapped().request;
   const TimePoint now = MonotonicNow();
   LogInfo("job_accepted", {{"job", request.job},
+                           {"configuration", request.record.configuration},
                            {"tokens", request.tokens},
                            {"all_job_bytes", jobs_.bytes()},
                            {"age_ms", ToMillis(now - request.arrived_at)}});
--- a/libs/gateway/src/batch/job_writer.h
+++ b/libs/gateway/src/batch/job_writer.h
@@ -56,6 +56,9 @@
     std::function<uint64_t(const StoreRecord& record)> record_written;
     // The gateways that are to hold the job's bytes; empty names: all of them.
     std::function<cluster::HolderPair(const std::string& job)> choose_holders;
+    // The newest configuration version that this gateway knows of, in force
+    // here or not.
+    std::function<uint64_t()> newest_configuration;
     // Number of gateways that accept jobs of the shards held by this gateway,
     // including this one.
     std::function<size_t()> gateway_count;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -151,6 +151,7 @@
 // informed. No items start until the missing records are read; running items
 // continue.
 void Gateway::RunBatch(TimePoint now) {
+  CheckForPause();
   ownership_.SetEndRecordsLoaded(
       record_mirrors_.caught_up() && !sync_tracker_.HasGap(now), now);
   ReportHandover(now);
@@ -172,6 +173,7 @@
   sync_tracker_.OnPaused(MonotonicNow());
   rate_quota_.OnPaused();
   rate_quota_.Expire(MonotonicNow());
+  follower_.OnPaused(MonotonicNow());
   record_mirrors_.ReadAgain();
 }
 
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -142,6 +142,9 @@
   // Whether this gateway starts items of the job now. Without the items' bodies
   // it first reads them.
   bool RunsItemsOf(const serving::BatchJob& job);
+  // Whether the configuration in force here is not older than the job's
+  // acceptance. Otherwise newer versions are looked for.
+  bool HasConfigurationOf(const serving::BatchJob& job);
   // The gateways that are to hold a job that this gateway accepts now.
   cluster::HolderPair ChooseHolders(const std::string& job) const;
   // Addresses of the other gateways that have the job's bytes, those in this
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -61,6 +61,16 @@
   return false;
 }
 
+// Guards against running a job that was accepted under a newer configuration by
+// an older one: this gateway was suspended or cut off while it changed.
+bool Gateway::HasConfigurationOf(const serving::BatchJob& job) {
+  if (job.configuration > routes_.version) {
+    follower_.OnConfigurationNamed(job.configuration, MonotonicNow());
+    return false;
+  }
+  return job.received_at < follower_.configuration_unconfirmed_since();
+}
+
 cluster::HolderPair Gateway::ChooseHolders(const std::string& job) const {
   std::vector<cluster::HolderCandidate> candidates;
   const std::map<std::string, std::string> zones = peers_.Zones();
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -280,6 +280,10 @@
                [this](const serving::BatchJob& job) {
                  return RunsItemsOf(job);
                },
+           .has_configuration_of =
+               [this](const serving::BatchJob& job) {
+                 return HasConfigurationOf(job);
+               },
            .gateway_count =
                [this] {
                  return fleet_.divided() ? fleet_.members().size()
@@ -316,6 +320,8 @@
                [this](const StoreRecord& record) { return PushRecord(record); },
            .choose_holders =
                [this](const std::string& job) { return ChooseHolders(job); },
+           .newest_configuration =
+               [this] { return follower_.newest_configuration(); },
            .gateway_count =
                [this] { return peers_.LiveAddresses().size() + 1; },
            .shard_share =
--- a/libs/gateway/src/peers/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -351,14 +351,23 @@
   for (const std::string& name : PeersIn(cell)) {
     const auto found = peers_.find(name);
     if (found == peers_.end()) continue;
-    const Peer& peer = found->second;
-    const Duration silence = now - (peer.expires_at - kPeerTimeout);
-    if (silence > kStallThreshold || peer.state.draining) continue;
-    if (peer.state.store_available) healthy.push_back(name);
+    if (IsHealthy(found->second, now)) healthy.push_back(name);
   }
   return healthy;
 }
 
+bool PeerLink::IsHealthy(const Peer& peer, TimePoint now) {
+  const Duration silence = now - (peer.expires_at - kPeerTimeout);
+  return silence <= kStallThreshold && !peer.state.draining &&
+         peer.state.store_available;
+}
+
+bool PeerLink::HasPeerWithStore(TimePoint now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [now](const auto& peer) {
+    return IsHealthy(peer.second, now);
+  });
+}
+
 std::vector<std::string> PeerLink::AddressesIn(
     const serving::Cell& cell) const {
   std::vector<std::string> addresses;
--- a/libs/gateway/src/peers/peer_link.h
+++ b/libs/gateway/src/peers/peer_link.h
@@ -106,6 +106,8 @@
   // draining.
   std::vector<std::string> HealthyPeersIn(const serving::Cell& cell,
                                           TimePoint now) const;
+  // Whether a peer that is not stalled reports that it reaches the store.
+  bool HasPeerWithStore(TimePoint now) const;
   // Addresses of the peers in the cell.
   std::vector<std::string> AddressesIn(const serving::Cell& cell) const;
   // Whether a live peer runs the item.
@@ -119,6 +121,7 @@
     TimePoint expires_at{};
   };
 
+  static bool IsHealthy(const Peer& peer, TimePoint now);
   void Receive();
   // "IP:PORT"; empty if the peer's address is unknown.
   std::string AddressOf(const std::string& name) const;
--- a/libs/gateway/src/store/store_follower.cc
+++ b/libs/gateway/src/store/store_follower.cc
@@ -41,6 +41,9 @@
 // key triggers one.
 constexpr std::chrono::milliseconds kConfigurationReadInterval{1000};
 constexpr std::chrono::milliseconds kConfigurationReadTimeout{800};
+// After a suspension, the time for new reports of peers to arrive and for old
+// ones, which the socket still held, to be replaced.
+constexpr std::chrono::milliseconds kPeerReportDelay{600};
 // Much shorter than a silence after which a reader is excluded.
 constexpr std::chrono::milliseconds kReaderChoiceInterval{80};
 
@@ -96,7 +99,9 @@
                },
            .update_read =
                [this](const StoreUpdate& update) { ForwardToCell(update); },
-           .watch_wait = [this] { return ConfigurationWatchWait(); }}),
+           .watch_wait = [this] { return ConfigurationWatchWait(); },
+           .read_completed =
+               [this](TimePoint began) { OnConfigurationRead(began); }}),
       servers_(
           io, store,
           {.kind = users_platform::kServerKind,
@@ -338,6 +343,28 @@
   return Remaining(now, configuration_stale_since_);
 }
 
+void StoreFollower::OnPaused(TimePoint now) {
+  resumed_at_ = now;
+  configuration_.ReadAgain();
+  UpdateConfigurationAge(now);
+}
+
+void StoreFollower::OnConfigurationRead(TimePoint began) {
+  if (began >= resumed_at_) resumed_at_ = kNever;
+  UpdateConfigurationAge(MonotonicNow());
+}
+
+bool StoreFollower::IsConfigurationConfirmed(TimePoint now) const {
+  const bool is_behind =
+      configuration_lag_.PeersAhead(callbacks_.configuration_version());
+  if (is_behind) return false;
+  const bool reads = store_.available() && configuration_.following();
+  if (resumed_at_ == kNever && reads) return true;
+  const bool peers_have_reported =
+      resumed_at_ == kNever || now >= resumed_at_ + kPeerReportDelay;
+  return peers_have_reported && peers_.HasPeerWithStore(now);
+}
+
 // The configuration is current while the store responds and no peer is ahead.
 void StoreFollower::UpdateConfigurationAge(TimePoint now) {
   const bool current =
@@ -348,6 +375,11 @@
   } else if (configuration_stale_since_ == kNever) {
     configuration_stale_since_ = now;
   }
+  if (IsConfigurationConfirmed(now)) {
+    configuration_unconfirmed_since_ = kNever;
+  } else if (configuration_unconfirmed_since_ == kNever) {
+    configuration_unconfirmed_since_ = now;
+  }
 }
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/src/store/store_follower.h
+++ b/libs/gateway/src/store/store_follower.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDSTILE_GATEWAY_STORE_FOLLOWER_H_
 #define KNAPWEEDSTILE_GATEWAY_STORE_FOLLOWER_H_
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <set>
@@ -55,6 +56,13 @@
   // Commands.
   void Start();
   void OnStoreRegained();
+  // The process was suspended: what it knows may be old.
+  void OnPaused(TimePoint now);
+  // A record names a version of the configuration.
+  void OnConfigurationNamed(uint64_t version, TimePoint now) {
+    configuration_lag_.OnAdvertised(version, callbacks_.configuration_version(),
+                                    now);
+  }
   // Handles a store update forwarded by a peer.
   void OnStoreUpdateRequest(const http::RequestEvent& request);
   void OnPeerState(const PeerState& state, TimePoint now);
@@ -103,6 +111,16 @@
   // Time since the configuration was last known to be current; zero if it is
   // current now.
   Duration ConfigurationAge(TimePoint now) const;
+  uint64_t newest_configuration() const {
+    return std::max(callbacks_.configuration_version(),
+                    configuration_lag_.newest_advertised());
+  }
+  // Since when neither the store nor a peer that reads it has confirmed the
+  // configuration in force; kNever if one of them does. What arrives here later
+  // may have been accepted under a newer one.
+  TimePoint configuration_unconfirmed_since() const noexcept {
+    return configuration_unconfirmed_since_;
+  }
   // Updates what ConfigurationAge() returns; also called after each new
   // version.
   void UpdateConfigurationAge(TimePoint now);
@@ -118,6 +136,8 @@
   void ForwardToCell(const StoreUpdate& update);
   void OnStoreUpdate(StoreUpdate&& update);
   void LogBehind();
+  void OnConfigurationRead(TimePoint began);
+  bool IsConfigurationConfirmed(TimePoint now) const;
 
   std::string own_name_;
   StoreCalls& store_;
@@ -152,6 +172,10 @@
   uint64_t behind_logged_ = 0;  // the version that was logged last
   // Since when the configuration may be stale; kNever if it is current.
   TimePoint configuration_stale_since_{};
+  TimePoint configuration_unconfirmed_since_{};
+  // After a suspension, until the configuration was read or peers have had time
+  // to report; kNever: not suspended.
+  TimePoint resumed_at_ = kNever;
 };
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/tests/batch_runner_test.cc
+++ b/libs/gateway/tests/batch_runner_test.cc
@@ -98,6 +98,10 @@
                      timeline,
                      /*seed=*/1,
                      {.owns = [](const serving::BatchJob&) { return true; },
+                      .has_configuration_of =
+                          [this](const serving::BatchJob& job) {
+                            return job.configuration <= routes.version;
+                          },
                       .gateway_count = [] { return size_t{1}; },
                       .runs_on_peer = [](uint64_t) { return false; },
                       .item_finished = [](const std::string&) {},
@@ -128,6 +132,26 @@
   CHECK(fixture.Phase() == ItemPhase::kWaiting);
 }
 
+// Guards against an item that runs by a configuration that was replaced before
+// its job was accepted, at a gateway that was suspended or cut off meanwhile.
+TEST_CASE("an item waits for the configuration that its job was accepted by") {
+  Fixture fixture;
+  fixture.routes = OtherRoutes(7);
+  serving::BatchJob job = MakeJob(fixture.now);
+  job.id = "job-2";
+  job.configuration = 9;
+  fixture.jobs.AddJob(std::move(job));
+  const auto was_started = [&fixture](const std::string& id) {
+    return fixture.jobs.Find(id)->progress[0].unrouted_since.has_value();
+  };
+  fixture.runner.Run(fixture.now);
+  CHECK(was_started("job-1"));
+  CHECK_FALSE(was_started("job-2"));
+  fixture.routes = OtherRoutes(9);
+  fixture.runner.Run(fixture.now);
+  CHECK(was_started("job-2"));
+}
+
 // Guards against items that fail because this gateway's configuration is older
 // than the one under which a peer accepted the job; the route is then missing
 // only briefly.
--- a/libs/gateway/tests/job_records_test.cc
+++ b/libs/gateway/tests/job_records_test.cc
@@ -37,6 +37,19 @@
   CHECK(job->has_bodies);
 }
 
+// Guards against items that run by a configuration older than the acceptance at
+// gateways that know the job in outline.
+TEST_CASE("a stored job and its outline name the version at the acceptance") {
+  JobRecord record = MakeRecord();
+  record.configuration = 9;
+  const std::string value = EncodeJob(record);
+  REQUIRE(Decode(value));
+  CHECK(Decode(value)->configuration == 9);
+  const auto outline = OutlineOfJob(value);
+  REQUIRE(outline);
+  CHECK(Decode(*outline)->configuration == 9);
+}
+
 // Guards against an accepted job of an earlier version that cannot be read.
 TEST_CASE("a stored job that names an item twice is read") {
   JobRecord record = MakeRecord();
--- a/libs/serving/include/serving/batch_job.h
+++ b/libs/serving/include/serving/batch_job.h
@@ -33,6 +33,9 @@
   std::string host;
   std::string route;      // name of its route at submission
   std::string workspace;  // of the caller; empty: none
+  // Version of the configuration under which the job was accepted, or a later
+  // one; zero: unknown.
+  uint64_t configuration = 0;
   std::vector<BatchItem> items;
   std::unordered_map<std::string, uint32_t> item_index;
   std::vector<ItemProgress> progress;  // one per item
