Planned stop: requests in progress at its end are answered

On the node as it was, 8 of 8 requests sent 2.5 s after SIGTERM ended as lost.

Cause: the process ended 0.4 s before the kill whatever was open, and used that time for nothing.

Change: 0.4 s before the kill all requests are answered: 503 as not executed where none was sent to a server, 504 where it may have been; streams that have begun are cut as before. The process ends when these are written, 0.2 s before the kill at the latest.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -31,8 +31,10 @@
 constexpr std::chrono::milliseconds kRecordsRefreshPause{100};
 // Time for the last records to reach the peers.
 constexpr std::chrono::milliseconds kLastPushes{200};
-// Time reserved before the kill for writing the last responses.
+// Time reserved before the kill for writing the last responses, and what is
+// left of it when the process ends.
 constexpr std::chrono::milliseconds kLastWrites{400};
+constexpr std::chrono::milliseconds kExitMargin{200};
 }  // namespace
 
 Result<bool> Gateway::Start() {
@@ -324,7 +326,8 @@
                     caller_server_.open_connections() == 0 &&
                     runner_.running() == 0 && committer_.idle();
   if (!idle) idle_since_ = now;
-  if (now - idle_since_ < kLastPushes && now < kill_at - kLastWrites) return;
+  if (now >= kill_at - kLastWrites && online_.open() > 0) online_.EndAll();
+  if (now - idle_since_ < kLastPushes && now < kill_at - kExitMargin) return;
   publisher_.PublishFull(now);
   LogInfo("stopped", {{"online", online_.open()},
                       {"items", runner_.running()},
--- a/libs/gateway/src/online/online_calls.cc
+++ b/libs/gateway/src/online/online_calls.cc
@@ -412,6 +412,23 @@
   }
 }
 
+void OnlineCalls::EndAll() {
+  constexpr std::string_view kCause = "stopping";
+  // Ended first, so that no slot that becomes free is given to one of them.
+  std::vector<ExchangeId> unsent;
+  std::vector<ExchangeId> sent;
+  for (const auto& [caller, call] : calls_) {
+    (call.server || call.runs > 0 ? sent : unsent).push_back(caller);
+  }
+  for (const ExchangeId caller : unsent)
+    Reject(calls_.at(caller), Duration::zero(), kCause);
+  for (const ExchangeId caller : sent) {
+    OnlineCall& call = calls_.at(caller);
+    connections_.Cancel(call.upstream);
+    Fail(call, kGatewayTimeout, kCause);
+  }
+}
+
 void OnlineCalls::OnCallerDisconnected(ExchangeId caller) {
   const auto found = calls_.find(caller);
   if (found == calls_.end()) return;
--- a/libs/gateway/src/online/online_calls.h
+++ b/libs/gateway/src/online/online_calls.h
@@ -95,6 +95,10 @@
   // call.
   void Run(TimePoint now, TimePoint next_run);
 
+  // Answers all requests: those that were not sent to a server as not executed.
+  // Streams that have begun are cut.
+  void EndAll();
+
   size_t open() const noexcept { return calls_.size(); }
   size_t waiting() const { return waiting_.size(); }
   size_t promised_returns() const { return waiting_.promised(); }
--- a/tests/users_platform/gateway_online_test.cc
+++ b/tests/users_platform/gateway_online_test.cc
@@ -551,6 +551,37 @@
   CHECK(fleet.site.process("entry-1").exit_code() == 0);
 }
 
+// Guards against requests that come late in the grace of a planned stop and are
+// cut at its end with no answer.
+TEST_CASE("requests in progress at the end of a planned stop are answered") {
+  OneGateway fleet;
+  for (ModelServer* server : {&fleet.first, &fleet.second, &fleet.plain}) {
+    server->first_byte_delay = std::chrono::seconds(60);
+  }
+  auto& caller = fleet.site.caller();
+  fleet.site.process("entry-1").Terminate();
+  caller.RunFor(std::chrono::milliseconds(2500));
+  std::vector<ExchangeId> calls;
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = std::to_string(i);
+    calls.push_back(caller.Begin(
+        fleet.site.OnlineRequest("entry-1", "POST", "/book/" + id, "b" + id)));
+    calls.push_back(caller.Begin(
+        fleet.site.OnlineRequest("entry-1", "POST", "/query/" + id, "q" + id)));
+  }
+  REQUIRE(caller.RunUntil([&] { return fleet.Runs() == calls.size(); }));
+  for (const ExchangeId call : calls) {
+    REQUIRE(caller.RunUntilEnd(call));
+    const auto& end = *caller.answer(call).end;
+    CHECK(end.outcome == http::ClientOutcome::kComplete);
+    CHECK(end.status == 504);
+    CHECK(end.headers.Find("Not-Executed").empty());
+  }
+  CHECK(caller.RunUntil(
+      [&] { return !fleet.site.process("entry-1").running(); }));
+  CHECK(fleet.site.process("entry-1").exit_code() == 0);
+}
+
 // Guards against reverting to an older version that operators write again by
 // mistake.
 TEST_CASE("an older configuration is not applied") {
