Relay: a call avoids the peer of a failed one

A gateway without the store relays its calls through the first reader that says it is available, call after call, though that one may have lost the store without knowing (the cause of the late configurations, elsewhere). Peers whose relayed call failed are avoided for two seconds while there is another.

--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -1,6 +1,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "base/clock.h"
@@ -120,21 +122,22 @@
                  metrics_.Add("knap_peer_bytes_total", {std::string(cause)},
                               bytes);
                }}),
-      store_relay_(
-          io, {.peer_address =
-                   [this] {
-                     return peers_.AddressOfPeerWithStore(follower_.readers());
-                   },
-               .perform =
-                   [this](platform::StoreCall&& call, TimePoint deadline,
-                          StoreRelay::Callback callback) {
-                     store_.Call(std::move(call), deadline,
-                                 std::move(callback));
-                   },
-               .respond =
-                   [this](ExchangeId exchange, std::string body) {
-                     record_push_.Respond(exchange, std::move(body));
-                   }}),
+      store_relay_(io,
+                   {.peer_address =
+                        [this](const std::set<std::string>& avoided) {
+                          return peers_.AddressOfPeerWithStore(
+                              follower_.readers(), avoided);
+                        },
+                    .perform =
+                        [this](platform::StoreCall&& call, TimePoint deadline,
+                               StoreRelay::Callback callback) {
+                          store_.Call(std::move(call), deadline,
+                                      std::move(callback));
+                        },
+                    .respond =
+                        [this](ExchangeId exchange, std::string body) {
+                          record_push_.Respond(exchange, std::move(body));
+                        }}),
       progress_link_(
           io, {.received =
                    [this](serving::ProgressUpdate&& update) {
--- a/libs/gateway/src/peers/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -320,18 +320,20 @@
 }
 
 std::string PeerLink::AddressOfPeerWithStore(
-    const std::vector<std::string>& preferred) const {
-  for (const std::string& name : preferred) {
+    const std::vector<std::string>& preferred,
+    const std::set<std::string>& avoided) const {
+  std::vector<std::string> candidates = preferred;
+  for (const auto& [name, peer] : peers_) candidates.push_back(name);
+  std::string fallback;
+  for (const std::string& name : candidates) {
     const auto peer = peers_.find(name);
     if (peer == peers_.end() || !peer->second.state.store_available) continue;
-    return AddressOf(name);
+    const std::string address = AddressOf(name);
+    if (address.empty()) continue;
+    if (!avoided.contains(address)) return address;
+    if (fallback.empty()) fallback = address;
   }
-  for (const auto& [name, peer] : peers_) {
-    if (peer.state.store_available && addresses_.contains(name)) {
-      return AddressOf(name);
-    }
-  }
-  return {};
+  return fallback;
 }
 
 std::vector<std::string> PeerLink::PeersIn(const serving::Cell& cell) const {
--- a/libs/gateway/src/peers/peer_link.h
+++ b/libs/gateway/src/peers/peer_link.h
@@ -99,9 +99,11 @@
   // Addresses ("IP:PORT") of all live peers, by name.
   std::map<std::string, std::string> LiveAddresses() const;
   // Address of a live peer that can reach the store, preferably one of
-  // `preferred`. Empty if there is none.
+  // `preferred`, and none of the addresses `avoided` if there is another. Empty
+  // if there is none.
   std::string AddressOfPeerWithStore(
-      const std::vector<std::string>& preferred) const;
+      const std::vector<std::string>& preferred,
+      const std::set<std::string>& avoided) const;
   // Peers in the cell that are not stalled, can reach the store and are not
   // draining.
   std::vector<std::string> HealthyPeersIn(const serving::Cell& cell,
--- a/libs/gateway/src/store/store_calls.cc
+++ b/libs/gateway/src/store/store_calls.cc
@@ -32,6 +32,12 @@
   Call(std::move(call), deadline, std::move(callback));
 }
 
+bool StoreCalls::IsFailure(StoreOutcome outcome) noexcept {
+  return outcome == StoreOutcome::kNotSent ||
+         outcome == StoreOutcome::kUnknown ||
+         outcome == StoreOutcome::kThrottled;
+}
+
 bool StoreCalls::reachable() const {
   return available_ || (relay_ && relay_->usable());
 }
@@ -52,9 +58,7 @@
 }
 
 void StoreCalls::UpdateAvailability(const StoreAnswer& answer, bool abandoned) {
-  const bool failed = answer.outcome == StoreOutcome::kNotSent ||
-                      answer.outcome == StoreOutcome::kUnknown ||
-                      answer.outcome == StoreOutcome::kThrottled;
+  const bool failed = IsFailure(answer.outcome);
   if (!failed) {
     last_answered_token_ = std::max(last_answered_token_, answer.token);
   }
--- a/libs/gateway/src/store/store_calls.h
+++ b/libs/gateway/src/store/store_calls.h
@@ -47,6 +47,8 @@
     regained_handler_ = std::move(handler);
   }
 
+  // Whether the outcome tells that the store can't be used now.
+  static bool IsFailure(platform::StoreOutcome outcome) noexcept;
   // Whether calls can reach the store, directly or through a peer.
   bool reachable() const;
   // False if the latest direct call could not be sent, got no response or was
--- a/libs/gateway/src/store/store_relay.cc
+++ b/libs/gateway/src/store/store_relay.cc
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "peers/peer_client_settings.h"
+#include "store/store_calls.h"
 #include "store/stored_object_json.h"
 
 namespace knapweedstile::gateway {
@@ -24,6 +25,8 @@
 // deadline.
 constexpr std::chrono::milliseconds kResponseMargin{50};
 constexpr std::chrono::milliseconds kMaxCallDuration{1500};
+// For this long after a failed call, calls go to other peers.
+constexpr std::chrono::milliseconds kAvoidance{2000};
 
 std::string EncodeCall(const StoreCall& call, Duration budget) {
   json::object object = {{"budget_ms", ToMillis(budget)}};
@@ -106,9 +109,9 @@
                       Callback callback) {
   const TimePoint now = MonotonicNow();
   const TimePoint call_deadline = std::min(deadline, now + kMaxCallDuration);
-  const std::string address = callbacks_.peer_address();
+  const std::string address = callbacks_.peer_address(AvoidedPeers(now));
   const ExchangeId exchange(++last_exchange_);
-  pending_calls_.emplace(exchange, std::move(callback));
+  pending_calls_.emplace(exchange, PendingCall{address, std::move(callback)});
   http::ClientRequest request{
       .exchange = exchange,
       .address = address,
@@ -124,7 +127,25 @@
   const auto* end = std::get_if<http::EndEvent>(&event);
   if (!end) return;
   auto found = pending_calls_.extract(end->exchange);
-  if (!found.empty()) found.mapped()(AnswerOf(*end));
+  if (found.empty()) return;
+  PendingCall& call = found.mapped();
+  StoreAnswer answer = AnswerOf(*end);
+  if (StoreCalls::IsFailure(answer.outcome)) {
+    LogInfo("relay_failed",
+            {{"peer", call.address}, {"outcome", NameOf(answer.outcome)}});
+    avoided_until_[call.address] = MonotonicNow() + kAvoidance;
+  }
+  call.callback(std::move(answer));
+}
+
+// Guards against relaying call after call through a peer that has lost the
+// store as well and does not know it.
+std::set<std::string> StoreRelay::AvoidedPeers(TimePoint now) {
+  std::erase_if(avoided_until_,
+                [now](const auto& peer) { return peer.second <= now; });
+  std::set<std::string> avoided;
+  for (const auto& [address, until] : avoided_until_) avoided.insert(address);
+  return avoided;
 }
 
 void StoreRelay::OnRequest(const http::RequestEvent& request) {
--- a/libs/gateway/src/store/store_relay.h
+++ b/libs/gateway/src/store/store_relay.h
@@ -4,7 +4,9 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,8 +32,9 @@
   using Callback = std::function<void(platform::StoreAnswer&&)>;
   struct Callbacks {
     // Returns "IP:PORT" of a live peer that reaches the store, or an empty
-    // string.
-    std::function<std::string()> peer_address;
+    // string. One of `avoided` only if there is no other.
+    std::function<std::string(const std::set<std::string>& avoided)>
+        peer_address;
     // Performs a call directly, on behalf of a peer.
     std::function<void(platform::StoreCall&&, TimePoint deadline, Callback)>
         perform;
@@ -45,7 +48,7 @@
   static bool MayRelay(const platform::StoreCall& call);
 
   // Whether a peer is available to relay calls.
-  bool usable() const { return !callbacks_.peer_address().empty(); }
+  bool usable() const { return !callbacks_.peer_address({}).empty(); }
   // Calls `callback` exactly once.
   void Call(const platform::StoreCall& call, TimePoint deadline,
             Callback callback);
@@ -54,10 +57,17 @@
 
  private:
   void OnEvent(http::ClientEvent&& event);
+  std::set<std::string> AvoidedPeers(TimePoint now);
 
   Callbacks callbacks_;
   uint64_t last_exchange_ = 0;
-  std::unordered_map<ExchangeId, Callback> pending_calls_;
+  struct PendingCall {
+    std::string address;
+    Callback callback;
+  };
+  std::unordered_map<ExchangeId, PendingCall> pending_calls_;
+  // Peers whose last relayed call failed, until they are tried again.
+  std::map<std::string, TimePoint> avoided_until_;
   http::Client client_;
 };
 
