Answers without end: an error body ends at 512 KB also where it is held whole

Cause: the limit of 512 KB for errors held for streams only; others were read up to 16 MB in chunks of four bytes, a hundred at once, which takes the processor for seconds.

Change: one limit for the bodies of errors.

--- a/libs/gateway/src/servers/upstream_settings.h
+++ b/libs/gateway/src/servers/upstream_settings.h
@@ -11,8 +11,8 @@
 // Largest response that is held whole until it is passed on: four times the
 // default limit on the body of a request.
 inline constexpr uint64_t kMaxWholeResponseBytes = 16 << 20;
-// Largest body of an error on a route with streams.
-inline constexpr uint64_t kMaxStreamErrorBytes = 512 << 10;
+// Largest body of an error.
+inline constexpr uint64_t kMaxErrorBytes = 512 << 10;
 // Of all responses that are held whole and incomplete. A response takes up to
 // three times its size while it is passed on; the smallest gateways have 192 MB
 // for everything.
@@ -33,7 +33,7 @@
   settings.unacknowledged_timeout = std::chrono::milliseconds(3000);
   settings.max_idle_per_address = 8;
   settings.max_response_bytes = kMaxWholeResponseBytes;
-  settings.max_error_bytes = kMaxStreamErrorBytes;
+  settings.max_error_bytes = kMaxErrorBytes;
   settings.max_buffered_bytes = kMaxHeldResponseBytes;
   return settings;
 }
--- a/libs/http/include/http/client_settings.h
+++ b/libs/http/include/http/client_settings.h
@@ -21,8 +21,8 @@
   uint64_t max_response_bytes = 64 << 20;
   // Maximum body of a response that is delivered in parts.
   uint64_t max_stream_bytes = 64 << 20;
-  // As max_stream_bytes, for a response with a status other than 2xx, whose
-  // parts are usually kept until its end.
+  // Maximum body of a response with a status other than 2xx, whole or in parts,
+  // which are usually kept until its end.
   uint64_t max_error_bytes = 64 << 20;
   // Maximum bytes of incomplete bodies buffered over all connections. Beyond
   // it, the largest is given up.
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -363,9 +363,8 @@
   }
   const bool error = parser.is_header_done() && !connection.skipping &&
                      parser.get().result_int() / 100 != 2;
-  if (error && connection.stream_body &&
-      connection.body_bytes - connection.discarded_bytes >
-          settings_.max_error_bytes) {
+  if (error && connection.body_bytes - connection.discarded_bytes >
+                   settings_.max_error_bytes) {
     return "the body of an error is too long";
   }
   return {};
