--- a/libs/gateway/src/peers/peer_link.cc
+++ b/libs/gateway/src/peers/peer_link.cc
@@ -328,7 +328,7 @@
   for (const std::string& name : candidates) {
     const auto peer = peers_.find(name);
     if (peer == peers_.end() || !peer->second.state.store_available) continue;
-    const std::string address = AddressOf(name);
+    std::string address = AddressOf(name);
     if (address.empty()) continue;
     if (!avoided.contains(address)) return address;
     if (fallback.empty()) fallback = address;
