Store: an object that can't be read hides no other

What callers saw: with one registration nested deeper than 1,000 levels, or holding half a surrogate pair, no gateway followed the backend servers any more, and one that started afterwards answered 503 to all.

Cause: an answer of the store was parsed as one document, so one object that can't be parsed made the whole list or watch unreadable. That counted as a loss of the store; the next call that succeeded counted as its return and began the list anew at once.

An answer of unknown form has an outcome of its own: the store is available, and the read is repeated at growing pauses.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -375,6 +375,8 @@
   metrics_.Set("knap_online_open", static_cast<double>(online_.open()));
   metrics_.Set("knap_waiting", static_cast<double>(online_.waiting()));
   metrics_.Set("knap_returns_promised",
+  metrics_.Set("knap_store_objects_unreadable",
+               static_cast<double>(store_.unreadable_objects()));
                static_cast<double>(online_.promised_returns()));
   metrics_.Set("knap_stream_origins",
                static_cast<double>(stream_registry_.known()));
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -86,6 +86,9 @@
       {"server"});
   metrics.DeclareGauge("knap_store_available", "1 while the store answers");
   metrics.DeclareGauge("knap_store_calls", "calls to the store so far");
+  metrics.DeclareGauge("knap_store_objects_unreadable",
+                       "objects read from the store so far of which a part "
+                       "could not be parsed");
   metrics.DeclareGauge("knap_store_reader",
                        "1 while this gateway reads the store for its cell");
   metrics.DeclareGauge("knap_cell_entries",
--- a/libs/gateway/src/store/store_calls.cc
+++ b/libs/gateway/src/store/store_calls.cc
@@ -51,6 +51,7 @@
 }
 
 void StoreCalls::OnAnswer(StoreAnswer&& answer) {
+  unreadable_objects_ += answer.unreadable;
   auto found = callbacks_.extract(answer.token);
   const bool abandoned = found.empty();
   UpdateAvailability(answer, abandoned);
--- a/libs/gateway/src/store/store_calls.h
+++ b/libs/gateway/src/store/store_calls.h
@@ -60,6 +60,8 @@
   TimePoint available_since() const noexcept { return available_since_; }
   // Number of direct calls so far.
   uint64_t call_count() const noexcept { return last_token_; }
+  // Number of objects so far of which a part could not be read.
+  uint64_t unreadable_objects() const noexcept { return unreadable_objects_; }
 
  private:
   void OnAnswer(platform::StoreAnswer&& answer);
@@ -68,6 +70,7 @@
   std::unordered_map<uint64_t, Callback> callbacks_;
   uint64_t last_token_ = 0;
   uint64_t last_answered_token_ = 0;
+  uint64_t unreadable_objects_ = 0;
   bool available_ = true;
   TimePoint available_since_{};
   std::function<void()> regained_handler_;
--- a/libs/platform/include/platform/store_answer.h
+++ b/libs/platform/include/platform/store_answer.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDSTILE_PLATFORM_STORE_ANSWER_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -21,6 +22,7 @@
   kRejected,   // rejected for good (too large, malformed)
   kUnknown,    // no response: it may have taken effect
   kCompacted,  // watch: the requested history is discarded; list again
+  kUnreadable,  // list and watch: the store answers, but in no known form
 };
 
 // One version of an object. `value` is empty when the object was deleted.
@@ -39,6 +41,7 @@
   uint64_t version = 0;               // write: the new one; conflict: current
   std::vector<StoredObject> objects;  // read: one; list and watch
   uint64_t revision = 0;   // list and watch: includes changes up to it
+  size_t unreadable = 0;   // list and watch: objects with an unreadable part
   bool more = false;       // list and watch: continue from `revision` at once
   Duration retry_after{};  // kThrottled: counted from the answer's arrival
   std::string message;     // for humans
@@ -49,10 +52,10 @@
 namespace knapweedstile {
 
 template <>
-inline constexpr std::array<std::string_view, 8>
-    kEnumNames<platform::StoreOutcome> = {"ok",       "conflict",  "not_found",
-                                          "not_sent", "throttled", "rejected",
-                                          "unknown",  "compacted"};
+inline constexpr std::array<std::string_view, 9>
+    kEnumNames<platform::StoreOutcome> = {
+        "ok",       "conflict", "not_found", "not_sent",  "throttled",
+        "rejected", "unknown",  "compacted", "unreadable"};
 
 }  // namespace knapweedstile
 
--- a/tests/users_platform/object_store.cc
+++ b/tests/users_platform/object_store.cc
@@ -214,10 +214,18 @@
                               const json::value& body) {
   http::HeaderList headers;
   headers.Add("Content-Type", "application/json");
+  std::string text = json::serialize(body);
+  for (const auto& [string, raw] : raw_texts) {
+    const std::string quoted = json::serialize(json::value(string));
+    for (size_t at = text.find(quoted); at != std::string::npos;
+         at = text.find(quoted, at + raw.size())) {
+      text.replace(at, quoted.size(), raw);
+    }
+  }
   Respond({.exchange = exchange,
            .status = status,
            .headers = std::move(headers),
-           .body = json::serialize(body)});
+           .body = std::move(text)});
 }
 
 void ObjectStore::Read(ExchangeId exchange, const std::string& kind,
--- a/tests/users_platform/object_store.h
+++ b/tests/users_platform/object_store.h
@@ -95,6 +95,9 @@
   int writes() const noexcept { return writes_; }
   // Writes that were rejected because the value exceeds the store's limit.
   int oversized_writes() const noexcept { return oversized_writes_; }
+  // JSON strings that responses contain as the text they are mapped to, which
+  // may be anything.
+  std::map<std::string, std::string> raw_texts;
   // Largest value that the store accepts.
   size_t max_value_bytes = 1 << 20;
 
