Tests: a response that is cut is not complete

A report of another operator: an engine stops in the middle of its answer's head, and callers get a 200 with an empty body, framed as whole. The client was not changed; batch items, calls between gateways and calls to the store use the same one.

--- a/libs/http/tests/message_pieces_test.cc
+++ b/libs/http/tests/message_pieces_test.cc
@@ -259,6 +259,53 @@
   }
 }
 
+// Guards against a part of a response that passes for the whole, also on a
+// connection that has carried another one.
+TEST_CASE("a response that is cut is not complete") {
+  const std::string body = "0123456789";
+  const std::string length = "Content-Length: 10\r\n\r\n";
+  const std::vector<std::string> responses = {
+      "HTTP/1.1 200 OK\r\nX: y\r\n" + length + body,
+      "HTTP/1.1 103 Early\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\n" + length + body,
+      "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n" + length + body,
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n0\r\n"
+      "\r\n"};
+  io_context io;
+  PieceServer server(io);
+  TestClient client(io);
+  uint64_t exchange = 0;
+  const auto begin = [&](bool streamed) {
+    client.ends.clear();
+    server.Forget();
+    client.client.Send({.exchange = ExchangeId(++exchange),
+                        .address = server.address(),
+                        .stream_body = streamed});
+    REQUIRE(RunUntil(io, [&] { return server.asked(); }));
+  };
+  for (const std::string& response : responses) {
+    for (size_t cut = 0; cut < response.size(); ++cut) {
+      for (const int form : {0, 1, 2, 3}) {
+        const bool streamed = form % 2 == 1;
+        const bool reuses_connection = form / 2 == 1;
+        CAPTURE(response, cut, streamed, reuses_connection);
+        if (reuses_connection) {
+          begin(streamed);
+          server.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+          REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+          CHECK(client.ends[0].outcome == ClientOutcome::kComplete);
+        }
+        const int connections = server.connections();
+        begin(streamed);
+        if (reuses_connection) CHECK(server.connections() == connections);
+        server.Send(response.substr(0, cut));
+        server.Close();
+        REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+        CHECK(client.ends[0].outcome != ClientOutcome::kComplete);
+      }
+    }
+  }
+}
+
 // Guards against requests that end the process or keep their connection busy.
 TEST_CASE("random requests leave the server usable") {
   const std::vector<std::string> requests = {
