Fleet: the jobs of a cell whose gateways have all left

Cause: the layout names the cell of each shard for good, and no other cell takes it over.

Change: cells probe each other in a ring by datagram. The shards of a departed cell are hashed over the remaining ones. A gateway that may have missed its cell's departure acts for no job until it has read the record, and drops its jobs if it has departed.

--- a/libs/cluster/include/cluster/fleet_view.h
+++ b/libs/cluster/include/cluster/fleet_view.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,9 @@
   void RemoveMember(const std::string& name);
   // Returns false if another layout is in force, which stays.
   bool SetLayout(const FleetLayout& layout);
+  // The cell has no gateways left, or none that may act for it: its shards are
+  // held by the other cells of the layout, for good.
+  void SetDeparted(const serving::Cell& cell);
   // Recomputes cells and shards if anything has changed; returns whether so.
   bool Refresh();
 
@@ -56,6 +60,10 @@
   std::vector<std::string> Peers() const;
   // Shards that this gateway's cell holds.
   std::vector<uint32_t> OwnShards() const;
+  // Cells that hold shards, in a layout that names its cells.
+  std::vector<serving::Cell> HoldingCells() const;
+  // Cells of the layout that have departed.
+  size_t CountDeparted() const;
   uint32_t ShardOf(std::string_view job) const { return shards_.ShardOf(job); }
   bool HoldsJob(std::string_view job) const;
   // Names of the gateways that hold the job, those of the cell with the most
@@ -72,11 +80,14 @@
 
  private:
   std::map<std::string, std::string> ZonesByGateway() const;
+  // Those of the layout that have not departed.
+  std::vector<serving::Cell> RemainingCells() const;
 
   std::string own_name_;
   Members members_;
   FleetLayout layout_;
   bool layout_known_ = false;
+  std::set<serving::Cell> departed_;
   CellMap cells_;
   ShardMap shards_;
   bool changed_ = true;
--- a/libs/cluster/src/fleet_view.cc
+++ b/libs/cluster/src/fleet_view.cc
@@ -34,12 +34,24 @@
   return true;
 }
 
+void FleetView::SetDeparted(const serving::Cell& cell) {
+  if (departed_.insert(cell).second) changed_ = true;
+}
+
+std::vector<serving::Cell> FleetView::RemainingCells() const {
+  std::vector<serving::Cell> cells = layout_.cells;
+  std::erase_if(cells, [this](const serving::Cell& cell) {
+    return departed_.contains(cell);
+  });
+  return cells;
+}
+
 bool FleetView::Refresh() {
   if (!std::exchange(changed_, false)) return false;
   if (!divided()) return true;
   cells_ = CellMap::ForDividedFleet(ZonesByGateway(), layout_.cells);
   shards_ = ShardMap(layout_.shards,
-                     layout_.cells.empty() ? cells_.Cells() : layout_.cells);
+                     layout_.cells.empty() ? cells_.Cells() : RemainingCells());
   return true;
 }
 
@@ -77,6 +89,18 @@
   return shards_.ShardsOf(own_cell());
 }
 
+std::vector<serving::Cell> FleetView::HoldingCells() const {
+  std::vector<serving::Cell> holding = RemainingCells();
+  std::erase_if(holding, [this](const serving::Cell& cell) {
+    return shards_.ShardsOf(cell).empty();
+  });
+  return holding;
+}
+
+size_t FleetView::CountDeparted() const {
+  return layout_.cells.size() - RemainingCells().size();
+}
+
 bool FleetView::HoldsJob(std::string_view job) const {
   return !divided() || shards_.CellOf(ShardOf(job)) == own_cell();
 }
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -154,8 +154,10 @@
 // continue.
 void Gateway::RunBatch(TimePoint now) {
   CheckForPause();
-  ownership_.SetEndRecordsLoaded(
-      record_mirrors_.caught_up() && !sync_tracker_.HasGap(now), now);
+  ownership_.SetEndRecordsLoaded(record_mirrors_.caught_up() &&
+                                     !sync_tracker_.HasGap(now) &&
+                                     MayHoldJobs(now),
+                                 now);
   ReportHandover(now);
   runner_.Run(now);
 }
@@ -177,6 +179,8 @@
   rate_quota_.Expire(MonotonicNow());
   follower_.OnPaused(MonotonicNow());
   record_mirrors_.ReadAgain();
+  cell_watch_.Reset();
+  if (cell_watch_.IsInRing()) cell_claims_.ReadOwnClaim(MonotonicNow());
 }
 
 bool Gateway::HasAllRecords() {
@@ -263,6 +267,7 @@
   LimitConnections(now);
   if (servers_.Expire(now)) policies_.UpdateServerPolicies();
   RefreshFleet(now);
+  RunCellWatch(now);
   peers_.Expire(now);
   rate_quota_.Expire(now);
   follower_.Run(now);
@@ -370,13 +375,13 @@
   SetPaceMetrics(scheduler_, metrics_);
   metrics_.Set("knap_store_available", store_.available() ? 1 : 0);
   metrics_.Set("knap_store_calls", static_cast<double>(store_.call_count()));
+  metrics_.Set("knap_store_objects_unreadable",
+               static_cast<double>(store_.unreadable_objects()));
   metrics_.Set("knap_store_reader", follower_.IsReader() ? 1 : 0);
   metrics_.Set("knap_cell_entries", static_cast<double>(gateways_in_cell_));
   metrics_.Set("knap_online_open", static_cast<double>(online_.open()));
   metrics_.Set("knap_waiting", static_cast<double>(online_.waiting()));
   metrics_.Set("knap_returns_promised",
-  metrics_.Set("knap_store_objects_unreadable",
-               static_cast<double>(store_.unreadable_objects()));
                static_cast<double>(online_.promised_returns()));
   metrics_.Set("knap_stream_origins",
                static_cast<double>(stream_registry_.known()));
@@ -397,6 +402,8 @@
                static_cast<double>(fleet_.members().size()));
   metrics_.Set("knap_fleet_shards",
                static_cast<double>(fleet_.layout().shards));
+  metrics_.Set("knap_fleet_cells_departed",
+               static_cast<double>(fleet_.CountDeparted()));
   const auto full = static_cast<double>(
       std::count_if(jobs_.jobs().begin(), jobs_.jobs().end(),
                     [](const auto& job) { return job.second.has_bodies; }));
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -27,6 +27,7 @@
 #include "batch/result_committer.h"
 #include "callers/connection_gate.h"
 #include "callers/request_admission.h"
+#include "cluster/cell_watch.h"
 #include "cluster/fleet_view.h"
 #include "cluster/job_holders.h"
 #include "gateway/gateway_settings.h"
@@ -40,6 +41,8 @@
 #include "operators/admin_server.h"
 #include "operators/policy_view.h"
 #include "pause_detector.h"
+#include "peers/cell_claims.h"
+#include "peers/cell_probe.h"
 #include "peers/found_records.h"
 #include "peers/gateway_registration.h"
 #include "peers/layout_record.h"
@@ -110,6 +113,19 @@
   // it exchanges state and accepts jobs.
   bool AwaitsLayout(TimePoint now) const;
   bool IsTooLargeToBeUndivided() const;
+  // Follows the records of the shards that this cell holds now, and drops the
+  // jobs of shards that it no longer holds.
+  void FollowOwnShards(TimePoint now);
+  // Watches other cells and takes part in the decision whether one has
+  // departed.
+  void RunCellWatch(TimePoint now);
+  // Whether this gateway probes other cells on behalf of its own.
+  bool ProbesForCell(TimePoint now) const;
+  // Rank among the active gateways of its cell, by the hash of its name.
+  size_t RankInCell() const;
+  // Whether this gateway would know if its cell had departed. Without contact
+  // to the store and to all other cells it would not, and acts on no job.
+  bool MayHoldJobs(TimePoint now) const;
   void RunOriginRecord(TimePoint now);
   // Passes on to the origin record where streams begin now.
   void UpdateOrigins();
@@ -227,6 +243,9 @@
   GatewayRegistration registration_;
   LayoutRecord layout_record_;
   OriginRecord origin_record_;
+  cluster::CellWatch cell_watch_;
+  CellProbe cell_probe_;
+  CellClaims cell_claims_;
   ServerConnections connections_;
   OnlineCalls online_;
   BatchRunner runner_;
@@ -261,6 +280,15 @@
   bool is_new_member_ = false;
   bool awaits_layout_ = false;
   bool exceeds_layout_ = false;  // the fleet is too large to be undivided
+  // Shards that record_mirrors_ follows; none before the first time.
+  std::optional<std::vector<uint32_t>> followed_shards_;
+  TimePoint cell_watch_at_{};
+  // After a takeover, gateways of the departed cell that do not know of it yet
+  // may still write results.
+  TimePoint reread_records_until_{};
+  TimePoint reread_records_at_{};
+  // When the store, directly or through a peer, or another cell was last heard.
+  TimePoint connected_at_{};
   TimePoint members_changed_at_{};
   TimePoint layout_proposed_at_{};
   TimePoint summary_sent_at_{};
--- a/libs/gateway/src/gateway_fleet.cc
+++ b/libs/gateway/src/gateway_fleet.cc
@@ -62,7 +62,11 @@
   }
   for (const std::string& gateway : removed) RemoveMember(gateway);
   if (!has_origins) origin_record_.OnNoRecord(present.empty(), MonotonicNow());
-  if (!members_listed_) is_new_member_ = own_version == 0;
+  if (!members_listed_) {
+    is_new_member_ = own_version == 0;
+    // The first list may be stale.
+    if (!is_new_member_) cell_claims_.ReadOwnClaim(MonotonicNow());
+  }
   members_listed_ = true;
   registration_.Register(own_version, own_value);
   RefreshFleet(MonotonicNow());
@@ -82,6 +86,8 @@
     if (layout) return OnLayoutLearned(*layout);
   } else if (object.name == kOriginsName) {
     return origin_record_.OnRecord(object);
+  } else if (IsClaimRecordName(object.name)) {
+    return cell_claims_.OnRecord(object, MonotonicNow());
   }
   LogWarning("member_record_invalid", {{"name", object.name}});
 }
@@ -178,7 +184,7 @@
   awaits_layout_ = awaits_layout;
   UpdatePeers();
   UpdateCells();
-  if (!awaits_layout_) record_mirrors_.Follow(record_kinds_.OwnKinds());
+  if (!awaits_layout_) FollowOwnShards(now);
   const size_t members = fleet_.members().size();
   const bool exceeds_layout =
       fleet_.layout_known() && !fleet_.divided() && IsTooLargeToBeUndivided();
@@ -264,11 +270,13 @@
   // The job cannot be located until the members and the layout are known.
   const bool knows_fleet = members_listed_ && !awaits_layout_;
   const bool holds = knows_fleet && (job.empty() || fleet_.HoldsJob(job));
-  if (holds || jobs_.Find(job)) return true;
+  // Without named cells, a job may be here whose shard has moved.
+  const bool known_here = fleet_.layout().cells.empty() && jobs_.Find(job);
+  if (known_here || (holds && MayHoldJobs(MonotonicNow()))) return true;
   if (forwarded) {
     record_push_.Execute(http::RespondCommand{
         .exchange = request.exchange, .status = JobForwarder::kMisdirected});
-  } else if (knows_fleet) {
+  } else if (knows_fleet && !holds) {
     forwarder_.Forward(request, job, caller);
   } else {
     RespondFleetUnknown(request.exchange, caller);
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -125,6 +125,12 @@
                          "times this process became short of processor time");
   metrics.DeclareGauge("knap_entries_heard", "active peers");
   metrics.DeclareGauge("knap_fleet_members", "registered gateways");
+  metrics.DeclareGauge("knap_fleet_cells_departed",
+                       "cells of the layout whose shards others hold");
+  metrics.DeclareCounter("knap_cell_claims_total",
+                         "records of claims that this gateway has written, by "
+                         "their state",
+                         {"state"});
   metrics.DeclareGauge("knap_fleet_shards",
                        "shards of batch jobs; 1: each gateway holds all jobs");
 }
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -94,8 +94,9 @@
                   },
               .other_datagram =
                   [this](std::string_view datagram, const std::string& sender) {
-                    stream_registry_.OnDatagram(datagram, sender,
-                                                MonotonicNow());
+                    const TimePoint now = MonotonicNow();
+                    if (cell_probe_.OnDatagram(datagram, sender, now)) return;
+                    stream_registry_.OnDatagram(datagram, sender, now);
                   }}),
       record_push_(
           io, limits_, settings.name, start_id_,
@@ -236,6 +237,22 @@
                        OnLayoutLearned(layout);
                      }),
       origin_record_(store_),
+      cell_probe_(
+          cell_watch_,
+          {.addresses_in =
+               [this](const serving::Cell& cell) {
+                 std::vector<std::string> addresses;
+                 for (const auto& gateway : fleet_.cells().GatewaysIn(cell))
+                   addresses.push_back(fleet_.members().at(gateway).address);
+                 return addresses;
+               },
+           .send =
+               [this](const std::string& address, const std::string& datagram) {
+                 peers_.SendDatagram(address, datagram);
+               }}),
+      cell_claims_(
+          store_, settings.name, metrics_,
+          [this](const serving::Cell& cell) { fleet_.SetDeparted(cell); }),
       connections_(io, limits_.server_connections, metrics_),
       online_(
           connections_, scheduler_, crash_tracker_, crashing_parts_, metrics_,
--- a/libs/gateway/src/peers/member_records.cc
+++ b/libs/gateway/src/peers/member_records.cc
@@ -10,6 +10,7 @@
 namespace json = boost::json;
 
 constexpr std::string_view kPrefix = "node.";
+constexpr std::string_view kClaimPrefix = "claim.";
 // Upper bound for a valid layout; no fleet has this many gateways, so a larger
 // count is an error.
 constexpr int64_t kMaxShards = 1 << 16;
@@ -37,6 +38,12 @@
   return static_cast<uint32_t>(number);
 }
 
+json::object EncodeCell(const serving::Cell& cell) {
+  return {{"zone", cell.availability_zone},
+          {"parts", cell.parts},
+          {"part", cell.part}};
+}
+
 std::optional<serving::Cell> DecodeCell(const json::value& value) {
   if (!value.is_object()) return std::nullopt;
   const json::object& object = value.get_object();
@@ -80,13 +87,39 @@
   return member;
 }
 
+std::string ClaimRecordName(const serving::Cell& cell) {
+  return fmt::format("{}{}.{}.{}", kClaimPrefix, cell.parts, cell.part,
+                     cell.availability_zone);
+}
+
+bool IsClaimRecordName(std::string_view record) {
+  return record.starts_with(kClaimPrefix);
+}
+
+std::string EncodeClaim(const cluster::CellClaim& claim) {
+  return json::serialize(json::object{{"cell", EncodeCell(claim.cell)},
+                                      {"state", NameOf(claim.state)},
+                                      {"gateway", claim.gateway}});
+}
+
+std::optional<cluster::CellClaim> DecodeClaim(std::string_view value) {
+  const auto object = ParseObject(value);
+  if (!object) return std::nullopt;
+  const json::value* cell_field = object->if_contains("cell");
+  const json::string* state_name = FindString(*object, "state");
+  const json::string* gateway = FindString(*object, "gateway");
+  if (!cell_field || !state_name || !gateway) return std::nullopt;
+  const auto cell = DecodeCell(*cell_field);
+  const auto state = ParseEnum<cluster::ClaimState>(*state_name);
+  if (!cell || !state) return std::nullopt;
+  return cluster::CellClaim{*cell, *state, std::string(*gateway)};
+}
+
 std::string EncodeLayout(const cluster::FleetLayout& layout) {
   json::object object = {{"shards", layout.shards}};
   json::array cells;
   for (const serving::Cell& cell : layout.cells) {
-    cells.push_back(json::object{{"zone", cell.availability_zone},
-                                 {"parts", cell.parts},
-                                 {"part", cell.part}});
+    cells.push_back(EncodeCell(cell));
   }
   if (!cells.empty()) object["cells"] = std::move(cells);
   return json::serialize(object);
--- a/libs/gateway/src/peers/member_records.h
+++ b/libs/gateway/src/peers/member_records.h
@@ -5,8 +5,10 @@
 #include <string>
 #include <string_view>
 
+#include "cluster/cell_claim.h"
 #include "cluster/fleet_layout.h"
 #include "cluster/member.h"
+#include "serving/cell.h"
 
 namespace knapweedstile::gateway {
 
@@ -15,6 +17,7 @@
 //   node.NAME   a gateway's address and availability zone
 //   layout      how batch jobs are divided into shards; created once
 //   origins     where streams that may be resumed can have begun
+//   claim.PARTS.PART.ZONE  whether a cell has departed
 inline constexpr char kMemberKind[] = "knapweedstile-members";
 inline constexpr char kLayoutName[] = "layout";
 inline constexpr char kOriginsName[] = "origins";
@@ -26,6 +29,13 @@
 std::string EncodeMember(const cluster::Member& member);
 // Returns nothing if the text is not a valid member record.
 std::optional<cluster::Member> DecodeMember(std::string_view value);
+// The record of a claim to a cell's shards.
+std::string ClaimRecordName(const serving::Cell& cell);
+bool IsClaimRecordName(std::string_view record);
+
+std::string EncodeClaim(const cluster::CellClaim& claim);
+// Returns nothing if the text is not a valid claim.
+std::optional<cluster::CellClaim> DecodeClaim(std::string_view value);
 std::string EncodeLayout(const cluster::FleetLayout& layout);
 std::optional<cluster::FleetLayout> DecodeLayout(std::string_view value);
 
--- a/libs/gateway/src/peers/sync_tracker.h
+++ b/libs/gateway/src/peers/sync_tracker.h
@@ -36,6 +36,9 @@
   // This process was paused. Reports that appear recent may be old, so they
   // count only after the store has been read.
   void OnPaused(TimePoint now);
+  // This gateway holds jobs from now on that it has not followed: it knows
+  // their records after a read of the store.
+  void OnJobsAdded(TimePoint now) { OnPaused(now); }
   // The peer announced its shutdown, so its missing reports hide no records.
   void RemovePeer(const std::string& name);
 
--- a/libs/gateway/src/store/record_mirrors.cc
+++ b/libs/gateway/src/store/record_mirrors.cc
@@ -83,6 +83,8 @@
 
 void RecordMirrors::SkipPause() {
   if (mirrors_.empty()) return ReportRead();
+  // Nothing counts as read until the first list of each kind is complete.
+  if (!listed()) return;
   for (auto& [kind, followed] : mirrors_) followed.mirror->SkipPause();
 }
 
@@ -99,6 +101,12 @@
   for (auto& [kind, followed] : mirrors_) followed.mirror->OnStoreRegained();
 }
 
+bool RecordMirrors::listed() const {
+  return std::all_of(mirrors_.begin(), mirrors_.end(), [](const auto& f) {
+    return f.second.read_began != TimePoint{};
+  });
+}
+
 bool RecordMirrors::caught_up() const {
   return following_ &&
          std::all_of(mirrors_.begin(), mirrors_.end(), [](const auto& f) {
--- a/libs/gateway/src/store/record_mirrors.h
+++ b/libs/gateway/src/store/record_mirrors.h
@@ -52,6 +52,8 @@
     TimePoint read_began{};
   };
 
+  // Whether every kind was read completely at least once.
+  bool listed() const;
   void OnRead(const std::string& kind, TimePoint began);
   void ReportRead();
 
--- a/libs/gateway/tests/member_records_test.cc
+++ b/libs/gateway/tests/member_records_test.cc
@@ -28,4 +28,33 @@
   }
 }
 
+TEST_CASE("a claim is decoded as it was encoded") {
+  for (const auto state :
+       {cluster::ClaimState::kClaimed, cluster::ClaimState::kRefuted,
+        cluster::ClaimState::kDeparted}) {
+    const cluster::CellClaim claim{
+        .cell = {.availability_zone = "zone.b", .parts = 4, .part = 3},
+        .state = state,
+        .gateway = "front-1"};
+    CHECK(DecodeClaim(EncodeClaim(claim)) == claim);
+    CHECK(IsClaimRecordName(ClaimRecordName(claim.cell)));
+    CHECK_FALSE(ParseMemberRecordName(ClaimRecordName(claim.cell)));
+  }
+}
+
+// Guards against a departure that is guessed from a record of another form.
+TEST_CASE("a claim that is not valid is refused") {
+  for (const char* text :
+       {"", "[]", "{}", R"({"state":"departed","gateway":"a"})",
+        R"({"cell":{"zone":"a","parts":1,"part":0},"gateway":"a"})",
+        R"({"cell":{"zone":"a","parts":1,"part":0},"state":"gone",
+            "gateway":"a"})",
+        R"({"cell":{"zone":"a","parts":1,"part":1},"state":"departed",
+            "gateway":"a"})",
+        R"({"cell":"a","state":"departed","gateway":"a"})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(DecodeClaim(text));
+  }
+}
+
 }  // namespace knapweedstile::gateway
