Configurations: a patient fetch over a jammed link

Cause: each fetch of the configuration from a peer has 300 ms to connect and 2 s in all. On a jammed link packets wait for longer, and every attempt began again with the same deadline.

Change: once an attempt has failed, one with 3 s to connect and 6 s in all goes on beside the quick ones.

--- a/libs/gateway/src/peers/configuration_link.cc
+++ b/libs/gateway/src/peers/configuration_link.cc
@@ -23,20 +23,35 @@
 // A configuration of hundreds of kilobytes takes most of a second on the link
 // of a small VM.
 constexpr std::chrono::milliseconds kTimeout{2000};
+// On a link that is full of batch and streams packets wait for seconds.
+constexpr std::chrono::milliseconds kPatientTimeout{6000};
+constexpr std::chrono::milliseconds kPatientConnectTimeout{3000};
 // More transfers at once would slow each other down on such a link.
 constexpr size_t kMaxAttemptsAtOnce = 3;
 // Gateways send their state several times a second.
 constexpr std::chrono::milliseconds kAdvertisementLifetime{1500};
 
+http::ClientSettings PatientClientSettings() {
+  http::ClientSettings settings = PeerClientSettings();
+  settings.connect_timeout = kPatientConnectTimeout;
+  settings.unacknowledged_timeout = kPatientTimeout;
+  return settings;
+}
+
 }  // namespace
 
 ConfigurationLink::ConfigurationLink(boost::asio::io_context& io, uint64_t seed,
                                      Callbacks callbacks)
     : callbacks_(std::move(callbacks)),
       rng_(seed),
-      client_(io, PeerClientSettings(), [this](http::ClientEvent&& event) {
-        OnEvent(std::move(event));
-      }) {}
+      client_(io, PeerClientSettings(),
+              [this](http::ClientEvent&& event) {
+                OnEvent(std::move(event), /*patient=*/false);
+              }),
+      patient_client_(io, PatientClientSettings(),
+                      [this](http::ClientEvent&& event) {
+                        OnEvent(std::move(event), /*patient=*/true);
+                      }) {}
 
 bool ConfigurationLink::IsTarget(std::string_view target) {
   return target == kTarget;
@@ -69,37 +84,45 @@
   const std::string source = ChooseSource(version);
   if (source.empty()) {
     ask_at_ = kNever;
+    attempt_failed_ = false;
     return;
   }
   if (ask_at_ == kNever) ask_at_ = now + kExpectedDelay;
-  if (now < ask_at_ || pending_.size() >= kMaxAttemptsAtOnce) return;
+  if (now < ask_at_) return;
+  const bool patient = attempt_failed_ && pending_patient_.empty();
+  if (!patient && pending_.size() >= kMaxAttemptsAtOnce) return;
   ask_at_ = now + kNextAttempt;
   asked_.insert(source);
-  Ask(source, now);
+  Ask(source, patient, now);
 }
 
-void ConfigurationLink::Ask(const std::string& gateway, TimePoint now) {
+void ConfigurationLink::Ask(const std::string& gateway, bool patient,
+                            TimePoint now) {
   const std::string address = callbacks_.address_of(gateway);
   if (address.empty()) return;
   const ExchangeId exchange(++last_exchange_);
-  pending_.emplace(exchange, gateway);
-  http::ClientRequest request{.exchange = exchange,
-                              .address = address,
-                              .method = "GET",
-                              .target = kTarget,
-                              .deadline = now + kTimeout};
+  (patient ? pending_patient_ : pending_).emplace(exchange, gateway);
+  http::ClientRequest request{
+      .exchange = exchange,
+      .address = address,
+      .method = "GET",
+      .target = kTarget,
+      .deadline = now + (patient ? kPatientTimeout : kTimeout)};
   request.headers.Add("Host", address);
-  client_.Send(std::move(request));
+  (patient ? patient_client_ : client_).Send(std::move(request));
 }
 
-void ConfigurationLink::OnEvent(http::ClientEvent&& event) {
+void ConfigurationLink::OnEvent(http::ClientEvent&& event, bool patient) {
   const auto* end = std::get_if<http::EndEvent>(&event);
   if (!end) return;
-  const auto asked = pending_.extract(end->exchange);
+  Pending& pending = patient ? pending_patient_ : pending_;
+  const auto asked = pending.extract(end->exchange);
   const std::string gateway = asked.empty() ? "-" : asked.mapped();
   if (end->outcome != http::ClientOutcome::kComplete) {
+    attempt_failed_ = true;
     return LogInfo("configuration_not_fetched",
                    {{"entry", gateway},
+                    {"patient", patient},
                     {"outcome", NameOf(end->outcome)},
                     {"reason", end->message}});
   }
--- a/libs/gateway/src/peers/configuration_link.h
+++ b/libs/gateway/src/peers/configuration_link.h
@@ -22,7 +22,11 @@
 //
 // Guards against a gateway that knows to be behind and depends on a way to the
 // store: neither its own nor that of a peer has to work, since a gateway that
-// advertises a version has it. Each attempt asks another gateway.
+// advertises a version has it. Each attempt asks another gateway, and has ended
+// soon if that one is cut off or stands still. Once one has failed, a
+// single attempt with a longer deadline goes on beside them: on a jammed link
+// packets wait for longer than an attempt usually takes, and attempts that
+// begin again with the same deadline would never succeed.
 class ConfigurationLink {
  public:
   struct Callbacks {
@@ -57,8 +61,9 @@
   // A gateway to ask that advertises a newer version than `version`; empty if
   // there is none.
   std::string ChooseSource(uint64_t version);
-  void Ask(const std::string& gateway, TimePoint now);
-  void OnEvent(http::ClientEvent&& event);
+  // `patient`: with the longer deadline.
+  void Ask(const std::string& gateway, bool patient, TimePoint now);
+  void OnEvent(http::ClientEvent&& event, bool patient);
 
   Callbacks callbacks_;
   Rng rng_;
@@ -67,9 +72,15 @@
   // Gateways that were asked since each was asked once.
   std::set<std::string> asked_;
   TimePoint ask_at_ = kNever;
+  // An attempt has failed since this gateway is behind.
+  bool attempt_failed_ = false;
   uint64_t last_exchange_ = 0;
-  std::unordered_map<ExchangeId, std::string> pending_;  // gateways asked
+  using Pending =
+      std::unordered_map<ExchangeId, std::string>;  // gateways asked
+  Pending pending_;
+  Pending pending_patient_;
   http::Client client_;
+  http::Client patient_client_;
 };
 
 }  // namespace knapweedstile::gateway
--- a/libs/gateway/tests/configuration_link_test.cc
+++ b/libs/gateway/tests/configuration_link_test.cc
@@ -1,8 +1,10 @@
 #include "peers/configuration_link.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "base/clock.h"
@@ -33,6 +35,7 @@
        .address_of =
            [this](const std::string& name) { return addresses[name]; }}};
   std::string older_response;  // of a gateway of an older version
+  milliseconds response_delay{0};
   int requests = 0;
   http::Server server{io, {}, [this](http::ServerEvent&& event) {
                         const auto* request =
@@ -40,10 +43,7 @@
                         if (!request) return true;
                         CHECK(ConfigurationLink::IsTarget(request->target));
                         ++requests;
-                        server.Execute(http::RespondCommand{
-                            .exchange = request->exchange,
-                            .body = older_response.empty() ? source.Response()
-                                                           : older_response});
+                        RespondLater(request->exchange);
                         return true;
                       }};
 
@@ -53,6 +53,15 @@
     addresses["live"] = "127.0.0.1:" + std::to_string(port.value());
     addresses["dead"] = kDeadAddress;
   }
+  void RespondLater(ExchangeId exchange) {
+    auto timer =
+        std::make_shared<boost::asio::steady_timer>(io, response_delay);
+    timer->async_wait([this, timer, exchange](const auto& /*ec*/) {
+      server.Execute(http::RespondCommand{
+          .exchange = exchange,
+          .body = older_response.empty() ? source.Response() : older_response});
+    });
+  }
   // Runs the link with that version for that long, or until it has received
   // something. Its advertisements are repeated like those of gateways.
   void Run(uint64_t version, const std::map<std::string, uint64_t>& advertised,
@@ -90,6 +99,16 @@
   }
 }
 
+// Guards against attempts over a jammed link that all begin again with a
+// deadline that they can't meet.
+TEST_CASE("a configuration is fetched from gateways that all respond late") {
+  TwoLinks links;
+  links.response_delay = milliseconds(3500);
+  links.source.SetInForce({.name = "main", .version = 70, .value = "{}"});
+  links.Run(7, {{"live", 9}}, milliseconds(20000));
+  CHECK(links.received.size() == 1);
+}
+
 TEST_CASE("no gateway is asked for a version that is not newer") {
   TwoLinks links;
   links.source.SetInForce({.name = "main", .value = "{}"});
