--- a/libs/base/tests/json_split_test.cc
+++ b/libs/base/tests/json_split_test.cc
@@ -30,13 +30,9 @@
       std::string(1000000, '[') + std::string(1000000, ']');
   for (const std::string& odd :
        {deep, std::string(R"("\ud800")"), std::string("\"\x01\""),
-        std::string("nonsense"), std::string(R"({"a":1,"a")")}) {
+        std::string("nonsense")}) {
     const std::string document = "[1," + odd + ",2]";
     const auto elements = SplitJsonArray(document);
-    if (odd.front() == '{') {
-      CHECK_FALSE(elements);
-      continue;
-    }
     REQUIRE(elements);
     CHECK(elements->size() == 3);
     CHECK(elements->at(1) == odd);
@@ -53,7 +49,7 @@
     CHECK_FALSE(SplitJsonObject(text));
   }
   for (const char* text : {"", "[", "[1", "[1,", "[1,]", "[,1]", "[1]]", "{}",
-                           "[\"a]", "[[1]", "[1}"}) {
+                           "[\"a]", "[[1]", "[1}", "[1,{\"a\":1,2]"}) {
     CAPTURE(text);
     CHECK_FALSE(SplitJsonArray(text));
   }
--- a/libs/cluster/tests/cell_watch_test.cc
+++ b/libs/cluster/tests/cell_watch_test.cc
@@ -19,8 +19,8 @@
 }
 
 std::vector<Cell> MakeCells(int count) {
-  std::vector<Cell> cells;
-  for (int zone = 0; zone < count; ++zone) cells.push_back(CellOf(zone));
+  std::vector<Cell> cells(static_cast<size_t>(count));
+  for (int zone = 0; zone < count; ++zone) cells[zone] = CellOf(zone);
   return cells;
 }
 
@@ -113,8 +113,8 @@
   const auto holder_of = [&](int job) {
     return fleet.HoldersOf("job-" + std::to_string(job)).back();
   };
-  std::vector<std::string> before;
-  for (int job = 0; job < 200; ++job) before.push_back(holder_of(job));
+  std::vector<std::string> before(200);
+  for (int job = 0; job < 200; ++job) before[job] = holder_of(job);
   fleet.SetDeparted(cells[3]);
   REQUIRE(fleet.Refresh());
   CHECK(fleet.CountDeparted() == 1);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -121,8 +121,6 @@
   void RunCellWatch(TimePoint now);
   // Whether this gateway probes other cells on behalf of its own.
   bool ProbesForCell(TimePoint now) const;
-  // Rank among the active gateways of its cell, by the hash of its name.
-  size_t RankInCell() const;
   // Whether this gateway would know if its cell had departed. Without contact
   // to the store and to all other cells it would not, and acts on no job.
   bool MayHoldJobs(TimePoint now) const;
--- a/libs/gateway/src/gateway_cells.cc
+++ b/libs/gateway/src/gateway_cells.cc
@@ -24,14 +24,21 @@
 constexpr std::chrono::milliseconds kRereadRecordsFor{5000};
 constexpr std::chrono::milliseconds kRereadRecordsPause{1000};
 
+// Rank of a gateway among itself and the others, by the hash of its name.
+size_t RankAmong(const std::vector<std::string>& others,
+                 const std::string& gateway) {
+  const uint64_t own = Hash64(gateway);
+  return static_cast<size_t>(
+      std::count_if(others.begin(), others.end(),
+                    [own](const auto& other) { return Hash64(other) < own; }));
+}
+
 }  // namespace
 
 void Gateway::FollowOwnShards(TimePoint now) {
   const std::vector<uint32_t> shards = fleet_.OwnShards();
   const std::vector<uint32_t> before = followed_shards_.value_or(shards);
   followed_shards_ = shards;
-  cell_claims_.SetOwnCell(fleet_.own_cell());
-  cell_watch_.SetHoldingCells(fleet_.HoldingCells(), fleet_.own_cell());
   const bool gains = !std::includes(before.begin(), before.end(),
                                     shards.begin(), shards.end());
   if (gains) {
@@ -51,22 +58,15 @@
   if (!dropped.empty()) LogWarning("jobs_dropped", {{"jobs", dropped.size()}});
 }
 
-size_t Gateway::RankInCell() const {
-  const uint64_t own = Hash64(settings_.name);
-  const std::vector<std::string> peers = peers_.ActivePeers();
-  return static_cast<size_t>(
-      std::count_if(peers.begin(), peers.end(),
-                    [own](const auto& peer) { return Hash64(peer) < own; }));
-}
-
+// A gateway that reaches the store can claim what it does not hear. Without one
+// a gateway probes all the same, so that the other cell is heard from.
 bool Gateway::ProbesForCell(TimePoint now) const {
   if (stop_began_at_ != kNever) return false;
-  const std::vector<std::string> healthy =
+  const std::vector<std::string> with_store =
       peers_.HealthyPeersIn(fleet_.own_cell(), now);
-  if (!store_.available()) return healthy.empty() && RankInCell() == 0;
-  const uint64_t own = Hash64(settings_.name);
-  return std::none_of(healthy.begin(), healthy.end(),
-                      [own](const auto& peer) { return Hash64(peer) < own; });
+  if (store_.available()) return RankAmong(with_store, settings_.name) == 0;
+  return with_store.empty() &&
+         RankAmong(peers_.ActivePeers(), settings_.name) == 0;
 }
 
 void Gateway::RunCellWatch(TimePoint now) {
@@ -74,7 +74,8 @@
   cell_watch_at_ = now + kCellWatchInterval;
   cell_watch_.SetProbing(ProbesForCell(now));
   cell_probe_.Run(now);
-  const Duration turn = kRefuteRankDelay * static_cast<int64_t>(RankInCell());
+  const size_t rank = RankAmong(peers_.ActivePeers(), settings_.name);
+  const Duration turn = kRefuteRankDelay * static_cast<int64_t>(rank);
   cell_claims_.Run(now, std::min<Duration>(turn, kMaxRefuteDelay));
   for (const serving::Cell& cell : cell_watch_.SilentCells(now))
     cell_claims_.OnSilent(cell, now);
--- a/libs/gateway/src/gateway_fleet.cc
+++ b/libs/gateway/src/gateway_fleet.cc
@@ -184,6 +184,8 @@
   awaits_layout_ = awaits_layout;
   UpdatePeers();
   UpdateCells();
+  cell_claims_.SetOwnCell(fleet_.own_cell());
+  cell_watch_.SetHoldingCells(fleet_.HoldingCells(), fleet_.own_cell());
   if (!awaits_layout_) FollowOwnShards(now);
   const size_t members = fleet_.members().size();
   const bool exceeds_layout =
--- a/libs/platform/include/platform/store_answer.h
+++ b/libs/platform/include/platform/store_answer.h
@@ -41,7 +41,7 @@
   uint64_t version = 0;               // write: the new one; conflict: current
   std::vector<StoredObject> objects;  // read: one; list and watch
   uint64_t revision = 0;   // list and watch: includes changes up to it
-  size_t unreadable = 0;   // list and watch: objects with an unreadable part
+  size_t unreadable = 0;   // objects with a part that can't be parsed
   bool more = false;       // list and watch: continue from `revision` at once
   Duration retry_after{};  // kThrottled: counted from the answer's arrival
   std::string message;     // for humans
--- a/tests/users_platform/departed_cell_test.cc
+++ b/tests/users_platform/departed_cell_test.cc
@@ -323,6 +323,23 @@
   }
 }
 
+// Guards against jobs that are lost as an operator gives shards back.
+TEST_CASE("a cell whose claim is deleted holds its shards again") {
+  ThreeCells fleet;
+  fleet.SubmitJobs();
+  fleet.CheckAllRead();
+  fleet.KillZone('c');
+  REQUIRE(fleet.AwaitClaim('c', "departed"));
+  fleet.CheckAllRead();
+  for (const char zone : {'a', 'b'}) fleet.KillZone(zone);
+  fleet.site.store().Remove(kMembers, "claim.1.0.zone-c");
+  for (const char zone : {'a', 'b', 'c'}) fleet.RestartZone(zone);
+  fleet.CheckAllRead();
+  CHECK(fleet.ClaimOf('c').empty());
+  CHECK(fleet.site.Metrics("a-1").find("knap_fleet_cells_departed 0\n") !=
+        std::string::npos);
+}
+
 // Guards against a cell whose watcher is lost with it.
 TEST_CASE("the last cell takes over from two that are lost at once") {
   ThreeCells fleet;
