--- a/libs/base/include/base/json_split.h
+++ b/libs/base/include/base/json_split.h
@@ -22,10 +22,6 @@
 std::optional<std::vector<std::string_view>> SplitJsonArray(
     std::string_view document);
 
-// The text of the last member called `name`; empty if there is none.
-std::string_view FindJsonMember(const std::vector<JsonMember>& members,
-                                std::string_view name);
-
 }  // namespace knapweedstile
 
 #endif  // KNAPWEEDSTILE_BASE_JSON_SPLIT_H_
--- a/libs/base/src/json_split.cc
+++ b/libs/base/src/json_split.cc
@@ -114,13 +114,4 @@
   return elements;
 }
 
-std::string_view FindJsonMember(const std::vector<JsonMember>& members,
-                                std::string_view name) {
-  std::string_view found;
-  for (const JsonMember& member : members) {
-    if (member.name == name) found = member.value;
-  }
-  return found;
-}
-
 }  // namespace knapweedstile
