Fleet: records of jobs of other cells are not taken

By reading: the other gateway of the cell, which did not know yet, pushed records after this one had dropped its jobs.

Change: pushed records of jobs that the own cell does not hold are not taken, and no items of such jobs are run.

The race was not provoked, so that it is mended is not shown by a run.

--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -121,6 +121,9 @@
   void RunCellWatch(TimePoint now);
   // Whether this gateway probes other cells on behalf of its own.
   bool ProbesForCell(TimePoint now) const;
+  // Whether this gateway's cell holds the record's job. A gateway that does not
+  // know yet that the cell has departed may still push records.
+  bool HoldsRecord(std::string_view name) const;
   // Whether this gateway would know if its cell had departed. Without contact
   // to the store and to all other cells it would not, and acts on no job.
   bool MayHoldJobs(TimePoint now) const;
--- a/libs/gateway/src/gateway_cells.cc
+++ b/libs/gateway/src/gateway_cells.cc
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "batch/job_records.h"
 #include "gateway.h"
 
 // The cells of a divided fleet: which of them have departed, and the jobs that
@@ -88,6 +89,11 @@
   }
 }
 
+bool Gateway::HoldsRecord(std::string_view name) const {
+  return fleet_.layout().cells.empty() ||
+         fleet_.HoldsJob(ParseRecordName(name).id);
+}
+
 bool Gateway::MayHoldJobs(TimePoint now) const {
   if (!cell_watch_.IsInRing()) return true;
   return cell_claims_.is_confirmed() && now - connected_at_ < kMaxIsolation;
--- a/libs/gateway/src/gateway_records.cc
+++ b/libs/gateway/src/gateway_records.cc
@@ -55,6 +55,7 @@
 
 bool Gateway::RunsItemsOf(const serving::BatchJob& job) {
   const TimePoint now = MonotonicNow();
+  if (!fleet_.HoldsJob(job.id) && !fleet_.layout().cells.empty()) return false;
   if (!ownership_.Owns(job, now)) return false;
   if (job.has_bodies) return true;
   record_fetcher_.FetchInBackground(JobName(job.id), now);
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -106,6 +106,7 @@
                  sync_tracker_.OnReceived(peer, start, count - records.size(),
                                           count, MonotonicNow());
                  for (StoreRecord& record : records) {
+                   if (!HoldsRecord(record.name)) continue;
                    found_records_.OnPushed(record.name);
                    record_reader_.ApplyRecord(
                        {.kind = kRecordKind,
