Fleet: the last cell reads taken-over records again as well

Cause: the reads after a takeover, which find results that the departed cell's gateways still wrote, ran only while other cells hold shards. Where one cell is left, it found such results at its next periodic read, a minute later. Found by reading.

Change: the reads no longer depend on the ring of cells.

Measured: departed_cell, "the last cell finds results written while it takes over": fails on the binary of (no result of the first job after 30 s), passes 3 of 3 with the change.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -268,6 +268,7 @@
   if (servers_.Expire(now)) policies_.UpdateServerPolicies();
   RefreshFleet(now);
   RunCellWatch(now);
+  RereadTakenOverRecords(now);
   peers_.Expire(now);
   rate_quota_.Expire(now);
   follower_.Run(now);
--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -119,6 +119,9 @@
   // Watches other cells and takes part in the decision whether one has
   // departed.
   void RunCellWatch(TimePoint now);
+  // After a takeover, reads results that gateways of the departed cell still
+  // wrote, since they did not know of it yet.
+  void RereadTakenOverRecords(TimePoint now);
   // Whether this gateway probes other cells on behalf of its own.
   bool ProbesForCell(TimePoint now) const;
   // Whether this gateway's cell holds the record's job. A gateway that does not
@@ -284,8 +287,6 @@
   // Shards that record_mirrors_ follows; none before the first time.
   std::optional<std::vector<uint32_t>> followed_shards_;
   TimePoint cell_watch_at_{};
-  // After a takeover, gateways of the departed cell that do not know of it yet
-  // may still write results.
   TimePoint reread_records_until_{};
   TimePoint reread_records_at_{};
   // When the store, directly or through a peer, or another cell was last heard.
--- a/libs/gateway/src/gateway_cells.cc
+++ b/libs/gateway/src/gateway_cells.cc
@@ -83,10 +83,12 @@
   const bool has_store = store_.available() || peers_.HasPeerWithStore(now);
   connected_at_ =
       std::max(connected_at_, has_store ? now : cell_probe_.heard_at());
-  if (now < reread_records_until_ && now >= reread_records_at_) {
-    reread_records_at_ = now + kRereadRecordsPause;
-    record_mirrors_.SkipPause();
-  }
+}
+
+void Gateway::RereadTakenOverRecords(TimePoint now) {
+  if (now >= reread_records_until_ || now < reread_records_at_) return;
+  reread_records_at_ = now + kRereadRecordsPause;
+  record_mirrors_.SkipPause();
 }
 
 bool Gateway::HoldsRecord(std::string_view name) const {
--- a/tests/users_platform/departed_cell_test.cc
+++ b/tests/users_platform/departed_cell_test.cc
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/rng.h"
+#include "batch/job_records.h"
 #include "users_platform/site.h"
 
 namespace knapweedstile::users_site {
@@ -103,6 +104,18 @@
   bool AwaitClaim(char zone, const std::string& state) {
     return site.caller().RunUntil([&] { return ClaimOf(zone) == state; });
   }
+  // The kind that holds the job's records.
+  std::string KindOf(const std::string& job) {
+    for (int shard = 0; shard < kShards; ++shard) {
+      const std::string kind = "knapweedstile-" + std::to_string(shard) + "of" +
+                               std::to_string(kShards);
+      const std::vector<std::string> names = site.store().Names(kind);
+      if (std::find(names.begin(), names.end(), gateway::JobName(job)) !=
+          names.end())
+        return kind;
+    }
+    return {};
+  }
   // Runs that the server has completed, by item.
   std::map<std::string, int> CompletedRuns() const {
     std::map<std::string, int> runs;
@@ -354,6 +367,35 @@
   CHECK(fleet.ClaimOf('b').empty());
 }
 
+// Guards against results of a departed cell that its successors, which have
+// listed its records, find a minute later.
+TEST_CASE("the last cell finds results written while it takes over") {
+  ThreeCells fleet;
+  fleet.server.first_byte_delay = milliseconds(3600000);
+  fleet.SubmitJobs();
+  // Nothing runs, so that no write of this cell meets the other one's.
+  fleet.site.RemoveServer(fleet.server);
+  fleet.KillZone('a');
+  REQUIRE(fleet.AwaitClaim('a', "departed"));
+  fleet.KillZone('c');
+  REQUIRE(fleet.AwaitClaim('c', "departed"));
+  fleet.site.caller().RunFor(milliseconds(2500));
+  for (int job = 0; job < kJobs; ++job) {
+    const std::string item = JobId(job) + "-0";
+    const std::string segment = gateway::EncodeSegment(
+        {{.item = item, .output = "written by another gateway"}});
+    fleet.site.store().Put(fleet.KindOf(JobId(job)),
+                           gateway::SegmentName(JobId(job), 0),
+                           json::parse(segment));
+  }
+  for (int job = 0; job < kJobs; ++job) {
+    CAPTURE(job);
+    const json::object page = fleet.site.WaitForResults("b-1", JobId(job), 1);
+    REQUIRE(page.contains("results"));
+    CHECK(page.at("results").as_array().size() == 1);
+  }
+}
+
 // Guards against a takeover by who is heard: the cell still acts for its jobs.
 TEST_CASE("a cell that answers a claim keeps its jobs") {
   ThreeCells fleet;
