Fleet: two guards of a takeover whose tests could not fail

Cause: with the standing time of a claim set to zero, and with the wait of a gateway that may have missed its cell's departure taken out, departed_cell still passed. By reading: a gateway counted an answer to its own probe as contact, though one that has departed still gets it; and between learning of a departure and the next timer, up to 20 ms, it went on with the old shards.

Change: only being probed counts as contact, and a departure takes effect as it is learned. In the tests the suspended cell resumes two seconds after the claim; a cell that resumes without the store starts no items; the check that a departed cell has dropped its jobs is made again after pushes have had time to arrive.

--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -109,6 +109,7 @@
   // Creates the layout for the fleet as it is now, unless it exists.
   void CreateLayout(LayoutRecord::Callback done);
   void OnLayoutLearned(const cluster::FleetLayout& layout);
+  void OnCellDeparted(const serving::Cell& cell);
   // Whether this gateway has just started and still waits for the layout before
   // it exchanges state and accepts jobs.
   bool AwaitsLayout(TimePoint now) const;
@@ -127,8 +128,8 @@
   // Whether this gateway's cell holds the record's job. A gateway that does not
   // know yet that the cell has departed may still push records.
   bool HoldsRecord(std::string_view name) const;
-  // Whether this gateway would know if its cell had departed. Without contact
-  // to the store and to all other cells it would not, and acts on no job.
+  // Whether this gateway would know if its cell had departed. Without the store
+  // and unprobed by other cells it would not, and acts on no job.
   bool MayHoldJobs(TimePoint now) const;
   void RunOriginRecord(TimePoint now);
   // Passes on to the origin record where streams begin now.
@@ -289,7 +290,8 @@
   TimePoint cell_watch_at_{};
   TimePoint reread_records_until_{};
   TimePoint reread_records_at_{};
-  // When the store, directly or through a peer, or another cell was last heard.
+  // When the store was last reached, directly or by a peer, or another cell last
+  // probed this one.
   TimePoint connected_at_{};
   TimePoint members_changed_at_{};
   TimePoint layout_proposed_at_{};
--- a/libs/gateway/src/gateway_cells.cc
+++ b/libs/gateway/src/gateway_cells.cc
@@ -36,6 +36,11 @@
 
 }  // namespace
 
+void Gateway::OnCellDeparted(const serving::Cell& cell) {
+  fleet_.SetDeparted(cell);
+  if (members_listed_) RefreshFleet(MonotonicNow());
+}
+
 void Gateway::FollowOwnShards(TimePoint now) {
   const std::vector<uint32_t> shards = fleet_.OwnShards();
   const std::vector<uint32_t> before = followed_shards_.value_or(shards);
@@ -82,7 +87,7 @@
     cell_claims_.OnSilent(cell, now);
   const bool has_store = store_.available() || peers_.HasPeerWithStore(now);
   connected_at_ =
-      std::max(connected_at_, has_store ? now : cell_probe_.heard_at());
+      std::max(connected_at_, has_store ? now : cell_probe_.probed_at());
 }
 
 void Gateway::RereadTakenOverRecords(TimePoint now) {
--- a/libs/gateway/src/gateway_wiring.cc
+++ b/libs/gateway/src/gateway_wiring.cc
@@ -251,9 +251,8 @@
                [this](const std::string& address, const std::string& datagram) {
                  peers_.SendDatagram(address, datagram);
                }}),
-      cell_claims_(
-          store_, settings.name, metrics_,
-          [this](const serving::Cell& cell) { fleet_.SetDeparted(cell); }),
+      cell_claims_(store_, settings.name, metrics_,
+                   [this](const serving::Cell& cell) { OnCellDeparted(cell); }),
       connections_(io, limits_.server_connections, metrics_),
       online_(
           connections_, scheduler_, crash_tracker_, crashing_parts_, metrics_,
--- a/libs/gateway/src/peers/cell_probe.cc
+++ b/libs/gateway/src/peers/cell_probe.cc
@@ -30,16 +30,13 @@
 bool CellProbe::OnDatagram(std::string_view datagram, const std::string& sender,
                            TimePoint now) {
   if (datagram == kProbe) {
-    heard_at_ = now;
+    probed_at_ = now;
     callbacks_.send(sender, std::string(kAnswer));
     return true;
   }
   if (datagram != kAnswer) return false;
   const auto probed = probed_.find(sender);
-  if (probed != probed_.end()) {
-    heard_at_ = now;
-    watch_.OnAnswer(probed->second, now);
-  }
+  if (probed != probed_.end()) watch_.OnAnswer(probed->second, now);
   return true;
 }
 
--- a/libs/gateway/src/peers/cell_probe.h
+++ b/libs/gateway/src/peers/cell_probe.h
@@ -35,14 +35,15 @@
                   TimePoint now);
 
   // Queries.
-  // When a gateway of another cell was last heard; zero: never.
-  TimePoint heard_at() const noexcept { return heard_at_; }
+  // When another cell last probed this one, which it does until it knows that
+  // this one has departed; zero: never.
+  TimePoint probed_at() const noexcept { return probed_at_; }
 
  private:
   cluster::CellWatch& watch_;
   Callbacks callbacks_;
   TimePoint probe_at_{};
-  TimePoint heard_at_{};
+  TimePoint probed_at_{};
   std::map<std::string, serving::Cell> probed_;  // by address
 };
 
--- a/tests/users_platform/departed_cell_test.cc
+++ b/tests/users_platform/departed_cell_test.cc
@@ -29,7 +29,9 @@
   ModelServer& server = site.AddServer("llm", "i-1", 64);
   std::vector<std::string> live = {"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"};
 
-  ThreeCells() {
+  ThreeCells() : ThreeCells(/*c_at_second_store=*/false) {}
+  // Whether the gateways of zone c use the second address of the store.
+  explicit ThreeCells(bool c_at_second_store) {
     json::array cells;
     for (const char* zone : {"zone-a", "zone-b", "zone-c"})
       cells.push_back(json::object{{"zone", zone}, {"parts", 1}, {"part", 0}});
@@ -39,7 +41,10 @@
       return "zone-" + name.substr(0, 1);
     };
     site.Configure(2);
-    for (const std::string& gateway : live) site.StartGateway(gateway);
+    for (const std::string& gateway : live) {
+      site.use_second_store_address = c_at_second_store && gateway[0] == 'c';
+      site.StartGateway(gateway);
+    }
     AwaitReady(live);
     site.caller().RunUntil(
         [&] { return site.store().Count(kMembers, "node.") == live.size(); });
@@ -116,6 +121,9 @@
     }
     return {};
   }
+  bool HasMetric(const std::string& gateway, const std::string& line) {
+    return site.Metrics(gateway).find("\n" + line + "\n") != std::string::npos;
+  }
   // Runs that the server has completed, by item.
   std::map<std::string, int> CompletedRuns() const {
     std::map<std::string, int> runs;
@@ -349,8 +357,7 @@
   for (const char zone : {'a', 'b', 'c'}) fleet.RestartZone(zone);
   fleet.CheckAllRead();
   CHECK(fleet.ClaimOf('c').empty());
-  CHECK(fleet.site.Metrics("a-1").find("knap_fleet_cells_departed 0\n") !=
-        std::string::npos);
+  CHECK(fleet.HasMetric("a-1", "knap_fleet_cells_departed 0"));
 }
 
 // Guards against a cell whose watcher is lost with it.
@@ -404,6 +411,7 @@
   for (const std::string& name : fleet.GatewaysOf('c'))
     fleet.site.process(name).Pause();
   REQUIRE(fleet.AwaitClaim('c', "claimed"));
+  fleet.site.caller().RunFor(milliseconds(2000));
   fleet.site.process("c-1").Resume();
   REQUIRE(fleet.AwaitClaim('c', "refuted"));
   fleet.site.process("c-2").Resume();
@@ -431,8 +439,34 @@
            202;
   }));
   fleet.CheckAllRead();
-  const std::string metrics = fleet.site.Metrics("c-2");
-  CHECK(metrics.find("knap_jobs_known{form=\"full\"} 0") != std::string::npos);
+  REQUIRE(fleet.site.caller().RunUntil(
+      [&] { return fleet.HasMetric("c-2", "knap_fleet_cells_departed 1"); }));
+  // Records that others push meanwhile bring no job back.
+  fleet.site.caller().RunFor(kPropagation);
+  CHECK(fleet.HasMetric("c-2", "knap_jobs_known{form=\"full\"} 0"));
+}
+
+// Guards against items of ended jobs that a suspended cell starts, since it
+// can't learn from the store that it has departed.
+TEST_CASE("a cell that resumes without the store acts for no job") {
+  ThreeCells fleet(/*c_at_second_store=*/true);
+  fleet.server.first_byte_delay = milliseconds(3600000);
+  fleet.SubmitJobs();
+  for (const std::string& name : fleet.GatewaysOf('c'))
+    fleet.site.process(name).Pause();
+  REQUIRE(fleet.AwaitClaim('c', "departed"));
+  fleet.site.store().RejectAtSecondAddress(true);
+  for (int job = 0; job < kJobs; ++job) {
+    REQUIRE(fleet.site.caller().RunUntil(
+        [&] { return fleet.site.EndJob("a-1", JobId(job)).status == 200; }));
+  }
+  fleet.site.caller().RunFor(kPropagation);
+  const size_t runs = fleet.server.runs().size();
+  for (const std::string& name : fleet.GatewaysOf('c'))
+    fleet.site.process(name).Resume();
+  fleet.site.caller().RunFor(milliseconds(8000));
+  CHECK(fleet.server.runs().size() == runs);
+  CHECK(fleet.ClaimOf('c') == "departed");
 }
 
 // Guards against what no case above provokes by itself. KNAP_DEPARTURE_SEEDS,
