Tests: one reader of seed ranges

Cause: three soak cases read FIRST..LAST from the environment in the same six lines.

Change: harness::SeedsFrom; seeds and checks are unchanged.

--- a/tests/users_platform/configuration_delivery_test.cc
+++ b/tests/users_platform/configuration_delivery_test.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <string>
@@ -8,6 +7,7 @@
 
 #include "base/rng.h"
 #include "harness/proxy.h"
+#include "harness/seed_range.h"
 #include "peers/reader_choice.h"
 #include "users_platform/site.h"
 
@@ -230,14 +230,8 @@
 // FIRST..LAST, runs other seeds.
 TEST_CASE("configurations are used in time whatever gateways are silent",
           "[soak]") {
-  uint64_t first = 1;
-  uint64_t last = 2;
-  if (const char* range = std::getenv("KNAP_DELIVERY_SEEDS")) {
-    const std::string text = range;
-    first = std::stoull(text);
-    last = std::stoull(text.substr(text.find("..") + 2));
-  }
-  for (uint64_t seed = first; seed <= last; ++seed) Soak(seed);
+  const auto seeds = harness::SeedsFrom("KNAP_DELIVERY_SEEDS", {1, 2});
+  for (uint64_t seed = seeds.first; seed <= seeds.last; ++seed) Soak(seed);
 }
 
 }  // namespace knapweedstile::users_site
--- a/tests/users_platform/departed_cell_test.cc
+++ b/tests/users_platform/departed_cell_test.cc
@@ -1,11 +1,11 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <set>
 
 #include "base/clock.h"
 #include "base/rng.h"
 #include "batch/job_records.h"
+#include "harness/seed_range.h"
 #include "users_platform/site.h"
 
 namespace knapweedstile::users_site {
@@ -472,14 +472,8 @@
 // Guards against what no case above provokes by itself. KNAP_DEPARTURE_SEEDS,
 // as FIRST..LAST, runs other seeds.
 TEST_CASE("jobs outlast zones that are lost and come back", "[soak]") {
-  uint64_t first = 1;
-  uint64_t last = 1;
-  if (const char* range = std::getenv("KNAP_DEPARTURE_SEEDS")) {
-    const std::string text = range;
-    first = std::stoull(text);
-    last = std::stoull(text.substr(text.find("..") + 2));
-  }
-  for (uint64_t seed = first; seed <= last; ++seed) {
+  const auto seeds = harness::SeedsFrom("KNAP_DEPARTURE_SEEDS", {1, 1});
+  for (uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
     CAPTURE(seed);
     Soak(seed).Run();
   }
--- a/tests/users_platform/misbehaving_clients_test.cc
+++ b/tests/users_platform/misbehaving_clients_test.cc
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -15,6 +14,7 @@
 
 #include "base/clock.h"
 #include "harness/crowd.h"
+#include "harness/seed_range.h"
 #include "users_platform/site.h"
 
 namespace knapweedstile::users_site {
@@ -715,14 +715,8 @@
 // Guards against what no case above provokes by itself. KNAP_CLIENT_SEEDS, as
 // FIRST..LAST, runs other seeds.
 TEST_CASE("random crowds, signals and restarts", "[soak]") {
-  uint64_t first = 1;
-  uint64_t last = 6;
-  if (const char* range = std::getenv("KNAP_CLIENT_SEEDS")) {
-    const std::string text = range;
-    first = std::stoull(text);
-    last = std::stoull(text.substr(text.find("..") + 2));
-  }
-  for (uint64_t seed = first; seed <= last; ++seed) Soak(seed);
+  const auto seeds = harness::SeedsFrom("KNAP_CLIENT_SEEDS", {1, 6});
+  for (uint64_t seed = seeds.first; seed <= seeds.last; ++seed) Soak(seed);
 }
 
 }  // namespace knapweedstile::users_site
