--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -68,6 +68,13 @@
     "store_readers": [(GATEWAY + "gateway_peers.cc",
                        "const bool fed = !readers_.empty() && !IsReader()",
                        "const bool fed = now == kNever && !IsReader()")],
+    # A gateway behind fetches the configuration with short deadlines only.
+    "patient_fetch": [(GATEWAY + "peers/configuration_link.cc",
+                       "attempt_failed_ && pending_patient_.empty();",
+                       "attempt_failed_ && now == kNever;")],
+    # No cell takes over the shards of another one.
+    "cell_takeover": [(GATEWAY + "gateway_cells.cc",
+                       "  cell_watch_.SetProbing(ProbesForCell(now));\n", "")],
     # Nothing is placed in another cell while the own one has items to preempt.
     "beyond_the_cell": [(SCHEDULER, "remote_reserve = 1;", "remote_reserve = 1000;")],
 }
