--- a/tests/users_platform/departed_cell_test.cc
+++ b/tests/users_platform/departed_cell_test.cc
@@ -112,8 +112,8 @@
   // The kind that holds the job's records.
   std::string KindOf(const std::string& job) {
     for (int shard = 0; shard < kShards; ++shard) {
-      const std::string kind = "knapweedstile-" + std::to_string(shard) + "of" +
-                               std::to_string(kShards);
+      std::string kind = "knapweedstile-" + std::to_string(shard) + "of" +
+                         std::to_string(kShards);
       const std::vector<std::string> names = site.store().Names(kind);
       if (std::find(names.begin(), names.end(), gateway::JobName(job)) !=
           names.end())
