--- a/libs/gateway/src/gateway.h
+++ b/libs/gateway/src/gateway.h
@@ -290,8 +290,8 @@
   TimePoint cell_watch_at_{};
   TimePoint reread_records_until_{};
   TimePoint reread_records_at_{};
-  // When the store was last reached, directly or by a peer, or another cell last
-  // probed this one.
+  // When the store was last reached, directly or by a peer, or another cell
+  // last probed this one.
   TimePoint connected_at_{};
   TimePoint members_changed_at_{};
   TimePoint layout_proposed_at_{};
