Fleet: a read from before a suspension does not confirm a cell

What callers could see: a gateway that stood still while its cell departed acts for the jobs of its former shards, as it resumes, next to their new holders. Cause: after a suspension a gateway reads the claim of its own cell before it acts. The answer to a read that had begun before it, and was delivered after, counted as that read. Change: only a read that began since the latest suspension confirms. Measured: cell_claims_test, against a store that holds the answer, fails without the change (is_confirmed() is true after the old answer, and no second read follows) and passes with it. departed_cell, without its soak: 8 of 8 cases pass.

--- a/libs/gateway/src/peers/cell_claims.cc
+++ b/libs/gateway/src/peers/cell_claims.cc
@@ -93,7 +93,7 @@
 
 void CellClaims::ReadOwnClaim(TimePoint now) {
   confirmed_ = false;
-  read_own_at_ = now;
+  confirms_from_ = read_own_at_ = now;
 }
 
 void CellClaims::Write(const Cell& cell, ClaimState state) {
@@ -126,19 +126,23 @@
 
 void CellClaims::Read(const Cell& cell) {
   known_[cell].calling = true;
+  const TimePoint began = MonotonicNow();
   store_.CallDirectOrRelayed(
       platform::ReadRequest{.kind = kMemberKind, .name = ClaimRecordName(cell)},
-      MonotonicNow() + kCallTimeout,
-      [this, cell](StoreAnswer&& answer) { OnRead(cell, answer); });
+      began + kCallTimeout, [this, cell, began](StoreAnswer&& answer) {
+        OnRead(cell, began, answer);
+      });
 }
 
-void CellClaims::OnRead(const Cell& cell, const StoreAnswer& answer) {
+void CellClaims::OnRead(const Cell& cell, TimePoint began,
+                        const StoreAnswer& answer) {
   known_[cell].calling = false;
   const bool found =
       answer.outcome == StoreOutcome::kOk && !answer.objects.empty();
   if (found) OnRecord(answer.objects.front(), MonotonicNow());
   if (found || answer.outcome == StoreOutcome::kNotFound) {
-    if (cell == own_cell_) confirmed_ = true;
+    // A read from before a suspension may be answered after it.
+    if (cell == own_cell_ && began >= confirms_from_) confirmed_ = true;
     return;
   }
   LogWarning("cell_claim_not_read", {{"cell", cell.availability_zone},
--- a/libs/gateway/src/peers/cell_claims.h
+++ b/libs/gateway/src/peers/cell_claims.h
@@ -56,7 +56,8 @@
 
   void Write(const serving::Cell& cell, cluster::ClaimState state);
   void Read(const serving::Cell& cell);
-  void OnRead(const serving::Cell& cell, const platform::StoreAnswer& answer);
+  void OnRead(const serving::Cell& cell, TimePoint began,
+              const platform::StoreAnswer& answer);
   void SetKnown(const cluster::CellClaim& claim, uint64_t version,
                 TimePoint now);
 
@@ -68,6 +69,7 @@
   std::map<serving::Cell, Known> known_;
   bool confirmed_ = true;
   TimePoint read_own_at_ = kNever;
+  TimePoint confirms_from_{};  // earlier reads confirm nothing
 };
 
 }  // namespace knapweedstile::gateway
