--- a/libs/gateway/src/peers/configuration_link.h
+++ b/libs/gateway/src/peers/configuration_link.h
@@ -23,10 +23,10 @@
 // Guards against a gateway that knows to be behind and depends on a way to the
 // store: neither its own nor that of a peer has to work, since a gateway that
 // advertises a version has it. Each attempt asks another gateway, and has ended
-// soon if that one is cut off or stands still. Once one has failed, a
-// single attempt with a longer deadline goes on beside them: on a jammed link
-// packets wait for longer than an attempt usually takes, and attempts that
-// begin again with the same deadline would never succeed.
+// soon if that one is cut off or stands still. Once one has failed, a single
+// attempt with a longer deadline goes on beside them: on a jammed link packets
+// wait for longer than an attempt usually takes, and attempts that begin again
+// with the same deadline would never succeed.
 class ConfigurationLink {
  public:
   struct Callbacks {
