Responses: a status outside 100 to 599 is invalid

What callers saw: a server in trouble answered with the status 000, and the caller got it as an answer, with the server's signature. The same with 001, 042, 099, 600, 700 and 999, whatever delimits the body.

Cause: Beast accepts any three digits as a status, and nothing after it looked at the value. 000 is also the value by which other code says "no status yet". A write that the store answered with 000 or 099 counted as rejected for good, although it may have taken effect.

Change: once a head is parsed, the client checks what Beast does not, and ends the exchange as `invalid` (may have run, no crash of the server) before any event. No status and no field of such a head is reported. All readers of responses use this client: online requests, items, calls between gateways and to the store, knapctl.

--- a/libs/http/include/http/client_event.h
+++ b/libs/http/include/http/client_event.h
@@ -43,7 +43,7 @@
 struct EndEvent {
   ExchangeId exchange;
   ClientOutcome outcome = ClientOutcome::kNotSent;
-  unsigned status = 0;  // zero when no response head arrived
+  unsigned status = 0;  // zero when no valid response head arrived
   HeaderList headers;
   std::string body;     // full body when not stream_body
   std::string message;  // for humans, when not kComplete
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -59,8 +59,10 @@
   bool head_request = false;
   std::string echoed_field;
   std::string echoed_value;  // empty: responses are not identified
-  bool identified = false;   // the response that is being parsed
-  bool skipping = false;     // it answers another request
+  // Of the response that is being parsed.
+  bool head_valid = false;
+  bool identified = false;
+  bool skipping = false;  // it answers another request
   uint32_t skipped_responses = 0;
   uint32_t interim_responses = 0;
   uint64_t received_bytes = 0;   // by the parser, over all responses
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -14,6 +14,7 @@
 #include "endpoint.h"
 #include "framing_limits.h"
 #include "message_text.h"
+#include "response_head.h"
 
 namespace knapweedstile::http {
 namespace {
@@ -124,7 +125,7 @@
 }
 
 void Client::Impl::ResetParser(Connection& connection) {
-  connection.identified = connection.skipping = false;
+  connection.head_valid = connection.identified = connection.skipping = false;
   connection.parser.emplace();
   connection.parser->eager(true);
   connection.parser->header_limit(kMaxHeaderBytes);
@@ -302,6 +303,11 @@
     error_code ec;
     const size_t used = connection.input.Feed(parser, ec);
     connection.received_bytes += used;
+    if (parser.is_header_done() && !connection.head_valid) {
+      const std::string_view fault = FaultOfHead(parser.get());
+      if (!fault.empty()) return FailInvalid(connection, fault);
+      connection.head_valid = true;
+    }
     if (ec && ec != beast_http::error::need_more) {
       return FailInvalid(connection, ec.message());
     }
@@ -475,7 +481,7 @@
                  .skipped_responses = connection.skipped_responses};
   if (connection.any_written) {
     event.outcome = cause;
-    if (connection.parser->is_header_done() && !connection.skipping) {
+    if (connection.head_valid && !connection.skipping) {
       event.status = connection.parser->get().result_int();
       event.headers = ToHeaderList(connection.parser->get());
     }
--- /dev/null
+++ b/libs/http/tests/broken_response_test.cc
@@ -0,0 +1,156 @@
+#include <array>
+#include <boost/asio/read.hpp>
+#include <catch2/catch.hpp>
+
+#include "loopback.h"
+
+namespace knapweedstile::http {
+namespace {
+
+using boost::asio::io_context;
+
+// What a server does with its connection once it has sent its bytes.
+enum class After {
+  kClose,   // in order: it sends no more, and reads until the client closes
+  kRemain,  // the connection stays open
+};
+
+// Reads the head of each request, sends the same bytes each time, and then
+// treats its connection as the test says. The rest of a request stays unread
+// until then.
+class BrokenServer {
+ public:
+  explicit BrokenServer(io_context& io)
+      : acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    Accept();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+  std::string bytes;
+  After after = After::kRemain;
+  size_t connections = 0;
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void Accept() {
+    acceptor_.async_accept([this](const auto& ec, Socket accepted) {
+      if (ec) return;
+      ++connections;
+      Serve(std::make_shared<Socket>(std::move(accepted)),
+            std::make_shared<std::string>());
+      Accept();
+    });
+  }
+  void Serve(const std::shared_ptr<Socket>& socket,
+             const std::shared_ptr<std::string>& input) {
+    boost::asio::async_read_until(
+        *socket, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
+        [this, socket, input](const auto& ec, size_t size) {
+          if (ec) return;
+          input->erase(0, size);
+          boost::system::error_code write_ec;
+          boost::asio::write(*socket, boost::asio::buffer(bytes), write_ec);
+          End(socket, input);
+        });
+  }
+  void End(const std::shared_ptr<Socket>& socket,
+           const std::shared_ptr<std::string>& input) {
+    if (after == After::kRemain) return Serve(socket, input);
+    boost::system::error_code ec;
+    socket->shutdown(Socket::shutdown_send, ec);
+    boost::asio::async_read(*socket, boost::asio::dynamic_buffer(*input),
+                            [socket, input](const auto&, size_t) {});
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+};
+
+// A client and a server, for one request after the other.
+struct Exchanges {
+  io_context io;
+  BrokenServer server{io};
+  TestClient client{io};
+  uint64_t count = 0;
+
+  EndEvent Call(const std::string& bytes, After after, bool streamed,
+                std::string body = {}) {
+    server.bytes = bytes;
+    server.after = after;
+    client.ends.clear();
+    client.heads.clear();
+    client.streamed.clear();
+    client.client.Send({.exchange = ExchangeId(++count),
+                        .address = server.address(),
+                        .method = body.empty() ? "GET" : "POST",
+                        .body = std::move(body),
+                        .stream_body = streamed});
+    REQUIRE(RunUntil(io, [&] { return client.ends.size() == 1; }));
+    return client.ends[0];
+  }
+  // Neither the status, nor a field, nor a byte of the body may be taken from
+  // bytes that are no response.
+  void CheckInvalid(const std::string& bytes, After after) {
+    for (const bool streamed : {false, true}) {
+      CAPTURE(bytes, streamed);
+      const EndEvent end = Call(bytes, after, streamed);
+      CHECK(end.outcome == ClientOutcome::kInvalid);
+      CHECK(end.status == 0);
+      CHECK(end.headers.fields().empty());
+      CHECK(end.body.empty());
+      CHECK(client.heads.empty());
+      CHECK(client.streamed.empty());
+      // The connection is closed with it.
+      CHECK(server.connections == count);
+    }
+  }
+  void CheckComplete(const std::string& bytes, After after) {
+    for (const bool streamed : {false, true}) {
+      CAPTURE(bytes, streamed);
+      const EndEvent end = Call(bytes, after, streamed);
+      CHECK(end.outcome == ClientOutcome::kComplete);
+      CHECK((streamed ? client.streamed : end.body) == "hello");
+    }
+  }
+};
+
+const std::string kWithLength = "Content-Length: 5\r\n\r\nhello";
+const std::string kInChunks =
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+const std::string kUntilClose = "\r\nhello";
+
+}  // namespace
+
+// Guards against a status that no response has and that is passed on as one.
+TEST_CASE("a response with a status outside 100 to 599 is invalid") {
+  Exchanges exchanges;
+  for (const std::string status :
+       {"000", "001", "042", "099", "600", "700", "999"}) {
+    for (const std::string version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
+      const std::string start = version;
+      exchanges.CheckInvalid(start + status + " X\r\n" + kWithLength,
+                             After::kRemain);
+      exchanges.CheckInvalid(start + status + " X\r\n" + kUntilClose,
+                             After::kClose);
+    }
+    exchanges.CheckInvalid("HTTP/1.1 " + status + " X\r\n" + kInChunks,
+                           After::kRemain);
+    exchanges.CheckInvalid(
+        "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 " + status + " X\r\n" + kWithLength,
+        After::kRemain);
+  }
+}
+
+TEST_CASE("a status line that is not of the form of one is invalid") {
+  Exchanges exchanges;
+  for (const std::string line :
+       {"HTTP/1.1 20 X", "HTTP/1.1 2000 X", "HTTP/1.1 -20 X", "HTTP/1.1 2a0 X",
+        "HTTP/1.1  200 X", "HTTP/1.1 200", "HTTP/2.0 200 X", "HTTP/1.2 200 X",
+        "HTTP/1.1 200 X\x01", "HTTP/1.1 200 X\rY"}) {
+    exchanges.CheckInvalid(line + "\r\n" + kWithLength, After::kRemain);
+  }
+}
+
+}  // namespace knapweedstile::http
