Responses: a switch of protocols that was not requested is invalid

What callers saw: bytes that follow a 101 were read as HTTP/1.1 and passed on with the server's signature.

Cause: 101 was skipped like other interim responses. After it the server speaks another protocol (RFC 9110, 15.2.2), and this client asks for none: Upgrade is not forwarded.

Change: 101 ends the exchange as `invalid`; 100, 102, 103 are skipped as before.

--- a/libs/http/src/response_head.cc
+++ b/libs/http/src/response_head.cc
@@ -7,6 +7,7 @@
 
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
+constexpr unsigned kSwitchingProtocols = 101;
 
 }  // namespace
 
@@ -16,6 +17,9 @@
   if (status < kMinStatus || status > kMaxStatus) {
     return "its status is outside 100 to 599";
   }
+  if (status == kSwitchingProtocols) {
+    return "it switches to a protocol that was not requested";
+  }
   return {};
 }
 
--- a/libs/http/tests/broken_response_test.cc
+++ b/libs/http/tests/broken_response_test.cc
@@ -153,4 +153,20 @@
   }
 }
 
+// Guards against bytes of another protocol that are read as a response.
+TEST_CASE("a switch of protocols that was not requested is invalid") {
+  Exchanges exchanges;
+  const std::string response = "HTTP/1.1 200 OK\r\n" + kWithLength;
+  exchanges.CheckInvalid("HTTP/1.1 101 Switching\r\n\r\n" + response,
+                         After::kRemain);
+  exchanges.CheckInvalid(
+      "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n" +
+          response,
+      After::kRemain);
+  for (const std::string interim : {"100", "102", "103"}) {
+    exchanges.CheckComplete("HTTP/1.1 " + interim + " X\r\n\r\n" + response,
+                            After::kRemain);
+  }
+}
+
 }  // namespace knapweedstile::http
--- a/tests/users_platform/gateway_broken_answer_test.cc
+++ b/tests/users_platform/gateway_broken_answer_test.cc
@@ -43,7 +43,9 @@
           {"status 600", Answer("HTTP/1.1 600 X", length) + events},
           {"status 999 in chunks",
            Answer("HTTP/1.1 999 X", "Transfer-Encoding: chunked\r\n") +
-               "14\r\n" + events + "\r\n0\r\n\r\n"}};
+               "14\r\n" + events + "\r\n0\r\n\r\n"},
+          {"switch of protocols",
+           "HTTP/1.1 101 X\r\n\r\n" + Answer(ok, length) + events}};
 }
 
 // Reads the head of each request, sends the bytes, and closes the
