Responses: a transfer coding besides chunked is invalid

What callers saw: a body that was not the server's. With `Transfer-Encoding: foo`, `xchunked` or `chunked, foo` the coded bytes, or the lines of chunks, came as the body; with `foo, chunked` or `gzip, chunked` the chunks were removed and the bytes below them, still coded, came as the body. Each with a length of the gateway's and the server's signature, and without the field that tells of the coding, which concerns one connection only.

Cause: Beast looks for `chunked` as the last coding and ignores all others, and the field is dropped on the way to the caller. HTTP/1.0 has no transfer codings: RFC 9112, 6.1 has such a message treated as one of faulty framing; Beast removed its chunks.

The client asks for no coding (TE is not forwarded), so a sound server sends none.

--- a/libs/http/tests/broken_response_test.cc
+++ b/libs/http/tests/broken_response_test.cc
@@ -169,4 +169,33 @@
   }
 }
 
+// Guards against coded bytes that are passed on as the body.
+TEST_CASE("a response with a transfer coding besides chunked is invalid") {
+  Exchanges exchanges;
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string field = "Transfer-Encoding: ";
+  const std::string chunks = "5\r\nhello\r\n0\r\n\r\n";
+  for (const std::string coding :
+       {"foo", "xchunked", "chunkedx", "chunked, foo", "foo, chunked",
+        "gzip, chunked", "gzip", "identity", "chunked, chunked", "chunked;a=b",
+        "chunked foo", "\"chunked\"", ""}) {
+    const std::string coded = field + coding + "\r\n";
+    exchanges.CheckInvalid(start + coded + "\r\n" + chunks, After::kClose);
+    exchanges.CheckInvalid(
+        start + coded + "Content-Length: 15\r\n\r\n" + chunks, After::kClose);
+    exchanges.CheckInvalid(
+        start + "Content-Length: 15\r\n" + coded + "\r\n" + chunks,
+        After::kClose);
+    exchanges.CheckInvalid(start + coded + kInChunks, After::kClose);
+    exchanges.CheckInvalid(
+        start + field + "chunked\r\n" + coded + "\r\n" + chunks, After::kClose);
+  }
+  // HTTP/1.0 has no transfer codings.
+  exchanges.CheckInvalid("HTTP/1.0 200 OK\r\n" + kInChunks, After::kClose);
+  for (const std::string coding : {"chunked", "Chunked", "  chunked\t "}) {
+    exchanges.CheckComplete(start + field + coding + "\r\n\r\n" + chunks,
+                            After::kRemain);
+  }
+}
+
 }  // namespace knapweedstile::http
--- a/tests/users_platform/gateway_broken_answer_test.cc
+++ b/tests/users_platform/gateway_broken_answer_test.cc
@@ -38,14 +38,21 @@
   const std::string events = kFirstEvent;
   const std::string ok = "HTTP/1.1 200 OK";
   const std::string length = "Content-Length: 20\r\n";
-  return {{"status 000", Answer("HTTP/1.1 000 X", length) + events},
-          {"status 099 until the close", Answer("HTTP/1.1 099 X") + events},
-          {"status 600", Answer("HTTP/1.1 600 X", length) + events},
-          {"status 999 in chunks",
-           Answer("HTTP/1.1 999 X", "Transfer-Encoding: chunked\r\n") +
-               "14\r\n" + events + "\r\n0\r\n\r\n"},
-          {"switch of protocols",
-           "HTTP/1.1 101 X\r\n\r\n" + Answer(ok, length) + events}};
+  return {
+      {"status 000", Answer("HTTP/1.1 000 X", length) + events},
+      {"status 099 until the close", Answer("HTTP/1.1 099 X") + events},
+      {"status 600", Answer("HTTP/1.1 600 X", length) + events},
+      {"status 999 in chunks",
+       Answer("HTTP/1.1 999 X", "Transfer-Encoding: chunked\r\n") + "14\r\n" +
+           events + "\r\n0\r\n\r\n"},
+      {"switch of protocols",
+       "HTTP/1.1 101 X\r\n\r\n" + Answer(ok, length) + events},
+      {"unknown coding", Answer(ok, "Transfer-Encoding: foo\r\n") + events},
+      {"chunks that are coded",
+       Answer(ok, "Transfer-Encoding: foo, chunked\r\n") + "14\r\n" + events +
+           "\r\n0\r\n\r\n"},
+      {"coding of chunks", Answer(ok, "Transfer-Encoding: chunked, foo\r\n") +
+                               "14\r\n" + events + "\r\n0\r\n\r\n"}};
 }
 
 // Reads the head of each request, sends the bytes, and closes the
