Responses: a body that ends with a reset during the upload is not complete

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. Callers got the part as the whole answer; event streams got their proper end.

Cause: a socket reports its error once. Write() met the reset first and left it to the read side, as a server may respond before it has read the request. The read that followed found an end of file, which completes a body without a length and without chunks.

Change: a failed write is remembered, and such a body is then not completed; the exchange ends as `lost`, as when the read meets the reset. This holds for each error of a write (reset, EPIPE, timeout of unacknowledged bytes), since a server that closes in order reads on until the client closes (RFC 9112, 9.6). Bodies with a length or in chunks tell their own end and are completed as before, so are those of servers that close in order before they have read the upload.

--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -54,6 +54,7 @@
   std::optional<Parser> parser;
   ParserInput input;
   bool any_written = false;
+  bool write_failed = false;  // after the first bytes
   bool stream_body = false;
   bool head_delivered = false;
   bool head_request = false;
--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -110,7 +110,7 @@
   connection.stream_body = request.stream_body;
   connection.head_request = request.method == "HEAD";
   connection.head_delivered = false;
-  connection.any_written = false;
+  connection.any_written = connection.write_failed = false;
   connection.echoed_field = request.echoed_field;
   connection.echoed_value = request.headers.Find(request.echoed_field);
   connection.skipped_responses = connection.interim_responses = 0;
@@ -255,8 +255,11 @@
     if (count > 0) connection.any_written = true;
     if (ec == asio::error::would_block) return WaitWritable(connection);
     // The server may respond before it has read the full request (413), so a
-    // write error after the first bytes is left to the read side.
+    // write error after the first bytes is left to the read side. The socket
+    // reports an error only once: what is read then ends like a connection that
+    // was closed in order.
     if (ec) {
+      connection.write_failed = connection.any_written;
       if (connection.any_written) return;
       return Fail(connection, ec.message(), ClientOutcome::kLost);
     }
@@ -287,8 +290,9 @@
 void Client::Impl::OnEof(Connection& connection) {
   if (connection.phase != ClientPhase::kExchange) return Erase(connection);
   error_code ec;
-  const bool body_until_eof =
-      connection.parser->is_header_done() && connection.parser->need_eof();
+  const bool body_until_eof = connection.parser->is_header_done() &&
+                              connection.parser->need_eof() &&
+                              !connection.write_failed;
   if (body_until_eof) connection.parser->put_eof(ec);
   if (body_until_eof && !ec) return Complete(connection);
   Fail(connection,
--- a/libs/http/tests/broken_response_test.cc
+++ b/libs/http/tests/broken_response_test.cc
@@ -12,6 +12,7 @@
 // What a server does with its connection once it has sent its bytes.
 enum class After {
   kClose,   // in order: it sends no more, and reads until the client closes
+  kReset,   // although the client is still sending
   kRemain,  // the connection stays open
 };
 
@@ -60,6 +61,11 @@
            const std::shared_ptr<std::string>& input) {
     if (after == After::kRemain) return Serve(socket, input);
     boost::system::error_code ec;
+    if (after == After::kReset) {
+      socket->set_option(boost::asio::socket_base::linger(true, 0), ec);
+      socket->close(ec);
+      return;
+    }
     socket->shutdown(Socket::shutdown_send, ec);
     boost::asio::async_read(*socket, boost::asio::dynamic_buffer(*input),
                             [socket, input](const auto&, size_t) {});
@@ -120,6 +126,8 @@
 const std::string kInChunks =
     "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
 const std::string kUntilClose = "\r\nhello";
+// More than the kernel takes from a client whose server does not read.
+constexpr size_t kUploadBytes = 16 << 20;
 
 }  // namespace
 
@@ -198,4 +206,50 @@
   }
 }
 
+// Guards against a part of a body that passes for the whole, when the write of
+// the request meets the reset of the connection before the read does.
+TEST_CASE("a body that ends with a reset during an upload is not complete") {
+  constexpr int kRepeats = 5;
+  const std::string upload(kUploadBytes, 'u');
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 404 X\r\n",
+        "HTTP/1.1 500 X\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"}) {
+    const bool chunked = head.find("chunked") != std::string::npos;
+    const std::string part = chunked ? "5\r\nhello\r\n" : "hello";
+    for (int i = 0; i < kRepeats; ++i) {
+      for (const bool streamed : {false, true}) {
+        CAPTURE(head, streamed);
+        Exchanges exchanges;
+        const EndEvent end = exchanges.Call(head + "\r\n" + part, After::kReset,
+                                            streamed, upload);
+        CHECK(end.outcome == ClientOutcome::kLost);
+        CHECK(end.body.empty());
+      }
+    }
+  }
+}
+
+TEST_CASE("a response that precedes the end of the upload is complete") {
+  const std::string upload(kUploadBytes, 'u');
+  const std::string start = "HTTP/1.1 413 Too Large\r\n";
+  for (const auto& [bytes, after] :
+       std::initializer_list<std::pair<std::string, After>>{
+           {start + kUntilClose, After::kClose},
+           {start + kWithLength, After::kClose},
+           {start + kWithLength, After::kReset},
+           {start + kInChunks, After::kClose},
+           {start + kInChunks, After::kReset}}) {
+    for (const bool streamed : {false, true}) {
+      CAPTURE(bytes, streamed);
+      Exchanges exchanges;
+      const EndEvent end = exchanges.Call(bytes, after, streamed, upload);
+      CHECK(end.outcome == ClientOutcome::kComplete);
+      CHECK(end.status == 413);
+      CHECK((streamed ? exchanges.client.streamed : end.body) == "hello");
+    }
+  }
+}
+
 }  // namespace knapweedstile::http
--- a/tests/users_platform/gateway_broken_answer_test.cc
+++ b/tests/users_platform/gateway_broken_answer_test.cc
@@ -22,10 +22,12 @@
     "id: 4\ndata: word 4\n\nid: 5\ndata: word 5\n\n";
 constexpr char kFirstEvent[] = "id: 1\ndata: word 1\n\n";
 
-// Bytes that are no response. ID stands for the request's id.
+// Bytes that are no response, or only a part of one. ID stands for the
+// request's id.
 struct BrokenBytes {
   const char* name;
   std::string bytes;
+  bool reset = false;  // the connection, while the request is being sent
 };
 
 std::string Answer(const std::string& status_line,
@@ -52,10 +54,15 @@
        Answer(ok, "Transfer-Encoding: foo, chunked\r\n") + "14\r\n" + events +
            "\r\n0\r\n\r\n"},
       {"coding of chunks", Answer(ok, "Transfer-Encoding: chunked, foo\r\n") +
-                               "14\r\n" + events + "\r\n0\r\n\r\n"}};
+                               "14\r\n" + events + "\r\n0\r\n\r\n"},
+      {"reset, no length", Answer(ok) + events, true},
+      {"reset, HTTP/1.0", Answer("HTTP/1.0 200 OK") + events, true},
+      {"reset, event stream",
+       Answer(ok, "Content-Type: text/event-stream\r\n") + events, true},
+      {"reset, length", Answer(ok, "Content-Length: 21\r\n") + events, true}};
 }
 
-// Reads the head of each request, sends the bytes, and closes the
+// Reads the head of each request, sends the bytes, and closes or resets the
 // connection.
 class BrokenServer {
  public:
@@ -102,6 +109,12 @@
     }
     boost::system::error_code ec;
     boost::asio::write(connection->socket, boost::asio::buffer(bytes), ec);
+    if (bytes_.reset) {
+      connection->socket.set_option(boost::asio::socket_base::linger(true, 0),
+                                    ec);
+      connection->socket.close(ec);
+      return;
+    }
     connection->socket.shutdown(Socket::shutdown_send, ec);
     boost::asio::async_read(connection->socket,
                             boost::asio::dynamic_buffer(connection->input),
@@ -116,13 +129,18 @@
 // One gateway in front of a sound server of each kind and a broken one.
 struct BrokenFleet {
   static constexpr int kSlots = 60;
+  // With a reset, more than the kernel takes from a gateway whose server does
+  // not read.
+  static constexpr size_t kUploadBytes = 16 << 20;
 
   Site site;
   BrokenServer broken;
+  size_t upload_bytes = 0;
   int request_count = 0;
 
   explicit BrokenFleet(const BrokenBytes& bytes)
-      : broken(site.caller().io(), bytes) {
+      : broken(site.caller().io(), bytes),
+        upload_bytes(bytes.reset ? kUploadBytes : 0) {
     for (const char* service : {"llm", "app"}) {
       ModelServer& sound =
           site.AddServer(service, std::string("i-") + service, kSlots);
@@ -136,6 +154,8 @@
                                            {"state", "ready"},
                                            {"sequence", 1}});
     }
+    site.max_body_bytes = kUploadBytes;
+    site.memory_mb = 1000;
     site.Configure(2);
     site.AddGateway("entry-1");
   }
@@ -167,6 +187,7 @@
     const std::string name = std::to_string(++request_count);
     auto request =
         site.OnlineRequest("entry-1", "POST", path + name, "r" + name);
+    request.body.resize(std::max(request.body.size(), upload_bytes), 'u');
     request.stream_body = true;
     const ExchangeId sent = caller.Begin(std::move(request));
     REQUIRE(caller.RunUntilEnd(sent));
