Tests: a response with a malformed field name is invalid

A report of other systems: a server in trouble sends a head in which the name of a field holds a blank or a control byte, and callers get it as an answer, with that line passed on or with a body that is not the server's. Not shown here: 52 bytes (blanks, controls, NUL, DEL, line ends, separators, bytes over 127) at three places of a name, in the middle of the head and last, in names of fields of no meaning, of the length and of the coding, alone and beside a sound length; an empty name and a line without a colon.

--- a/libs/http/tests/broken_response_test.cc
+++ b/libs/http/tests/broken_response_test.cc
@@ -206,6 +206,39 @@
   }
 }
 
+// Guards against a head in which a line is passed on, or ignored, that is no
+// field.
+TEST_CASE("a response with a malformed field name is invalid") {
+  Exchanges exchanges;
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  std::string malformed = " ()<>@,;\\\"/[]?={}\x7f\x80\xff";
+  for (char c = 0; c < ' '; ++c) malformed += c;
+  const auto insert = [](std::string name, size_t at, char c) {
+    return name.insert(at, 1, c);
+  };
+  for (const char c : malformed) {
+    for (const std::string name : {"X-Trouble", "Content-Length"}) {
+      for (const size_t at : {size_t{0}, size_t{2}, name.size()}) {
+        const std::string line = insert(name, at, c) + ": 3\r\n";
+        exchanges.CheckInvalid(start + line + kWithLength, After::kClose);
+        exchanges.CheckInvalid(start + line + "\r\nhello", After::kClose);
+        // A line that begins with a blank continues the one before it.
+        if (at == 0 && (c == ' ' || c == '\t')) continue;
+        exchanges.CheckInvalid(start + "A: b\r\n" + line + kWithLength,
+                               After::kClose);
+        exchanges.CheckInvalid(
+            start + "Content-Length: 5\r\n" + line + "\r\nhello",
+            After::kClose);
+      }
+    }
+    exchanges.CheckInvalid(start + insert("Transfer-Encoding", 8, c) +
+                               ": chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+                           After::kClose);
+  }
+  exchanges.CheckInvalid(start + ": 3\r\n" + kWithLength, After::kClose);
+  exchanges.CheckInvalid(start + "X-Trouble\r\n" + kWithLength, After::kClose);
+}
+
 // Guards against a part of a body that passes for the whole, when the write of
 // the request meets the reset of the connection before the read does.
 TEST_CASE("a body that ends with a reset during an upload is not complete") {
--- a/tests/users_platform/gateway_broken_answer_test.cc
+++ b/tests/users_platform/gateway_broken_answer_test.cc
@@ -55,6 +55,11 @@
            "\r\n0\r\n\r\n"},
       {"coding of chunks", Answer(ok, "Transfer-Encoding: chunked, foo\r\n") +
                                "14\r\n" + events + "\r\n0\r\n\r\n"},
+      {"blank in a name", Answer(ok, "X Trouble: 1\r\n" + length) + events},
+      {"control byte in a name",
+       Answer(ok, length + "X\x01Trouble: 1\r\n") + events},
+      {"blank after the name of the length",
+       Answer(ok, "Content-Length : 20\r\n") + events},
       {"reset, no length", Answer(ok) + events, true},
       {"reset, HTTP/1.0", Answer("HTTP/1.0 200 OK") + events, true},
       {"reset, event stream",
