Tests: broken responses are joined from parts; lint

The linter rejects concatenations in loops; the cases of broken_response_test take the parts of a response instead.

--- a/libs/http/tests/broken_response_test.cc
+++ b/libs/http/tests/broken_response_test.cc
@@ -1,6 +1,8 @@
-#include <array>
 #include <boost/asio/read.hpp>
 #include <catch2/catch.hpp>
+#include <initializer_list>
+#include <string>
+#include <string_view>
 
 #include "loopback.h"
 
@@ -74,6 +76,14 @@
   boost::asio::ip::tcp::acceptor acceptor_;
 };
 
+using Parts = std::initializer_list<std::string_view>;
+
+std::string Join(Parts parts) {
+  std::string text;
+  for (const std::string_view part : parts) text += part;
+  return text;
+}
+
 // A client and a server, for one request after the other.
 struct Exchanges {
   io_context io;
@@ -98,7 +108,8 @@
   }
   // Neither the status, nor a field, nor a byte of the body may be taken from
   // bytes that are no response.
-  void CheckInvalid(const std::string& bytes, After after) {
+  void CheckInvalid(Parts parts, After after) {
+    const std::string bytes = Join(parts);
     for (const bool streamed : {false, true}) {
       CAPTURE(bytes, streamed);
       const EndEvent end = Call(bytes, after, streamed);
@@ -112,7 +123,8 @@
       CHECK(server.connections == count);
     }
   }
-  void CheckComplete(const std::string& bytes, After after) {
+  void CheckComplete(Parts parts, After after) {
+    const std::string bytes = Join(parts);
     for (const bool streamed : {false, true}) {
       CAPTURE(bytes, streamed);
       const EndEvent end = Call(bytes, after, streamed);
@@ -122,10 +134,12 @@
   }
 };
 
-const std::string kWithLength = "Content-Length: 5\r\n\r\nhello";
-const std::string kInChunks =
+constexpr char kOk[] = "HTTP/1.1 200 OK\r\n";
+// Ends of a response, after its first fields.
+constexpr char kWithLength[] = "Content-Length: 5\r\n\r\nhello";
+constexpr char kInChunks[] =
     "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
-const std::string kUntilClose = "\r\nhello";
+constexpr char kUntilClose[] = "\r\nhello";
 // More than the kernel takes from a client whose server does not read.
 constexpr size_t kUploadBytes = 16 << 20;
 
@@ -134,75 +148,69 @@
 // Guards against a status that no response has and that is passed on as one.
 TEST_CASE("a response with a status outside 100 to 599 is invalid") {
   Exchanges exchanges;
-  for (const std::string status :
-       {"000", "001", "042", "099", "600", "700", "999"}) {
-    for (const std::string version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
-      const std::string start = version;
-      exchanges.CheckInvalid(start + status + " X\r\n" + kWithLength,
+  for (const char* status : {"000", "001", "042", "099", "600", "700", "999"}) {
+    for (const char* version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
+      exchanges.CheckInvalid({version, status, " X\r\n", kWithLength},
                              After::kRemain);
-      exchanges.CheckInvalid(start + status + " X\r\n" + kUntilClose,
+      exchanges.CheckInvalid({version, status, " X\r\n", kUntilClose},
                              After::kClose);
     }
-    exchanges.CheckInvalid("HTTP/1.1 " + status + " X\r\n" + kInChunks,
+    exchanges.CheckInvalid({"HTTP/1.1 ", status, " X\r\n", kInChunks},
                            After::kRemain);
     exchanges.CheckInvalid(
-        "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 " + status + " X\r\n" + kWithLength,
+        {"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 ", status, " X\r\n", kWithLength},
         After::kRemain);
   }
 }
 
+// Guards against a status line that is read in part.
 TEST_CASE("a status line that is not of the form of one is invalid") {
   Exchanges exchanges;
-  for (const std::string line :
+  for (const char* line :
        {"HTTP/1.1 20 X", "HTTP/1.1 2000 X", "HTTP/1.1 -20 X", "HTTP/1.1 2a0 X",
         "HTTP/1.1  200 X", "HTTP/1.1 200", "HTTP/2.0 200 X", "HTTP/1.2 200 X",
         "HTTP/1.1 200 X\x01", "HTTP/1.1 200 X\rY"}) {
-    exchanges.CheckInvalid(line + "\r\n" + kWithLength, After::kRemain);
+    exchanges.CheckInvalid({line, "\r\n", kWithLength}, After::kRemain);
   }
 }
 
 // Guards against bytes of another protocol that are read as a response.
 TEST_CASE("a switch of protocols that was not requested is invalid") {
   Exchanges exchanges;
-  const std::string response = "HTTP/1.1 200 OK\r\n" + kWithLength;
-  exchanges.CheckInvalid("HTTP/1.1 101 Switching\r\n\r\n" + response,
+  exchanges.CheckInvalid({"HTTP/1.1 101 X\r\n\r\n", kOk, kWithLength},
                          After::kRemain);
   exchanges.CheckInvalid(
-      "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n" +
-          response,
+      {"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n", kOk,
+       kWithLength},
       After::kRemain);
-  for (const std::string interim : {"100", "102", "103"}) {
-    exchanges.CheckComplete("HTTP/1.1 " + interim + " X\r\n\r\n" + response,
-                            After::kRemain);
+  for (const char* interim : {"100", "102", "103"}) {
+    exchanges.CheckComplete(
+        {"HTTP/1.1 ", interim, " X\r\n\r\n", kOk, kWithLength}, After::kRemain);
   }
 }
 
 // Guards against coded bytes that are passed on as the body.
 TEST_CASE("a response with a transfer coding besides chunked is invalid") {
   Exchanges exchanges;
-  const std::string start = "HTTP/1.1 200 OK\r\n";
-  const std::string field = "Transfer-Encoding: ";
-  const std::string chunks = "5\r\nhello\r\n0\r\n\r\n";
-  for (const std::string coding :
+  constexpr char kChunks[] = "\r\n5\r\nhello\r\n0\r\n\r\n";
+  constexpr char kLength[] = "Content-Length: 15\r\n";
+  constexpr char kChunked[] = "Transfer-Encoding: chunked\r\n";
+  for (const char* coding :
        {"foo", "xchunked", "chunkedx", "chunked, foo", "foo, chunked",
         "gzip, chunked", "gzip", "identity", "chunked, chunked", "chunked;a=b",
         "chunked foo", "\"chunked\"", ""}) {
-    const std::string coded = field + coding + "\r\n";
-    exchanges.CheckInvalid(start + coded + "\r\n" + chunks, After::kClose);
-    exchanges.CheckInvalid(
-        start + coded + "Content-Length: 15\r\n\r\n" + chunks, After::kClose);
-    exchanges.CheckInvalid(
-        start + "Content-Length: 15\r\n" + coded + "\r\n" + chunks,
-        After::kClose);
-    exchanges.CheckInvalid(start + coded + kInChunks, After::kClose);
-    exchanges.CheckInvalid(
-        start + field + "chunked\r\n" + coded + "\r\n" + chunks, After::kClose);
+    const std::string coded = Join({"Transfer-Encoding: ", coding, "\r\n"});
+    exchanges.CheckInvalid({kOk, coded, kChunks}, After::kClose);
+    exchanges.CheckInvalid({kOk, coded, kLength, kChunks}, After::kClose);
+    exchanges.CheckInvalid({kOk, kLength, coded, kChunks}, After::kClose);
+    exchanges.CheckInvalid({kOk, coded, kChunked, kChunks}, After::kClose);
+    exchanges.CheckInvalid({kOk, kChunked, coded, kChunks}, After::kClose);
   }
   // HTTP/1.0 has no transfer codings.
-  exchanges.CheckInvalid("HTTP/1.0 200 OK\r\n" + kInChunks, After::kClose);
-  for (const std::string coding : {"chunked", "Chunked", "  chunked\t "}) {
-    exchanges.CheckComplete(start + field + coding + "\r\n\r\n" + chunks,
-                            After::kRemain);
+  exchanges.CheckInvalid({"HTTP/1.0 200 OK\r\n", kInChunks}, After::kClose);
+  for (const char* coding : {"chunked", "Chunked", "  chunked\t "}) {
+    exchanges.CheckComplete(
+        {kOk, "Transfer-Encoding: ", coding, "\r\n", kChunks}, After::kRemain);
   }
 }
 
@@ -210,7 +218,6 @@
 // field.
 TEST_CASE("a response with a malformed field name is invalid") {
   Exchanges exchanges;
-  const std::string start = "HTTP/1.1 200 OK\r\n";
   std::string malformed = " ()<>@,;\\\"/[]?={}\x7f\x80\xff";
   for (char c = 0; c < ' '; ++c) malformed += c;
   const auto insert = [](std::string name, size_t at, char c) {
@@ -220,43 +227,42 @@
     for (const std::string name : {"X-Trouble", "Content-Length"}) {
       for (const size_t at : {size_t{0}, size_t{2}, name.size()}) {
         const std::string line = insert(name, at, c) + ": 3\r\n";
-        exchanges.CheckInvalid(start + line + kWithLength, After::kClose);
-        exchanges.CheckInvalid(start + line + "\r\nhello", After::kClose);
+        exchanges.CheckInvalid({kOk, line, kWithLength}, After::kClose);
+        exchanges.CheckInvalid({kOk, line, kUntilClose}, After::kClose);
         // A line that begins with a blank continues the one before it.
         if (at == 0 && (c == ' ' || c == '\t')) continue;
-        exchanges.CheckInvalid(start + "A: b\r\n" + line + kWithLength,
+        exchanges.CheckInvalid({kOk, "A: b\r\n", line, kWithLength},
                                After::kClose);
         exchanges.CheckInvalid(
-            start + "Content-Length: 5\r\n" + line + "\r\nhello",
-            After::kClose);
+            {kOk, "Content-Length: 5\r\n", line, kUntilClose}, After::kClose);
       }
     }
-    exchanges.CheckInvalid(start + insert("Transfer-Encoding", 8, c) +
-                               ": chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    exchanges.CheckInvalid({kOk, insert("Transfer-Encoding", 8, c),
+                            ": chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
                            After::kClose);
   }
-  exchanges.CheckInvalid(start + ": 3\r\n" + kWithLength, After::kClose);
-  exchanges.CheckInvalid(start + "X-Trouble\r\n" + kWithLength, After::kClose);
+  exchanges.CheckInvalid({kOk, ": 3\r\n", kWithLength}, After::kClose);
+  exchanges.CheckInvalid({kOk, "X-Trouble\r\n", kWithLength}, After::kClose);
 }
 
 // Guards against a part of a body that passes for the whole, when the write of
 // the request meets the reset of the connection before the read does.
 TEST_CASE("a body that ends with a reset during an upload is not complete") {
   constexpr int kRepeats = 5;
+  constexpr char kUnendedChunks[] =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
   const std::string upload(kUploadBytes, 'u');
-  for (const std::string head :
-       {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 404 X\r\n",
-        "HTTP/1.1 500 X\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"}) {
-    const bool chunked = head.find("chunked") != std::string::npos;
-    const std::string part = chunked ? "5\r\nhello\r\n" : "hello";
+  for (const char* response :
+       {"HTTP/1.1 200 OK\r\n\r\nhello", "HTTP/1.0 200 OK\r\n\r\nhello",
+        "HTTP/1.1 404 X\r\n\r\nhello", "HTTP/1.1 500 X\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhello", kUnendedChunks}) {
     for (int i = 0; i < kRepeats; ++i) {
       for (const bool streamed : {false, true}) {
-        CAPTURE(head, streamed);
+        CAPTURE(response, streamed);
         Exchanges exchanges;
-        const EndEvent end = exchanges.Call(head + "\r\n" + part, After::kReset,
-                                            streamed, upload);
+        const EndEvent end =
+            exchanges.Call(response, After::kReset, streamed, upload);
         CHECK(end.outcome == ClientOutcome::kLost);
         CHECK(end.body.empty());
       }
@@ -264,20 +270,24 @@
   }
 }
 
+// Guards against an early answer that is given up, although its end is certain.
 TEST_CASE("a response that precedes the end of the upload is complete") {
   const std::string upload(kUploadBytes, 'u');
-  const std::string start = "HTTP/1.1 413 Too Large\r\n";
-  for (const auto& [bytes, after] :
-       std::initializer_list<std::pair<std::string, After>>{
-           {start + kUntilClose, After::kClose},
-           {start + kWithLength, After::kClose},
-           {start + kWithLength, After::kReset},
-           {start + kInChunks, After::kClose},
-           {start + kInChunks, After::kReset}}) {
+  constexpr char kTooLarge[] = "HTTP/1.1 413 Too Large\r\n";
+  struct Case {
+    const char* end;
+    After after;
+  };
+  for (const Case& c : {Case{kUntilClose, After::kClose},
+                        {kWithLength, After::kClose},
+                        {kWithLength, After::kReset},
+                        {kInChunks, After::kClose},
+                        {kInChunks, After::kReset}}) {
     for (const bool streamed : {false, true}) {
-      CAPTURE(bytes, streamed);
+      CAPTURE(c.end, streamed);
       Exchanges exchanges;
-      const EndEvent end = exchanges.Call(bytes, after, streamed, upload);
+      const EndEvent end =
+          exchanges.Call(Join({kTooLarge, c.end}), c.after, streamed, upload);
       CHECK(end.outcome == ClientOutcome::kComplete);
       CHECK(end.status == 413);
       CHECK((streamed ? exchanges.client.streamed : end.body) == "hello");
