Tests: the scripted server closes and resets connections

The server of broken_response_test repeated the one of loopback.h, which now closes or resets a connection after its answer if a test says so.

--- a/libs/http/src/client_impl.cc
+++ b/libs/http/src/client_impl.cc
@@ -256,8 +256,7 @@
     if (ec == asio::error::would_block) return WaitWritable(connection);
     // The server may respond before it has read the full request (413), so a
     // write error after the first bytes is left to the read side. The socket
-    // reports an error only once: what is read then ends like a connection that
-    // was closed in order.
+    // reports an error only once, so that side may find an end of file instead.
     if (ec) {
       connection.write_failed = connection.any_written;
       if (connection.any_written) return;
--- a/libs/http/tests/broken_response_test.cc
+++ b/libs/http/tests/broken_response_test.cc
@@ -1,4 +1,3 @@
-#include <boost/asio/read.hpp>
 #include <catch2/catch.hpp>
 #include <initializer_list>
 #include <string>
@@ -11,71 +10,6 @@
 
 using boost::asio::io_context;
 
-// What a server does with its connection once it has sent its bytes.
-enum class After {
-  kClose,   // in order: it sends no more, and reads until the client closes
-  kReset,   // although the client is still sending
-  kRemain,  // the connection stays open
-};
-
-// Reads the head of each request, sends the same bytes each time, and then
-// treats its connection as the test says. The rest of a request stays unread
-// until then.
-class BrokenServer {
- public:
-  explicit BrokenServer(io_context& io)
-      : acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}) {
-    Accept();
-  }
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-  }
-
-  std::string bytes;
-  After after = After::kRemain;
-  size_t connections = 0;
-
- private:
-  using Socket = boost::asio::ip::tcp::socket;
-
-  void Accept() {
-    acceptor_.async_accept([this](const auto& ec, Socket accepted) {
-      if (ec) return;
-      ++connections;
-      Serve(std::make_shared<Socket>(std::move(accepted)),
-            std::make_shared<std::string>());
-      Accept();
-    });
-  }
-  void Serve(const std::shared_ptr<Socket>& socket,
-             const std::shared_ptr<std::string>& input) {
-    boost::asio::async_read_until(
-        *socket, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
-        [this, socket, input](const auto& ec, size_t size) {
-          if (ec) return;
-          input->erase(0, size);
-          boost::system::error_code write_ec;
-          boost::asio::write(*socket, boost::asio::buffer(bytes), write_ec);
-          End(socket, input);
-        });
-  }
-  void End(const std::shared_ptr<Socket>& socket,
-           const std::shared_ptr<std::string>& input) {
-    if (after == After::kRemain) return Serve(socket, input);
-    boost::system::error_code ec;
-    if (after == After::kReset) {
-      socket->set_option(boost::asio::socket_base::linger(true, 0), ec);
-      socket->close(ec);
-      return;
-    }
-    socket->shutdown(Socket::shutdown_send, ec);
-    boost::asio::async_read(*socket, boost::asio::dynamic_buffer(*input),
-                            [socket, input](const auto&, size_t) {});
-  }
-
-  boost::asio::ip::tcp::acceptor acceptor_;
-};
-
 using Parts = std::initializer_list<std::string_view>;
 
 std::string Join(Parts parts) {
@@ -87,13 +21,13 @@
 // A client and a server, for one request after the other.
 struct Exchanges {
   io_context io;
-  BrokenServer server{io};
+  ScriptedServer server{io};
   TestClient client{io};
   uint64_t count = 0;
 
-  EndEvent Call(const std::string& bytes, After after, bool streamed,
+  EndEvent Call(const std::string& answer, AfterAnswer after, bool streamed,
                 std::string body = {}) {
-    server.bytes = bytes;
+    server.answers = {answer};
     server.after = after;
     client.ends.clear();
     client.heads.clear();
@@ -108,7 +42,7 @@
   }
   // Neither the status, nor a field, nor a byte of the body may be taken from
   // bytes that are no response.
-  void CheckInvalid(Parts parts, After after) {
+  void CheckInvalid(Parts parts, AfterAnswer after) {
     const std::string bytes = Join(parts);
     for (const bool streamed : {false, true}) {
       CAPTURE(bytes, streamed);
@@ -123,7 +57,7 @@
       CHECK(server.connections == count);
     }
   }
-  void CheckComplete(Parts parts, After after) {
+  void CheckComplete(Parts parts, AfterAnswer after) {
     const std::string bytes = Join(parts);
     for (const bool streamed : {false, true}) {
       CAPTURE(bytes, streamed);
@@ -151,15 +85,15 @@
   for (const char* status : {"000", "001", "042", "099", "600", "700", "999"}) {
     for (const char* version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
       exchanges.CheckInvalid({version, status, " X\r\n", kWithLength},
-                             After::kRemain);
+                             AfterAnswer::kKeepOpen);
       exchanges.CheckInvalid({version, status, " X\r\n", kUntilClose},
-                             After::kClose);
+                             AfterAnswer::kClose);
     }
     exchanges.CheckInvalid({"HTTP/1.1 ", status, " X\r\n", kInChunks},
-                           After::kRemain);
+                           AfterAnswer::kKeepOpen);
     exchanges.CheckInvalid(
         {"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 ", status, " X\r\n", kWithLength},
-        After::kRemain);
+        AfterAnswer::kKeepOpen);
   }
 }
 
@@ -170,7 +104,7 @@
        {"HTTP/1.1 20 X", "HTTP/1.1 2000 X", "HTTP/1.1 -20 X", "HTTP/1.1 2a0 X",
         "HTTP/1.1  200 X", "HTTP/1.1 200", "HTTP/2.0 200 X", "HTTP/1.2 200 X",
         "HTTP/1.1 200 X\x01", "HTTP/1.1 200 X\rY"}) {
-    exchanges.CheckInvalid({line, "\r\n", kWithLength}, After::kRemain);
+    exchanges.CheckInvalid({line, "\r\n", kWithLength}, AfterAnswer::kKeepOpen);
   }
 }
 
@@ -178,14 +112,15 @@
 TEST_CASE("a switch of protocols that was not requested is invalid") {
   Exchanges exchanges;
   exchanges.CheckInvalid({"HTTP/1.1 101 X\r\n\r\n", kOk, kWithLength},
-                         After::kRemain);
+                         AfterAnswer::kKeepOpen);
   exchanges.CheckInvalid(
       {"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n", kOk,
        kWithLength},
-      After::kRemain);
+      AfterAnswer::kKeepOpen);
   for (const char* interim : {"100", "102", "103"}) {
     exchanges.CheckComplete(
-        {"HTTP/1.1 ", interim, " X\r\n\r\n", kOk, kWithLength}, After::kRemain);
+        {"HTTP/1.1 ", interim, " X\r\n\r\n", kOk, kWithLength},
+        AfterAnswer::kKeepOpen);
   }
 }
 
@@ -200,17 +135,21 @@
         "gzip, chunked", "gzip", "identity", "chunked, chunked", "chunked;a=b",
         "chunked foo", "\"chunked\"", ""}) {
     const std::string coded = Join({"Transfer-Encoding: ", coding, "\r\n"});
-    exchanges.CheckInvalid({kOk, coded, kChunks}, After::kClose);
-    exchanges.CheckInvalid({kOk, coded, kLength, kChunks}, After::kClose);
-    exchanges.CheckInvalid({kOk, kLength, coded, kChunks}, After::kClose);
-    exchanges.CheckInvalid({kOk, coded, kChunked, kChunks}, After::kClose);
-    exchanges.CheckInvalid({kOk, kChunked, coded, kChunks}, After::kClose);
+    exchanges.CheckInvalid({kOk, coded, kChunks}, AfterAnswer::kClose);
+    exchanges.CheckInvalid({kOk, coded, kLength, kChunks}, AfterAnswer::kClose);
+    exchanges.CheckInvalid({kOk, kLength, coded, kChunks}, AfterAnswer::kClose);
+    exchanges.CheckInvalid({kOk, coded, kChunked, kChunks},
+                           AfterAnswer::kClose);
+    exchanges.CheckInvalid({kOk, kChunked, coded, kChunks},
+                           AfterAnswer::kClose);
   }
   // HTTP/1.0 has no transfer codings.
-  exchanges.CheckInvalid({"HTTP/1.0 200 OK\r\n", kInChunks}, After::kClose);
+  exchanges.CheckInvalid({"HTTP/1.0 200 OK\r\n", kInChunks},
+                         AfterAnswer::kClose);
   for (const char* coding : {"chunked", "Chunked", "  chunked\t "}) {
     exchanges.CheckComplete(
-        {kOk, "Transfer-Encoding: ", coding, "\r\n", kChunks}, After::kRemain);
+        {kOk, "Transfer-Encoding: ", coding, "\r\n", kChunks},
+        AfterAnswer::kKeepOpen);
   }
 }
 
@@ -227,22 +166,24 @@
     for (const std::string name : {"X-Trouble", "Content-Length"}) {
       for (const size_t at : {size_t{0}, size_t{2}, name.size()}) {
         const std::string line = insert(name, at, c) + ": 3\r\n";
-        exchanges.CheckInvalid({kOk, line, kWithLength}, After::kClose);
-        exchanges.CheckInvalid({kOk, line, kUntilClose}, After::kClose);
+        exchanges.CheckInvalid({kOk, line, kWithLength}, AfterAnswer::kClose);
+        exchanges.CheckInvalid({kOk, line, kUntilClose}, AfterAnswer::kClose);
         // A line that begins with a blank continues the one before it.
         if (at == 0 && (c == ' ' || c == '\t')) continue;
         exchanges.CheckInvalid({kOk, "A: b\r\n", line, kWithLength},
-                               After::kClose);
+                               AfterAnswer::kClose);
         exchanges.CheckInvalid(
-            {kOk, "Content-Length: 5\r\n", line, kUntilClose}, After::kClose);
+            {kOk, "Content-Length: 5\r\n", line, kUntilClose},
+            AfterAnswer::kClose);
       }
     }
     exchanges.CheckInvalid({kOk, insert("Transfer-Encoding", 8, c),
                             ": chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
-                           After::kClose);
+                           AfterAnswer::kClose);
   }
-  exchanges.CheckInvalid({kOk, ": 3\r\n", kWithLength}, After::kClose);
-  exchanges.CheckInvalid({kOk, "X-Trouble\r\n", kWithLength}, After::kClose);
+  exchanges.CheckInvalid({kOk, ": 3\r\n", kWithLength}, AfterAnswer::kClose);
+  exchanges.CheckInvalid({kOk, "X-Trouble\r\n", kWithLength},
+                         AfterAnswer::kClose);
 }
 
 // Guards against a part of a body that passes for the whole, when the write of
@@ -262,7 +203,7 @@
         CAPTURE(response, streamed);
         Exchanges exchanges;
         const EndEvent end =
-            exchanges.Call(response, After::kReset, streamed, upload);
+            exchanges.Call(response, AfterAnswer::kReset, streamed, upload);
         CHECK(end.outcome == ClientOutcome::kLost);
         CHECK(end.body.empty());
       }
@@ -276,13 +217,13 @@
   constexpr char kTooLarge[] = "HTTP/1.1 413 Too Large\r\n";
   struct Case {
     const char* end;
-    After after;
+    AfterAnswer after;
   };
-  for (const Case& c : {Case{kUntilClose, After::kClose},
-                        {kWithLength, After::kClose},
-                        {kWithLength, After::kReset},
-                        {kInChunks, After::kClose},
-                        {kInChunks, After::kReset}}) {
+  for (const Case& c : {Case{kUntilClose, AfterAnswer::kClose},
+                        {kWithLength, AfterAnswer::kClose},
+                        {kWithLength, AfterAnswer::kReset},
+                        {kInChunks, AfterAnswer::kClose},
+                        {kInChunks, AfterAnswer::kReset}}) {
     for (const bool streamed : {false, true}) {
       CAPTURE(c.end, streamed);
       Exchanges exchanges;
--- a/libs/http/tests/loopback.h
+++ b/libs/http/tests/loopback.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
@@ -64,7 +65,15 @@
   std::string address;
 };
 
-// A server that answers the requests on each connection with scripted bytes.
+// What a scripted server does with a connection after its answer.
+enum class AfterAnswer {
+  kKeepOpen,  // reads the next request
+  kClose,     // sends no more, and reads until the client closes
+  kReset,     // even if the client is still sending
+};
+
+// A server that answers the requests on each connection with scripted bytes. It
+// reads the head of a request only, before it answers.
 class ScriptedServer {
  public:
   explicit ScriptedServer(boost::asio::io_context& io)
@@ -77,6 +86,7 @@
 
   // Bytes for the next requests, over all connections, in order.
   std::vector<std::string> answers;
+  AfterAnswer after = AfterAnswer::kKeepOpen;
   size_t connections = 0;
 
  private:
@@ -102,9 +112,22 @@
           boost::asio::write(*socket, boost::asio::buffer(answers.front()),
                              write_ec);
           answers.erase(answers.begin());
-          Serve(socket, input);
+          if (after == AfterAnswer::kKeepOpen) return Serve(socket, input);
+          End(socket, input);
         });
   }
+  void End(const std::shared_ptr<Socket>& socket,
+           const std::shared_ptr<std::string>& input) {
+    boost::system::error_code ec;
+    if (after == AfterAnswer::kReset) {
+      socket->set_option(boost::asio::socket_base::linger(true, 0), ec);
+      socket->close(ec);
+      return;
+    }
+    socket->shutdown(Socket::shutdown_send, ec);
+    boost::asio::async_read(*socket, boost::asio::dynamic_buffer(*input),
+                            [socket, input](const auto&, size_t) {});
+  }
 
   boost::asio::ip::tcp::acceptor acceptor_;
 };
