Tests: a write to the store is reset during its upload

The reset forms did not meet the fault in the store's case: its write fitted the kernel's buffers. Comments reworded.

--- a/tests/users_platform/gateway_broken_answer_test.cc
+++ b/tests/users_platform/gateway_broken_answer_test.cc
@@ -22,6 +22,9 @@
     "id: 4\ndata: word 4\n\nid: 5\ndata: word 5\n\n";
 constexpr char kFirstEvent[] = "id: 1\ndata: word 1\n\n";
 
+// More than the kernel takes from a sender whose peer does not read.
+constexpr size_t kUploadBytes = 16 << 20;
+
 // Bytes that are no response, or only a part of one. ID stands for the
 // request's id.
 struct BrokenBytes {
@@ -134,10 +137,6 @@
 // One gateway in front of a sound server of each kind and a broken one.
 struct BrokenFleet {
   static constexpr int kSlots = 60;
-  // With a reset, more than the kernel takes from a gateway whose server does
-  // not read.
-  static constexpr size_t kUploadBytes = 16 << 20;
-
   Site site;
   BrokenServer broken;
   size_t upload_bytes = 0;
@@ -173,20 +172,19 @@
       return end.outcome == http::ClientOutcome::kComplete &&
              end.status == 200 && streamed == body;
     }
-    // Whether it tells that the request may have been executed, and is not
-    // taken for a server's.
+    // Whether it is a failure of the gateway's own, after which the request may
+    // have been executed.
     bool IsFailure() const {
       return end.outcome == http::ClientOutcome::kComplete &&
              end.status == 502 && end.headers.Find("Not-Executed").empty() &&
              end.headers.Find("Response-Signature").empty();
     }
-    // Whether it is a stream whose end the caller can't miss.
+    // Whether it is a stream that was cut off, after none or some of `whole`.
     bool IsBrokenOff(std::string_view whole) const {
       return end.outcome == http::ClientOutcome::kLost && end.status == 200 &&
              whole.starts_with(streamed);
     }
   };
-  // Sends a request.
   Reply Call(const std::string& path) {
     harness::Caller& caller = site.caller();
     const std::string name = std::to_string(++request_count);
@@ -283,9 +281,10 @@
     users_platform::StoreClient client(
         caller.io(), store.address(),
         [&](StoreAnswer&& received) { answer = std::move(received); });
+    const std::string text(bytes.reset ? kUploadBytes : 1, 'v');
     client.Call({.token = 1,
                  .call = platform::WriteRequest{
-                     .kind = "jobs", .name = "j", .value = R"("value")"}});
+                     .kind = "jobs", .name = "j", .value = '"' + text + '"'}});
     REQUIRE(caller.RunUntil([&] { return answer.has_value(); }));
     CHECK(answer->outcome == StoreOutcome::kUnknown);
   }
